--- /dev/null
+++ b/crates/quillhub-drill/src/settings.rs
@@ -0,0 +1,165 @@
+//! Reads the settings of a new courier and hands each to it.
+
+use crate::wire::expected;
+use quillhub::policy::Courier;
+use quillhub::{Effect, Grade, ListedRate};
+use serde_json::Value;
+use std::time::Duration;
+
+/// A value of the settings with the path it stands at, for messages.
+#[derive(Clone)]
+struct At<'a> {
+    value: &'a Value,
+    path: String,
+}
+
+impl<'a> At<'a> {
+    /// What stands under `name`; nothing if it is absent or null.
+    fn get(&self, name: &str) -> Option<At<'a>> {
+        let value = self.value.get(name).filter(|value| !value.is_null())?;
+        Some(At { value, path: format!("{}.{name}", self.path).trim_start_matches('.').into() })
+    }
+
+    fn need(&self, name: &str) -> Result<At<'a>, String> {
+        self.get(name).ok_or(format!("expected settings with {}.{name}, found none", self.path))
+    }
+
+    fn wrong<T>(&self, wanted: &str) -> Result<T, String> {
+        let what = format!("{wanted} as settings' {}", self.path);
+        Err(expected(what, &self.value.to_string()))
+    }
+
+    fn number(&self) -> Result<f64, String> {
+        self.value.as_f64().map_or_else(|| self.wrong("a number"), Ok)
+    }
+
+    fn whole(&self) -> Result<u64, String> {
+        self.value.as_u64().map_or_else(|| self.wrong("a whole number"), Ok)
+    }
+
+    fn span(&self) -> Result<Duration, String> {
+        self.whole().map(Duration::from_micros)
+    }
+
+    fn flag(&self) -> Result<bool, String> {
+        self.value.as_bool().map_or_else(|| self.wrong("true or false"), Ok)
+    }
+
+    fn word(&self) -> Result<&'a str, String> {
+        self.value.as_str().map_or_else(|| self.wrong("a text"), Ok)
+    }
+
+    fn rows(&self) -> Result<Vec<At<'a>>, String> {
+        let Some(rows) = self.value.as_array() else { return self.wrong("a list") };
+        let row = |(at, value)| At { value, path: format!("{}[{at}]", self.path) };
+        Ok(rows.iter().enumerate().map(row).collect())
+    }
+
+    fn words(&self) -> Result<Vec<&'a str>, String> {
+        self.rows()?.iter().map(At::word).collect()
+    }
+}
+
+/// Where the values of a load report stand that couriers go by: the share left, and the limit.
+#[derive(Default)]
+pub struct ReportPlaces {
+    pub left: Option<usize>,
+    pub limit: Option<usize>,
+}
+
+/// A courier started with the settings in `text`, and where its load reports hold what.
+pub fn start(seed: u64, text: &str) -> Result<(Courier, ReportPlaces), String> {
+    let Ok(value) = serde_json::from_str::<Value>(text) else {
+        return Err(expected("settings as a JSON object", text));
+    };
+    let top = At { value: &value, path: String::new() };
+    if !value.is_object() {
+        return Err(expected("settings as a JSON object", text));
+    }
+    let none = Value::Object(serde_json::Map::new());
+    let part = |name: &str| top.get(name).unwrap_or(At { value: &none, path: name.into() });
+    let (limits, rules, family) = (part("limits"), part("rules"), part("familyInfo"));
+
+    let couriers = top.get("nInstances").map(|v| v.whole()).transpose()?.unwrap_or(1);
+    let Ok(couriers) = u32::try_from(couriers) else {
+        return top.need("nInstances")?.wrong("a smaller number");
+    };
+    let zone = top.get("zone").map(|v| v.word()).transpose()?.unwrap_or_default();
+    let mut courier = Courier::new(seed, couriers, zone);
+
+    let whole = |from: &At, name: &str| from.get(name).map(|v| v.whole()).transpose();
+    let flag = |from: &At, name: &str| from.get(name).map_or(Ok(false), |v| v.flag());
+    let span = |from: &At, name: &str| from.get(name).map(|v| v.span()).transpose();
+    let sends = whole(&limits, "mostTries")?.map(|most| u32::try_from(most).unwrap_or(u32::MAX));
+    courier.room(
+        whole(&family, "maxCalls")?.map(|most| most as usize),
+        whole(&limits, "maxOpen")?.map(|most| most as usize),
+        sends,
+        flag(&limits, "secondCopies")?,
+    );
+    courier.come_back(if flag(&limits, "retryAfter")? { span(&limits, "maxRetryAfterUs")? } else { None });
+    courier.probing(flag(&limits, "probing")?);
+    if let Some(factor) = rules.get("overloadFactor") {
+        let start = rules.get("startCapacity").map_or(Ok(0.0), |v| v.number())?;
+        courier.returning(factor.number()?, start, span(&rules, "warmUpUs")?.unwrap_or_default());
+    }
+    courier.key_rest(span(&rules, "keyRestUs")?.unwrap_or_default());
+
+    let mode = top.get("membershipMode").map(|v| v.word()).transpose()?;
+    let rate = match top.get("weights").map(|v| v.word()).transpose()? {
+        Some("nominal") => ListedRate::Exact,
+        Some("rough") => ListedRate::Rough,
+        _ => ListedRate::Absent,
+    };
+    courier.listing(mode == Some("subscribe"), rate);
+
+    let halving = family.get("losesWorth").map(|v| v.word()).transpose()? == Some("halving");
+    for class in top.get("classes").map_or(Ok(Vec::new()), |v| v.rows())? {
+        let effect = class.need("effect")?;
+        let effect = match effect.word()? {
+            "free" => Effect::Retriable,
+            "guarded" => Effect::Fingerprinted {
+                memory: span(&class, "memorySpanUs")?.unwrap_or_default(),
+                one_zone: class.get("keyScope").map_or(Ok("all"), |v| v.word())? != "all",
+            },
+            "single_shot" => Effect::Binding,
+            _ => return effect.wrong("free, guarded or single_shot"),
+        };
+        let grade = Grade {
+            effect,
+            contract: class.need("aimUs")?.span()?,
+            limit: class.need("giveUpUs")?.span()?,
+            earnings: class.get("importance").map_or(Ok(1.0), |v| v.number())?,
+            late_share: class.get("lateWorth").map_or(Ok(0.0), |v| v.number())?,
+            halving,
+            in_order: flag(&class, "byArrival")?,
+        };
+        courier.grade(class.need("name")?.word()?, grade);
+    }
+
+    let kinds = top.get("skus").map_or(Ok(Vec::new()), |v| v.words())?;
+    let apart = family.get("separateRoutes").map_or(Ok(Vec::new()), |v| v.rows())?;
+    for (kind, apart) in kinds.iter().zip(apart) {
+        if apart.flag()? {
+            courier.routes_apart(kind);
+        }
+    }
+    let zones = top.get("failureDomains").map_or(Ok(Vec::new()), |v| v.words())?;
+    let tolls = family.get("toll").map_or(Ok(Vec::new()), |v| v.rows())?;
+    for (zone, toll) in zones.iter().zip(tolls) {
+        courier.toll(zone, toll.number()?);
+    }
+    let over_share = top.get("overShareWorth").map_or(Ok(1.0), |v| v.number())?;
+    for tenant in top.get("parties").map_or(Ok(Vec::new()), |v| v.rows())? {
+        if let Some(quota) = tenant.get("quotaPerS") {
+            courier.tenant(tenant.need("name")?.word()?, quota.number()?, over_share);
+        }
+    }
+
+    let names = match top.get("report").and_then(|report| report.get("names")) {
+        Some(names) => names.words()?,
+        None => Vec::new(),
+    };
+    let place = |wanted: &str| names.iter().position(|name| *name == wanted);
+    Ok((courier, ReportPlaces { left: place("x0"), limit: place("x1") }))
+}
--- /dev/null
+++ b/crates/quillhub-drill/src/wire_tests.rs
@@ -0,0 +1,86 @@
+use super::*;
+
+const HELLO: &str = r#"TICK 1000 1
+HELLO courier/0 7 {"classes":[{"aimUs":1000000,"effect":"free","giveUpUs":5000000,"name":"g"}],"familyInfo":{"maxCalls":4,"unheard":1},"report":{"names":["x0","x1"]}}
+LIST 3 1
+ENTRY endpoint_a z k 9 IN 1 -
+ANNOUNCE courier/0 3 cached 1
+YOUR_TURN
+"#;
+
+/// What is written for `input`, and the trouble that ended it.
+fn run(input: &str) -> (String, Option<String>) {
+    let mut output = Vec::new();
+    let trouble = serve(input.as_bytes(), &mut output).err();
+    (String::from_utf8(output).unwrap(), trouble)
+}
+
+fn trouble_after_hello(line: &str) -> String {
+    let (output, trouble) = run(&format!("{HELLO}TICK 2000 2\n{line}\nYOUR_TURN\n"));
+    assert_eq!(output, "EOR 1\n", "no partial reply after {line}");
+    trouble.unwrap_or_else(|| panic!("no trouble with {line}"))
+}
+
+#[test]
+fn input_that_ends_between_rounds_is_no_trouble() {
+    assert_eq!(run(HELLO), ("EOR 1\n".into(), None));
+    assert_eq!(run(""), (String::new(), None));
+}
+
+#[test]
+fn input_that_ends_inside_a_round_is_told_with_its_line() {
+    let (output, trouble) = run(&format!("{HELLO}TICK 2000 2\nTIMER courier/0 beat\n"));
+    assert_eq!(output, "EOR 1\n");
+    assert_eq!(trouble.unwrap(), "line 9: expected YOUR_TURN, found the input's end");
+    assert_eq!(run("TICK 20").1.unwrap(), "line 1: expected a whole line, found 'TICK 20'");
+}
+
+#[test]
+fn what_cannot_be_read_is_told_in_one_line() {
+    for (line, told) in [
+        ("WAVE courier/0", "line 8: expected an event, found 'WAVE courier/0'"),
+        ("INBOUND courier/0 x - g - 9000 - 0 9 0 0", "line 8: expected a number as ref, found 'x'"),
+        (
+            "INBOUND courier/0 1 - h - 9000 - 0 9 0 0",
+            "line 8: expected the name of a class as qos, found 'h'",
+        ),
+        ("INBOUND courier/0 1 - g - 9000 - 0 9 2 0", "line 8: expected 0 or 1 as update, found '2'"),
+        ("TIMER courier/5 beat", "line 8: expected a courier that was started, found 'courier/5'"),
+        ("ANNOUNCE courier/0 4 full 2", "line 8: expected the number of a list that came, found '4'"),
+        ("LIST 1 2\nENTRY e z k 9 UP 1 -", "line 9: expected IN, LAME or OUT as health, found 'UP'"),
+        ("TIMER courier/0 beat more", "line 8: expected the line's end, found 'more'"),
+        ("RESOLVED courier/0 1 0 endpoint_a lost 5 0 - -", "line 8: expected an outcome, found 'lost'"),
+        ("RESOLVED courier/0 1 0 endpoint_a ok 5 1 - 1;2", "numbers set apart by commas"),
+        ("HELLO courier/1 7 {", "line 8: expected settings as a JSON object"),
+        ("HELLO courier/1 7 {\"nInstances\":\"two\"}", "expected a whole number as settings' nInstances"),
+        (
+            "HELLO courier/1 7 {\"classes\":[{\"effect\":\"x\"}]}",
+            "free, guarded or single_shot as settings' classes[0].effect",
+        ),
+    ] {
+        let trouble = trouble_after_hello(line);
+        assert!(trouble.contains(told) && !trouble.contains('\n'), "{trouble}");
+    }
+    assert!(trouble_after_hello(&"W".repeat(5000)).len() < 150);
+    assert!(serve(&b"TICK \xff 1\n"[..], Vec::new()).unwrap_err().contains("UTF-8"));
+}
+
+#[test]
+fn a_notice_is_sent_and_late_or_unknown_ids_are_harmless() {
+    let (output, trouble) = run(&format!(
+        "{HELLO}TICK 2000 2\nINBOUND courier/0 77 - g - 5002000 - 0 9 0 0\nRESOLVED courier/0 5 0 endpoint_a ok 5 1 - -\n\
+         CLIENT_LEFT courier/0 6\nYOUR_TURN\nTICK 3000 3\nRESOLVED courier/0 77 0 endpoint_a ok 5 1 - 0.4,2\nYOUR_TURN\n"
+    ));
+    assert_eq!(trouble, None);
+    assert_eq!(output, "EOR 1\nASSIGN courier/0 77 endpoint_a 4000000\nEOR 2\nEOR 3\n");
+}
+
+#[test]
+fn a_list_number_that_comes_again_means_the_newer_list() {
+    let (output, trouble) = run(&format!(
+        "{HELLO}TICK 2000 2\nLIST 3 1\nENTRY endpoint_b z k 9 IN 1 -\nANNOUNCE courier/0 3 full 2\n\
+         INBOUND courier/0 77 - g - 5002000 - 0 9 0 0\nYOUR_TURN\n"
+    ));
+    assert_eq!(trouble, None);
+    assert!(output.contains("ASSIGN courier/0 77 endpoint_b"), "{output}");
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,102 @@
+//! The interface of quillhub's decisions: the words shared by the module that decides ([`policy`]) and by
+//! whatever hosts it, and the trait through which the module acts.
+//!
+//! A host makes one [`policy::Courier`] for each courier, tells it what happened through its methods, and
+//! carries out what it asks for through [`Hands`]. Times are spans since that courier's own start.
+
+pub mod policy;
+
+use std::time::Duration;
+
+/// A notice's id, as its host gives it.
+pub type NoticeId = u64;
+/// A destination's number, as its host gives it.
+pub type DestinationId = u64;
+
+/// What a host does for a courier. Each call takes effect at the time of the event being told.
+pub trait Hands {
+    /// Calls `endpoint` for `notice`; without an outcome after `patience` the send ends as timed out.
+    fn send(&mut self, notice: NoticeId, endpoint: &str, patience: Duration);
+    /// Final answer: not delivered, and trying again is harmless, best after `come_back`.
+    fn deny(&mut self, notice: NoticeId, come_back: Option<Duration>);
+    /// Final answer: not delivered, and nothing is promised.
+    fn write_off(&mut self, notice: NoticeId);
+    /// Stops waiting for one send.
+    fn call_off(&mut self, notice: NoticeId, send: u32);
+    /// Asks for [`policy::Courier::woken`] after `wait`.
+    fn wake(&mut self, wait: Duration);
+    /// Checks an endpoint without a notice.
+    fn probe(&mut self, endpoint: &str);
+    /// Asks the register for changes from now on.
+    fn watch(&mut self);
+    /// One line for the log.
+    fn log(&mut self, line: &str);
+}
+
+/// What a repeat of a notice may do at its destination.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// May run again.
+    Retriable,
+    /// Carries a mark by which a repeat is spotted for `memory` after the first send that may have run, by
+    /// all endpoints of the destination or only by those of one zone.
+    Fingerprinted { memory: Duration, one_zone: bool },
+    /// Must never run twice.
+    Binding,
+}
+
+/// A service grade: what a notice of it is worth, and until when.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Grade {
+    pub effect: Effect,
+    /// Delivered within this time it earns in full.
+    pub contract: Duration,
+    /// It is given up after this time.
+    pub limit: Duration,
+    pub earnings: f64,
+    /// Share of the earnings left at the limit.
+    pub late_share: f64,
+    /// Earnings halve with each further contract time; otherwise they fall evenly.
+    pub halving: bool,
+    /// Notices with the same key take turns.
+    pub in_order: bool,
+}
+
+/// How a send ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Handled,
+    Error,
+    /// Turned away unseen, with the wait that was told, if one was.
+    Refused(Option<Duration>),
+    TimedOut,
+    Unconnected,
+    Reset,
+    CalledOff,
+    /// Never left the courier.
+    Unsent,
+}
+
+impl Outcome {
+    /// True if the notice is known not to have run.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Self::Refused(_) | Self::Unconnected | Self::Unsent)
+    }
+}
+
+/// What the register says of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listing {
+    Open,
+    Draining,
+    Gone,
+}
+
+/// What a listed rate can be taken for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListedRate {
+    Absent,
+    Exact,
+    /// Up to half too high or too low.
+    Rough,
+}
--- /dev/null
+++ b/src/policy.rs
@@ -0,0 +1,953 @@
+//! All decisions of a courier. Its hosts call [`Courier`]: today `crates/quillhub-drill` on the bench's wire,
+//! later the service on sockets. Its interface, the words and the trait [`Hands`], is in `lib.rs`.
+//!
+//! A host tells one input at a time, after [`Courier::at`]; then [`Courier::settle`] goes through the rules,
+//! in order and again from the first, until none fires. docs/design.md says where each rule comes from.
+
+use crate::{DestinationId, Effect, Grade, Hands, ListedRate, Listing, NoticeId, Outcome};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+const fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+// Backoff: the design page's own starting values.
+const BASE: Duration = ms(200); // first gap's upper end: about one call
+const MULTIPLIER: f64 = 3.0; // of one gap to the next: the article's
+const CAP: Duration = ms(4_000); // longest gap: well inside the time limits seen in practice
+// Repeat budget.
+const SPAN: Duration = ms(10_000); // over which first tries and repeats are compared: the design page's
+const REPEAT_SHARE: f64 = 0.1; // repeats for each first try: the design page's
+const REPEATS_PER_S: f64 = 1.0; // and so many a second besides: the design page's
+// Latency.
+const UNKNOWN_CALL: Duration = ms(500); // a usual call where nothing recent is known: the design page's
+const SAMPLES: usize = 15; // calls whose median is usual: odd, and few enough to follow a change
+const RECENT: Duration = ms(20_000); // older samples say nothing of now
+const PATIENCE: f64 = 8.0; // x usual call: the long tail of a healthy destination ends before it
+const LEAST_PATIENCE: Duration = ms(2_000); // room for a handshake and a queue whatever the usual call
+const MOST_DOUBLINGS: u32 = 3; // of patience after time-outs in a row, so that a slow one gets through
+const SLOW: f64 = 4.0; // x usual call: a call out so long marks its destination as slow
+// Slot share.
+const SHARE: f64 = 0.75; // of the slots for one destination: the design page's
+const SICK_SHARE: f64 = 0.5; // for all that fail or are slow together: the design page's, for one
+// Credits of an endpoint at this courier, in calls out at once.
+const FIRST_CREDITS: f64 = 4.0; // more than an endpoint of usual pace keeps busy, less than its queue
+const MOST_CREDITS: f64 = 32.0; // an endpoint that proves itself may earn so many
+// Pace of a route.
+const BURST: Duration = ms(700); // of the rate may go at once: limits are counted over a second or so
+const PART_CUT: f64 = 0.7; // of this courier's part at a refusal: to half in two
+const PART_STEP: f64 = 0.02; // regained with each handled call: back in some tens of calls
+const LISTED_SLACK: f64 = 1.5; // a listed rate may be so much too low; credits do the rest
+// Outage of an endpoint.
+const FAIL_WEIGHT: f64 = 0.2; // of an answered failure in the failing share: five are a verdict
+const SILENT_WEIGHT: f64 = 0.35; // of a failed connection or a time-out: two are a verdict
+const OUT_SHARE: f64 = 0.5; // failing share over which an endpoint is out: most calls fail
+const BACK_SHARE: f64 = 0.4; // failing share of one just back: another failure or two and it is out again
+const TRIAL_GAP: Duration = ms(1_000); // longest gap between trials that cannot have run
+const DEAR_TRIAL_GAP: Duration = ms(3_000); // and between those that may: each can cost its notice
+const FIRST_COLD_RATE: f64 = 1.0; // calls/s an unknown destination is taken for, when cold: the least seen
+// Register.
+const ASK_BASE: Duration = ms(500); // first gap's upper end between asks that failed
+const ASK_CAP: Duration = ms(4_000); // and the longest
+// Holding room, and time.
+const SPARE_ROOM: f64 = 0.05; // of the room kept free, so that this courier chooses who is denied
+const BEAT: Duration = ms(10); // while a notice waits, the rules are gone through so often
+const LOG_GAP: Duration = ms(5_000); // between two lines on the same kind of trouble
+
+/// The wait before the next try after failure `k` (from 1): even chance from zero to a growing end.
+fn gap(rng: &mut Pcg64Mcg, k: u32, base: Duration, cap: Duration) -> Duration {
+    let end = base.as_secs_f64() * MULTIPLIER.powi(k.saturating_sub(1).min(40) as i32);
+    cap.min(Duration::from_secs_f64(end.min(cap.as_secs_f64()))).mul_f64(rng.random())
+}
+
+/// Repeats and first tries of the last SPAN, in seconds; old seconds leave with each count.
+#[derive(Default)]
+struct Repeats {
+    seconds: VecDeque<(u64, u32, u32)>,
+}
+
+impl Repeats {
+    fn count(&mut self, now: Duration, repeat: bool) {
+        let second = now.as_secs();
+        self.seconds.retain(|s| s.0 + SPAN.as_secs() > second);
+        if self.seconds.back().is_none_or(|s| s.0 != second) {
+            self.seconds.push_back((second, 0, 0));
+        }
+        let last = self.seconds.back_mut().expect("just pushed");
+        *(if repeat { &mut last.2 } else { &mut last.1 }) += 1;
+    }
+
+    fn allows(&self, now: Duration) -> bool {
+        let live = self.seconds.iter().filter(|s| s.0 + SPAN.as_secs() > now.as_secs());
+        let (firsts, repeats) = live.fold((0, 0), |sum, s| (sum.0 + s.1, sum.1 + s.2));
+        f64::from(repeats) < REPEAT_SHARE * f64::from(firsts) + REPEATS_PER_S * SPAN.as_secs_f64()
+    }
+}
+
+/// Recent times of handled calls of one destination and grade; holds SAMPLES at most.
+#[derive(Default)]
+struct Latency {
+    taken: VecDeque<(Duration, Duration)>,
+    timed_out: u32,
+}
+
+impl Latency {
+    fn handled(&mut self, now: Duration, took: Duration) {
+        self.taken.push_back((now, took));
+        if self.taken.len() > SAMPLES {
+            self.taken.pop_front();
+        }
+        self.timed_out = 0;
+    }
+
+    fn usual(&self, now: Duration) -> Duration {
+        let mut recent: Vec<_> = self.taken.iter().filter(|s| s.0 + RECENT > now).map(|s| s.1).collect();
+        recent.sort();
+        recent.get(recent.len() / 2).copied().unwrap_or(UNKNOWN_CALL)
+    }
+
+    /// Longer after each time-out in a row: else a destination that is merely slow never gets to answer.
+    fn patience(&self, now: Duration) -> Duration {
+        let calm = self.usual(now).mul_f64(PATIENCE).max(LEAST_PATIENCE);
+        calm * 2u32.pow(self.timed_out.min(MOST_DOUBLINGS))
+    }
+}
+
+/// Credits of one endpoint: spent by a send, earned back by an answer.
+struct Credits {
+    most: f64,
+    spent: u32,
+}
+
+impl Credits {
+    fn left(&self) -> i64 {
+        self.most as i64 - i64::from(self.spent)
+    }
+
+    fn answered(&mut self) {
+        if f64::from(self.spent) * 2.0 >= self.most {
+            self.most = (self.most + 1.0 / self.most).min(MOST_CREDITS);
+        }
+        self.spent = self.spent.saturating_sub(1);
+    }
+
+    fn lost(&mut self) {
+        self.most = (self.most / 2.0).max(1.0);
+        self.spent = self.spent.saturating_sub(1);
+    }
+}
+
+/// This courier's pace of calls to one route: a part, cut by refusals, of the rate known for it.
+struct Pace {
+    known: Option<f64>,
+    part: f64,
+    saved: f64,
+    filled: Duration,
+}
+
+impl Pace {
+    fn rate(&self) -> Option<f64> {
+        self.known.map(|rate| rate * self.part)
+    }
+
+    fn fill(&mut self, now: Duration) {
+        if let Some(rate) = self.rate() {
+            let most = (rate * BURST.as_secs_f64()).max(1.0);
+            self.saved = (self.saved + rate * (now - self.filled).as_secs_f64()).min(most);
+        }
+        self.filled = now;
+    }
+
+    fn ready(&self) -> bool {
+        self.known.is_none() || self.saved >= 1.0
+    }
+
+    fn refused(&mut self, couriers: u32) {
+        self.part = (self.part * PART_CUT).max(0.5 / f64::from(couriers));
+        self.saved = 0.0;
+    }
+
+    fn handled(&mut self) {
+        self.part = (self.part + PART_STEP).min(1.0);
+    }
+}
+
+/// What the rules say of a destination that returns.
+#[derive(Clone, Copy)]
+struct Return {
+    factor: f64,
+    start: f64,
+    warm_up: Duration,
+}
+
+impl Return {
+    /// Calls/s for one of `couriers` after `age`: half of the allowance, and never over what it can do.
+    fn rate(&self, capacity: f64, couriers: u32, age: Duration) -> f64 {
+        let warmth = (age.as_secs_f64() / self.warm_up.as_secs_f64().max(0.001)).min(1.0);
+        let now = self.start + (1.0 - self.start) * warmth;
+        (self.factor / 2.0).min(1.0) * now * capacity / f64::from(couriers)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Health {
+    Well,
+    Out,
+    Cold { since: Duration },
+}
+
+/// Whether one endpoint is out, and what it may get while it returns.
+struct Outage {
+    health: Health,
+    share: f64,
+    told: Duration,
+    saved: f64,
+    filled: Duration,
+}
+
+impl Outage {
+    fn new() -> Self {
+        Self { health: Health::Well, share: 0.0, told: Duration::ZERO, saved: 0.0, filled: Duration::ZERO }
+    }
+
+    fn failed(&mut self, now: Duration, weight: f64) {
+        self.share += (1.0 - self.share) * weight;
+        self.told = now;
+        if self.share > OUT_SHARE {
+            self.health = Health::Out;
+        } else if let Health::Cold { since } = &mut self.health {
+            *since = now;
+        }
+    }
+
+    fn handled(&mut self, now: Duration, warm_up: Duration) {
+        self.share *= 1.0 - FAIL_WEIGHT;
+        match self.health {
+            Health::Out => {
+                self.share = self.share.min(BACK_SHARE);
+                self.health = Health::Cold { since: now };
+                (self.saved, self.filled) = (0.0, now);
+            }
+            Health::Cold { since } if now >= since + warm_up => self.health = Health::Well,
+            _ => {}
+        }
+    }
+
+    fn fill(&mut self, now: Duration, ramp: Return, capacity: f64, couriers: u32) {
+        if let Health::Cold { since } = self.health {
+            let rate = ramp.rate(capacity, couriers, now - since);
+            self.saved = (self.saved + rate * (now - self.filled).as_secs_f64()).min(1.0);
+        }
+        self.filled = now;
+    }
+
+    fn admits(&self) -> bool {
+        match self.health {
+            Health::Well => true,
+            Health::Out => false,
+            Health::Cold { .. } => self.saved >= 1.0,
+        }
+    }
+}
+
+/// Slots for calls out at once.
+struct Slots {
+    most: usize,
+}
+
+impl Slots {
+    fn for_one(&self) -> usize {
+        ((self.most as f64 * SHARE) as usize).max(1)
+    }
+
+    fn for_sick(&self) -> usize {
+        ((self.most as f64 * SICK_SHARE) as usize).max(1)
+    }
+}
+
+/// The register: whether it must be asked, and when next.
+#[derive(Default)]
+struct Register {
+    must_ask: bool,
+    asked: bool,
+    failures: u32,
+    next: Duration,
+}
+
+/// Who has the turn among the notices with one key; gone when none is held, out or resting.
+#[derive(Default)]
+struct Turn {
+    line: VecDeque<NoticeId>,
+    out: Vec<NoticeId>,
+    rest: Duration,
+    rests_for: Option<NoticeId>,
+}
+
+impl Turn {
+    fn has(&self, id: NoticeId, now: Duration) -> bool {
+        self.line.front() == Some(&id)
+            && self.out.iter().all(|other| *other == id)
+            && (self.rest <= now || self.rests_for == Some(id))
+    }
+}
+
+/// A tenant's share of the pool that falls to this courier, as a bucket of one second.
+struct Quota {
+    rate: f64,
+    saved: f64,
+    filled: Duration,
+}
+
+struct Endpoint {
+    zone: String,
+    owner: DestinationId,
+    route: String,
+    listing: Listing,
+    credits: Credits,
+    outage: Outage,
+    used: Option<Duration>,
+}
+
+/// What shares one limit: a destination, or one endpoint where routes are apart. Gone with its endpoints.
+struct Route {
+    told: Duration,
+    pace: Pace,
+    repeats: Repeats,
+    refusals: u32,
+    closed: Duration,
+    trials: u32,
+    trial: Duration,
+}
+
+/// A notice taken and not yet answered.
+struct Held {
+    grade: usize,
+    destination: DestinationId,
+    key: Option<u64>,
+    limit: Duration,
+    worth: f64,
+    sends: u32,
+    failures: u32,
+    out: u32,
+    not_before: Duration,
+    may_have_run: Option<(Duration, String)>,
+}
+
+struct Call {
+    endpoint: String,
+    grade: usize,
+    key: Option<u64>,
+    started: Duration,
+}
+
+/// What a destination's notices may use now, best first.
+struct Door {
+    ways: Vec<Way>,
+}
+
+struct Way {
+    endpoint: String,
+    zone: String,
+    trial: bool,
+    repeats: bool,
+}
+
+pub struct Courier {
+    now: Duration,
+    rng: Pcg64Mcg,
+    couriers: u32,
+    zone: String,
+    slots: Slots,
+    room: usize,
+    most_sends: u32,
+    copies: bool,
+    probing: bool,
+    longest_wait: Duration,
+    ramp: Return,
+    key_rest: Duration,
+    listed: ListedRate,
+    register: Register,
+    grades: Vec<(String, Grade)>,
+    apart: BTreeSet<String>,
+    tolls: BTreeMap<String, f64>,
+    quotas: BTreeMap<String, Quota>,
+    over_share: f64,
+    endpoints: BTreeMap<String, Endpoint>,
+    routes: BTreeMap<(DestinationId, String), Route>,
+    latency: BTreeMap<(DestinationId, usize), Latency>,
+    turns: BTreeMap<u64, Turn>,
+    held: BTreeMap<NoticeId, Held>,
+    calls: BTreeMap<(NoticeId, u32), Call>,
+    beat: Option<Duration>,
+    logged: BTreeMap<&'static str, Duration>,
+    lines: Vec<String>,
+}
+
+impl Courier {
+    pub fn new(seed: u64, couriers: u32, zone: &str) -> Self {
+        Self {
+            now: Duration::ZERO,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            couriers: couriers.max(1),
+            zone: zone.into(),
+            slots: Slots { most: 1 },
+            room: usize::MAX,
+            most_sends: u32::MAX,
+            copies: false,
+            probing: false,
+            longest_wait: Duration::ZERO,
+            ramp: Return { factor: 1.0, start: 0.0, warm_up: Duration::ZERO },
+            key_rest: Duration::ZERO,
+            listed: ListedRate::Absent,
+            register: Register::default(),
+            grades: Vec::new(),
+            apart: BTreeSet::new(),
+            tolls: BTreeMap::new(),
+            quotas: BTreeMap::new(),
+            over_share: 1.0,
+            endpoints: BTreeMap::new(),
+            routes: BTreeMap::new(),
+            latency: BTreeMap::new(),
+            turns: BTreeMap::new(),
+            held: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            beat: None,
+            logged: BTreeMap::new(),
+            lines: Vec::new(),
+        }
+    }
+
+    /// Calls out at once, notices held at once, and sends for one notice; second copies allowed or not.
+    pub fn room(&mut self, slots: Option<usize>, held: Option<usize>, sends: Option<u32>, copies: bool) {
+        self.slots.most = slots.unwrap_or(1);
+        self.room = held.unwrap_or(usize::MAX);
+        self.most_sends = sends.unwrap_or(u32::MAX);
+        self.copies = copies;
+    }
+
+    /// The longest wait that may be told with a denial; none if none may be told.
+    pub fn come_back(&mut self, longest: Option<Duration>) {
+        self.longest_wait = longest.unwrap_or_default();
+    }
+
+    pub fn returning(&mut self, factor: f64, start: f64, warm_up: Duration) {
+        self.ramp = Return { factor, start, warm_up };
+    }
+
+    pub fn probing(&mut self, allowed: bool) {
+        self.probing = allowed;
+    }
+
+    pub fn key_rest(&mut self, rest: Duration) {
+        self.key_rest = rest;
+    }
+
+    pub fn listing(&mut self, must_ask: bool, rate: ListedRate) {
+        self.register.must_ask = must_ask;
+        self.listed = rate;
+    }
+
+    pub fn grade(&mut self, name: &str, grade: Grade) {
+        self.grades.push((name.into(), grade));
+    }
+
+    /// A kind of destination whose endpoints are routes apart.
+    pub fn routes_apart(&mut self, kind: &str) {
+        self.apart.insert(kind.into());
+    }
+
+    pub fn toll(&mut self, zone: &str, points: f64) {
+        self.tolls.insert(zone.into(), points);
+    }
+
+    /// A tenant's rate for the whole pool; what comes over it earns only `over_share`.
+    pub fn tenant(&mut self, name: &str, rate: f64, over_share: f64) {
+        let rate = rate / f64::from(self.couriers);
+        self.quotas.insert(name.into(), Quota { rate, saved: rate, filled: Duration::ZERO });
+        self.over_share = over_share;
+    }
+
+    /// The time of what is told next.
+    pub fn at(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+    }
+
+    pub fn listed(
+        &mut self,
+        name: &str,
+        zone: &str,
+        kind: &str,
+        owner: DestinationId,
+        listing: Listing,
+        rate: Option<f64>,
+    ) {
+        let route = if self.apart.contains(kind) { name } else { "" };
+        let known = match self.listed {
+            ListedRate::Absent => None,
+            ListedRate::Exact | ListedRate::Rough => rate.filter(|r| *r > 0.0).map(|r| r * LISTED_SLACK),
+        };
+        let now = self.now;
+        self.routes.entry((owner, route.into())).or_insert_with(|| Route {
+            told: Duration::ZERO,
+            pace: Pace { known, part: 1.0, saved: 1.0, filled: now },
+            repeats: Repeats::default(),
+            refusals: 0,
+            closed: Duration::ZERO,
+            trials: 0,
+            trial: Duration::ZERO,
+        });
+        let endpoint = self.endpoints.entry(name.into()).or_insert_with(|| Endpoint {
+            zone: zone.into(),
+            owner,
+            route: route.into(),
+            listing,
+            credits: Credits { most: FIRST_CREDITS, spent: 0 },
+            outage: Outage::new(),
+            used: None,
+        });
+        endpoint.listing = listing;
+    }
+
+    /// The end of a list or of changes; what a whole list leaves out is gone.
+    pub fn list_ends(&mut self, whole: Option<&BTreeSet<String>>, asked: bool) {
+        if let Some(names) = whole {
+            for (name, endpoint) in &mut self.endpoints {
+                if !names.contains(name) {
+                    endpoint.listing = Listing::Gone;
+                }
+            }
+        }
+        let busy: BTreeSet<_> = self.calls.values().map(|call| call.endpoint.clone()).collect();
+        self.endpoints.retain(|name, e| e.listing != Listing::Gone || busy.contains(name));
+        let live: BTreeSet<_> = self.endpoints.values().map(|e| (e.owner, e.route.clone())).collect();
+        let now = self.now;
+        self.routes.retain(|name, route| live.contains(name) || route.told > now);
+        self.latency
+            .retain(|name, _| live.range((name.0, String::new())..).next().is_some_and(|r| r.0 == name.0));
+        if asked {
+            (self.register.asked, self.register.failures) = (true, 0);
+        }
+    }
+
+    pub fn list_failed(&mut self) {
+        let register = &mut self.register;
+        register.failures += 1;
+        register.asked = false;
+        register.next = self.now + gap(&mut self.rng, register.failures, ASK_BASE, ASK_CAP);
+    }
+
+    /// A notice was handed in. False if its grade is unknown: then nothing was taken.
+    pub fn notice(
+        &mut self,
+        id: NoticeId,
+        grade: &str,
+        key: Option<u64>,
+        limit: Duration,
+        tenant: Option<&str>,
+        destination: DestinationId,
+    ) -> bool {
+        let Some(grade) = self.grades.iter().position(|g| g.0 == grade) else { return false };
+        let mut worth = self.grades[grade].1.earnings;
+        if let Some(quota) = tenant.and_then(|name| self.quotas.get_mut(name)) {
+            let more = quota.rate * (self.now - quota.filled).as_secs_f64();
+            quota.saved = (quota.saved + more).min(quota.rate.max(1.0));
+            quota.filled = self.now;
+            if quota.saved >= 1.0 {
+                quota.saved -= 1.0;
+            } else {
+                worth *= self.over_share;
+            }
+        }
+        let key = key.filter(|_| self.grades[grade].1.in_order);
+        if let Some(key) = key {
+            self.turns.entry(key).or_default().line.push_back(id);
+        }
+        let held = Held {
+            grade,
+            destination,
+            key,
+            limit,
+            worth,
+            sends: 0,
+            failures: 0,
+            out: 0,
+            not_before: Duration::ZERO,
+            may_have_run: None,
+        };
+        self.held.insert(id, held);
+        true
+    }
+
+    /// The client left, or the notice is over: nothing more is owed for it.
+    pub fn over(&mut self, id: NoticeId) {
+        if let Some(key) = self.held.remove(&id).and_then(|held| held.key)
+            && let Some(turn) = self.turns.get_mut(&key)
+        {
+            turn.line.retain(|other| *other != id);
+            let now = self.now;
+            self.turns.retain(|_, t| !t.line.is_empty() || !t.out.is_empty() || t.rest > now);
+        }
+    }
+
+    /// How a send ended. `left` is the share of the limit that is left, `rate` the limit in calls a second.
+    pub fn outcome(
+        &mut self,
+        id: NoticeId,
+        send: u32,
+        outcome: Outcome,
+        took: Duration,
+        over: bool,
+        report: Option<(f64, f64)>,
+    ) {
+        let Some(call) = self.calls.remove(&(id, send)) else { return };
+        self.judge(&call, outcome, took, report);
+        if let Some(turn) = call.key.and_then(|key| self.turns.get_mut(&key)) {
+            if let Some(at) = turn.out.iter().position(|other| *other == id) {
+                turn.out.remove(at);
+            }
+            if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::CalledOff) {
+                (turn.rest, turn.rests_for) = (self.now + self.key_rest, Some(id));
+            }
+        }
+        if over {
+            self.over(id);
+        }
+        let Some(held) = self.held.get_mut(&id) else { return };
+        held.out -= 1;
+        held.failures += u32::from(outcome != Outcome::Unsent);
+        held.not_before = self.now + gap(&mut self.rng, held.failures, BASE, CAP);
+        if !outcome.never_ran() && held.may_have_run.as_ref().is_none_or(|first| first.0 > call.started) {
+            let zone = self.endpoints.get(&call.endpoint).map_or(String::new(), |e| e.zone.clone());
+            held.may_have_run = Some((call.started, zone));
+        }
+    }
+
+    /// How a check without a notice ended.
+    pub fn probed(&mut self, _endpoint: &str, _outcome: Outcome) {}
+
+    /// What one outcome says of its endpoint, its route and its destination.
+    fn judge(&mut self, call: &Call, outcome: Outcome, took: Duration, report: Option<(f64, f64)>) {
+        let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) else { return };
+        let Some(route) = self.routes.get_mut(&(endpoint.owner, endpoint.route.clone())) else { return };
+        let latency = self.latency.entry((endpoint.owner, call.grade)).or_default();
+        if let Some((_, rate)) = report.filter(|r| r.1 > 0.0) {
+            route.pace.known = Some(rate);
+        }
+        let before = endpoint.outage.health;
+        match outcome {
+            Outcome::Handled => {
+                latency.handled(self.now, took);
+                endpoint.credits.answered();
+                endpoint.outage.handled(self.now, self.ramp.warm_up);
+                route.pace.handled();
+                route.refusals = 0;
+                (route.trials, route.trial) = (0, self.now);
+            }
+            Outcome::Refused(wait) => {
+                endpoint.credits.answered();
+                route.pace.refused(self.couriers);
+                route.refusals += 1;
+                let rest = gap(&mut self.rng, route.refusals, BASE, CAP);
+                route.closed = route.closed.max(self.now + rest);
+                route.told = route.told.max(self.now + wait.unwrap_or_default());
+                if call.started >= endpoint.outage.told {
+                    endpoint.outage.failed(self.now, FAIL_WEIGHT);
+                }
+            }
+            Outcome::Error => {
+                endpoint.credits.answered();
+                endpoint.outage.failed(self.now, FAIL_WEIGHT);
+            }
+            Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => {
+                latency.timed_out += u32::from(outcome == Outcome::TimedOut);
+                endpoint.credits.lost();
+                endpoint.outage.failed(self.now, SILENT_WEIGHT);
+            }
+            Outcome::CalledOff | Outcome::Unsent => endpoint.credits.answered(),
+        }
+        let after = endpoint.outage.health;
+        if after == Health::Out && outcome != Outcome::Handled {
+            route.trials += 1;
+            let cap = if outcome.never_ran() { TRIAL_GAP } else { DEAR_TRIAL_GAP };
+            let rest = cap / 2 + gap(&mut self.rng, route.trials, BASE, cap) / 2;
+            route.trial = route.trial.max(self.now + rest);
+        }
+        if std::mem::discriminant(&before) != std::mem::discriminant(&after) {
+            let line =
+                format!("{} of destination {}: {before:?} -> {after:?}", call.endpoint, endpoint.owner);
+            self.lines.push(line);
+        }
+    }
+
+    /// Goes through the rules until none fires.
+    pub fn settle(&mut self, hands: &mut dyn Hands) {
+        for line in self.lines.drain(..) {
+            hands.log(&line);
+        }
+        while self.ask_register(hands)
+            || self.end_what_cannot_be_delivered(hands)
+            || self.send_what_earns_most(hands)
+            || self.keep_room(hands)
+            || self.keep_beat(hands)
+        {}
+    }
+
+    pub fn woken(&mut self) {
+        self.beat = None;
+    }
+
+    fn ask_register(&mut self, hands: &mut dyn Hands) -> bool {
+        let due = self.register.must_ask && !self.register.asked && self.register.next <= self.now;
+        if due {
+            self.register.asked = true;
+            hands.watch();
+        }
+        due
+    }
+
+    fn usual(&self, held: &Held) -> Duration {
+        let latency = self.latency.get(&(held.destination, held.grade));
+        latency.map_or(UNKNOWN_CALL, |l| l.usual(self.now))
+    }
+
+    /// What `held` earns when handled at `at`.
+    fn earns(&self, held: &Held, at: Duration) -> f64 {
+        let grade = &self.grades[held.grade].1;
+        let age = (at + grade.limit).saturating_sub(held.limit);
+        if age <= grade.contract {
+            return held.worth;
+        }
+        let late = (age - grade.contract).as_secs_f64();
+        let left = if grade.halving {
+            0.5f64.powf(late / grade.contract.as_secs_f64()).max(grade.late_share)
+        } else {
+            let span = (grade.limit.saturating_sub(grade.contract)).as_secs_f64().max(0.001);
+            1.0 - (1.0 - grade.late_share) * (late / span).min(1.0)
+        };
+        held.worth * left
+    }
+
+    /// The last moment at which another send of `held` may start, by its limit and its destination's memory.
+    fn last_start(&self, held: &Held) -> Duration {
+        let by_limit = held.limit.saturating_sub(self.usual(held));
+        match (&held.may_have_run, self.grades[held.grade].1.effect) {
+            (None, _) | (_, Effect::Retriable) => by_limit,
+            (Some(first), Effect::Fingerprinted { memory, .. }) => by_limit.min(first.0 + memory),
+            (Some(_), Effect::Binding) => Duration::ZERO,
+        }
+    }
+
+    fn may_deny(&self, held: &Held) -> bool {
+        match self.grades[held.grade].1.effect {
+            Effect::Retriable => true,
+            Effect::Fingerprinted { one_zone, .. } => held.may_have_run.is_none() || !one_zone,
+            Effect::Binding => held.may_have_run.is_none(),
+        }
+    }
+
+    fn answer(&mut self, id: NoticeId, hands: &mut dyn Hands) {
+        let Some(held) = self.held.get(&id) else { return };
+        if self.may_deny(held) {
+            let routes = self.routes.range((held.destination, String::new())..);
+            let open =
+                routes.take_while(|r| r.0.0 == held.destination).map(|r| r.1.told.max(r.1.trial)).min();
+            let wait = open.unwrap_or_default().saturating_sub(self.now).min(self.longest_wait);
+            hands.deny(id, (!wait.is_zero()).then_some(wait));
+        } else {
+            hands.write_off(id);
+        }
+        self.over(id);
+    }
+
+    fn end_what_cannot_be_delivered(&mut self, hands: &mut dyn Hands) -> bool {
+        let lost = self.held.iter().find(|(_, held)| {
+            held.out == 0
+                && (held.sends >= self.most_sends
+                    || self.now.max(held.not_before).max(self.told(held.destination)) > self.last_start(held))
+        });
+        let Some(id) = lost.map(|(id, _)| *id) else { return false };
+        self.answer(id, hands);
+        true
+    }
+
+    /// The end of the waits told for all routes of a destination.
+    fn told(&self, destination: DestinationId) -> Duration {
+        let routes = self.routes.range((destination, String::new())..).take_while(|r| r.0.0 == destination);
+        routes.map(|r| r.1.told).min().unwrap_or_default()
+    }
+
+    /// The calls out to each destination, and whether one of them is far over a usual call.
+    fn calls_out(&self) -> BTreeMap<DestinationId, (usize, bool)> {
+        let mut out = BTreeMap::new();
+        for call in self.calls.values() {
+            let Some(endpoint) = self.endpoints.get(&call.endpoint) else { continue };
+            let latency = self.latency.get(&(endpoint.owner, call.grade));
+            let usual = latency.map_or(UNKNOWN_CALL, |l| l.usual(self.now));
+            let entry: &mut (usize, bool) = out.entry(endpoint.owner).or_default();
+            entry.0 += 1;
+            entry.1 |= self.now > call.started + usual.mul_f64(SLOW);
+        }
+        out
+    }
+
+    /// For each destination, the endpoints that may be sent to now, best first.
+    fn doors(&mut self) -> BTreeMap<DestinationId, Door> {
+        let out = self.calls_out();
+        let mut counts: BTreeMap<DestinationId, (u32, bool)> = BTreeMap::new();
+        for e in self.endpoints.values().filter(|e| e.listing == Listing::Open) {
+            let count = counts.entry(e.owner).or_insert((0, true));
+            count.0 += 1;
+            count.1 &= e.outage.health == Health::Out;
+        }
+        let sick = |owner: &DestinationId| {
+            out.get(owner).is_some_and(|o| o.1) || counts.get(owner).is_some_and(|c| c.1)
+        };
+        let sick_calls: usize = out.iter().filter(|(owner, _)| sick(owner)).map(|(_, o)| o.0).sum();
+        for route in self.routes.values_mut() {
+            route.pace.fill(self.now);
+        }
+        let mut doors: BTreeMap<DestinationId, Door> = BTreeMap::new();
+        let mut ranks: BTreeMap<String, (bool, bool, i64, bool, i64)> = BTreeMap::new();
+        for (name, e) in self.endpoints.iter_mut().filter(|(_, e)| e.listing == Listing::Open) {
+            let Some(route) = self.routes.get(&(e.owner, e.route.clone())) else { continue };
+            let capacity = route.pace.known.unwrap_or(FIRST_COLD_RATE) / f64::from(counts[&e.owner].0);
+            e.outage.fill(self.now, self.ramp, capacity, self.couriers);
+            let calls = out.get(&e.owner).map_or(0, |o| o.0);
+            let full = calls >= self.slots.for_one() || sick(&e.owner) && sick_calls >= self.slots.for_sick();
+            let trial = e.outage.health == Health::Out;
+            let open = route.told <= self.now && route.closed <= self.now && route.pace.ready();
+            let willing = if trial { route.trial <= self.now } else { e.outage.admits() };
+            if full || !open || !willing || e.credits.left() <= 0 {
+                continue;
+            }
+            let toll = (self.tolls.get(&e.zone).unwrap_or(&0.0) * 1e6) as i64;
+            let warm = e.used.is_some_and(|at| at + ms(4_000) > self.now);
+            ranks.insert(name.clone(), (trial, e.zone != self.zone, toll, !warm, -e.credits.left()));
+            let way = Way {
+                endpoint: name.clone(),
+                zone: e.zone.clone(),
+                trial,
+                repeats: route.repeats.allows(self.now),
+            };
+            doors.entry(e.owner).or_insert(Door { ways: Vec::new() }).ways.push(way);
+        }
+        for door in doors.values_mut() {
+            door.ways.sort_by_key(|way| ranks[&way.endpoint]);
+        }
+        doors
+    }
+
+    /// The way that `held` may take now, if any.
+    fn way<'a>(&self, id: NoticeId, held: &Held, door: &'a Door) -> Option<&'a Way> {
+        if held.out > 0 || held.not_before > self.now || held.sends >= self.most_sends {
+            return None;
+        }
+        if held.key.is_some_and(|key| !self.turns.get(&key).is_some_and(|turn| turn.has(id, self.now))) {
+            return None;
+        }
+        if self.last_start(held) < self.now {
+            return None;
+        }
+        let one_zone =
+            matches!(self.grades[held.grade].1.effect, Effect::Fingerprinted { one_zone: true, .. });
+        let zone = held.may_have_run.as_ref().filter(|_| one_zone).map(|first| &first.1);
+        door.ways.iter().find(|w| (held.sends == 0 || w.repeats) && zone.is_none_or(|zone| *zone == w.zone))
+    }
+
+    fn send_what_earns_most(&mut self, hands: &mut dyn Hands) -> bool {
+        if self.calls.len() >= self.slots.most || self.held.is_empty() {
+            return false;
+        }
+        let doors = self.doors();
+        let mut best: Option<((u8, f64, Duration), NoticeId, &Way)> = None;
+        for (id, held) in &self.held {
+            let Some(door) = doors.get(&held.destination) else { continue };
+            let Some(way) = self.way(*id, held, door) else { continue };
+            let usual = self.usual(held);
+            let earns = self.earns(held, self.now + usual);
+            let grade = &self.grades[held.grade].1;
+            let safe = match (way.trial, held.may_have_run.is_some(), grade.effect) {
+                (false, ..) => 3,
+                (true, true, _) => 2,
+                (true, false, Effect::Retriable) => 1,
+                (true, false, _) => 0,
+            };
+            let due = (held.limit + grade.contract).saturating_sub(grade.limit);
+            let rank = (safe, earns, due);
+            let better = best.as_ref().is_none_or(|(top, ..)| {
+                rank.0.cmp(&top.0).then(rank.1.total_cmp(&top.1)).then(top.2.cmp(&rank.2)).is_gt()
+            });
+            if better {
+                best = Some((rank, *id, way));
+            }
+        }
+        let Some((_, id, way)) = best else { return false };
+        self.send(id, &way.endpoint.clone(), way.trial, hands);
+        true
+    }
+
+    fn send(&mut self, id: NoticeId, name: &str, trial: bool, hands: &mut dyn Hands) {
+        let now = self.now;
+        let (Some(held), Some(endpoint)) = (self.held.get_mut(&id), self.endpoints.get_mut(name)) else {
+            return;
+        };
+        let Some(route) = self.routes.get_mut(&(endpoint.owner, endpoint.route.clone())) else { return };
+        let latency = self.latency.entry((held.destination, held.grade)).or_default();
+        let patience = latency.patience(now).min(held.limit.saturating_sub(now));
+        hands.send(id, name, patience);
+        route.repeats.count(now, held.sends > 0);
+        route.pace.saved -= 1.0;
+        if trial {
+            route.trials += 1;
+            route.trial = now + TRIAL_GAP / 2 + gap(&mut self.rng, route.trials, BASE, TRIAL_GAP) / 2;
+        }
+        endpoint.credits.spent += 1;
+        endpoint.outage.saved -= 1.0;
+        endpoint.used = Some(now);
+        let call = Call { endpoint: name.into(), grade: held.grade, key: held.key, started: now };
+        self.calls.insert((id, held.sends), call);
+        if let Some(turn) = held.key.and_then(|key| self.turns.get_mut(&key)) {
+            turn.out.push(id);
+        }
+        held.sends += 1;
+        held.out += 1;
+    }
+
+    /// Room short: the one that earns least goes, so that it is not chance that turns the next one away.
+    fn keep_room(&mut self, hands: &mut dyn Hands) -> bool {
+        let spare = ((self.room as f64 * SPARE_ROOM) as usize).max(1);
+        if self.held.len().saturating_add(spare) <= self.room {
+            return false;
+        }
+        let waiting = self.held.iter().filter(|(_, held)| held.out == 0 && self.may_deny(held));
+        let least = waiting.min_by(|a, b| {
+            let earns = |held: &Held| self.earns(held, self.now + self.usual(held));
+            earns(a.1).total_cmp(&earns(b.1)).then(b.0.cmp(a.0))
+        });
+        let Some(id) = least.map(|(id, _)| *id) else { return false };
+        self.answer(id, hands);
+        if self.logged.get("room").is_none_or(|at| *at + LOG_GAP <= self.now) {
+            self.logged.insert("room", self.now);
+            hands.log(&format!("room short: {} held, {} out", self.held.len(), self.calls.len()));
+        }
+        true
+    }
+
+    fn keep_beat(&mut self, hands: &mut dyn Hands) -> bool {
+        let waits = self.held.values().any(|held| held.out == 0);
+        let asks = self.register.must_ask && !self.register.asked;
+        if self.beat.is_some() || !(waits || asks) {
+            return false;
+        }
+        self.beat = Some(self.now + BEAT);
+        hands.wake(BEAT);
+        true
+    }
+}
+
+#[cfg(test)]
+#[path = "policy_tests.rs"]
+mod tests;
