A route that refuses for over 2.5 s counts as shut and returns cold

Few calls saw a refusal, so no endpoint counted as out, and its end released all that had waited: 4.6 times what it could then do, 1.0 s after its return. Told apart from a limit by length: a span is a second or two.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -46,6 +46,7 @@
 const SILENT_WEIGHT: f64 = 0.35; // of a failed connection or a time-out: two are a verdict
 const OUT_SHARE: f64 = 0.5; // failing share over which an endpoint is out: most calls fail
 const BACK_SHARE: f64 = 0.4; // failing share of one just back: another failure or two and it is out again
+const SHUT: Duration = ms(2_500); // refused for so long is no limit, whose spans are a second or two: it is shut
 const TRIAL_GAP: Duration = ms(1_000); // longest gap between trials that cannot have run
 const DEAR_TRIAL_GAP: Duration = ms(3_000); // and between those that may: each can cost its notice
 const FIRST_COLD_RATE: f64 = 1.0; // calls/s an unknown destination is taken for, when cold: the least seen
@@ -317,6 +318,7 @@
     pace: Pace,
     repeats: Repeats,
     refusals: u32,
+    refused: Duration,
     closed: Duration,
     trials: u32,
     trial: Duration,
@@ -495,6 +497,7 @@
             pace: Pace { known, part: 1.0, saved: 1.0, filled: now },
             repeats: Repeats::default(),
             refusals: 0,
+            refused: Duration::ZERO,
             closed: Duration::ZERO,
             trials: 0,
             trial: Duration::ZERO,
@@ -649,11 +652,18 @@
             Outcome::Refused(wait) => {
                 endpoint.credits.answered();
                 route.pace.refused(self.couriers);
+                if route.refusals == 0 {
+                    route.refused = self.now;
+                }
                 route.refusals += 1;
                 let rest = gap(&mut self.rng, route.refusals, BASE, CAP);
                 route.closed = route.closed.max(self.now + rest);
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
-                if call.started >= endpoint.outage.told {
+                // Against a herd at a destination that was shut and tells when it opens, which few calls saw:
+                // it returns cold however little it refused. May slow one whose limit was cut for long.
+                if route.told.max(self.now) > route.refused + SHUT {
+                    endpoint.outage.failed(self.now, 1.0);
+                } else if call.started >= endpoint.outage.told {
                     endpoint.outage.failed(self.now, FAIL_WEIGHT);
                 }
             }
