--- a/src/policy.rs
+++ b/src/policy.rs
@@ -24,8 +24,8 @@
 const REPEATS_PER_S: f64 = 1.0; // and so many a second besides: the design page's
 // Latency.
 const UNKNOWN_CALL: Duration = ms(500); // a usual call where nothing recent is known: the design page's
-const SAMPLES: usize = 15; // calls whose median is usual: odd, and few enough to follow a change
-const RECENT: Duration = ms(20_000); // older samples say nothing of now
+const SAMPLES: usize = 31; // calls whose median is usual: odd; a slow spell does not become usual at once
+const RECENT: Duration = ms(40_000); // older samples say nothing of now
 const PATIENCE: f64 = 8.0; // x usual call: the long tail of a healthy destination ends before it
 const LEAST_PATIENCE: Duration = ms(2_000); // room for a handshake and a queue whatever the usual call
 const MOST_DOUBLINGS: u32 = 3; // of patience after time-outs in a row, so that a slow one gets through
