--- a/src/policy.rs
+++ b/src/policy.rs
@@ -55,7 +55,7 @@
 const ASK_CAP: Duration = ms(4_000); // and the longest
 // Holding room, and time.
 const SPARE_ROOM: f64 = 0.05; // of the room kept free, so that this courier chooses who is denied
-const BEAT: Duration = ms(10); // while a notice waits, the rules are gone through so often
+const BEAT: Duration = ms(20); // while a notice waits, the rules are gone through so often
 const LOG_GAP: Duration = ms(5_000); // between two lines on the same kind of trouble
 
 /// The wait before the next try after failure `k` (from 1): even chance from zero to a growing end.
@@ -92,22 +92,26 @@
 #[derive(Default)]
 struct Latency {
     taken: VecDeque<(Duration, Duration)>,
+    median: Option<Duration>,
     timed_out: u32,
 }
 
 impl Latency {
     fn handled(&mut self, now: Duration, took: Duration) {
         self.taken.push_back((now, took));
+        self.taken.retain(|s| s.0 + RECENT > now);
         if self.taken.len() > SAMPLES {
             self.taken.pop_front();
         }
+        let mut sorted: Vec<_> = self.taken.iter().map(|s| s.1).collect();
+        sorted.sort();
+        self.median = Some(sorted[sorted.len() / 2]);
         self.timed_out = 0;
     }
 
     fn usual(&self, now: Duration) -> Duration {
-        let mut recent: Vec<_> = self.taken.iter().filter(|s| s.0 + RECENT > now).map(|s| s.1).collect();
-        recent.sort();
-        recent.get(recent.len() / 2).copied().unwrap_or(UNKNOWN_CALL)
+        let recent = self.taken.back().is_some_and(|s| s.0 + RECENT > now);
+        self.median.filter(|_| recent).unwrap_or(UNKNOWN_CALL)
     }
 
     /// Longer after each time-out in a row: else a destination that is merely slow never gets to answer.
