--- a/src/policy.rs
+++ b/src/policy.rs
@@ -30,7 +30,6 @@
 const LEAST_PATIENCE: Duration = ms(2_000); // room for a handshake and a queue whatever the usual call
 const MOST_DOUBLINGS: u32 = 3; // of patience after time-outs in a row, so that a slow one gets through
 const SLOW: f64 = 4.0; // x usual call: a call out so long marks its destination as slow
-const MARGIN: f64 = 3.0; // x usual call: what may not end in time any more yields to what surely will
 // Slot share.
 const SHARE: f64 = 0.75; // of the slots for one destination: the design page's
 const SICK_SHARE: f64 = 0.5; // for all that fail or are slow together: the design page's, for one
@@ -882,7 +881,7 @@
             let Some(door) = doors.get(&held.destination) else { continue };
             let Some(way) = self.way(*id, held, door) else { continue };
             let usual = self.usual(held);
-            let earns = self.earns(held, self.now + usual.mul_f64(MARGIN));
+            let earns = self.earns(held, self.now + usual);
             let grade = &self.grades[held.grade].1;
             let safe = match (way.trial, held.may_have_run.is_some(), grade.effect) {
                 (false, ..) => 3,
