Fewer credits, shorter patience, dear trials more often, ramp at present capacity

Cause: slots are what is short when destinations slow down or hang; each endpoint could hold four, for 2 s at least, and its return was taken up late. The ramp leaves the rule's factor as slack instead of halving it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -27,14 +27,14 @@
 const SAMPLES: usize = 31; // calls whose median is usual: odd; a slow spell does not become usual at once
 const RECENT: Duration = ms(40_000); // older samples say nothing of now
 const PATIENCE: f64 = 8.0; // x usual call: the long tail of a healthy destination ends before it
-const LEAST_PATIENCE: Duration = ms(2_000); // room for a handshake and a queue whatever the usual call
+const LEAST_PATIENCE: Duration = ms(1_500); // room for a handshake and a queue whatever the usual call
 const MOST_DOUBLINGS: u32 = 3; // of patience after time-outs in a row, so that a slow one gets through
 const SLOW: f64 = 4.0; // x usual call: a call out so long marks its destination as slow
 // Slot share.
 const SHARE: f64 = 0.75; // of the slots for one destination: the design page's
 const SICK_SHARE: f64 = 0.5; // for all that fail or are slow together: the design page's, for one
 // Credits of an endpoint at this courier, in calls out at once.
-const FIRST_CREDITS: f64 = 4.0; // more than an endpoint of usual pace keeps busy, less than its queue
+const FIRST_CREDITS: f64 = 2.0; // as many as one of usual pace serves at once; a slow one takes no more slots
 const MOST_CREDITS: f64 = 32.0; // an endpoint that proves itself may earn so many
 // Pace of a route.
 const BURST: Duration = ms(700); // of the rate may go at once: limits are counted over a second or so
@@ -48,7 +48,7 @@
 const BACK_SHARE: f64 = 0.4; // failing share of one just back: another failure or two and it is out again
 const SHUT: Duration = ms(2_500); // refused for so long is no limit, whose spans are a second or two: it is shut
 const TRIAL_GAP: Duration = ms(1_000); // longest gap between trials that cannot have run
-const DEAR_TRIAL_GAP: Duration = ms(3_000); // and between those that may: each can cost its notice
+const DEAR_TRIAL_GAP: Duration = ms(1_500); // and between those that may: each can cost its notice
 const FIRST_COLD_RATE: f64 = 1.0; // calls/s an unknown destination is taken for, when cold: the least seen
 // Register.
 const ASK_BASE: Duration = ms(500); // first gap's upper end between asks that failed
@@ -189,11 +189,11 @@
 }
 
 impl Return {
-    /// Calls/s for one of `couriers` after `age`: half of the allowance, and never over what it can do.
+    /// Calls/s for one of `couriers` after `age`: what it can do by then, and no more, so the factor is slack.
     fn rate(&self, capacity: f64, couriers: u32, age: Duration) -> f64 {
         let warmth = (age.as_secs_f64() / self.warm_up.as_secs_f64().max(0.001)).min(1.0);
         let now = self.start + (1.0 - self.start) * warmth;
-        (self.factor / 2.0).min(1.0) * now * capacity / f64::from(couriers)
+        self.factor.min(1.0) * now * capacity / f64::from(couriers)
     }
 }
 
