Rank what waits by earnings for each second of a slot

When slots are short, earnings for each second of a slot decide. Guards against anything that makes slots short; may hurt a slow destination, which yields until slots are left.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,6 +29,7 @@
 const PATIENCE: f64 = 8.0; // x usual call: the long tail of a healthy destination ends before it
 const LEAST_PATIENCE: Duration = ms(1_500); // room for a handshake and a queue whatever the usual call
 const MOST_DOUBLINGS: u32 = 3; // of patience after time-outs in a row, so that a slow one gets through
+const LEAST_CALL: f64 = 0.05; // s of a slot that any call counts for, so that none is taken for free
 const SLOW: f64 = 4.0; // x usual call: a call out so long marks its destination as slow
 // Slot share.
 const SHARE: f64 = 0.75; // of the slots for one destination: the design page's
@@ -890,7 +891,7 @@
                 (true, false, _) => 0,
             };
             let due = (held.limit + grade.contract).saturating_sub(grade.limit);
-            let rank = (safe, earns, due);
+            let rank = (safe, earns / usual.as_secs_f64().max(LEAST_CALL), due);
             let better = best.as_ref().is_none_or(|(top, ..)| {
                 rank.0.cmp(&top.0).then(rank.1.total_cmp(&top.1)).then(top.2.cmp(&rank.2)).is_gt()
             });
