--- a/src/policy.rs
+++ b/src/policy.rs
@@ -652,7 +652,9 @@
                 endpoint.outage.handled(self.now, self.ramp.warm_up);
                 route.pace.handled();
                 route.refusals = 0;
-                (route.trials, route.trial) = (0, self.now);
+                if before == Health::Out {
+                    (route.trials, route.trial) = (0, self.now); // its siblings may be back too
+                }
             }
             Outcome::Refused(wait) => {
                 endpoint.credits.answered();
