Ramp a cold destination a little over its known rate

A limit lies under capacity. Might hurt where the known rate is far over capacity: trials still come first.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -51,6 +51,8 @@
 const TRIAL_GAP: Duration = ms(1_000); // longest gap between trials that cannot have run
 const DEAR_TRIAL_GAP: Duration = ms(1_500); // and between those that may: each can cost its notice
 const FIRST_COLD_RATE: f64 = 1.0; // calls/s an unknown destination is taken for, when cold: the least seen
+const RAMP_FACTOR: f64 = 0.75; // of the allowed multiple: the rest is for trials and for the others' parts
+const MOST_RAMP: f64 = 1.3; // x the warm part of the known rate: capacity lies a little over a limit
 // Register.
 const ASK_BASE: Duration = ms(500); // first gap's upper end between asks that failed
 const ASK_CAP: Duration = ms(4_000); // and the longest
@@ -190,11 +192,11 @@
 }
 
 impl Return {
-    /// Calls/s for one of `couriers` after `age`: what it can do by then, and no more, so the factor is slack.
+    /// Calls/s for one of `couriers` after `age`: a little over what is known that it can do by then.
     fn rate(&self, capacity: f64, couriers: u32, age: Duration) -> f64 {
         let warmth = (age.as_secs_f64() / self.warm_up.as_secs_f64().max(0.001)).min(1.0);
         let now = self.start + (1.0 - self.start) * warmth;
-        self.factor.min(1.0) * now * capacity / f64::from(couriers)
+        (self.factor * RAMP_FACTOR).min(MOST_RAMP) * now * capacity / f64::from(couriers)
     }
 }
 
