--- a/crates/quillhub-drill/src/reply.rs
+++ b/crates/quillhub-drill/src/reply.rs
@@ -33,18 +33,10 @@
         self.add("LOSE", format_args!(" {notice}"));
     }
 
-    fn call_off(&mut self, notice: NoticeId, send: u32) {
-        self.add("DROP_ATTEMPT", format_args!(" {notice} {send}"));
-    }
-
     fn wake(&mut self, wait: Duration) {
         self.add("ARM", format_args!(" {} beat", wait.as_micros()));
     }
 
-    fn probe(&mut self, endpoint: &str) {
-        self.add("INSPECT", format_args!(" {endpoint}"));
-    }
-
     fn watch(&mut self) {
         self.add("OBSERVE", format_args!(" 1"));
     }
--- a/crates/quillhub-drill/src/settings.rs
+++ b/crates/quillhub-drill/src/settings.rs
@@ -1,7 +1,7 @@
 //! Reads the settings of a new courier and hands each to it.
 
 use crate::wire::expected;
-use quillhub::policy::Courier;
+use quillhub::courier::Courier;
 use quillhub::{Effect, Grade, ListedRate};
 use serde_json::Value;
 use std::time::Duration;
@@ -95,10 +95,8 @@
         whole(&family, "maxCalls")?.map(|most| most as usize),
         whole(&limits, "maxOpen")?.map(|most| most as usize),
         sends,
-        flag(&limits, "secondCopies")?,
     );
     courier.come_back(if flag(&limits, "retryAfter")? { span(&limits, "maxRetryAfterUs")? } else { None });
-    courier.probing(flag(&limits, "probing")?);
     if let Some(factor) = rules.get("overloadFactor") {
         let start = rules.get("startCapacity").map_or(Ok(0.0), |v| v.number())?;
         courier.returning(factor.number()?, start, span(&rules, "warmUpUs")?.unwrap_or_default());
--- a/crates/quillhub-drill/src/wire.rs
+++ b/crates/quillhub-drill/src/wire.rs
@@ -2,7 +2,7 @@
 
 use crate::reply::Reply;
 use crate::settings::{self, ReportPlaces};
-use quillhub::policy::Courier;
+use quillhub::courier::Courier;
 use quillhub::{Listing, Outcome};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Display;
@@ -256,14 +256,13 @@
                 hosted.courier.woken();
             }
             "CLIENT_LEFT" => hosted.courier.over(fields.number("ref")?),
+            // The result of a check, a peer's note, the start of a streamed answer: nothing that a courier goes by.
             "STATUS_BACK" => {
-                let endpoint = fields.word("endpoint")?;
-                let outcome = outcome(fields.word("outcome")?, 0)?;
+                fields.word("endpoint")?;
+                outcome(fields.word("outcome")?, 0)?;
                 fields.maybe_number::<u64>("durationUs")?;
                 hosted.report(fields.maybe("pressure")?)?;
-                hosted.courier.probed(endpoint, outcome);
             }
-            // A peer's note, or the start of a streamed answer: nothing that a courier goes by.
             "MEMO" => {
                 fields.number::<u32>("from")?;
                 fields.word("octets")?;
--- /dev/null
+++ b/src/courier.rs
@@ -0,0 +1,202 @@
+//! What a courier holds: the figures it was started with, and what it has seen. Nothing is decided here; the
+//! parts that decide are in [`crate::policy`].
+
+use crate::policy::{Credits, Latency, Outage, Pace, Repeats};
+use crate::{DestinationId, Grade, ListedRate, Listing, NoticeId};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// Slots for calls out at once.
+pub(crate) struct Slots {
+    pub(crate) most: usize,
+}
+
+/// What the rules say of a destination that returns.
+#[derive(Clone, Copy)]
+pub(crate) struct Return {
+    pub(crate) factor: f64,
+    pub(crate) start: f64,
+    pub(crate) warm_up: Duration,
+}
+
+/// The register: whether it must be asked, and when next.
+#[derive(Default)]
+pub(crate) struct Register {
+    pub(crate) must_ask: bool,
+    pub(crate) asked: bool,
+    pub(crate) failures: u32,
+    pub(crate) next: Duration,
+}
+
+/// Who has the turn among the notices with one key; gone when none is held, out or resting.
+#[derive(Default)]
+pub(crate) struct Turn {
+    pub(crate) line: VecDeque<NoticeId>,
+    pub(crate) out: Vec<NoticeId>,
+    pub(crate) rest: Duration,
+    pub(crate) rests_for: Option<NoticeId>,
+}
+
+/// A tenant's share of the pool that falls to this courier, as a bucket of one second.
+pub(crate) struct Quota {
+    pub(crate) rate: f64,
+    pub(crate) saved: f64,
+    pub(crate) filled: Duration,
+}
+
+pub(crate) struct Endpoint {
+    pub(crate) zone: String,
+    pub(crate) owner: DestinationId,
+    pub(crate) route: String,
+    pub(crate) listing: Listing,
+    pub(crate) credits: Credits,
+    pub(crate) outage: Outage,
+    pub(crate) used: Option<Duration>,
+}
+
+/// What shares one limit: a destination, or one endpoint where routes are apart. Gone with its endpoints.
+pub(crate) struct Route {
+    pub(crate) told: Duration,
+    pub(crate) pace: Pace,
+    pub(crate) repeats: Repeats,
+    pub(crate) refusals: u32,
+    pub(crate) refused: Duration,
+    pub(crate) closed: Duration,
+    pub(crate) trials: u32,
+    pub(crate) trial: Duration,
+}
+
+/// A notice taken and not yet answered.
+pub(crate) struct Held {
+    pub(crate) grade: usize,
+    pub(crate) destination: DestinationId,
+    pub(crate) key: Option<u64>,
+    pub(crate) limit: Duration,
+    pub(crate) worth: f64,
+    pub(crate) sends: u32,
+    pub(crate) failures: u32,
+    pub(crate) out: u32,
+    pub(crate) not_before: Duration,
+    pub(crate) may_have_run: Option<(Duration, String)>,
+}
+
+pub(crate) struct Call {
+    pub(crate) endpoint: String,
+    pub(crate) grade: usize,
+    pub(crate) key: Option<u64>,
+    pub(crate) started: Duration,
+}
+
+pub struct Courier {
+    pub(crate) now: Duration,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) couriers: u32,
+    pub(crate) zone: String,
+    pub(crate) slots: Slots,
+    pub(crate) room: usize,
+    pub(crate) most_sends: u32,
+    pub(crate) longest_wait: Duration,
+    pub(crate) ramp: Return,
+    pub(crate) key_rest: Duration,
+    pub(crate) listed: ListedRate,
+    pub(crate) register: Register,
+    pub(crate) grades: Vec<(String, Grade)>,
+    pub(crate) apart: BTreeSet<String>,
+    pub(crate) tolls: BTreeMap<String, f64>,
+    pub(crate) quotas: BTreeMap<String, Quota>,
+    pub(crate) over_share: f64,
+    pub(crate) endpoints: BTreeMap<String, Endpoint>,
+    pub(crate) routes: BTreeMap<(DestinationId, String), Route>,
+    pub(crate) latency: BTreeMap<(DestinationId, usize), Latency>,
+    pub(crate) turns: BTreeMap<u64, Turn>,
+    pub(crate) held: BTreeMap<NoticeId, Held>,
+    pub(crate) calls: BTreeMap<(NoticeId, u32), Call>,
+    pub(crate) beat: Option<Duration>,
+    pub(crate) logged: BTreeMap<&'static str, Duration>,
+    pub(crate) lines: Vec<String>,
+}
+
+impl Courier {
+    pub fn new(seed: u64, couriers: u32, zone: &str) -> Self {
+        Self {
+            now: Duration::ZERO,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            couriers: couriers.max(1),
+            zone: zone.into(),
+            slots: Slots { most: 1 },
+            room: usize::MAX,
+            most_sends: u32::MAX,
+            longest_wait: Duration::ZERO,
+            ramp: Return { factor: 1.0, start: 0.0, warm_up: Duration::ZERO },
+            key_rest: Duration::ZERO,
+            listed: ListedRate::Absent,
+            register: Register::default(),
+            grades: Vec::new(),
+            apart: BTreeSet::new(),
+            tolls: BTreeMap::new(),
+            quotas: BTreeMap::new(),
+            over_share: 1.0,
+            endpoints: BTreeMap::new(),
+            routes: BTreeMap::new(),
+            latency: BTreeMap::new(),
+            turns: BTreeMap::new(),
+            held: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            beat: None,
+            logged: BTreeMap::new(),
+            lines: Vec::new(),
+        }
+    }
+
+    /// Calls out at once, notices held at once, and sends for one notice, where limited.
+    pub fn room(&mut self, slots: Option<usize>, held: Option<usize>, sends: Option<u32>) {
+        self.slots.most = slots.unwrap_or(1);
+        self.room = held.unwrap_or(usize::MAX);
+        self.most_sends = sends.unwrap_or(u32::MAX);
+    }
+
+    /// The longest wait that may be told with a denial; none if none may be told.
+    pub fn come_back(&mut self, longest: Option<Duration>) {
+        self.longest_wait = longest.unwrap_or_default();
+    }
+
+    pub fn returning(&mut self, factor: f64, start: f64, warm_up: Duration) {
+        self.ramp = Return { factor, start, warm_up };
+    }
+
+    pub fn key_rest(&mut self, rest: Duration) {
+        self.key_rest = rest;
+    }
+
+    pub fn listing(&mut self, must_ask: bool, rate: ListedRate) {
+        self.register.must_ask = must_ask;
+        self.listed = rate;
+    }
+
+    pub fn grade(&mut self, name: &str, grade: Grade) {
+        self.grades.push((name.into(), grade));
+    }
+
+    /// A kind of destination whose endpoints are routes apart.
+    pub fn routes_apart(&mut self, kind: &str) {
+        self.apart.insert(kind.into());
+    }
+
+    pub fn toll(&mut self, zone: &str, points: f64) {
+        self.tolls.insert(zone.into(), points);
+    }
+
+    /// A tenant's rate for the whole pool; what comes over it earns only `over_share`.
+    pub fn tenant(&mut self, name: &str, rate: f64, over_share: f64) {
+        let rate = rate / f64::from(self.couriers);
+        self.quotas.insert(name.into(), Quota { rate, saved: rate, filled: Duration::ZERO });
+        self.over_share = over_share;
+    }
+
+    /// The time of what is told next.
+    pub fn at(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,11 @@
-//! The interface of quillhub's decisions: the words shared by the module that decides ([`policy`]) and by
+//! The interface of quillhub's decisions: the words shared by the module that decides (`policy`) and by
 //! whatever hosts it, and the trait through which the module acts.
 //!
-//! A host makes one [`policy::Courier`] for each courier, tells it what happened through its methods, and
+//! A host makes one [`courier::Courier`] for each courier, tells it what happened through its methods, and
 //! carries out what it asks for through [`Hands`]. Times are spans since that courier's own start.
 
-pub mod policy;
+pub mod courier;
+mod policy;
 
 use std::time::Duration;
 
@@ -21,12 +22,8 @@
     fn deny(&mut self, notice: NoticeId, come_back: Option<Duration>);
     /// Final answer: not delivered, and nothing is promised.
     fn write_off(&mut self, notice: NoticeId);
-    /// Stops waiting for one send.
-    fn call_off(&mut self, notice: NoticeId, send: u32);
-    /// Asks for [`policy::Courier::woken`] after `wait`.
+    /// Asks for [`courier::Courier::woken`] after `wait`.
     fn wake(&mut self, wait: Duration);
-    /// Checks an endpoint without a notice.
-    fn probe(&mut self, endpoint: &str);
     /// Asks the register for changes from now on.
     fn watch(&mut self);
     /// One line for the log.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -4,8 +4,9 @@
 //! A host tells one input at a time, after [`Courier::at`]; then [`Courier::settle`] goes through the rules,
 //! in order and again from the first, until none fires. docs/design.md says where each rule comes from.
 
-use crate::{DestinationId, Effect, Grade, Hands, ListedRate, Listing, NoticeId, Outcome};
-use rand::{RngExt, SeedableRng};
+use crate::courier::{Call, Courier, Endpoint, Held, Return, Route, Slots, Turn};
+use crate::{DestinationId, Effect, Hands, ListedRate, Listing, NoticeId, Outcome};
+use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -69,7 +70,7 @@
 
 /// Repeats and first tries of the last SPAN, in seconds; old seconds leave with each count.
 #[derive(Default)]
-struct Repeats {
+pub(crate) struct Repeats {
     seconds: VecDeque<(u64, u32, u32)>,
 }
 
@@ -93,7 +94,7 @@
 
 /// Recent times of handled calls of one destination and grade; holds SAMPLES at most.
 #[derive(Default)]
-struct Latency {
+pub(crate) struct Latency {
     taken: VecDeque<(Duration, Duration)>,
     median: Option<Duration>,
     timed_out: u32,
@@ -125,7 +126,7 @@
 }
 
 /// Credits of one endpoint: spent by a send, earned back by an answer.
-struct Credits {
+pub(crate) struct Credits {
     most: f64,
     spent: u32,
 }
@@ -149,7 +150,7 @@
 }
 
 /// This courier's pace of calls to one route: a part, cut by refusals, of the rate known for it.
-struct Pace {
+pub(crate) struct Pace {
     known: Option<f64>,
     part: f64,
     saved: f64,
@@ -183,14 +184,6 @@
     }
 }
 
-/// What the rules say of a destination that returns.
-#[derive(Clone, Copy)]
-struct Return {
-    factor: f64,
-    start: f64,
-    warm_up: Duration,
-}
-
 impl Return {
     /// Calls/s for one of `couriers` after `age`: a little over what is known that it can do by then.
     fn rate(&self, capacity: f64, couriers: u32, age: Duration) -> f64 {
@@ -208,7 +201,7 @@
 }
 
 /// Whether one endpoint is out, and what it may get while it returns.
-struct Outage {
+pub(crate) struct Outage {
     health: Health,
     share: f64,
     told: Duration,
@@ -261,11 +254,6 @@
     }
 }
 
-/// Slots for calls out at once.
-struct Slots {
-    most: usize,
-}
-
 impl Slots {
     fn for_one(&self) -> usize {
         ((self.most as f64 * SHARE) as usize).max(1)
@@ -276,24 +264,6 @@
     }
 }
 
-/// The register: whether it must be asked, and when next.
-#[derive(Default)]
-struct Register {
-    must_ask: bool,
-    asked: bool,
-    failures: u32,
-    next: Duration,
-}
-
-/// Who has the turn among the notices with one key; gone when none is held, out or resting.
-#[derive(Default)]
-struct Turn {
-    line: VecDeque<NoticeId>,
-    out: Vec<NoticeId>,
-    rest: Duration,
-    rests_for: Option<NoticeId>,
-}
-
 impl Turn {
     fn has(&self, id: NoticeId, now: Duration) -> bool {
         self.line.front() == Some(&id)
@@ -302,188 +272,16 @@
     }
 }
 
-/// A tenant's share of the pool that falls to this courier, as a bucket of one second.
-struct Quota {
-    rate: f64,
-    saved: f64,
-    filled: Duration,
-}
-
-struct Endpoint {
-    zone: String,
-    owner: DestinationId,
-    route: String,
-    listing: Listing,
-    credits: Credits,
-    outage: Outage,
-    used: Option<Duration>,
-}
-
-/// What shares one limit: a destination, or one endpoint where routes are apart. Gone with its endpoints.
-struct Route {
-    told: Duration,
-    pace: Pace,
-    repeats: Repeats,
-    refusals: u32,
-    refused: Duration,
-    closed: Duration,
-    trials: u32,
-    trial: Duration,
-}
-
-/// A notice taken and not yet answered.
-struct Held {
-    grade: usize,
-    destination: DestinationId,
-    key: Option<u64>,
-    limit: Duration,
-    worth: f64,
-    sends: u32,
-    failures: u32,
-    out: u32,
-    not_before: Duration,
-    may_have_run: Option<(Duration, String)>,
-}
-
-struct Call {
-    endpoint: String,
-    grade: usize,
-    key: Option<u64>,
-    started: Duration,
-}
-
-/// What a destination's notices may use now, best first.
-struct Door {
-    ways: Vec<Way>,
-}
-
+/// An endpoint that may be sent to now; of those of a destination, the one of least rank is best.
 struct Way {
     endpoint: String,
     zone: String,
     trial: bool,
     repeats: bool,
-}
-
-pub struct Courier {
-    now: Duration,
-    rng: Pcg64Mcg,
-    couriers: u32,
-    zone: String,
-    slots: Slots,
-    room: usize,
-    most_sends: u32,
-    copies: bool,
-    probing: bool,
-    longest_wait: Duration,
-    ramp: Return,
-    key_rest: Duration,
-    listed: ListedRate,
-    register: Register,
-    grades: Vec<(String, Grade)>,
-    apart: BTreeSet<String>,
-    tolls: BTreeMap<String, f64>,
-    quotas: BTreeMap<String, Quota>,
-    over_share: f64,
-    endpoints: BTreeMap<String, Endpoint>,
-    routes: BTreeMap<(DestinationId, String), Route>,
-    latency: BTreeMap<(DestinationId, usize), Latency>,
-    turns: BTreeMap<u64, Turn>,
-    held: BTreeMap<NoticeId, Held>,
-    calls: BTreeMap<(NoticeId, u32), Call>,
-    beat: Option<Duration>,
-    logged: BTreeMap<&'static str, Duration>,
-    lines: Vec<String>,
+    rank: (bool, bool, i64, bool, i64),
 }
 
 impl Courier {
-    pub fn new(seed: u64, couriers: u32, zone: &str) -> Self {
-        Self {
-            now: Duration::ZERO,
-            rng: Pcg64Mcg::seed_from_u64(seed),
-            couriers: couriers.max(1),
-            zone: zone.into(),
-            slots: Slots { most: 1 },
-            room: usize::MAX,
-            most_sends: u32::MAX,
-            copies: false,
-            probing: false,
-            longest_wait: Duration::ZERO,
-            ramp: Return { factor: 1.0, start: 0.0, warm_up: Duration::ZERO },
-            key_rest: Duration::ZERO,
-            listed: ListedRate::Absent,
-            register: Register::default(),
-            grades: Vec::new(),
-            apart: BTreeSet::new(),
-            tolls: BTreeMap::new(),
-            quotas: BTreeMap::new(),
-            over_share: 1.0,
-            endpoints: BTreeMap::new(),
-            routes: BTreeMap::new(),
-            latency: BTreeMap::new(),
-            turns: BTreeMap::new(),
-            held: BTreeMap::new(),
-            calls: BTreeMap::new(),
-            beat: None,
-            logged: BTreeMap::new(),
-            lines: Vec::new(),
-        }
-    }
-
-    /// Calls out at once, notices held at once, and sends for one notice; second copies allowed or not.
-    pub fn room(&mut self, slots: Option<usize>, held: Option<usize>, sends: Option<u32>, copies: bool) {
-        self.slots.most = slots.unwrap_or(1);
-        self.room = held.unwrap_or(usize::MAX);
-        self.most_sends = sends.unwrap_or(u32::MAX);
-        self.copies = copies;
-    }
-
-    /// The longest wait that may be told with a denial; none if none may be told.
-    pub fn come_back(&mut self, longest: Option<Duration>) {
-        self.longest_wait = longest.unwrap_or_default();
-    }
-
-    pub fn returning(&mut self, factor: f64, start: f64, warm_up: Duration) {
-        self.ramp = Return { factor, start, warm_up };
-    }
-
-    pub fn probing(&mut self, allowed: bool) {
-        self.probing = allowed;
-    }
-
-    pub fn key_rest(&mut self, rest: Duration) {
-        self.key_rest = rest;
-    }
-
-    pub fn listing(&mut self, must_ask: bool, rate: ListedRate) {
-        self.register.must_ask = must_ask;
-        self.listed = rate;
-    }
-
-    pub fn grade(&mut self, name: &str, grade: Grade) {
-        self.grades.push((name.into(), grade));
-    }
-
-    /// A kind of destination whose endpoints are routes apart.
-    pub fn routes_apart(&mut self, kind: &str) {
-        self.apart.insert(kind.into());
-    }
-
-    pub fn toll(&mut self, zone: &str, points: f64) {
-        self.tolls.insert(zone.into(), points);
-    }
-
-    /// A tenant's rate for the whole pool; what comes over it earns only `over_share`.
-    pub fn tenant(&mut self, name: &str, rate: f64, over_share: f64) {
-        let rate = rate / f64::from(self.couriers);
-        self.quotas.insert(name.into(), Quota { rate, saved: rate, filled: Duration::ZERO });
-        self.over_share = over_share;
-    }
-
-    /// The time of what is told next.
-    pub fn at(&mut self, now: Duration) {
-        self.now = self.now.max(now);
-    }
-
     pub fn listed(
         &mut self,
         name: &str,
@@ -635,9 +433,6 @@
         }
     }
 
-    /// How a check without a notice ended.
-    pub fn probed(&mut self, _endpoint: &str, _outcome: Outcome) {}
-
     /// What one outcome says of its endpoint, its route and its destination.
     fn judge(&mut self, call: &Call, outcome: Outcome, took: Duration, report: Option<(f64, f64)>) {
         let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) else { return };
@@ -813,7 +608,7 @@
     }
 
     /// For each destination, the endpoints that may be sent to now, best first.
-    fn doors(&mut self) -> BTreeMap<DestinationId, Door> {
+    fn doors(&mut self) -> BTreeMap<DestinationId, Vec<Way>> {
         let out = self.calls_out();
         let mut counts: BTreeMap<DestinationId, (u32, bool)> = BTreeMap::new();
         for e in self.endpoints.values().filter(|e| e.listing == Listing::Open) {
@@ -828,8 +623,7 @@
         for route in self.routes.values_mut() {
             route.pace.fill(self.now);
         }
-        let mut doors: BTreeMap<DestinationId, Door> = BTreeMap::new();
-        let mut ranks: BTreeMap<String, (bool, bool, i64, bool, i64)> = BTreeMap::new();
+        let mut doors: BTreeMap<DestinationId, Vec<Way>> = BTreeMap::new();
         for (name, e) in self.endpoints.iter_mut().filter(|(_, e)| e.listing == Listing::Open) {
             let Some(route) = self.routes.get(&(e.owner, e.route.clone())) else { continue };
             let capacity = route.pace.known.unwrap_or(FIRST_COLD_RATE) / f64::from(counts[&e.owner].0);
@@ -844,23 +638,17 @@
             }
             let toll = (self.tolls.get(&e.zone).unwrap_or(&0.0) * 1e6) as i64;
             let warm = e.used.is_some_and(|at| at + ms(4_000) > self.now);
-            ranks.insert(name.clone(), (trial, e.zone != self.zone, toll, !warm, -e.credits.left()));
-            let way = Way {
-                endpoint: name.clone(),
-                zone: e.zone.clone(),
-                trial,
-                repeats: route.repeats.allows(self.now),
-            };
-            doors.entry(e.owner).or_insert(Door { ways: Vec::new() }).ways.push(way);
-        }
-        for door in doors.values_mut() {
-            door.ways.sort_by_key(|way| ranks[&way.endpoint]);
+            let rank = (trial, e.zone != self.zone, toll, !warm, -e.credits.left());
+            let repeats = route.repeats.allows(self.now);
+            let way = Way { endpoint: name.clone(), zone: e.zone.clone(), trial, repeats, rank };
+            doors.entry(e.owner).or_default().push(way);
         }
+        doors.values_mut().for_each(|ways| ways.sort_by_key(|way| way.rank));
         doors
     }
 
     /// The way that `held` may take now, if any.
-    fn way<'a>(&self, id: NoticeId, held: &Held, door: &'a Door) -> Option<&'a Way> {
+    fn way<'a>(&self, id: NoticeId, held: &Held, ways: &'a [Way]) -> Option<&'a Way> {
         if held.out > 0 || held.not_before > self.now || held.sends >= self.most_sends {
             return None;
         }
@@ -873,7 +661,7 @@
         let one_zone =
             matches!(self.grades[held.grade].1.effect, Effect::Fingerprinted { one_zone: true, .. });
         let zone = held.may_have_run.as_ref().filter(|_| one_zone).map(|first| &first.1);
-        door.ways.iter().find(|w| (held.sends == 0 || w.repeats) && zone.is_none_or(|zone| *zone == w.zone))
+        ways.iter().find(|w| (held.sends == 0 || w.repeats) && zone.is_none_or(|zone| *zone == w.zone))
     }
 
     fn send_what_earns_most(&mut self, hands: &mut dyn Hands) -> bool {
@@ -883,8 +671,8 @@
         let doors = self.doors();
         let mut best: Option<((u8, f64, Duration), NoticeId, &Way)> = None;
         for (id, held) in &self.held {
-            let Some(door) = doors.get(&held.destination) else { continue };
-            let Some(way) = self.way(*id, held, door) else { continue };
+            let Some(ways) = doors.get(&held.destination) else { continue };
+            let Some(way) = self.way(*id, held, ways) else { continue };
             let usual = self.usual(held);
             let earns = self.earns(held, self.now + usual);
             let grade = &self.grades[held.grade].1;
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -1,4 +1,60 @@
 use super::*;
+use crate::Grade;
+use rand::SeedableRng;
+
+const ENDED: Effect = Effect::Fingerprinted { memory: ms(6_000), one_zone: false };
+
+/// Writes down what a courier asks for.
+#[derive(Default)]
+struct Noted(Vec<String>);
+
+impl Hands for Noted {
+    fn send(&mut self, notice: NoticeId, endpoint: &str, _: Duration) {
+        self.0.push(format!("send {notice} {endpoint}"));
+    }
+    fn deny(&mut self, notice: NoticeId, come_back: Option<Duration>) {
+        self.0.push(format!("deny {notice} {}", come_back.is_some()));
+    }
+    fn write_off(&mut self, notice: NoticeId) {
+        self.0.push(format!("write off {notice}"));
+    }
+    fn wake(&mut self, _: Duration) {}
+    fn watch(&mut self) {
+        self.0.push("watch".into());
+    }
+    fn log(&mut self, _: &str) {}
+}
+
+fn grade(effect: Effect, earnings: f64) -> Grade {
+    let (contract, limit) = (ms(1_000), ms(10_000));
+    Grade { effect, contract, limit, earnings, late_share: 0.1, halving: false, in_order: true }
+}
+
+/// One courier of two with eight slots, and destination 9 with endpoints `a` and `b` in zones x and y.
+fn courier(effect: Effect) -> Courier {
+    let mut courier = Courier::new(7, 2, "x");
+    courier.room(Some(8), Some(100), Some(5));
+    courier.come_back(Some(ms(3_000)));
+    courier.returning(2.0, 0.2, ms(10_000));
+    courier.key_rest(ms(700));
+    courier.grade("g", grade(effect, 1.0));
+    courier.grade("dear", grade(effect, 2.0));
+    courier.listed("a", "x", "k", 9, Listing::Open, None);
+    courier.listed("b", "y", "k", 9, Listing::Open, None);
+    courier.at(ms(1));
+    courier
+}
+
+fn settled(courier: &mut Courier) -> Vec<String> {
+    let mut noted = Noted::default();
+    courier.settle(&mut noted);
+    noted.0
+}
+
+fn take(courier: &mut Courier, id: NoticeId, key: Option<u64>) -> Vec<String> {
+    assert!(courier.notice(id, "g", key, courier.now + ms(10_000), None, 9));
+    settled(courier)
+}
 
 fn rng() -> Pcg64Mcg {
     Pcg64Mcg::seed_from_u64(7)
@@ -12,3 +68,231 @@
     assert!(longest(2) <= BASE * 3 && longest(2) > BASE * 2);
     assert!(longest(60) <= CAP && longest(60) > CAP.mul_f64(0.9));
 }
+
+#[test]
+fn repeats_stay_under_a_share_of_first_tries_and_come_back_with_time() {
+    let mut repeats = Repeats::default();
+    (0..100).for_each(|_| repeats.count(ms(500), false));
+    let allowed = (0..100)
+        .take_while(|_| {
+            repeats.allows(ms(900)) && {
+                repeats.count(ms(900), true);
+                true
+            }
+        })
+        .count();
+    assert_eq!(allowed, 20); // a tenth of a hundred, and ten in ten seconds
+    assert!(!repeats.allows(ms(9_900)) && repeats.allows(ms(10_900)));
+}
+
+#[test]
+fn a_usual_call_is_the_recent_median_and_patience_doubles_with_time_outs() {
+    let mut latency = Latency::default();
+    assert_eq!(latency.usual(ms(5)), UNKNOWN_CALL);
+    [300, 9_000, 400].iter().for_each(|took| latency.handled(ms(10), ms(*took)));
+    assert_eq!(latency.usual(ms(20)), ms(400));
+    assert_eq!(latency.patience(ms(20)), ms(3_200));
+    latency.timed_out = 1;
+    assert_eq!(latency.patience(ms(20)), ms(6_400));
+    assert_eq!(latency.usual(ms(10) + RECENT), UNKNOWN_CALL);
+}
+
+#[test]
+fn credits_are_spent_by_sends_halved_by_silence_and_earned_by_answers() {
+    let mut credits = Credits { most: 4.0, spent: 4 };
+    assert_eq!(credits.left(), 0);
+    credits.lost();
+    assert_eq!((credits.most, credits.left()), (2.0, -1));
+    credits.answered();
+    assert!(credits.most > 2.0 && credits.left() == 0);
+}
+
+#[test]
+fn pace_saves_a_short_burst_and_refusals_cut_its_part_to_a_floor() {
+    let mut pace = Pace { known: Some(10.0), part: 1.0, saved: 0.0, filled: Duration::ZERO };
+    pace.fill(ms(50));
+    assert!(!pace.ready());
+    pace.fill(ms(60_000));
+    assert!(pace.ready() && pace.saved <= 10.0 * BURST.as_secs_f64());
+    (0..50).for_each(|_| pace.refused(2));
+    assert_eq!((pace.part, pace.ready()), (0.25, false)); // no herd at a wait's end: it starts from nothing
+}
+
+#[test]
+fn an_outage_returns_cold_and_its_ramp_keeps_under_the_allowed_multiple() {
+    let ramp = Return { factor: 2.0, start: 0.2, warm_up: ms(10_000) };
+    let mut outage = Outage::new();
+    outage.failed(ms(1), SILENT_WEIGHT);
+    assert_eq!(outage.health, Health::Well);
+    outage.failed(ms(2), SILENT_WEIGHT);
+    assert!(outage.health == Health::Out && !outage.admits());
+    outage.handled(ms(100), ramp.warm_up);
+    assert_eq!(outage.health, Health::Cold { since: ms(100) });
+    let mut sent = 0;
+    for at in (100..3_100).step_by(20) {
+        outage.fill(ms(at), ramp, 10.0, 2);
+        if outage.admits() {
+            (outage.saved, sent) = (outage.saved - 1.0, sent + 1);
+        }
+    }
+    // Both couriers together, against 2 x 0.2 x 10/s x 3 s, which is what it allows without any warming.
+    assert!((1..=6).contains(&sent), "{sent}");
+    outage.handled(ms(10_100), ramp.warm_up);
+    assert_eq!(outage.health, Health::Well);
+}
+
+#[test]
+fn a_failure_while_cold_starts_the_ramp_again() {
+    let mut outage = Outage::new();
+    (outage.health, outage.share) = (Health::Cold { since: ms(1) }, 0.1);
+    outage.failed(ms(5_000), FAIL_WEIGHT);
+    assert_eq!(outage.health, Health::Cold { since: ms(5_000) });
+}
+
+#[test]
+fn slots_for_one_destination_and_for_all_that_are_sick() {
+    let shares = |most| (Slots { most }.for_one(), Slots { most }.for_sick());
+    assert_eq!([shares(14), shares(3), shares(1)], [(10, 7), (2, 1), (1, 1)]);
+}
+
+#[test]
+fn a_register_that_fails_is_asked_again_after_a_gap() {
+    let mut courier = courier(Effect::Retriable);
+    courier.listing(true, ListedRate::Absent);
+    assert_eq!(settled(&mut courier), ["watch"]);
+    courier.list_failed();
+    assert!(settled(&mut courier).is_empty());
+    courier.at(courier.now + ASK_BASE);
+    assert_eq!(settled(&mut courier), ["watch"]);
+}
+
+#[test]
+fn a_draining_or_missing_endpoint_gets_nothing_and_one_that_comes_back_is_used() {
+    let mut courier = courier(Effect::Retriable);
+    courier.listed("a", "x", "k", 9, Listing::Draining, None);
+    courier.list_ends(Some(&BTreeSet::from(["a".into()])), true);
+    assert!(take(&mut courier, 1, None).is_empty());
+    courier.listed("b", "y", "k", 9, Listing::Open, None);
+    assert_eq!(settled(&mut courier), ["send 1 b"]);
+}
+
+#[test]
+fn a_told_wait_holds_for_the_whole_destination() {
+    let mut courier = courier(Effect::Retriable);
+    assert_eq!(take(&mut courier, 1, None), ["send 1 a"]);
+    courier.outcome(1, 0, Outcome::Refused(Some(ms(900))), ms(9), false, None);
+    assert!(take(&mut courier, 2, None).is_empty());
+    courier.at(ms(900));
+    assert!(settled(&mut courier).is_empty());
+    courier.at(ms(2_000));
+    assert!(!settled(&mut courier).is_empty());
+}
+
+/// incident rules-3: few calls saw the refusals, and the wait's end released all that had waited.
+#[test]
+fn a_route_that_refuses_for_longer_than_a_limits_span_returns_cold() {
+    let mut courier = courier(Effect::Retriable);
+    take(&mut courier, 1, None);
+    courier.outcome(1, 0, Outcome::Refused(Some(ms(4_000))), ms(9), false, None);
+    assert_eq!(courier.endpoints["a"].outage.health, Health::Out);
+}
+
+#[test]
+fn effects_decide_between_denial_and_write_off() {
+    for (effect, told) in [(Effect::Retriable, "deny"), (ENDED, "deny"), (Effect::Binding, "write off")] {
+        let mut courier = courier(effect);
+        take(&mut courier, 1, None);
+        courier.outcome(1, 0, Outcome::TimedOut, ms(9), false, None);
+        courier.at(ms(10_000));
+        assert!(settled(&mut courier)[0].starts_with(told), "{effect:?}");
+    }
+    let zoned = Effect::Fingerprinted { memory: ms(6_000), one_zone: true };
+    let mut courier = courier(zoned);
+    take(&mut courier, 1, None);
+    courier.outcome(1, 0, Outcome::Error, ms(9), false, None);
+    courier.listed("a", "x", "k", 9, Listing::Gone, None);
+    courier.at(ms(1_000));
+    assert!(settled(&mut courier).is_empty(), "the other zone has no memory of it");
+    courier.at(ms(6_100));
+    assert_eq!(settled(&mut courier), ["write off 1"]);
+}
+
+#[test]
+fn a_binding_notice_is_sent_again_only_after_proof_that_nothing_ran() {
+    let mut courier = courier(Effect::Binding);
+    take(&mut courier, 1, None);
+    courier.outcome(1, 0, Outcome::Unconnected, ms(9), false, None);
+    courier.at(ms(2_000));
+    assert!(settled(&mut courier)[0].starts_with("send 1"));
+    courier.outcome(1, 1, Outcome::Error, ms(9), false, None);
+    assert_eq!(settled(&mut courier), ["write off 1"]);
+}
+
+#[test]
+fn notices_with_one_key_take_turns_and_rest_after_a_time_out() {
+    let mut courier = courier(Effect::Retriable);
+    assert_eq!(take(&mut courier, 1, Some(5)), ["send 1 a"]);
+    assert!(take(&mut courier, 2, Some(5)).is_empty());
+    courier.outcome(1, 0, Outcome::TimedOut, ms(9), false, None);
+    courier.over(1);
+    courier.at(ms(600));
+    assert!(settled(&mut courier).is_empty());
+    courier.at(ms(710));
+    assert!(settled(&mut courier)[0].starts_with("send 2"));
+    courier.outcome(2, 0, Outcome::Handled, ms(9), true, None);
+    assert!(courier.turns.is_empty() && courier.held.is_empty());
+}
+
+/// incidents iaa78c2 and ide3163: fresh notices of slow destinations took all slots.
+#[test]
+fn with_slots_short_what_earns_most_for_a_second_of_a_slot_goes_first() {
+    let mut courier = courier(Effect::Retriable);
+    courier.listed("c", "x", "k", 8, Listing::Open, None);
+    courier.room(Some(0), Some(100), None);
+    courier.latency.entry((8, 0)).or_default().handled(ms(1), ms(100));
+    courier.latency.entry((9, 0)).or_default().handled(ms(1), ms(900));
+    for (id, destination) in [(1, 9), (2, 8)] {
+        courier.notice(id, "g", None, ms(9_500), None, destination);
+    }
+    courier.room(Some(1), Some(100), None);
+    assert_eq!(settled(&mut courier), ["send 2 c"]);
+}
+
+#[test]
+fn a_short_room_denies_what_earns_least() {
+    let mut courier = courier(Effect::Retriable);
+    courier.room(Some(0), Some(3), None);
+    for (id, name) in [(1, "dear"), (2, "g"), (3, "dear")] {
+        courier.notice(id, name, None, ms(9_500), None, 9);
+    }
+    assert_eq!(settled(&mut courier), ["deny 2 false"]);
+}
+
+#[test]
+fn a_tenant_over_its_share_earns_less() {
+    let mut courier = courier(Effect::Retriable);
+    courier.tenant("t", 2.0, 0.1);
+    (1..=2).for_each(|id| assert!(courier.notice(id, "g", None, ms(9_500), Some("t"), 9)));
+    assert_eq!((courier.held[&1].worth, courier.held[&2].worth), (1.0, 0.1));
+}
+
+#[test]
+fn an_unknown_grade_or_id_changes_nothing() {
+    let mut courier = courier(Effect::Retriable);
+    assert!(!courier.notice(1, "none", None, ms(9_500), None, 9));
+    courier.outcome(4, 0, Outcome::Handled, ms(9), true, None);
+    courier.over(4);
+    assert!(courier.held.is_empty() && settled(&mut courier).is_empty());
+}
+
+#[test]
+fn what_can_run_again_goes_first_on_a_trial() {
+    let mut courier = courier(Effect::Binding);
+    courier.grade("again", grade(Effect::Retriable, 0.1));
+    for endpoint in courier.endpoints.values_mut() {
+        endpoint.outage.health = Health::Out;
+    }
+    courier.notice(1, "g", None, ms(9_500), None, 9);
+    courier.notice(2, "again", None, ms(9_500), None, 9);
+    assert_eq!(settled(&mut courier), ["send 2 a"]);
+}
