--- a/src/policy.rs
+++ b/src/policy.rs
@@ -38,6 +38,7 @@
 // Credits of an endpoint at this courier, in calls out at once.
 const FIRST_CREDITS: f64 = 2.0; // as many as one of usual pace serves at once; a slow one takes no more slots
 const MOST_CREDITS: f64 = 32.0; // an endpoint that proves itself may earn so many
+const AWAY: i64 = 2; // calls out that an endpoint of another zone counts for: its way is longer, and priced
 // Pace of a route.
 const BURST: Duration = ms(700); // of the rate may go at once: limits are counted over a second or so
 const PART_CUT: f64 = 0.7; // of this courier's part at a refusal: to half in two
@@ -278,7 +279,7 @@
     zone: String,
     trial: bool,
     repeats: bool,
-    rank: (bool, bool, i64, bool, i64),
+    rank: (bool, i64, i64, Duration),
 }
 
 impl Courier {
@@ -637,8 +638,9 @@
                 continue;
             }
             let toll = (self.tolls.get(&e.zone).unwrap_or(&0.0) * 1e6) as i64;
-            let warm = e.used.is_some_and(|at| at + ms(4_000) > self.now);
-            let rank = (trial, e.zone != self.zone, toll, !warm, -e.credits.left());
+            let idle = e.used.map_or(Duration::MAX, |at| self.now - at); // the last used has a connection
+            let load = i64::from(e.credits.spent) + AWAY * i64::from(e.zone != self.zone);
+            let rank = (trial, toll, load, idle);
             let repeats = route.repeats.allows(self.now);
             let way = Way { endpoint: name.clone(), zone: e.zone.clone(), trial, repeats, rank };
             doors.entry(e.owner).or_default().push(way);
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -296,3 +296,18 @@
     courier.notice(2, "again", None, ms(9_500), None, 9);
     assert_eq!(settled(&mut courier), ["send 2 a"]);
 }
+
+/// incident iaa78c2: all calls went to the one endpoint with a warm connection, slow as it was.
+#[test]
+fn sends_spread_over_endpoints_and_prefer_the_own_zone_a_little() {
+    let mut courier = courier(Effect::Retriable);
+    let ways: Vec<_> = (1..=4).flat_map(|id| take(&mut courier, id, None)).collect();
+    assert_eq!(ways, ["send 1 a", "send 2 a", "send 3 b", "send 4 b"]);
+    let mut other = Courier::new(7, 2, "z");
+    other.room(Some(8), Some(100), None);
+    other.grade("g", grade(Effect::Retriable, 1.0));
+    ["a", "b", "c"].iter().for_each(|name| other.listed(name, "x", "k", 9, Listing::Open, None));
+    let ways: BTreeSet<_> = (1..=3).flat_map(|id| take(&mut other, id, None)).collect();
+    assert_eq!(ways.len(), 3);
+    assert!(["a", "b", "c"].iter().all(|name| other.endpoints[*name].credits.spent == 1));
+}
