Lost calls are no outage; patience from the longest recent call

Should hold against any loss that strikes calls rather than endpoints. May delay the verdict on an endpoint that fails in turns.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -27,7 +27,7 @@
 const UNKNOWN_CALL: Duration = ms(500); // a usual call where nothing recent is known: the design page's
 const SAMPLES: usize = 31; // calls whose median is usual: odd; a slow spell does not become usual at once
 const RECENT: Duration = ms(40_000); // older samples say nothing of now
-const PATIENCE: f64 = 8.0; // x usual call: the long tail of a healthy destination ends before it
+const PATIENCE: f64 = 2.0; // x the longest recent call: the tail of a healthy destination ends before it
 const LEAST_PATIENCE: Duration = ms(1_500); // room for a handshake and a queue whatever the usual call
 const MOST_DOUBLINGS: u32 = 3; // of patience after time-outs in a row, so that a slow one gets through
 const LEAST_CALL: f64 = 0.05; // s of a slot that any call counts for, so that none is taken for free
@@ -47,6 +47,7 @@
 // Outage of an endpoint.
 const FAIL_WEIGHT: f64 = 0.2; // of an answered failure in the failing share: five are a verdict
 const SILENT_WEIGHT: f64 = 0.35; // of a failed connection or a time-out: two are a verdict
+const LOST_WEIGHT: f64 = 0.1; // of one that got no answer while others did
 const OUT_SHARE: f64 = 0.5; // failing share over which an endpoint is out: most calls fail
 const BACK_SHARE: f64 = 0.4; // failing share of one just back: another failure or two and it is out again
 const SHUT: Duration = ms(2_500); // refused for so long is no limit, whose spans are a second or two: it is shut
@@ -120,8 +121,9 @@
     }
 
     /// Longer after each time-out in a row: else a destination that is merely slow never gets to answer.
-    fn patience(&self, now: Duration) -> Duration {
-        let calm = self.usual(now).mul_f64(PATIENCE).max(LEAST_PATIENCE);
+    fn patience(&self) -> Duration {
+        let longest = self.taken.iter().map(|s| s.1).max().unwrap_or(UNKNOWN_CALL);
+        let calm = longest.mul_f64(PATIENCE).max(LEAST_PATIENCE);
         calm * 2u32.pow(self.timed_out.min(MOST_DOUBLINGS))
     }
 }
@@ -206,13 +208,15 @@
     health: Health,
     share: f64,
     told: Duration,
+    answered: Duration,
     saved: f64,
     filled: Duration,
 }
 
 impl Outage {
     fn new() -> Self {
-        Self { health: Health::Well, share: 0.0, told: Duration::ZERO, saved: 0.0, filled: Duration::ZERO }
+        let zero = Duration::ZERO;
+        Self { health: Health::Well, share: 0.0, told: zero, answered: zero, saved: 0.0, filled: zero }
     }
 
     fn failed(&mut self, now: Duration, weight: f64) {
@@ -227,6 +231,7 @@
 
     fn handled(&mut self, now: Duration, warm_up: Duration) {
         self.share *= 1.0 - FAIL_WEIGHT;
+        self.answered = now;
         match self.health {
             Health::Out => {
                 self.share = self.share.min(BACK_SHARE);
@@ -477,9 +482,16 @@
                 endpoint.outage.failed(self.now, FAIL_WEIGHT);
             }
             Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => {
-                latency.timed_out += u32::from(outcome == Outcome::TimedOut);
-                endpoint.credits.lost();
-                endpoint.outage.failed(self.now, SILENT_WEIGHT);
+                // Against taking calls that get lost one by one, as on a bad network, for an outage: where others
+                // were answered since, this one says little. May delay the verdict on one that fails in turns.
+                if endpoint.outage.answered > call.started {
+                    endpoint.credits.answered();
+                    endpoint.outage.failed(self.now, LOST_WEIGHT);
+                } else {
+                    latency.timed_out += u32::from(outcome == Outcome::TimedOut);
+                    endpoint.credits.lost();
+                    endpoint.outage.failed(self.now, SILENT_WEIGHT);
+                }
             }
             Outcome::CalledOff | Outcome::Unsent => endpoint.credits.answered(),
         }
@@ -705,7 +717,7 @@
         };
         let Some(route) = self.routes.get_mut(&(endpoint.owner, endpoint.route.clone())) else { return };
         let latency = self.latency.entry((held.destination, held.grade)).or_default();
-        let patience = latency.patience(now).min(held.limit.saturating_sub(now));
+        let patience = latency.patience().min(held.limit.saturating_sub(now));
         hands.send(id, name, patience);
         route.repeats.count(now, held.sends > 0);
         route.pace.saved -= 1.0;
