A refusal weighs a tenth in the failing share: a limit is no outage

Should hold against any limit, also one lowered without a wait; a shut destination is told by 2.5 s of refusals instead, so its verdict may come later.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -47,7 +47,7 @@
 // Outage of an endpoint.
 const FAIL_WEIGHT: f64 = 0.2; // of an answered failure in the failing share: five are a verdict
 const SILENT_WEIGHT: f64 = 0.35; // of a failed connection or a time-out: two are a verdict
-const LOST_WEIGHT: f64 = 0.1; // of one that got no answer while others did
+const LOST_WEIGHT: f64 = 0.1; // of a refusal, or of one that got no answer while others did: each has other causes
 const OUT_SHARE: f64 = 0.5; // failing share over which an endpoint is out: most calls fail
 const BACK_SHARE: f64 = 0.4; // failing share of one just back: another failure or two and it is out again
 const SHUT: Duration = ms(2_500); // refused for so long is no limit, whose spans are a second or two: it is shut
@@ -474,7 +474,7 @@
                 if route.told.max(self.now) > route.refused + SHUT {
                     endpoint.outage.failed(self.now, 1.0);
                 } else if call.started >= endpoint.outage.told {
-                    endpoint.outage.failed(self.now, FAIL_WEIGHT);
+                    endpoint.outage.failed(self.now, LOST_WEIGHT);
                 }
             }
             Outcome::Error => {
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -328,3 +328,16 @@
     }
     assert_eq!(courier.endpoints["a"].outage.health, Health::Out);
 }
+
+/// incident i3b06b2: refusals above a limit in the first seconds made well endpoints count as out.
+#[test]
+fn a_few_refusals_in_turn_are_a_limit_and_no_outage() {
+    let mut courier = courier(Effect::Retriable);
+    for id in 1..=5 {
+        let call = Call { endpoint: "a".into(), grade: 0, key: None, started: ms(id * 100) };
+        courier.at(ms(id * 100));
+        courier.judge(&call, Outcome::Refused(None), ms(9), None);
+    }
+    assert_eq!(courier.endpoints["a"].outage.health, Health::Well);
+    assert!(courier.routes[&(9, String::new())].pace.part < 1.0);
+}
