The ramp takes a rough listed rate for too high, and goes to 1.6 of the known rate

Cause: a listed rate may be half too high, and the ramp took it half higher still, up to 2.5 times what a cold destination can do where 1.5 are allowed.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -43,7 +43,7 @@
 const BURST: Duration = ms(700); // of the rate may go at once: limits are counted over a second or so
 const PART_CUT: f64 = 0.7; // of this courier's part at a refusal: to half in two
 const PART_STEP: f64 = 0.02; // regained with each handled call: back in some tens of calls
-const LISTED_SLACK: f64 = 1.5; // a listed rate may be so much too low; credits do the rest
+const LISTED_SLACK: f64 = 1.5; // a rough rate may be so far off, either way; credits and the ramp allow for it
 // Outage of an endpoint.
 const FAIL_WEIGHT: f64 = 0.2; // of an answered failure in the failing share: five are a verdict
 const SILENT_WEIGHT: f64 = 0.35; // of a failed connection or a time-out: two are a verdict
@@ -55,7 +55,7 @@
 const DEAR_TRIAL_GAP: Duration = ms(1_500); // and between those that may: each can cost its notice
 const FIRST_COLD_RATE: f64 = 1.0; // calls/s an unknown destination is taken for, when cold: the least seen
 const RAMP_FACTOR: f64 = 0.75; // of the allowed multiple: the rest is for trials and for the others' parts
-const MOST_RAMP: f64 = 1.3; // x the warm part of the known rate: capacity lies a little over a limit
+const MOST_RAMP: f64 = 1.6; // x the warm part of the known rate: capacity lies over a limit, by a half or so
 // Register.
 const ASK_BASE: Duration = ms(500); // first gap's upper end between asks that failed
 const ASK_CAP: Duration = ms(4_000); // and the longest
@@ -155,6 +155,7 @@
 /// This courier's pace of calls to one route: a part, cut by refusals, of the rate known for it.
 pub(crate) struct Pace {
     known: Option<f64>,
+    sure: Option<f64>,
     part: f64,
     saved: f64,
     filled: Duration,
@@ -298,14 +299,13 @@
         rate: Option<f64>,
     ) {
         let route = if self.apart.contains(kind) { name } else { "" };
-        let known = match self.listed {
-            ListedRate::Absent => None,
-            ListedRate::Exact | ListedRate::Rough => rate.filter(|r| *r > 0.0).map(|r| r * LISTED_SLACK),
-        };
+        let rate = rate.filter(|rate| *rate > 0.0 && self.listed != ListedRate::Absent);
+        let known = rate.map(|rate| rate * LISTED_SLACK);
+        let sure = rate.map(|rate| if self.listed == ListedRate::Rough { rate / LISTED_SLACK } else { rate });
         let now = self.now;
         self.routes.entry((owner, route.into())).or_insert_with(|| Route {
             told: Duration::ZERO,
-            pace: Pace { known, part: 1.0, saved: 1.0, filled: now },
+            pace: Pace { known, sure, part: 1.0, saved: 1.0, filled: now },
             repeats: Repeats::default(),
             refusals: 0,
             refused: Duration::ZERO,
@@ -445,7 +445,7 @@
         let Some(route) = self.routes.get_mut(&(endpoint.owner, endpoint.route.clone())) else { return };
         let latency = self.latency.entry((endpoint.owner, call.grade)).or_default();
         if let Some((_, rate)) = report.filter(|r| r.1 > 0.0) {
-            route.pace.known = Some(rate);
+            (route.pace.known, route.pace.sure) = (Some(rate), Some(rate));
         }
         let before = endpoint.outage.health;
         match outcome {
@@ -639,7 +639,7 @@
         let mut doors: BTreeMap<DestinationId, Vec<Way>> = BTreeMap::new();
         for (name, e) in self.endpoints.iter_mut().filter(|(_, e)| e.listing == Listing::Open) {
             let Some(route) = self.routes.get(&(e.owner, e.route.clone())) else { continue };
-            let capacity = route.pace.known.unwrap_or(FIRST_COLD_RATE) / f64::from(counts[&e.owner].0);
+            let capacity = route.pace.sure.unwrap_or(FIRST_COLD_RATE) / f64::from(counts[&e.owner].0);
             e.outage.fill(self.now, self.ramp, capacity, self.couriers);
             let calls = out.get(&e.owner).map_or(0, |o| o.0);
             let full = calls >= self.slots.for_one() || sick(&e.owner) && sick_calls >= self.slots.for_sick();
