A reset alone is no outage

Should hold against any loss of connections that strikes calls rather than endpoints. Hurts where an endpoint takes every connection and resets every call: its verdict takes more of them.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -483,8 +483,9 @@
             }
             Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => {
                 // Against taking calls that get lost one by one, as on a bad network, for an outage: where others
-                // were answered since, this one says little. May delay the verdict on one that fails in turns.
-                if endpoint.outage.answered > call.started {
+                // were answered since, or the connection stood, this one says little: an endpoint that died
+                // refuses the next connection. May delay the verdict on one that fails in turns.
+                if outcome == Outcome::Reset || endpoint.outage.answered > call.started {
                     endpoint.credits.answered();
                     endpoint.outage.failed(self.now, LOST_WEIGHT);
                 } else {
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -355,3 +355,21 @@
         assert_eq!((pace.sure, pace.known), (sure, sure.map(|_| 9.0)));
     }
 }
+
+/// incident i639774: four calls in ten were reset everywhere, and endpoints that handled the rest counted as out.
+#[test]
+fn resets_between_handled_calls_are_no_outage_and_failed_connections_are_one() {
+    let mut courier = courier(Effect::Retriable);
+    let mut tell = |at, outcome| {
+        let call = Call { endpoint: "a".into(), grade: 0, key: None, started: ms(at) };
+        courier.at(ms(at + 9));
+        courier.judge(&call, outcome, ms(9), None);
+        courier.endpoints["a"].outage.health
+    };
+    for at in (0..5_000).step_by(100) {
+        let outcome = if at % 500 < 200 { Outcome::Reset } else { Outcome::Handled };
+        assert_eq!(tell(at, outcome), Health::Well);
+    }
+    tell(6_000, Outcome::Unconnected);
+    assert_eq!(tell(6_100, Outcome::Unconnected), Health::Out);
+}
