--- a/src/policy.rs
+++ b/src/policy.rs
@@ -43,14 +43,14 @@
 const BURST: Duration = ms(700); // of the rate may go at once: limits are counted over a second or so
 const PART_CUT: f64 = 0.7; // of this courier's part at a refusal: to half in two
 const PART_STEP: f64 = 0.02; // regained with each handled call: back in some tens of calls
-const LISTED_SLACK: f64 = 1.5; // a rough rate may be so far off, either way; credits and the ramp allow for it
+const LISTED_SLACK: f64 = 1.5; // a rough rate may be so far off, either way; credits do the rest
 // Outage of an endpoint.
 const FAIL_WEIGHT: f64 = 0.2; // of an answered failure in the failing share: five are a verdict
 const SILENT_WEIGHT: f64 = 0.35; // of a failed connection or a time-out: two are a verdict
-const LOST_WEIGHT: f64 = 0.1; // of a refusal, or of one that got no answer while others did: each has other causes
+const LOST_WEIGHT: f64 = 0.1; // of a refusal, a reset, or one lost while others were answered: little
 const OUT_SHARE: f64 = 0.5; // failing share over which an endpoint is out: most calls fail
 const BACK_SHARE: f64 = 0.4; // failing share of one just back: another failure or two and it is out again
-const SHUT: Duration = ms(2_500); // refused for so long is no limit, whose spans are a second or two: it is shut
+const SHUT: Duration = ms(2_500); // refusing for longer than a limit's span, a second or two, is being shut
 const TRIAL_GAP: Duration = ms(1_000); // longest gap between trials that cannot have run
 const DEAR_TRIAL_GAP: Duration = ms(1_500); // and between those that may: each can cost its notice
 const FIRST_COLD_RATE: f64 = 1.0; // calls/s an unknown destination is taken for, when cold: the least seen
@@ -482,9 +482,9 @@
                 endpoint.outage.failed(self.now, FAIL_WEIGHT);
             }
             Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => {
-                // Against taking calls that get lost one by one, as on a bad network, for an outage: where others
-                // were answered since, or the connection stood, this one says little: an endpoint that died
-                // refuses the next connection. May delay the verdict on one that fails in turns.
+                // Against taking calls that get lost one by one, as on a bad network, for an outage: where
+                // others were answered since, or the connection stood, this one says little: an endpoint that
+                // died refuses the next connection. May delay the verdict on one that fails in turns.
                 if outcome == Outcome::Reset || endpoint.outage.answered > call.started {
                     endpoint.credits.answered();
                     endpoint.outage.failed(self.now, LOST_WEIGHT);
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -135,7 +135,7 @@
             (outage.saved, sent) = (outage.saved - 1.0, sent + 1);
         }
     }
-    // Both couriers together, against the budget of the rule: twice 10/s, warming from 0.2 by 0.08 a second, for 3 s.
+    // Both couriers together, against the rule's budget: twice 10/s, warming from 0.2 by 0.08 a second, for 3 s.
     let budget = 2.0 * 10.0 * (0.2 * 3.0 + 0.08 * 3.0 * 3.0 / 2.0);
     assert!(sent > 0 && 2.0 * f64::from(sent) <= RAMP_FACTOR * budget, "{sent} of {budget}");
     outage.handled(ms(10_100), ramp.warm_up);
