A refusal where no limit is told halves the endpoint's credits

Should hold for any destination whose queue is short. May slow one whose reports are missing from its refusals.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -460,7 +460,12 @@
                 }
             }
             Outcome::Refused(wait) => {
-                endpoint.credits.answered();
+                // Against filling the queue of one without a limit again and again: fewer calls out, not only later.
+                if report.is_some_and(|r| r.1 > 0.0) {
+                    endpoint.credits.answered();
+                } else {
+                    endpoint.credits.lost();
+                }
                 route.pace.refused(self.couriers);
                 if route.refusals == 0 {
                     route.refused = self.now;
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -373,3 +373,14 @@
     tell(6_000, Outcome::Unconnected);
     assert_eq!(tell(6_100, Outcome::Unconnected), Health::Out);
 }
+
+#[test]
+fn a_refusal_without_a_limit_leaves_fewer_credits_and_one_above_a_limit_does_not() {
+    for (report, most) in [(Some((0.0, 0.0)), 1.0), (Some((0.0, 4.0)), 2.0)] {
+        let mut courier = courier(Effect::Retriable);
+        take(&mut courier, 1, None);
+        courier.endpoints.get_mut("a").unwrap().credits.most = 2.0;
+        courier.outcome(1, 0, Outcome::Refused(None), ms(9), false, report);
+        assert!((courier.endpoints["a"].credits.most - most).abs() < 0.6, "{report:?}");
+    }
+}
