--- a/src/policy.rs
+++ b/src/policy.rs
@@ -460,7 +460,8 @@
                 }
             }
             Outcome::Refused(wait) => {
-                // Against filling the queue of one without a limit again and again: fewer calls out, not only later.
+                // Against filling the queue of one without a limit again and again: fewer calls out, not just
+                // later ones. May slow one whose refusals carry no report.
                 if report.is_some_and(|r| r.1 > 0.0) {
                     endpoint.credits.answered();
                 } else {
@@ -474,6 +475,12 @@
                 let rest = gap(&mut self.rng, route.refusals, BASE, CAP);
                 route.closed = route.closed.max(self.now + rest);
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
+                if let Some(wait) =
+                    wait.filter(|_| self.logged.get("wait").is_none_or(|at| *at + LOG_GAP <= self.now))
+                {
+                    self.logged.insert("wait", self.now);
+                    self.lines.push(format!("told wait: destination {} for {wait:?}", endpoint.owner));
+                }
                 // Against a herd at a destination that was shut and tells when it opens, which few calls saw:
                 // it returns cold however little it refused. May slow one whose limit was cut for long.
                 if route.told.max(self.now) > route.refused + SHUT {
