--- a/src/policy.rs
+++ b/src/policy.rs
@@ -53,7 +53,7 @@
 const SHUT: Duration = ms(2_500); // refusing for longer than a limit's span, a second or two, is being shut
 const TRIAL_GAP: Duration = ms(1_000); // longest gap between trials that cannot have run
 const DEAR_TRIAL_GAP: Duration = ms(1_500); // and between those that may: each can cost its notice
-const FIRST_COLD_RATE: f64 = 1.0; // calls/s an unknown destination is taken for, when cold: the least seen
+const FIRST_COLD_RATE: f64 = 1.0; // calls/s that a destination of unknown rate is taken for when cold: little
 const RAMP_FACTOR: f64 = 0.75; // of the allowed multiple: the rest is for trials and for the others' parts
 const MOST_RAMP: f64 = 1.6; // x the warm part of the known rate: capacity lies over a limit, by a half or so
 // Register.
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -2,7 +2,7 @@
 use crate::Grade;
 use rand::SeedableRng;
 
-const ENDED: Effect = Effect::Fingerprinted { memory: ms(6_000), one_zone: false };
+const MARKED: Effect = Effect::Fingerprinted { memory: ms(6_000), one_zone: false };
 
 /// Writes down what a courier asks for.
 #[derive(Default)]
@@ -200,7 +200,7 @@
 
 #[test]
 fn effects_decide_between_denial_and_write_off() {
-    for (effect, told) in [(Effect::Retriable, "deny"), (ENDED, "deny"), (Effect::Binding, "write off")] {
+    for (effect, told) in [(Effect::Retriable, "deny"), (MARKED, "deny"), (Effect::Binding, "write off")] {
         let mut courier = courier(effect);
         take(&mut courier, 1, None);
         courier.outcome(1, 0, Outcome::TimedOut, ms(9), false, None);
