Take over a rate that the list changes later, unless answers tell the limit

Guards against a limit lowered in the list while a route is known. Refusals of a route that has told a limit cost no credit, whether they carry a report or not.

--- a/src/courier.rs
+++ b/src/courier.rs
@@ -60,6 +60,7 @@
 pub(crate) struct Route {
     pub(crate) told: Duration,
     pub(crate) pace: Pace,
+    pub(crate) reported: bool,
     pub(crate) repeats: Repeats,
     pub(crate) refusals: u32,
     pub(crate) refused: Duration,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -303,9 +303,10 @@
         let known = rate.map(|rate| rate * LISTED_SLACK);
         let sure = rate.map(|rate| if self.listed == ListedRate::Rough { rate / LISTED_SLACK } else { rate });
         let now = self.now;
-        self.routes.entry((owner, route.into())).or_insert_with(|| Route {
+        let entry = self.routes.entry((owner, route.into())).or_insert_with(|| Route {
             told: Duration::ZERO,
             pace: Pace { known, sure, part: 1.0, saved: 1.0, filled: now },
+            reported: false,
             repeats: Repeats::default(),
             refusals: 0,
             refused: Duration::ZERO,
@@ -313,6 +314,9 @@
             trials: 0,
             trial: Duration::ZERO,
         });
+        if !entry.reported {
+            (entry.pace.known, entry.pace.sure) = (known, sure);
+        }
         let endpoint = self.endpoints.entry(name.into()).or_insert_with(|| Endpoint {
             zone: zone.into(),
             owner,
@@ -445,7 +449,7 @@
         let Some(route) = self.routes.get_mut(&(endpoint.owner, endpoint.route.clone())) else { return };
         let latency = self.latency.entry((endpoint.owner, call.grade)).or_default();
         if let Some((_, rate)) = report.filter(|r| r.1 > 0.0) {
-            (route.pace.known, route.pace.sure) = (Some(rate), Some(rate));
+            (route.pace.known, route.pace.sure, route.reported) = (Some(rate), Some(rate), true);
         }
         let before = endpoint.outage.health;
         match outcome {
@@ -461,8 +465,8 @@
             }
             Outcome::Refused(wait) => {
                 // Against filling the queue of one without a limit again and again: fewer calls out, not just
-                // later ones. May slow one whose refusals carry no report.
-                if report.is_some_and(|r| r.1 > 0.0) {
+                // later ones. May slow one whose limit is not told.
+                if route.reported {
                     endpoint.credits.answered();
                 } else {
                     endpoint.credits.lost();
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -353,6 +353,8 @@
         courier.listed("c", "x", "k", 8, Listing::Open, Some(6.0));
         let pace = &courier.routes[&(8, String::new())].pace;
         assert_eq!((pace.sure, pace.known), (sure, sure.map(|_| 9.0)));
+        courier.listed("c", "x", "k", 8, Listing::Open, Some(2.0));
+        assert_eq!(courier.routes[&(8, String::new())].pace.known, sure.map(|_| 3.0), "a later list holds");
     }
 }
 
