--- a/crates/quillhub-drill/src/settings.rs
+++ b/crates/quillhub-drill/src/settings.rs
@@ -69,13 +69,10 @@
 
 /// A courier started with the settings in `text`, and where its load reports hold what.
 pub fn start(seed: u64, text: &str) -> Result<(Courier, ReportPlaces), String> {
-    let Ok(value) = serde_json::from_str::<Value>(text) else {
+    let Some(value) = serde_json::from_str::<Value>(text).ok().filter(Value::is_object) else {
         return Err(expected("settings as a JSON object", text));
     };
     let top = At { value: &value, path: String::new() };
-    if !value.is_object() {
-        return Err(expected("settings as a JSON object", text));
-    }
     let none = Value::Object(serde_json::Map::new());
     let part = |name: &str| top.get(name).unwrap_or(At { value: &none, path: name.into() });
     let (limits, rules, family) = (part("limits"), part("rules"), part("familyInfo"));
--- a/crates/quillhub-drill/src/wire.rs
+++ b/crates/quillhub-drill/src/wire.rs
@@ -137,16 +137,19 @@
     })
 }
 
-impl Host {
-    fn courier(&mut self, name: &str) -> Result<&mut Hosted, String> {
-        let clock = self.clock;
-        let hosted =
-            self.couriers.get_mut(name).ok_or_else(|| expected("a courier that was started", name))?;
-        let now = hosted.since_start(clock);
-        hosted.courier.at(now);
-        Ok(hosted)
-    }
+/// The courier of that name, told the time.
+fn courier<'a>(
+    couriers: &'a mut BTreeMap<String, Hosted>,
+    name: &str,
+    clock: u64,
+) -> Result<&'a mut Hosted, String> {
+    let hosted = couriers.get_mut(name).ok_or_else(|| expected("a courier that was started", name))?;
+    let now = hosted.since_start(clock);
+    hosted.courier.at(now);
+    Ok(hosted)
+}
 
+impl Host {
     /// Takes one event and adds what it leads to to the reply.
     fn event(&mut self, line: &str, reply: &mut String) -> Result<(), String> {
         let mut fields = Fields::of(line);
@@ -188,7 +191,7 @@
             _ => self.other(event, name, &mut fields)?,
         }
         fields.end()?;
-        let hosted = self.courier(name)?;
+        let hosted = courier(&mut self.couriers, name, self.clock)?;
         hosted.courier.settle(&mut Reply { courier: name, lines: reply });
         Ok(())
     }
@@ -197,8 +200,8 @@
         let list: Option<u64> = fields.maybe_number("list")?;
         let form = fields.word("form")?;
         fields.maybe_number::<u64>("rev")?;
-        let rows = list.and_then(|list| self.lists.get(&list)).cloned();
-        let courier = &mut self.courier(name)?.courier;
+        let rows = list.and_then(|list| self.lists.get(&list));
+        let courier = &mut courier(&mut self.couriers, name, self.clock)?.courier;
         if form == "failed" {
             courier.list_failed();
             return Ok(());
@@ -213,7 +216,7 @@
             ));
         };
         let mut names = BTreeSet::new();
-        for line in &rows {
+        for line in rows {
             row(line, |name, zone, kind, owner, health, rate| {
                 names.insert(name.to_owned());
                 courier.listed(name, zone, kind, owner, health, rate);
@@ -224,7 +227,7 @@
     }
 
     fn other(&mut self, event: &str, name: &str, fields: &mut Fields) -> Result<(), String> {
-        let hosted = self.courier(name)?;
+        let hosted = courier(&mut self.couriers, name, self.clock)?;
         match event {
             "INBOUND" => {
                 let id = fields.number("ref")?;
--- a/src/courier.rs
+++ b/src/courier.rs
@@ -114,7 +114,7 @@
     pub(crate) turns: BTreeMap<u64, Turn>,
     pub(crate) held: BTreeMap<NoticeId, Held>,
     pub(crate) calls: BTreeMap<(NoticeId, u32), Call>,
-    pub(crate) beat: Option<Duration>,
+    pub(crate) beat: bool,
     pub(crate) logged: BTreeMap<&'static str, Duration>,
     pub(crate) lines: Vec<String>,
 }
@@ -145,7 +145,7 @@
             turns: BTreeMap::new(),
             held: BTreeMap::new(),
             calls: BTreeMap::new(),
-            beat: None,
+            beat: false,
             logged: BTreeMap::new(),
             lines: Vec::new(),
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -45,9 +45,9 @@
 const PART_STEP: f64 = 0.02; // regained with each handled call: back in some tens of calls
 const LISTED_SLACK: f64 = 1.5; // a rough rate may be so far off, either way; credits do the rest
 // Outage of an endpoint.
-const FAIL_WEIGHT: f64 = 0.2; // of an answered failure in the failing share: five are a verdict
+const FAIL_WEIGHT: f64 = 0.2; // of an answered failure in the failing share: four are a verdict
 const SILENT_WEIGHT: f64 = 0.35; // of a failed connection or a time-out: two are a verdict
-const LOST_WEIGHT: f64 = 0.1; // of a refusal, a reset, or one lost while others were answered: little
+const LOST_WEIGHT: f64 = 0.1; // of a refusal, a reset, or one lost while others were answered: seven are one
 const OUT_SHARE: f64 = 0.5; // failing share over which an endpoint is out: most calls fail
 const BACK_SHARE: f64 = 0.4; // failing share of one just back: another failure or two and it is out again
 const SHUT: Duration = ms(2_500); // refusing for longer than a limit's span, a second or two, is being shut
@@ -70,6 +70,20 @@
     cap.min(Duration::from_secs_f64(end.min(cap.as_secs_f64()))).mul_f64(rng.random())
 }
 
+/// The wait before trial `k`: half of it sure, so that trials never come in a bunch.
+fn trial_gap(rng: &mut Pcg64Mcg, k: u32, cap: Duration) -> Duration {
+    cap / 2 + gap(rng, k, BASE, cap) / 2
+}
+
+/// True at most once in LOG_GAP for one kind of trouble.
+fn may_log(logged: &mut BTreeMap<&'static str, Duration>, kind: &'static str, now: Duration) -> bool {
+    let due = logged.get(kind).is_none_or(|at| *at + LOG_GAP <= now);
+    if due {
+        logged.insert(kind, now);
+    }
+    due
+}
+
 /// Repeats and first tries of the last SPAN, in seconds; old seconds leave with each count.
 #[derive(Default)]
 pub(crate) struct Repeats {
@@ -479,10 +493,7 @@
                 let rest = gap(&mut self.rng, route.refusals, BASE, CAP);
                 route.closed = route.closed.max(self.now + rest);
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
-                if let Some(wait) =
-                    wait.filter(|_| self.logged.get("wait").is_none_or(|at| *at + LOG_GAP <= self.now))
-                {
-                    self.logged.insert("wait", self.now);
+                if let Some(wait) = wait.filter(|_| may_log(&mut self.logged, "wait", self.now)) {
                     self.lines.push(format!("told wait: destination {} for {wait:?}", endpoint.owner));
                 }
                 // Against a herd at a destination that was shut and tells when it opens, which few calls saw:
@@ -516,8 +527,7 @@
         if after == Health::Out && outcome != Outcome::Handled {
             route.trials += 1;
             let cap = if outcome.never_ran() { TRIAL_GAP } else { DEAR_TRIAL_GAP };
-            let rest = cap / 2 + gap(&mut self.rng, route.trials, BASE, cap) / 2;
-            route.trial = route.trial.max(self.now + rest);
+            route.trial = route.trial.max(self.now + trial_gap(&mut self.rng, route.trials, cap));
         }
         if std::mem::discriminant(&before) != std::mem::discriminant(&after) {
             let line =
@@ -540,7 +550,7 @@
     }
 
     pub fn woken(&mut self) {
-        self.beat = None;
+        self.beat = false;
     }
 
     fn ask_register(&mut self, hands: &mut dyn Hands) -> bool {
@@ -552,9 +562,8 @@
         due
     }
 
-    fn usual(&self, held: &Held) -> Duration {
-        let latency = self.latency.get(&(held.destination, held.grade));
-        latency.map_or(UNKNOWN_CALL, |l| l.usual(self.now))
+    fn usual(&self, destination: DestinationId, grade: usize) -> Duration {
+        self.latency.get(&(destination, grade)).map_or(UNKNOWN_CALL, |l| l.usual(self.now))
     }
 
     /// What `held` earns when handled at `at`.
@@ -576,7 +585,7 @@
 
     /// The last moment at which another send of `held` may start, by its limit and its destination's memory.
     fn last_start(&self, held: &Held) -> Duration {
-        let by_limit = held.limit.saturating_sub(self.usual(held));
+        let by_limit = held.limit.saturating_sub(self.usual(held.destination, held.grade));
         match (&held.may_have_run, self.grades[held.grade].1.effect) {
             (None, _) | (_, Effect::Retriable) => by_limit,
             (Some(first), Effect::Fingerprinted { memory, .. }) => by_limit.min(first.0 + memory),
@@ -595,9 +604,7 @@
     fn answer(&mut self, id: NoticeId, hands: &mut dyn Hands) {
         let Some(held) = self.held.get(&id) else { return };
         if self.may_deny(held) {
-            let routes = self.routes.range((held.destination, String::new())..);
-            let open =
-                routes.take_while(|r| r.0.0 == held.destination).map(|r| r.1.told.max(r.1.trial)).min();
+            let open = self.routes_of(held.destination).map(|r| r.told.max(r.trial)).min();
             let wait = open.unwrap_or_default().saturating_sub(self.now).min(self.longest_wait);
             hands.deny(id, (!wait.is_zero()).then_some(wait));
         } else {
@@ -617,10 +624,14 @@
         true
     }
 
+    fn routes_of(&self, destination: DestinationId) -> impl Iterator<Item = &Route> {
+        let from = self.routes.range((destination, String::new())..);
+        from.take_while(move |r| r.0.0 == destination).map(|r| r.1)
+    }
+
     /// The end of the waits told for all routes of a destination.
     fn told(&self, destination: DestinationId) -> Duration {
-        let routes = self.routes.range((destination, String::new())..).take_while(|r| r.0.0 == destination);
-        routes.map(|r| r.1.told).min().unwrap_or_default()
+        self.routes_of(destination).map(|r| r.told).min().unwrap_or_default()
     }
 
     /// The calls out to each destination, and whether one of them is far over a usual call.
@@ -628,8 +639,7 @@
         let mut out = BTreeMap::new();
         for call in self.calls.values() {
             let Some(endpoint) = self.endpoints.get(&call.endpoint) else { continue };
-            let latency = self.latency.get(&(endpoint.owner, call.grade));
-            let usual = latency.map_or(UNKNOWN_CALL, |l| l.usual(self.now));
+            let usual = self.usual(endpoint.owner, call.grade);
             let entry: &mut (usize, bool) = out.entry(endpoint.owner).or_default();
             entry.0 += 1;
             entry.1 |= self.now > call.started + usual.mul_f64(SLOW);
@@ -704,7 +714,7 @@
         for (id, held) in &self.held {
             let Some(ways) = doors.get(&held.destination) else { continue };
             let Some(way) = self.way(*id, held, ways) else { continue };
-            let usual = self.usual(held);
+            let usual = self.usual(held.destination, held.grade);
             let earns = self.earns(held, self.now + usual);
             let grade = &self.grades[held.grade].1;
             let safe = match (way.trial, held.may_have_run.is_some(), grade.effect) {
@@ -740,7 +750,7 @@
         route.pace.saved -= 1.0;
         if trial {
             route.trials += 1;
-            route.trial = now + TRIAL_GAP / 2 + gap(&mut self.rng, route.trials, BASE, TRIAL_GAP) / 2;
+            route.trial = now + trial_gap(&mut self.rng, route.trials, TRIAL_GAP);
         }
         endpoint.credits.spent += 1;
         endpoint.outage.saved -= 1.0;
@@ -762,13 +772,12 @@
         }
         let waiting = self.held.iter().filter(|(_, held)| held.out == 0 && self.may_deny(held));
         let least = waiting.min_by(|a, b| {
-            let earns = |held: &Held| self.earns(held, self.now + self.usual(held));
+            let earns = |held: &Held| self.earns(held, self.now + self.usual(held.destination, held.grade));
             earns(a.1).total_cmp(&earns(b.1)).then(b.0.cmp(a.0))
         });
         let Some(id) = least.map(|(id, _)| *id) else { return false };
         self.answer(id, hands);
-        if self.logged.get("room").is_none_or(|at| *at + LOG_GAP <= self.now) {
-            self.logged.insert("room", self.now);
+        if may_log(&mut self.logged, "room", self.now) {
             hands.log(&format!("room short: {} held, {} out", self.held.len(), self.calls.len()));
         }
         true
@@ -777,10 +786,10 @@
     fn keep_beat(&mut self, hands: &mut dyn Hands) -> bool {
         let waits = self.held.values().any(|held| held.out == 0);
         let asks = self.register.must_ask && !self.register.asked;
-        if self.beat.is_some() || !(waits || asks) {
+        if self.beat || !(waits || asks) {
             return false;
         }
-        self.beat = Some(self.now + BEAT);
+        self.beat = true;
         hands.wake(BEAT);
         true
     }
