The cost of an input follows what it touches: a destination's own endpoints

Cause: the ways were built anew over all endpoints, copying names, for each send. Endpoints, routes and latencies now stand under their destination, and only destinations with work waiting are looked at.

--- a/src/courier.rs
+++ b/src/courier.rs
@@ -46,9 +46,16 @@
     pub(crate) filled: Duration,
 }
 
+/// A destination as far as the list names its endpoints; gone with the last of them, once no wait binds.
+#[derive(Default)]
+pub(crate) struct Destination {
+    pub(crate) endpoints: BTreeMap<String, Endpoint>,
+    pub(crate) routes: BTreeMap<String, Route>,
+    pub(crate) latency: BTreeMap<usize, Latency>,
+}
+
 pub(crate) struct Endpoint {
     pub(crate) zone: String,
-    pub(crate) owner: DestinationId,
     pub(crate) route: String,
     pub(crate) listing: Listing,
     pub(crate) credits: Credits,
@@ -84,6 +91,7 @@
 }
 
 pub(crate) struct Call {
+    pub(crate) destination: DestinationId,
     pub(crate) endpoint: String,
     pub(crate) grade: usize,
     pub(crate) key: Option<u64>,
@@ -108,9 +116,8 @@
     pub(crate) tolls: BTreeMap<String, f64>,
     pub(crate) quotas: BTreeMap<String, Quota>,
     pub(crate) over_share: f64,
-    pub(crate) endpoints: BTreeMap<String, Endpoint>,
-    pub(crate) routes: BTreeMap<(DestinationId, String), Route>,
-    pub(crate) latency: BTreeMap<(DestinationId, usize), Latency>,
+    pub(crate) destinations: BTreeMap<DestinationId, Destination>,
+    pub(crate) left: bool,
     pub(crate) turns: BTreeMap<u64, Turn>,
     pub(crate) held: BTreeMap<NoticeId, Held>,
     pub(crate) calls: BTreeMap<(NoticeId, u32), Call>,
@@ -139,9 +146,8 @@
             tolls: BTreeMap::new(),
             quotas: BTreeMap::new(),
             over_share: 1.0,
-            endpoints: BTreeMap::new(),
-            routes: BTreeMap::new(),
-            latency: BTreeMap::new(),
+            destinations: BTreeMap::new(),
+            left: false,
             turns: BTreeMap::new(),
             held: BTreeMap::new(),
             calls: BTreeMap::new(),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -4,7 +4,7 @@
 //! A host tells one input at a time, after [`Courier::at`]; then [`Courier::settle`] goes through the rules,
 //! in order and again from the first, until none fires. docs/design.md says where each rule comes from.
 
-use crate::courier::{Call, Courier, Endpoint, Held, Return, Route, Slots, Turn};
+use crate::courier::{Call, Courier, Destination, Endpoint, Held, Return, Route, Slots, Turn};
 use crate::{DestinationId, Effect, Hands, ListedRate, Listing, NoticeId, Outcome};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -260,7 +260,8 @@
 
     fn fill(&mut self, now: Duration, ramp: Return, capacity: f64, couriers: u32) {
         if let Health::Cold { since } = self.health {
-            let rate = ramp.rate(capacity, couriers, now - since);
+            let middle = (now + self.filled.max(since)) / 2; // the ramp is straight
+            let rate = ramp.rate(capacity, couriers, middle - since);
             self.saved = (self.saved + rate * (now - self.filled).as_secs_f64()).min(1.0);
         }
         self.filled = now;
@@ -293,6 +294,14 @@
     }
 }
 
+impl Destination {
+    /// All that may be sent to is out.
+    fn out(&self) -> bool {
+        let mut open = self.endpoints.values().filter(|e| e.listing == Listing::Open).peekable();
+        open.peek().is_some() && open.all(|e| e.outage.health == Health::Out)
+    }
+}
+
 /// An endpoint that may be sent to now; of those of a destination, the one of least rank is best.
 struct Way {
     endpoint: String,
@@ -317,7 +326,8 @@
         let known = rate.map(|rate| rate * LISTED_SLACK);
         let sure = rate.map(|rate| if self.listed == ListedRate::Rough { rate / LISTED_SLACK } else { rate });
         let now = self.now;
-        let entry = self.routes.entry((owner, route.into())).or_insert_with(|| Route {
+        let destination = self.destinations.entry(owner).or_default();
+        let entry = destination.routes.entry(route.into()).or_insert_with(|| Route {
             told: Duration::ZERO,
             pace: Pace { known, sure, part: 1.0, saved: 1.0, filled: now },
             reported: false,
@@ -331,9 +341,8 @@
         if !entry.reported {
             (entry.pace.known, entry.pace.sure) = (known, sure);
         }
-        let endpoint = self.endpoints.entry(name.into()).or_insert_with(|| Endpoint {
+        let endpoint = destination.endpoints.entry(name.into()).or_insert_with(|| Endpoint {
             zone: zone.into(),
-            owner,
             route: route.into(),
             listing,
             credits: Credits { most: FIRST_CREDITS, spent: 0 },
@@ -341,24 +350,29 @@
             used: None,
         });
         endpoint.listing = listing;
+        self.left |= listing == Listing::Gone;
     }
 
     /// The end of a list or of changes; what a whole list leaves out is gone.
     pub fn list_ends(&mut self, whole: Option<&BTreeSet<String>>, asked: bool) {
-        if let Some(names) = whole {
-            for (name, endpoint) in &mut self.endpoints {
-                if !names.contains(name) {
-                    endpoint.listing = Listing::Gone;
-                }
-            }
+        if whole.is_some() || self.left {
+            let busy: BTreeSet<_> = self.calls.values().map(|call| &call.endpoint).collect();
+            let now = self.now;
+            self.left = false;
+            self.destinations.retain(|_, destination| {
+                destination.endpoints.retain(|name, endpoint| {
+                    if whole.is_some_and(|names| !names.contains(name)) {
+                        endpoint.listing = Listing::Gone;
+                    }
+                    let gone = endpoint.listing == Listing::Gone;
+                    self.left |= gone && busy.contains(name);
+                    !gone || busy.contains(name)
+                });
+                let live: BTreeSet<_> = destination.endpoints.values().map(|e| &e.route).collect();
+                destination.routes.retain(|name, route| live.contains(name) || route.told > now);
+                !destination.routes.is_empty()
+            });
         }
-        let busy: BTreeSet<_> = self.calls.values().map(|call| call.endpoint.clone()).collect();
-        self.endpoints.retain(|name, e| e.listing != Listing::Gone || busy.contains(name));
-        let live: BTreeSet<_> = self.endpoints.values().map(|e| (e.owner, e.route.clone())).collect();
-        let now = self.now;
-        self.routes.retain(|name, route| live.contains(name) || route.told > now);
-        self.latency
-            .retain(|name, _| live.range((name.0, String::new())..).next().is_some_and(|r| r.0 == name.0));
         if asked {
             (self.register.asked, self.register.failures) = (true, 0);
         }
@@ -452,16 +466,19 @@
         held.failures += u32::from(outcome != Outcome::Unsent);
         held.not_before = self.now + gap(&mut self.rng, held.failures, BASE, CAP);
         if !outcome.never_ran() && held.may_have_run.as_ref().is_none_or(|first| first.0 > call.started) {
-            let zone = self.endpoints.get(&call.endpoint).map_or(String::new(), |e| e.zone.clone());
+            let from = self.destinations.get(&call.destination).and_then(|d| d.endpoints.get(&call.endpoint));
+            let zone = from.map_or(String::new(), |e| e.zone.clone());
             held.may_have_run = Some((call.started, zone));
         }
     }
 
     /// What one outcome says of its endpoint, its route and its destination.
     fn judge(&mut self, call: &Call, outcome: Outcome, took: Duration, report: Option<(f64, f64)>) {
-        let Some(endpoint) = self.endpoints.get_mut(&call.endpoint) else { return };
-        let Some(route) = self.routes.get_mut(&(endpoint.owner, endpoint.route.clone())) else { return };
-        let latency = self.latency.entry((endpoint.owner, call.grade)).or_default();
+        let Some(destination) = self.destinations.get_mut(&call.destination) else { return };
+        let Some(endpoint) = destination.endpoints.get_mut(&call.endpoint) else { return };
+        let Some(route) = destination.routes.get_mut(&endpoint.route) else { return };
+        let latency = destination.latency.entry(call.grade).or_default();
+        route.pace.fill(self.now);
         if let Some((_, rate)) = report.filter(|r| r.1 > 0.0) {
             (route.pace.known, route.pace.sure, route.reported) = (Some(rate), Some(rate), true);
         }
@@ -494,7 +511,7 @@
                 route.closed = route.closed.max(self.now + rest);
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
                 if let Some(wait) = wait.filter(|_| may_log(&mut self.logged, "wait", self.now)) {
-                    self.lines.push(format!("told wait: destination {} for {wait:?}", endpoint.owner));
+                    self.lines.push(format!("told wait: destination {} for {wait:?}", call.destination));
                 }
                 // Against a herd at a destination that was shut and tells when it opens, which few calls saw:
                 // it returns cold however little it refused. May slow one whose limit was cut for long.
@@ -531,7 +548,7 @@
         }
         if std::mem::discriminant(&before) != std::mem::discriminant(&after) {
             let line =
-                format!("{} of destination {}: {before:?} -> {after:?}", call.endpoint, endpoint.owner);
+                format!("{} of destination {}: {before:?} -> {after:?}", call.endpoint, call.destination);
             self.lines.push(line);
         }
     }
@@ -563,7 +580,8 @@
     }
 
     fn usual(&self, destination: DestinationId, grade: usize) -> Duration {
-        self.latency.get(&(destination, grade)).map_or(UNKNOWN_CALL, |l| l.usual(self.now))
+        let latency = self.destinations.get(&destination).and_then(|d| d.latency.get(&grade));
+        latency.map_or(UNKNOWN_CALL, |l| l.usual(self.now))
     }
 
     /// What `held` earns when handled at `at`.
@@ -625,8 +643,7 @@
     }
 
     fn routes_of(&self, destination: DestinationId) -> impl Iterator<Item = &Route> {
-        let from = self.routes.range((destination, String::new())..);
-        from.take_while(move |r| r.0.0 == destination).map(|r| r.1)
+        self.destinations.get(&destination).into_iter().flat_map(|d| d.routes.values())
     }
 
     /// The end of the waits told for all routes of a destination.
@@ -634,46 +651,42 @@
         self.routes_of(destination).map(|r| r.told).min().unwrap_or_default()
     }
 
-    /// The calls out to each destination, and whether one of them is far over a usual call.
+    /// The calls out to each destination, and whether it is sick: one of them is far over a usual call, or
+    /// all its endpoints are out.
     fn calls_out(&self) -> BTreeMap<DestinationId, (usize, bool)> {
         let mut out = BTreeMap::new();
         for call in self.calls.values() {
-            let Some(endpoint) = self.endpoints.get(&call.endpoint) else { continue };
-            let usual = self.usual(endpoint.owner, call.grade);
-            let entry: &mut (usize, bool) = out.entry(endpoint.owner).or_default();
+            let usual = self.usual(call.destination, call.grade);
+            let entry: &mut (usize, bool) = out.entry(call.destination).or_default();
             entry.0 += 1;
             entry.1 |= self.now > call.started + usual.mul_f64(SLOW);
         }
+        for (id, entry) in &mut out {
+            entry.1 |= self.destinations.get(id).is_some_and(Destination::out);
+        }
         out
     }
 
-    /// For each destination, the endpoints that may be sent to now, best first.
-    fn doors(&mut self) -> BTreeMap<DestinationId, Vec<Way>> {
-        let out = self.calls_out();
-        let mut counts: BTreeMap<DestinationId, (u32, bool)> = BTreeMap::new();
-        for e in self.endpoints.values().filter(|e| e.listing == Listing::Open) {
-            let count = counts.entry(e.owner).or_insert((0, true));
-            count.0 += 1;
-            count.1 &= e.outage.health == Health::Out;
-        }
-        let sick = |owner: &DestinationId| {
-            out.get(owner).is_some_and(|o| o.1) || counts.get(owner).is_some_and(|c| c.1)
-        };
-        let sick_calls: usize = out.iter().filter(|(owner, _)| sick(owner)).map(|(_, o)| o.0).sum();
-        for route in self.routes.values_mut() {
-            route.pace.fill(self.now);
+    /// The endpoints of a destination that may be sent to now, best first; `most` calls may be out to it.
+    fn doors(&mut self, id: DestinationId, out: &BTreeMap<DestinationId, (usize, bool)>) -> Vec<Way> {
+        let Some(destination) = self.destinations.get_mut(&id) else { return Vec::new() };
+        let (calls, slow) = out.get(&id).copied().unwrap_or_default();
+        let sick_calls: usize = out.values().filter(|o| o.1).map(|o| o.0).sum();
+        let sick = slow || destination.out();
+        if calls >= self.slots.for_one() || sick && sick_calls >= self.slots.for_sick() {
+            return Vec::new();
         }
-        let mut doors: BTreeMap<DestinationId, Vec<Way>> = BTreeMap::new();
-        for (name, e) in self.endpoints.iter_mut().filter(|(_, e)| e.listing == Listing::Open) {
-            let Some(route) = self.routes.get(&(e.owner, e.route.clone())) else { continue };
-            let capacity = route.pace.sure.unwrap_or(FIRST_COLD_RATE) / f64::from(counts[&e.owner].0);
+        let open = destination.endpoints.values().filter(|e| e.listing == Listing::Open).count();
+        let mut ways = Vec::new();
+        for (name, e) in destination.endpoints.iter_mut().filter(|(_, e)| e.listing == Listing::Open) {
+            let Some(route) = destination.routes.get_mut(&e.route) else { continue };
+            route.pace.fill(self.now);
+            let capacity = route.pace.sure.unwrap_or(FIRST_COLD_RATE) / open as f64;
             e.outage.fill(self.now, self.ramp, capacity, self.couriers);
-            let calls = out.get(&e.owner).map_or(0, |o| o.0);
-            let full = calls >= self.slots.for_one() || sick(&e.owner) && sick_calls >= self.slots.for_sick();
             let trial = e.outage.health == Health::Out;
             let open = route.told <= self.now && route.closed <= self.now && route.pace.ready();
             let willing = if trial { route.trial <= self.now } else { e.outage.admits() };
-            if full || !open || !willing || e.credits.left() <= 0 {
+            if !open || !willing || e.credits.left() <= 0 {
                 continue;
             }
             let toll = (self.tolls.get(&e.zone).unwrap_or(&0.0) * 1e6) as i64;
@@ -681,11 +694,10 @@
             let load = i64::from(e.credits.spent) + AWAY * i64::from(e.zone != self.zone);
             let rank = (trial, toll, load, idle);
             let repeats = route.repeats.allows(self.now);
-            let way = Way { endpoint: name.clone(), zone: e.zone.clone(), trial, repeats, rank };
-            doors.entry(e.owner).or_default().push(way);
+            ways.push(Way { endpoint: name.clone(), zone: e.zone.clone(), trial, repeats, rank });
         }
-        doors.values_mut().for_each(|ways| ways.sort_by_key(|way| way.rank));
-        doors
+        ways.sort_by_key(|way| way.rank);
+        ways
     }
 
     /// The way that `held` may take now, if any.
@@ -709,7 +721,10 @@
         if self.calls.len() >= self.slots.most || self.held.is_empty() {
             return false;
         }
-        let doors = self.doors();
+        let waiting = self.held.values().filter(|held| held.out == 0 && held.not_before <= self.now);
+        let waiting: BTreeSet<_> = waiting.map(|held| held.destination).collect();
+        let out = self.calls_out();
+        let doors: BTreeMap<_, _> = waiting.into_iter().map(|id| (id, self.doors(id, &out))).collect();
         let mut best: Option<((u8, f64, Duration), NoticeId, &Way)> = None;
         for (id, held) in &self.held {
             let Some(ways) = doors.get(&held.destination) else { continue };
@@ -739,11 +754,11 @@
 
     fn send(&mut self, id: NoticeId, name: &str, trial: bool, hands: &mut dyn Hands) {
         let now = self.now;
-        let (Some(held), Some(endpoint)) = (self.held.get_mut(&id), self.endpoints.get_mut(name)) else {
-            return;
-        };
-        let Some(route) = self.routes.get_mut(&(endpoint.owner, endpoint.route.clone())) else { return };
-        let latency = self.latency.entry((held.destination, held.grade)).or_default();
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let Some(destination) = self.destinations.get_mut(&held.destination) else { return };
+        let Some(endpoint) = destination.endpoints.get_mut(name) else { return };
+        let Some(route) = destination.routes.get_mut(&endpoint.route) else { return };
+        let latency = destination.latency.entry(held.grade).or_default();
         let patience = latency.patience().min(held.limit.saturating_sub(now));
         hands.send(id, name, patience);
         route.repeats.count(now, held.sends > 0);
@@ -755,7 +770,8 @@
         endpoint.credits.spent += 1;
         endpoint.outage.saved -= 1.0;
         endpoint.used = Some(now);
-        let call = Call { endpoint: name.into(), grade: held.grade, key: held.key, started: now };
+        let (destination, endpoint) = (held.destination, name.into());
+        let call = Call { destination, endpoint, grade: held.grade, key: held.key, started: now };
         self.calls.insert((id, held.sends), call);
         if let Some(turn) = held.key.and_then(|key| self.turns.get_mut(&key)) {
             turn.out.push(id);
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -195,7 +195,7 @@
     let mut courier = courier(Effect::Retriable);
     take(&mut courier, 1, None);
     courier.outcome(1, 0, Outcome::Refused(Some(ms(4_000))), ms(9), false, None);
-    assert_eq!(courier.endpoints["a"].outage.health, Health::Out);
+    assert_eq!(courier.destinations[&9].endpoints["a"].outage.health, Health::Out);
 }
 
 #[test]
@@ -250,8 +250,8 @@
     let mut courier = courier(Effect::Retriable);
     courier.listed("c", "x", "k", 8, Listing::Open, None);
     courier.room(Some(0), Some(100), None);
-    courier.latency.entry((8, 0)).or_default().handled(ms(1), ms(100));
-    courier.latency.entry((9, 0)).or_default().handled(ms(1), ms(900));
+    courier.destinations.get_mut(&8).unwrap().latency.entry(0).or_default().handled(ms(1), ms(100));
+    courier.destinations.get_mut(&9).unwrap().latency.entry(0).or_default().handled(ms(1), ms(900));
     for (id, destination) in [(1, 9), (2, 8)] {
         courier.notice(id, "g", None, ms(9_500), None, destination);
     }
@@ -290,7 +290,7 @@
 fn what_can_run_again_goes_first_on_a_trial() {
     let mut courier = courier(Effect::Binding);
     courier.grade("again", grade(Effect::Retriable, 0.1));
-    for endpoint in courier.endpoints.values_mut() {
+    for endpoint in courier.destinations.get_mut(&9).unwrap().endpoints.values_mut() {
         endpoint.outage.health = Health::Out;
     }
     courier.notice(1, "g", None, ms(9_500), None, 9);
@@ -310,24 +310,24 @@
     ["a", "b", "c"].iter().for_each(|name| other.listed(name, "x", "k", 9, Listing::Open, None));
     let ways: BTreeSet<_> = (1..=3).flat_map(|id| take(&mut other, id, None)).collect();
     assert_eq!(ways.len(), 3);
-    assert!(["a", "b", "c"].iter().all(|name| other.endpoints[*name].credits.spent == 1));
+    assert!(["a", "b", "c"].iter().all(|name| other.destinations[&9].endpoints[*name].credits.spent == 1));
 }
 
 /// incident ide3163: one call in six got no answer anywhere, and endpoints that answered the rest counted as out.
 #[test]
 fn calls_lost_while_others_are_answered_are_no_outage() {
     let mut courier = courier(Effect::Retriable);
-    courier.endpoints.get_mut("a").unwrap().outage.answered = ms(50);
+    courier.destinations.get_mut(&9).unwrap().endpoints.get_mut("a").unwrap().outage.answered = ms(50);
     for id in 1..=4 {
-        let call = Call { endpoint: "a".into(), grade: 0, key: None, started: ms(id) };
+        let call = Call { destination: 9, endpoint: "a".into(), grade: 0, key: None, started: ms(id) };
         courier.judge(&call, Outcome::TimedOut, ms(9), None);
     }
-    assert_eq!(courier.endpoints["a"].outage.health, Health::Well);
+    assert_eq!(courier.destinations[&9].endpoints["a"].outage.health, Health::Well);
     for id in 60..=61 {
-        let call = Call { endpoint: "a".into(), grade: 0, key: None, started: ms(id) };
+        let call = Call { destination: 9, endpoint: "a".into(), grade: 0, key: None, started: ms(id) };
         courier.judge(&call, Outcome::TimedOut, ms(9), None);
     }
-    assert_eq!(courier.endpoints["a"].outage.health, Health::Out);
+    assert_eq!(courier.destinations[&9].endpoints["a"].outage.health, Health::Out);
 }
 
 /// incident i3b06b2: refusals above a limit in the first seconds made well endpoints count as out.
@@ -335,12 +335,12 @@
 fn a_few_refusals_in_turn_are_a_limit_and_no_outage() {
     let mut courier = courier(Effect::Retriable);
     for id in 1..=5 {
-        let call = Call { endpoint: "a".into(), grade: 0, key: None, started: ms(id * 100) };
+        let call = Call { destination: 9, endpoint: "a".into(), grade: 0, key: None, started: ms(id * 100) };
         courier.at(ms(id * 100));
         courier.judge(&call, Outcome::Refused(None), ms(9), None);
     }
-    assert_eq!(courier.endpoints["a"].outage.health, Health::Well);
-    assert!(courier.routes[&(9, String::new())].pace.part < 1.0);
+    assert_eq!(courier.destinations[&9].endpoints["a"].outage.health, Health::Well);
+    assert!(courier.destinations[&9].routes[""].pace.part < 1.0);
 }
 
 #[test]
@@ -351,10 +351,10 @@
         let mut courier = courier(Effect::Retriable);
         courier.listing(false, listed);
         courier.listed("c", "x", "k", 8, Listing::Open, Some(6.0));
-        let pace = &courier.routes[&(8, String::new())].pace;
+        let pace = &courier.destinations[&8].routes[""].pace;
         assert_eq!((pace.sure, pace.known), (sure, sure.map(|_| 9.0)));
         courier.listed("c", "x", "k", 8, Listing::Open, Some(2.0));
-        assert_eq!(courier.routes[&(8, String::new())].pace.known, sure.map(|_| 3.0), "a later list holds");
+        assert_eq!(courier.destinations[&8].routes[""].pace.known, sure.map(|_| 3.0), "a later list holds");
     }
 }
 
@@ -363,10 +363,10 @@
 fn resets_between_handled_calls_are_no_outage_and_failed_connections_are_one() {
     let mut courier = courier(Effect::Retriable);
     let mut tell = |at, outcome| {
-        let call = Call { endpoint: "a".into(), grade: 0, key: None, started: ms(at) };
+        let call = Call { destination: 9, endpoint: "a".into(), grade: 0, key: None, started: ms(at) };
         courier.at(ms(at + 9));
         courier.judge(&call, outcome, ms(9), None);
-        courier.endpoints["a"].outage.health
+        courier.destinations[&9].endpoints["a"].outage.health
     };
     for at in (0..5_000).step_by(100) {
         let outcome = if at % 500 < 200 { Outcome::Reset } else { Outcome::Handled };
@@ -381,8 +381,8 @@
     for (report, most) in [(Some((0.0, 0.0)), 1.0), (Some((0.0, 4.0)), 2.0)] {
         let mut courier = courier(Effect::Retriable);
         take(&mut courier, 1, None);
-        courier.endpoints.get_mut("a").unwrap().credits.most = 2.0;
+        courier.destinations.get_mut(&9).unwrap().endpoints.get_mut("a").unwrap().credits.most = 2.0;
         courier.outcome(1, 0, Outcome::Refused(None), ms(9), false, report);
-        assert!((courier.endpoints["a"].credits.most - most).abs() < 0.6, "{report:?}");
+        assert!((courier.destinations[&9].endpoints["a"].credits.most - most).abs() < 0.6, "{report:?}");
     }
 }
