Idle connections are kept until some fail; endpoints in an order of each courier's own

A failed connection now quarters the time for which idle ones of that kind of destination are kept, a handled call lengthens it a little; four couriers' worth is always kept. Also holds where connections cost their endpoint. May cost handshakes after outages that refuse connections.

--- a/crates/quillhub-drill/src/reply.rs
+++ b/crates/quillhub-drill/src/reply.rs
@@ -33,6 +33,10 @@
         self.add("LOSE", format_args!(" {notice}"));
     }
 
+    fn hang_up(&mut self, endpoint: &str) {
+        self.add("HANG_UP", format_args!(" {endpoint}"));
+    }
+
     fn wake(&mut self, wait: Duration) {
         self.add("ARM", format_args!(" {} beat", wait.as_micros()));
     }
--- a/crates/quillhub-drill/src/settings.rs
+++ b/crates/quillhub-drill/src/settings.rs
@@ -98,6 +98,9 @@
         let start = rules.get("startCapacity").map_or(Ok(0.0), |v| v.number())?;
         courier.returning(factor.number()?, start, span(&rules, "warmUpUs")?.unwrap_or_default());
     }
+    if let Some(after) = span(&limits, "idleCloseUs")? {
+        courier.idle_close(after);
+    }
     courier.key_rest(span(&rules, "keyRestUs")?.unwrap_or_default());
 
     let mode = top.get("membershipMode").map(|v| v.word()).transpose()?;
--- a/src/courier.rs
+++ b/src/courier.rs
@@ -1,7 +1,7 @@
 //! What a courier holds: the figures it was started with, and what it has seen. Nothing is decided here; the
 //! parts that decide are in [`crate::policy`].
 
-use crate::policy::{Credits, Latency, Outage, Pace, Repeats};
+use crate::policy::{Credits, Keep, Latency, Outage, Pace, Repeats};
 use crate::{DestinationId, Grade, ListedRate, Listing, NoticeId};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -56,6 +56,8 @@
 
 pub(crate) struct Endpoint {
     pub(crate) zone: String,
+    pub(crate) kind: String,
+    pub(crate) place: u32,
     pub(crate) route: String,
     pub(crate) listing: Listing,
     pub(crate) credits: Credits,
@@ -118,10 +120,15 @@
     pub(crate) over_share: f64,
     pub(crate) destinations: BTreeMap<DestinationId, Destination>,
     pub(crate) left: bool,
+    /// Endpoints with an idle connection, and since when; gone once it is used or closed.
+    pub(crate) idle: BTreeMap<(DestinationId, String), Duration>,
+    pub(crate) idle_close: Duration,
+    /// How long idle connections are kept, by kind; as many as the list has kinds.
+    pub(crate) keeps: BTreeMap<String, Keep>,
     pub(crate) turns: BTreeMap<u64, Turn>,
     pub(crate) held: BTreeMap<NoticeId, Held>,
     pub(crate) calls: BTreeMap<(NoticeId, u32), Call>,
-    pub(crate) beat: bool,
+    pub(crate) beat: Option<Duration>,
     pub(crate) logged: BTreeMap<&'static str, Duration>,
     pub(crate) lines: Vec<String>,
 }
@@ -148,10 +155,13 @@
             over_share: 1.0,
             destinations: BTreeMap::new(),
             left: false,
+            idle: BTreeMap::new(),
+            idle_close: Duration::ZERO,
+            keeps: BTreeMap::new(),
             turns: BTreeMap::new(),
             held: BTreeMap::new(),
             calls: BTreeMap::new(),
-            beat: false,
+            beat: None,
             logged: BTreeMap::new(),
             lines: Vec::new(),
         }
@@ -173,6 +183,11 @@
         self.ramp = Return { factor, start, warm_up };
     }
 
+    /// How long a connection may idle before it closes by itself; zero, as at first, if that is not known.
+    pub fn idle_close(&mut self, after: Duration) {
+        self.idle_close = after;
+    }
+
     pub fn key_rest(&mut self, rest: Duration) {
         self.key_rest = rest;
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,8 @@
     fn deny(&mut self, notice: NoticeId, come_back: Option<Duration>);
     /// Final answer: not delivered, and nothing is promised.
     fn write_off(&mut self, notice: NoticeId);
+    /// Closes this courier's idle connections to `endpoint`.
+    fn hang_up(&mut self, endpoint: &str);
     /// Asks for [`courier::Courier::woken`] after `wait`.
     fn wake(&mut self, wait: Duration);
     /// Asks the register for changes from now on.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -39,6 +39,10 @@
 const FIRST_CREDITS: f64 = 2.0; // as many as one of usual pace serves at once; a slow one takes no more slots
 const MOST_CREDITS: f64 = 32.0; // an endpoint that proves itself may earn so many
 const AWAY: i64 = 2; // calls out that an endpoint of another zone counts for: its way is longer, and priced
+// Idle connections.
+const KEPT_BY: u32 = 4; // couriers that may keep theirs as long as they last: so few fill no endpoint's table
+const KEEP_CUT: u32 = 4; // to which part a failed connection cuts the time kept: three are enough to learn by
+const KEEP_GROWTH: f64 = 0.02; // of it regained with each handled call: one in seventy may fail in the long run
 // Pace of a route.
 const BURST: Duration = ms(700); // of the rate may go at once: limits are counted over a second or so
 const PART_CUT: f64 = 0.7; // of this courier's part at a refusal: to half in two
@@ -166,6 +170,31 @@
     }
 }
 
+/// How long an idle connection to endpoints of one kind is kept.
+///
+/// Against endpoints that take few connections, idle ones counted: a failed connection may mean that the table
+/// is full of those that other couriers keep. Holds too where each connection costs its endpoint. May cost
+/// handshakes where endpoints refuse connections for other reasons.
+pub(crate) struct Keep {
+    time: Duration,
+    least: Duration,
+}
+
+impl Keep {
+    fn new(idle_close: Duration, couriers: u32) -> Self {
+        let least = idle_close / couriers.max(KEPT_BY) * KEPT_BY;
+        Self { time: idle_close, least }
+    }
+
+    fn failed(&mut self) {
+        self.time = (self.time / KEEP_CUT).max(self.least);
+    }
+
+    fn handled(&mut self, most: Duration) {
+        self.time = self.time.mul_f64(1.0 + KEEP_GROWTH).min(most);
+    }
+}
+
 /// This courier's pace of calls to one route: a part, cut by refusals, of the rate known for it.
 pub(crate) struct Pace {
     known: Option<f64>,
@@ -308,7 +337,7 @@
     zone: String,
     trial: bool,
     repeats: bool,
-    rank: (bool, i64, i64, Duration),
+    rank: (bool, i64, i64, Duration, u32),
 }
 
 impl Courier {
@@ -343,6 +372,8 @@
         }
         let endpoint = destination.endpoints.entry(name.into()).or_insert_with(|| Endpoint {
             zone: zone.into(),
+            kind: kind.into(),
+            place: self.rng.random(),
             route: route.into(),
             listing,
             credits: Credits { most: FIRST_CREDITS, spent: 0 },
@@ -483,8 +514,11 @@
             (route.pace.known, route.pace.sure, route.reported) = (Some(rate), Some(rate), true);
         }
         let before = endpoint.outage.health;
+        let keep = || Keep::new(self.idle_close, self.couriers);
+        let keep = self.keeps.entry(endpoint.kind.clone()).or_insert_with(keep);
         match outcome {
             Outcome::Handled => {
+                keep.handled(self.idle_close);
                 latency.handled(self.now, took);
                 endpoint.credits.answered();
                 endpoint.outage.handled(self.now, self.ramp.warm_up);
@@ -526,6 +560,9 @@
                 endpoint.outage.failed(self.now, FAIL_WEIGHT);
             }
             Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => {
+                if outcome == Outcome::Unconnected {
+                    keep.failed();
+                }
                 // Against taking calls that get lost one by one, as on a bad network, for an outage: where
                 // others were answered since, or the connection stood, this one says little: an endpoint that
                 // died refuses the next connection. May delay the verdict on one that fails in turns.
@@ -540,6 +577,9 @@
             }
             Outcome::CalledOff | Outcome::Unsent => endpoint.credits.answered(),
         }
+        if endpoint.credits.spent == 0 && outcome != Outcome::Unconnected && !self.idle_close.is_zero() {
+            self.idle.insert((call.destination, call.endpoint.clone()), self.now);
+        }
         let after = endpoint.outage.health;
         if after == Health::Out && outcome != Outcome::Handled {
             route.trials += 1;
@@ -562,12 +602,13 @@
             || self.end_what_cannot_be_delivered(hands)
             || self.send_what_earns_most(hands)
             || self.keep_room(hands)
+            || self.close_idle(hands)
             || self.keep_beat(hands)
         {}
     }
 
     pub fn woken(&mut self) {
-        self.beat = false;
+        self.beat = self.beat.filter(|at| *at > self.now);
     }
 
     fn ask_register(&mut self, hands: &mut dyn Hands) -> bool {
@@ -692,7 +733,7 @@
             let toll = (self.tolls.get(&e.zone).unwrap_or(&0.0) * 1e6) as i64;
             let idle = e.used.map_or(Duration::MAX, |at| self.now - at); // the last used has a connection
             let load = i64::from(e.credits.spent) + AWAY * i64::from(e.zone != self.zone);
-            let rank = (trial, toll, load, idle);
+            let rank = (trial, toll, load, idle, e.place);
             let repeats = route.repeats.allows(self.now);
             ways.push(Way { endpoint: name.clone(), zone: e.zone.clone(), trial, repeats, rank });
         }
@@ -767,6 +808,7 @@
             route.trials += 1;
             route.trial = now + trial_gap(&mut self.rng, route.trials, TRIAL_GAP);
         }
+        self.idle.remove(&(held.destination, name.to_owned()));
         endpoint.credits.spent += 1;
         endpoint.outage.saved -= 1.0;
         endpoint.used = Some(now);
@@ -799,14 +841,37 @@
         true
     }
 
+    /// The time that an idle connection may still be kept.
+    fn kept(&self, destination: DestinationId, name: &str, since: Duration) -> Duration {
+        let endpoint = self.destinations.get(&destination).and_then(|d| d.endpoints.get(name));
+        let time = endpoint.and_then(|e| self.keeps.get(&e.kind)).map_or(Duration::ZERO, |keep| keep.time);
+        since.saturating_add(time).saturating_sub(self.now)
+    }
+
+    fn close_idle(&mut self, hands: &mut dyn Hands) -> bool {
+        let over =
+            |(at, since): &(&(DestinationId, String), &Duration)| self.kept(at.0, &at.1, **since).is_zero();
+        let Some(at) = self.idle.iter().find(over).map(|(at, _)| at.clone()) else { return false };
+        self.idle.remove(&at);
+        if let Some(endpoint) = self.destinations.get_mut(&at.0).and_then(|d| d.endpoints.get_mut(&at.1)) {
+            endpoint.used = None;
+            hands.hang_up(&at.1);
+        }
+        true
+    }
+
     fn keep_beat(&mut self, hands: &mut dyn Hands) -> bool {
         let waits = self.held.values().any(|held| held.out == 0);
         let asks = self.register.must_ask && !self.register.asked;
-        if self.beat || !(waits || asks) {
+        let idle = self.idle.iter().map(|(at, since)| self.kept(at.0, &at.1, *since)).min();
+        let Some(wait) = (if waits || asks { Some(BEAT) } else { idle.map(|wait| wait.max(BEAT)) }) else {
+            return false;
+        };
+        if self.beat.is_some_and(|at| at <= self.now + wait) {
             return false;
         }
-        self.beat = true;
-        hands.wake(BEAT);
+        self.beat = Some(self.now + wait);
+        hands.wake(wait);
         true
     }
 }
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -18,6 +18,9 @@
     fn write_off(&mut self, notice: NoticeId) {
         self.0.push(format!("write off {notice}"));
     }
+    fn hang_up(&mut self, endpoint: &str) {
+        self.0.push(format!("hang up {endpoint}"));
+    }
     fn wake(&mut self, _: Duration) {}
     fn watch(&mut self) {
         self.0.push("watch".into());
