Rations by what is handed in: the rule on returning destinations holds for many couriers

Cause: hundreds of couriers each made a trial a second, and each took capacity over couriers in whole calls. What is out or cold now gets a share of what is handed in for it, which sums up over any number of couriers, and a part by time; a failure tells half as much of an endpoint's siblings.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -43,6 +43,7 @@
 const KEPT_BY: u32 = 4; // couriers that may keep theirs as long as they last: so few fill no endpoint's table
 const KEEP_CUT: u32 = 4; // to which part a failed connection cuts the time kept: three are enough to learn by
 const KEEP_GROWTH: f64 = 0.02; // of it regained with each handled call: one in seventy may fail in the long run
+const DOUBT: f64 = 4.0; // calls out that a failing share of 1 counts for: a repeat goes elsewhere first
 // Pace of a route.
 const BURST: Duration = ms(700); // of the rate may go at once: limits are counted over a second or so
 const PART_CUT: f64 = 0.7; // of this courier's part at a refusal: to half in two
@@ -52,11 +53,13 @@
 const FAIL_WEIGHT: f64 = 0.2; // of an answered failure in the failing share: four are a verdict
 const SILENT_WEIGHT: f64 = 0.35; // of a failed connection or a time-out: two are a verdict
 const LOST_WEIGHT: f64 = 0.1; // of a refusal, a reset, or one lost while others were answered: seven are one
+const SIBLING: f64 = 0.5; // of a failure's weight for other endpoints of the destination that did not answer since
 const OUT_SHARE: f64 = 0.5; // failing share over which an endpoint is out: most calls fail
 const BACK_SHARE: f64 = 0.4; // failing share of one just back: another failure or two and it is out again
 const SHUT: Duration = ms(2_500); // refusing for longer than a limit's span, a second or two, is being shut
 const TRIAL_GAP: Duration = ms(1_000); // longest gap between trials that cannot have run
 const DEAR_TRIAL_GAP: Duration = ms(1_500); // and between those that may: each can cost its notice
+const BY_TIME: f64 = 0.5; // of the ration: the rest comes with what is handed in, which nobody need know the rate of
 const FIRST_COLD_RATE: f64 = 1.0; // calls/s that a destination of unknown rate is taken for when cold: little
 const RAMP_FACTOR: f64 = 0.75; // of the allowed multiple: the rest is for trials and for the others' parts
 const MOST_RAMP: f64 = 1.6; // x the warm part of the known rate: capacity lies over a limit, by a half or so
@@ -232,11 +235,11 @@
 }
 
 impl Return {
-    /// Calls/s for one of `couriers` after `age`: a little over what is known that it can do by then.
-    fn rate(&self, capacity: f64, couriers: u32, age: Duration) -> f64 {
+    /// Of what a warm destination takes, what it may get after `age`: a little over what it can do by then.
+    fn share(&self, age: Duration) -> f64 {
         let warmth = (age.as_secs_f64() / self.warm_up.as_secs_f64().max(0.001)).min(1.0);
         let now = self.start + (1.0 - self.start) * warmth;
-        (self.factor * RAMP_FACTOR).min(MOST_RAMP) * now * capacity / f64::from(couriers)
+        (self.factor * RAMP_FACTOR).min(MOST_RAMP) * now
     }
 }
 
@@ -247,7 +250,8 @@
     Cold { since: Duration },
 }
 
-/// Whether one endpoint is out, and what it may get while it returns.
+/// Whether one endpoint is out, and its ration until it is well again: a share of what is handed in for its
+/// destination, and of this courier's part of what it takes. The first sums up over any number of couriers.
 pub(crate) struct Outage {
     health: Health,
     share: f64,
@@ -258,9 +262,10 @@
 }
 
 impl Outage {
-    fn new() -> Self {
+    /// `saved` is by chance under one, so that of many couriers with little work each some may send at once.
+    fn new(saved: f64) -> Self {
         let zero = Duration::ZERO;
-        Self { health: Health::Well, share: 0.0, told: zero, answered: zero, saved: 0.0, filled: zero }
+        Self { health: Health::Well, share: 0.0, told: zero, answered: zero, saved, filled: zero }
     }
 
     fn failed(&mut self, now: Duration, weight: f64) {
@@ -273,35 +278,43 @@
         }
     }
 
-    fn handled(&mut self, now: Duration, warm_up: Duration) {
+    fn handled(&mut self, now: Duration) {
         self.share *= 1.0 - FAIL_WEIGHT;
         self.answered = now;
+        if self.health == Health::Out {
+            self.share = self.share.min(BACK_SHARE);
+            self.health = Health::Cold { since: now };
+        }
+    }
+
+    /// The share of the ration for `at`; one that stayed cold for the warm-up time without a failure is well.
+    fn ration(&mut self, at: Duration, ramp: Return) -> f64 {
         match self.health {
-            Health::Out => {
-                self.share = self.share.min(BACK_SHARE);
-                self.health = Health::Cold { since: now };
-                (self.saved, self.filled) = (0.0, now);
-            }
-            Health::Cold { since } if now >= since + warm_up => self.health = Health::Well,
+            Health::Cold { since } if at >= since + ramp.warm_up => self.health = Health::Well,
+            Health::Cold { since } => return ramp.share(at.saturating_sub(since)),
             _ => {}
         }
+        ramp.share(Duration::ZERO)
     }
 
-    fn fill(&mut self, now: Duration, ramp: Return, capacity: f64, couriers: u32) {
-        if let Health::Cold { since } = self.health {
-            let middle = (now + self.filled.max(since)) / 2; // the ramp is straight
-            let rate = ramp.rate(capacity, couriers, middle - since);
-            self.saved = (self.saved + rate * (now - self.filled).as_secs_f64()).min(1.0);
-        }
+    /// `part` calls/s are this courier's part of what the endpoint takes when warm.
+    fn fill(&mut self, now: Duration, ramp: Return, part: f64) {
+        let rate = self.ration((now + self.filled) / 2, ramp) * BY_TIME * part; // the ramp is straight
+        self.saved = (self.saved + rate * (now - self.filled).as_secs_f64()).min(1.0);
         self.filled = now;
     }
 
+    /// One notice for its destination, of which `part` falls to this endpoint.
+    fn handed_in(&mut self, now: Duration, ramp: Return, part: f64) {
+        self.saved = (self.saved + self.ration(now, ramp) * (1.0 - BY_TIME) * part).min(1.0);
+    }
+
     fn admits(&self) -> bool {
-        match self.health {
-            Health::Well => true,
-            Health::Out => false,
-            Health::Cold { .. } => self.saved >= 1.0,
-        }
+        self.health == Health::Well || self.saved >= 1.0
+    }
+
+    fn sent(&mut self) {
+        self.saved -= f64::from(u8::from(self.health != Health::Well));
     }
 }
 
@@ -377,7 +390,7 @@
             route: route.into(),
             listing,
             credits: Credits { most: FIRST_CREDITS, spent: 0 },
-            outage: Outage::new(),
+            outage: Outage::new(self.rng.random()),
             used: None,
         });
         endpoint.listing = listing;
@@ -442,6 +455,12 @@
         if let Some(key) = key {
             self.turns.entry(key).or_default().line.push_back(id);
         }
+        if let Some(to) = self.destinations.get_mut(&destination) {
+            let open = to.endpoints.values().filter(|e| e.listing == Listing::Open).count().max(1);
+            for endpoint in to.endpoints.values_mut() {
+                endpoint.outage.handed_in(self.now, self.ramp, 1.0 / open as f64);
+            }
+        }
         let held = Held {
             grade,
             destination,
@@ -514,6 +533,7 @@
             (route.pace.known, route.pace.sure, route.reported) = (Some(rate), Some(rate), true);
         }
         let before = endpoint.outage.health;
+        let mut weight = 0.0;
         let keep = || Keep::new(self.idle_close, self.couriers);
         let keep = self.keeps.entry(endpoint.kind.clone()).or_insert_with(keep);
         match outcome {
@@ -521,7 +541,7 @@
                 keep.handled(self.idle_close);
                 latency.handled(self.now, took);
                 endpoint.credits.answered();
-                endpoint.outage.handled(self.now, self.ramp.warm_up);
+                endpoint.outage.handled(self.now);
                 route.pace.handled();
                 route.refusals = 0;
                 if before == Health::Out {
@@ -549,15 +569,17 @@
                 }
                 // Against a herd at a destination that was shut and tells when it opens, which few calls saw:
                 // it returns cold however little it refused. May slow one whose limit was cut for long.
-                if route.told.max(self.now) > route.refused + SHUT {
-                    endpoint.outage.failed(self.now, 1.0);
+                if route.told > self.now + SHUT {
+                    weight = 1.0;
+                } else if self.now > route.refused + SHUT {
+                    weight = SILENT_WEIGHT;
                 } else if call.started >= endpoint.outage.told {
-                    endpoint.outage.failed(self.now, LOST_WEIGHT);
+                    weight = LOST_WEIGHT;
                 }
             }
             Outcome::Error => {
                 endpoint.credits.answered();
-                endpoint.outage.failed(self.now, FAIL_WEIGHT);
+                weight = FAIL_WEIGHT;
             }
             Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => {
                 if outcome == Outcome::Unconnected {
@@ -568,11 +590,11 @@
                 // died refuses the next connection. May delay the verdict on one that fails in turns.
                 if outcome == Outcome::Reset || endpoint.outage.answered > call.started {
                     endpoint.credits.answered();
-                    endpoint.outage.failed(self.now, LOST_WEIGHT);
+                    weight = LOST_WEIGHT;
                 } else {
                     latency.timed_out += u32::from(outcome == Outcome::TimedOut);
                     endpoint.credits.lost();
-                    endpoint.outage.failed(self.now, SILENT_WEIGHT);
+                    weight = SILENT_WEIGHT;
                 }
             }
             Outcome::CalledOff | Outcome::Unsent => endpoint.credits.answered(),
@@ -580,6 +602,9 @@
         if endpoint.credits.spent == 0 && outcome != Outcome::Unconnected && !self.idle_close.is_zero() {
             self.idle.insert((call.destination, call.endpoint.clone()), self.now);
         }
+        if weight > 0.0 {
+            endpoint.outage.failed(self.now, weight);
+        }
         let after = endpoint.outage.health;
         if after == Health::Out && outcome != Outcome::Handled {
             route.trials += 1;
@@ -591,6 +616,17 @@
                 format!("{} of destination {}: {before:?} -> {after:?}", call.endpoint, call.destination);
             self.lines.push(line);
         }
+        // Against learning of an outage endpoint by endpoint, where a courier makes few calls to each: what
+        // strikes one mostly strikes its siblings. May send one that is well too few calls until it answers.
+        let route = endpoint.route.clone();
+        if weight >= FAIL_WEIGHT {
+            for (name, sibling) in &mut destination.endpoints {
+                if sibling.route == route && *name != call.endpoint && sibling.outage.answered <= call.started
+                {
+                    sibling.outage.failed(self.now, weight * SIBLING);
+                }
+            }
+        }
     }
 
     /// Goes through the rules until none fires.
@@ -722,17 +758,18 @@
         for (name, e) in destination.endpoints.iter_mut().filter(|(_, e)| e.listing == Listing::Open) {
             let Some(route) = destination.routes.get_mut(&e.route) else { continue };
             route.pace.fill(self.now);
-            let capacity = route.pace.sure.unwrap_or(FIRST_COLD_RATE) / open as f64;
-            e.outage.fill(self.now, self.ramp, capacity, self.couriers);
+            let part = route.pace.sure.unwrap_or(FIRST_COLD_RATE) / f64::from(self.couriers);
+            e.outage.fill(self.now, self.ramp, part / open as f64);
             let trial = e.outage.health == Health::Out;
             let open = route.told <= self.now && route.closed <= self.now && route.pace.ready();
-            let willing = if trial { route.trial <= self.now } else { e.outage.admits() };
+            let willing = e.outage.admits() && (!trial || route.trial <= self.now);
             if !open || !willing || e.credits.left() <= 0 {
                 continue;
             }
             let toll = (self.tolls.get(&e.zone).unwrap_or(&0.0) * 1e6) as i64;
             let idle = e.used.map_or(Duration::MAX, |at| self.now - at); // the last used has a connection
-            let load = i64::from(e.credits.spent) + AWAY * i64::from(e.zone != self.zone);
+            let doubt = (e.outage.share * DOUBT) as i64;
+            let load = i64::from(e.credits.spent) + AWAY * i64::from(e.zone != self.zone) + doubt;
             let rank = (trial, toll, load, idle, e.place);
             let repeats = route.repeats.allows(self.now);
             ways.push(Way { endpoint: name.clone(), zone: e.zone.clone(), trial, repeats, rank });
@@ -810,7 +847,7 @@
         }
         self.idle.remove(&(held.destination, name.to_owned()));
         endpoint.credits.spent += 1;
-        endpoint.outage.saved -= 1.0;
+        endpoint.outage.sent();
         endpoint.used = Some(now);
         let (destination, endpoint) = (held.destination, name.into());
         let call = Call { destination, endpoint, grade: held.grade, key: held.key, started: now };
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -121,33 +121,55 @@
     assert_eq!((pace.part, pace.ready()), (0.25, false)); // no herd at a wait's end: it starts from nothing
 }
 
+/// What `couriers` send in 3 s to one that returns and takes 10/s, if it is asked for `asked`/s.
+fn sent_cold(couriers: u32, asked: f64) -> f64 {
+    let ramp = Return { factor: 2.0, start: 0.2, warm_up: ms(10_000) };
+    let (mut rng, mut sent) = (rng(), 0);
+    for _ in 0..couriers {
+        let mut outage = Outage::new(rng.random());
+        (outage.health, outage.filled) = (Health::Cold { since: ms(100) }, ms(100));
+        for at in (100..3_100).step_by(20) {
+            if rng.random_bool(asked * 0.02 / f64::from(couriers)) {
+                outage.handed_in(ms(at), ramp, 1.0);
+            }
+            outage.fill(ms(at), ramp, 10.0 / f64::from(couriers));
+            if outage.admits() {
+                outage.sent();
+                sent += 1;
+            }
+        }
+    }
+    f64::from(sent)
+}
+
+/// The sum must not grow with the number of couriers: hundreds of them tried a dead destination once a second each.
+#[test]
+fn a_returning_destination_gets_no_more_from_many_couriers_than_from_few() {
+    // Against the rule's budget: twice 10/s, warming from 0.2 by 0.08 a second, for 3 s.
+    let budget = 2.0 * 10.0 * (0.2 * 3.0 + 0.08 * 3.0 * 3.0 / 2.0);
+    for (couriers, asked) in [(1, 8.0), (4, 8.0), (250, 8.0), (250, 12.0)] {
+        let sent = sent_cold(couriers, asked);
+        assert!(sent > budget * 0.3 && sent < budget, "{couriers} {asked}: {sent} of {budget}");
+    }
+}
+
 #[test]
-fn an_outage_returns_cold_and_its_ramp_keeps_under_the_allowed_multiple() {
+fn an_outage_ends_cold_and_cold_ends_after_the_warm_up_time() {
     let ramp = Return { factor: 2.0, start: 0.2, warm_up: ms(10_000) };
-    let mut outage = Outage::new();
+    let mut outage = Outage::new(0.0);
     outage.failed(ms(1), SILENT_WEIGHT);
-    assert_eq!(outage.health, Health::Well);
+    assert!(outage.health == Health::Well && outage.admits());
     outage.failed(ms(2), SILENT_WEIGHT);
     assert!(outage.health == Health::Out && !outage.admits());
-    outage.handled(ms(100), ramp.warm_up);
+    outage.handled(ms(100));
     assert_eq!(outage.health, Health::Cold { since: ms(100) });
-    let mut sent = 0;
-    for at in (100..3_100).step_by(20) {
-        outage.fill(ms(at), ramp, 10.0, 2);
-        if outage.admits() {
-            (outage.saved, sent) = (outage.saved - 1.0, sent + 1);
-        }
-    }
-    // Both couriers together, against the rule's budget: twice 10/s, warming from 0.2 by 0.08 a second, for 3 s.
-    let budget = 2.0 * 10.0 * (0.2 * 3.0 + 0.08 * 3.0 * 3.0 / 2.0);
-    assert!(sent > 0 && 2.0 * f64::from(sent) <= RAMP_FACTOR * budget, "{sent} of {budget}");
-    outage.handled(ms(10_100), ramp.warm_up);
+    outage.handed_in(ms(10_100), ramp, 1.0);
     assert_eq!(outage.health, Health::Well);
 }
 
 #[test]
 fn a_failure_while_cold_starts_the_ramp_again() {
-    let mut outage = Outage::new();
+    let mut outage = Outage::new(0.0);
     (outage.health, outage.share) = (Health::Cold { since: ms(1) }, 0.1);
     outage.failed(ms(5_000), FAIL_WEIGHT);
     assert_eq!(outage.health, Health::Cold { since: ms(5_000) });
@@ -294,7 +316,7 @@
     let mut courier = courier(Effect::Binding);
     courier.grade("again", grade(Effect::Retriable, 0.1));
     for endpoint in courier.destinations.get_mut(&9).unwrap().endpoints.values_mut() {
-        endpoint.outage.health = Health::Out;
+        (endpoint.outage.health, endpoint.outage.saved) = (Health::Out, 1.0);
     }
     courier.notice(1, "g", None, ms(9_500), None, 9);
     courier.notice(2, "again", None, ms(9_500), None, 9);
