One quick repeat while nothing is answered; more of the ration by what is handed in

Cause: the floor of one repeat a second is each courier's, so hundreds of them repeat hundreds of times a second at a destination that is down, and at its return. While nothing was handled there since the last failure the floor is one in all. Also holds for single failing endpoints; may keep back a notice lost twice where little else is sent.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -23,6 +23,7 @@
 const SPAN: Duration = ms(10_000); // over which first tries and repeats are compared: the design page's
 const REPEAT_SHARE: f64 = 0.1; // repeats for each first try: the design page's
 const REPEATS_PER_S: f64 = 1.0; // and so many a second besides: the design page's
+const REPEATS_UNANSWERED: f64 = 1.0; // but so many in all while nothing is answered there: one quick one, as the article
 // Latency.
 const UNKNOWN_CALL: Duration = ms(500); // a usual call where nothing recent is known: the design page's
 const SAMPLES: usize = 31; // calls whose median is usual: odd; a slow spell does not become usual at once
@@ -53,13 +54,13 @@
 const FAIL_WEIGHT: f64 = 0.2; // of an answered failure in the failing share: four are a verdict
 const SILENT_WEIGHT: f64 = 0.35; // of a failed connection or a time-out: two are a verdict
 const LOST_WEIGHT: f64 = 0.1; // of a refusal, a reset, or one lost while others were answered: seven are one
-const SIBLING: f64 = 0.5; // of a failure's weight for other endpoints of the destination that did not answer since
 const OUT_SHARE: f64 = 0.5; // failing share over which an endpoint is out: most calls fail
 const BACK_SHARE: f64 = 0.4; // failing share of one just back: another failure or two and it is out again
 const SHUT: Duration = ms(2_500); // refusing for longer than a limit's span, a second or two, is being shut
 const TRIAL_GAP: Duration = ms(1_000); // longest gap between trials that cannot have run
 const DEAR_TRIAL_GAP: Duration = ms(1_500); // and between those that may: each can cost its notice
-const BY_TIME: f64 = 0.5; // of the ration: the rest comes with what is handed in, which nobody need know the rate of
+const BY_NOTICE: f64 = 0.8; // of the ramp, for each notice handed in: sums up to the destination's traffic
+const BY_TIME: f64 = 0.3; // of the ramp, of this courier's part of the known rate: for what was handed in before
 const FIRST_COLD_RATE: f64 = 1.0; // calls/s that a destination of unknown rate is taken for when cold: little
 const RAMP_FACTOR: f64 = 0.75; // of the allowed multiple: the rest is for trials and for the others' parts
 const MOST_RAMP: f64 = 1.6; // x the warm part of the known rate: capacity lies over a limit, by a half or so
@@ -95,6 +96,7 @@
 #[derive(Default)]
 pub(crate) struct Repeats {
     seconds: VecDeque<(u64, u32, u32)>,
+    unanswered: bool,
 }
 
 impl Repeats {
@@ -111,7 +113,10 @@
     fn allows(&self, now: Duration) -> bool {
         let live = self.seconds.iter().filter(|s| s.0 + SPAN.as_secs() > now.as_secs());
         let (firsts, repeats) = live.fold((0, 0), |sum, s| (sum.0 + s.1, sum.1 + s.2));
-        f64::from(repeats) < REPEAT_SHARE * f64::from(firsts) + REPEATS_PER_S * SPAN.as_secs_f64()
+        // Against the sum of many couriers' repeats at a destination that returns, each with a few notices. May
+        // keep a notice back that was lost twice where little else is sent.
+        let besides = if self.unanswered { REPEATS_UNANSWERED } else { REPEATS_PER_S * SPAN.as_secs_f64() };
+        f64::from(repeats) < REPEAT_SHARE * f64::from(firsts) + besides
     }
 }
 
@@ -306,7 +311,7 @@
 
     /// One notice for its destination, of which `part` falls to this endpoint.
     fn handed_in(&mut self, now: Duration, ramp: Return, part: f64) {
-        self.saved = (self.saved + self.ration(now, ramp) * (1.0 - BY_TIME) * part).min(1.0);
+        self.saved = (self.saved + self.ration(now, ramp) * BY_NOTICE * part).min(1.0);
     }
 
     fn admits(&self) -> bool {
@@ -605,6 +610,11 @@
         if weight > 0.0 {
             endpoint.outage.failed(self.now, weight);
         }
+        route.repeats.unanswered = match outcome {
+            Outcome::Handled => false,
+            Outcome::Error | Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => true,
+            _ => route.repeats.unanswered,
+        };
         let after = endpoint.outage.health;
         if after == Health::Out && outcome != Outcome::Handled {
             route.trials += 1;
@@ -616,17 +626,6 @@
                 format!("{} of destination {}: {before:?} -> {after:?}", call.endpoint, call.destination);
             self.lines.push(line);
         }
-        // Against learning of an outage endpoint by endpoint, where a courier makes few calls to each: what
-        // strikes one mostly strikes its siblings. May send one that is well too few calls until it answers.
-        let route = endpoint.route.clone();
-        if weight >= FAIL_WEIGHT {
-            for (name, sibling) in &mut destination.endpoints {
-                if sibling.route == route && *name != call.endpoint && sibling.outage.answered <= call.started
-                {
-                    sibling.outage.failed(self.now, weight * SIBLING);
-                }
-            }
-        }
     }
 
     /// Goes through the rules until none fires.
@@ -792,7 +791,8 @@
         let one_zone =
             matches!(self.grades[held.grade].1.effect, Effect::Fingerprinted { one_zone: true, .. });
         let zone = held.may_have_run.as_ref().filter(|_| one_zone).map(|first| &first.1);
-        ways.iter().find(|w| (held.sends == 0 || w.repeats) && zone.is_none_or(|zone| *zone == w.zone))
+        ways.iter()
+            .find(|w| (held.sends == 0 || w.repeats || w.trial) && zone.is_none_or(|zone| *zone == w.zone))
     }
 
     fn send_what_earns_most(&mut self, hands: &mut dyn Hands) -> bool {
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -88,6 +88,22 @@
     assert!(!repeats.allows(ms(9_900)) && repeats.allows(ms(10_900)));
 }
 
+/// akureyri-afhending-later, big-1: 232 couriers each with a notice or two pushed a destination over at its return.
+#[test]
+fn one_quick_repeat_while_nothing_is_answered() {
+    let mut courier = courier(Effect::Retriable);
+    for (at, outcome, allowed) in [(1, Outcome::Unconnected, true), (2, Outcome::Unconnected, false)] {
+        let call = Call { destination: 9, endpoint: "a".into(), grade: 0, key: None, started: ms(at) };
+        courier.judge(&call, outcome, ms(1), None);
+        let repeats = &mut courier.destinations.get_mut(&9).unwrap().routes.get_mut("").unwrap().repeats;
+        assert_eq!(repeats.allows(ms(at)), allowed);
+        repeats.count(ms(at), true);
+    }
+    let call = Call { destination: 9, endpoint: "b".into(), grade: 0, key: None, started: ms(3) };
+    courier.judge(&call, Outcome::Handled, ms(1), None);
+    assert!(courier.destinations[&9].routes[""].repeats.allows(ms(4)));
+}
+
 #[test]
 fn a_usual_call_is_the_recent_median_and_patience_doubles_with_time_outs() {
     let mut latency = Latency::default();
