--- a/src/courier.rs
+++ b/src/courier.rs
@@ -78,6 +78,24 @@
     pub(crate) trial: Duration,
 }
 
+impl Route {
+    pub(crate) fn new(pace: Pace) -> Self {
+        let zero = Duration::ZERO;
+        let (repeats, reported) = (Repeats::default(), false);
+        Self {
+            told: zero,
+            pace,
+            reported,
+            repeats,
+            refusals: 0,
+            refused: zero,
+            closed: zero,
+            trials: 0,
+            trial: zero,
+        }
+    }
+}
+
 /// A notice taken and not yet answered.
 pub(crate) struct Held {
     pub(crate) grade: usize,
@@ -92,6 +110,19 @@
     pub(crate) may_have_run: Option<(Duration, String)>,
 }
 
+impl Held {
+    pub(crate) fn new(
+        grade: usize,
+        destination: DestinationId,
+        key: Option<u64>,
+        limit: Duration,
+        worth: f64,
+    ) -> Self {
+        let (sends, failures, out, not_before) = (0, 0, 0, Duration::ZERO);
+        Self { grade, destination, key, limit, worth, sends, failures, out, not_before, may_have_run: None }
+    }
+}
+
 pub(crate) struct Call {
     pub(crate) destination: DestinationId,
     pub(crate) endpoint: String,
@@ -129,7 +160,7 @@
     pub(crate) held: BTreeMap<NoticeId, Held>,
     pub(crate) calls: BTreeMap<(NoticeId, u32), Call>,
     pub(crate) beat: Option<Duration>,
-    pub(crate) logged: BTreeMap<&'static str, Duration>,
+    pub(crate) logged: Option<Duration>,
     pub(crate) lines: Vec<String>,
 }
 
@@ -162,7 +193,7 @@
             held: BTreeMap::new(),
             calls: BTreeMap::new(),
             beat: None,
-            logged: BTreeMap::new(),
+            logged: None,
             lines: Vec::new(),
         }
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -70,7 +70,7 @@
 // Holding room, and time.
 const SPARE_ROOM: f64 = 0.05; // of the room kept free, so that this courier chooses who is denied
 const BEAT: Duration = ms(20); // while a notice waits, the rules are gone through so often
-const LOG_GAP: Duration = ms(5_000); // between two lines on the same kind of trouble
+const LOG_GAP: Duration = ms(5_000); // between two lines on short room
 
 /// The wait before the next try after failure `k` (from 1): even chance from zero to a growing end.
 fn gap(rng: &mut Pcg64Mcg, k: u32, base: Duration, cap: Duration) -> Duration {
@@ -83,15 +83,6 @@
     cap / 2 + gap(rng, k, BASE, cap) / 2
 }
 
-/// True at most once in LOG_GAP for one kind of trouble.
-fn may_log(logged: &mut BTreeMap<&'static str, Duration>, kind: &'static str, now: Duration) -> bool {
-    let due = logged.get(kind).is_none_or(|at| *at + LOG_GAP <= now);
-    if due {
-        logged.insert(kind, now);
-    }
-    due
-}
-
 /// Repeats and first tries of the last SPAN, in seconds; old seconds leave with each count.
 #[derive(Default)]
 pub(crate) struct Repeats {
@@ -324,12 +315,8 @@
 }
 
 impl Slots {
-    fn for_one(&self) -> usize {
-        ((self.most as f64 * SHARE) as usize).max(1)
-    }
-
-    fn for_sick(&self) -> usize {
-        ((self.most as f64 * SICK_SHARE) as usize).max(1)
+    fn part(&self, share: f64) -> usize {
+        ((self.most as f64 * share) as usize).max(1)
     }
 }
 
@@ -374,17 +361,10 @@
         let sure = rate.map(|rate| if self.listed == ListedRate::Rough { rate / LISTED_SLACK } else { rate });
         let now = self.now;
         let destination = self.destinations.entry(owner).or_default();
-        let entry = destination.routes.entry(route.into()).or_insert_with(|| Route {
-            told: Duration::ZERO,
-            pace: Pace { known, sure, part: 1.0, saved: 1.0, filled: now },
-            reported: false,
-            repeats: Repeats::default(),
-            refusals: 0,
-            refused: Duration::ZERO,
-            closed: Duration::ZERO,
-            trials: 0,
-            trial: Duration::ZERO,
-        });
+        let entry = destination
+            .routes
+            .entry(route.into())
+            .or_insert_with(|| Route::new(Pace { known, sure, part: 1.0, saved: 1.0, filled: now }));
         if !entry.reported {
             (entry.pace.known, entry.pace.sure) = (known, sure);
         }
@@ -466,18 +446,7 @@
                 endpoint.outage.handed_in(self.now, self.ramp, 1.0 / open as f64);
             }
         }
-        let held = Held {
-            grade,
-            destination,
-            key,
-            limit,
-            worth,
-            sends: 0,
-            failures: 0,
-            out: 0,
-            not_before: Duration::ZERO,
-            may_have_run: None,
-        };
+        let held = Held::new(grade, destination, key, limit, worth);
         self.held.insert(id, held);
         true
     }
@@ -569,9 +538,6 @@
                 let rest = gap(&mut self.rng, route.refusals, BASE, CAP);
                 route.closed = route.closed.max(self.now + rest);
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
-                if let Some(wait) = wait.filter(|_| may_log(&mut self.logged, "wait", self.now)) {
-                    self.lines.push(format!("told wait: destination {} for {wait:?}", call.destination));
-                }
                 // Against a herd at a destination that was shut and tells when it opens, which few calls saw:
                 // it returns cold however little it refused. May slow one whose limit was cut for long.
                 if route.told > self.now + SHUT {
@@ -749,7 +715,7 @@
         let (calls, slow) = out.get(&id).copied().unwrap_or_default();
         let sick_calls: usize = out.values().filter(|o| o.1).map(|o| o.0).sum();
         let sick = slow || destination.out();
-        if calls >= self.slots.for_one() || sick && sick_calls >= self.slots.for_sick() {
+        if calls >= self.slots.part(SHARE) || sick && sick_calls >= self.slots.part(SICK_SHARE) {
             return Vec::new();
         }
         let open = destination.endpoints.values().filter(|e| e.listing == Listing::Open).count();
@@ -872,7 +838,8 @@
         });
         let Some(id) = least.map(|(id, _)| *id) else { return false };
         self.answer(id, hands);
-        if may_log(&mut self.logged, "room", self.now) {
+        if self.logged.is_none_or(|at| at + LOG_GAP <= self.now) {
+            self.logged = Some(self.now);
             hands.log(&format!("room short: {} held, {} out", self.held.len(), self.calls.len()));
         }
         true
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -193,7 +193,7 @@
 
 #[test]
 fn slots_for_one_destination_and_for_all_that_are_sick() {
-    let shares = |most| (Slots { most }.for_one(), Slots { most }.for_sick());
+    let shares = |most| (Slots { most }.part(SHARE), Slots { most }.part(SICK_SHARE));
     assert_eq!([shares(14), shares(3), shares(1)], [(10, 7), (2, 1), (1, 1)]);
 }
 
