Couriers that may tell each other of a destination's return, and all begin its ramp

Cause: each of hundreds of couriers had to find a return by its own few trials, tens of seconds apart. Where notes are allowed, a handled call at one that was out or in doubt is told to all in 9 bytes; they begin the cold ramp. Rules are kept without notes, which may be lost.

--- a/crates/quillhub-drill/src/reply.rs
+++ b/crates/quillhub-drill/src/reply.rs
@@ -1,5 +1,6 @@
 //! One courier's actions, written as lines of the reply being built.
 
+use base64::prelude::*;
 use quillhub::{Hands, NoticeId};
 use std::fmt::Write;
 use std::time::Duration;
@@ -37,6 +38,10 @@
         self.add("HANG_UP", format_args!(" {endpoint}"));
     }
 
+    fn tell(&mut self, note: &[u8]) {
+        self.add("POST", format_args!(" * {}", BASE64_STANDARD.encode(note)));
+    }
+
     fn wake(&mut self, wait: Duration) {
         self.add("ARM", format_args!(" {} beat", wait.as_micros()));
     }
--- a/crates/quillhub-drill/src/settings.rs
+++ b/crates/quillhub-drill/src/settings.rs
@@ -101,6 +101,7 @@
     if let Some(after) = span(&limits, "idleCloseUs")? {
         courier.idle_close(after);
     }
+    courier.may_tell(flag(&limits, "peerMessages")?);
     courier.key_rest(span(&rules, "keyRestUs")?.unwrap_or_default());
 
     let mode = top.get("membershipMode").map(|v| v.word()).transpose()?;
--- a/crates/quillhub-drill/src/wire.rs
+++ b/crates/quillhub-drill/src/wire.rs
@@ -2,6 +2,7 @@
 
 use crate::reply::Reply;
 use crate::settings::{self, ReportPlaces};
+use base64::prelude::*;
 use quillhub::courier::Courier;
 use quillhub::{Listing, Outcome};
 use std::collections::{BTreeMap, BTreeSet};
@@ -259,7 +260,7 @@
                 hosted.courier.woken();
             }
             "CLIENT_LEFT" => hosted.courier.over(fields.number("ref")?),
-            // The result of a check, a peer's note, the start of a streamed answer: nothing that a courier goes by.
+            // The result of a check, the start of a streamed answer: nothing that a courier goes by.
             "STATUS_BACK" => {
                 fields.word("endpoint")?;
                 outcome(fields.word("outcome")?, 0)?;
@@ -268,7 +269,11 @@
             }
             "MEMO" => {
                 fields.number::<u32>("from")?;
-                fields.word("octets")?;
+                let octets = fields.maybe("octets")?.unwrap_or_default();
+                let Ok(note) = BASE64_STANDARD.decode(octets) else {
+                    return Err(expected("base64 as octets", octets));
+                };
+                hosted.courier.told_by_courier(&note);
             }
             _ => {
                 fields.number::<u64>("ref")?;
--- a/crates/quillhub-drill/src/wire_tests.rs
+++ b/crates/quillhub-drill/src/wire_tests.rs
@@ -48,6 +48,7 @@
         ("TIMER courier/5 beat", "line 8: expected a courier that was started, found 'courier/5'"),
         ("ANNOUNCE courier/0 4 full 2", "line 8: expected the number of a list that came, found '4'"),
         ("LIST 1 2\nENTRY e z k 9 UP 1 -", "line 9: expected IN, LAME or OUT as health, found 'UP'"),
+        ("MEMO courier/0 1 a=b", "line 8: expected base64 as octets, found 'a=b'"),
         ("TIMER courier/0 beat more", "line 8: expected the line's end, found 'more'"),
         ("RESOLVED courier/0 1 0 endpoint_a lost 5 0 - -", "line 8: expected an outcome, found 'lost'"),
         ("RESOLVED courier/0 1 0 endpoint_a ok 5 1 - 1;2", "numbers set apart by commas"),
@@ -69,7 +70,7 @@
 fn a_notice_is_sent_and_late_or_unknown_ids_are_harmless() {
     let (output, trouble) = run(&format!(
         "{HELLO}TICK 2000 2\nINBOUND courier/0 77 - g - 5002000 - 0 9 0 0\nRESOLVED courier/0 5 0 endpoint_a ok 5 1 - -\n\
-         CLIENT_LEFT courier/0 6\nYOUR_TURN\nTICK 3000 3\nRESOLVED courier/0 77 0 endpoint_a ok 5 1 - 0.4,2\nYOUR_TURN\n"
+         MEMO courier/0 1 AQ==\nMEMO courier/0 9999 -\nCLIENT_LEFT courier/0 6\nYOUR_TURN\nTICK 3000 3\nRESOLVED courier/0 77 0 endpoint_a ok 5 1 - 0.4,2\nYOUR_TURN\n"
     ));
     assert_eq!(trouble, None);
     let (before, after) = output.split_once("ASSIGN courier/0 77 endpoint_a ").expect("one send");
--- a/src/courier.rs
+++ b/src/courier.rs
@@ -162,6 +162,8 @@
     pub(crate) beat: Option<Duration>,
     pub(crate) logged: Option<Duration>,
     pub(crate) lines: Vec<String>,
+    pub(crate) may_tell: bool,
+    pub(crate) news: Vec<(DestinationId, String)>,
 }
 
 impl Courier {
@@ -195,6 +197,8 @@
             beat: None,
             logged: None,
             lines: Vec::new(),
+            may_tell: false,
+            news: Vec::new(),
         }
     }
 
@@ -219,6 +223,11 @@
         self.idle_close = after;
     }
 
+    /// Whether notes may be sent to other couriers.
+    pub fn may_tell(&mut self, allowed: bool) {
+        self.may_tell = allowed;
+    }
+
     pub fn key_rest(&mut self, rest: Duration) {
         self.key_rest = rest;
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,8 @@
     fn write_off(&mut self, notice: NoticeId);
     /// Closes this courier's idle connections to `endpoint`.
     fn hang_up(&mut self, endpoint: &str);
+    /// Sends a note to every other courier; it may be lost.
+    fn tell(&mut self, note: &[u8]);
     /// Asks for [`courier::Courier::woken`] after `wait`.
     fn wake(&mut self, wait: Duration);
     /// Asks the register for changes from now on.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -65,6 +65,7 @@
 const FIRST_COLD_RATE: f64 = 1.0; // calls/s that a destination of unknown rate is taken for when cold: little
 const RAMP_FACTOR: f64 = 0.75; // of the allowed multiple: the rest is for trials and for the others' parts
 const MOST_RAMP: f64 = 1.6; // x the warm part of the known rate: capacity lies over a limit, by a half or so
+const NOTE_VERSION: u8 = 1; // first byte of a note: later versions are passed over
 // Register.
 const ASK_BASE: Duration = ms(500); // first gap's upper end between asks that failed
 const ASK_CAP: Duration = ms(4_000); // and the longest
@@ -84,6 +85,16 @@
     cap / 2 + gap(rng, k, BASE, cap) / 2
 }
 
+/// The note that a route of `destination` answers again.
+fn note(destination: DestinationId, route: &str) -> Vec<u8> {
+    [&[NOTE_VERSION], &destination.to_le_bytes()[..], route.as_bytes()].concat()
+}
+
+fn read_note(octets: &[u8]) -> Option<(DestinationId, &str)> {
+    let (destination, route) = octets.strip_prefix(&[NOTE_VERSION])?.split_first_chunk()?;
+    Some((DestinationId::from_le_bytes(*destination), std::str::from_utf8(route).ok()?))
+}
+
 /// Repeats and first tries of the last SPAN, in seconds; old seconds leave with each count.
 #[derive(Default)]
 pub(crate) struct Repeats {
@@ -283,11 +294,15 @@
         self.share *= 1.0 - FAIL_WEIGHT;
         self.answered = now;
         if self.health == Health::Out {
-            self.share = self.share.min(BACK_SHARE);
-            self.health = Health::Cold { since: now };
+            self.returns(now);
         }
     }
 
+    fn returns(&mut self, now: Duration) {
+        self.share = self.share.min(BACK_SHARE);
+        self.health = Health::Cold { since: now };
+    }
+
     /// The share of the ration for `at`; one that stayed cold for the warm-up time without a failure is well.
     fn ration(&mut self, at: Duration, ramp: Return) -> f64 {
         match self.health {
@@ -522,6 +537,9 @@
                 if before == Health::Out {
                     (route.trials, route.trial) = (0, self.now); // its siblings may be back too
                 }
+                if self.may_tell && (before == Health::Out || route.repeats.doubtful()) {
+                    self.news.push((call.destination, endpoint.route.clone()));
+                }
             }
             Outcome::Refused(wait) => {
                 endpoint.credits.answered();
@@ -591,11 +609,30 @@
         }
     }
 
+    /// A note from another courier: a route that is out here answered there. Others' notes are passed over.
+    ///
+    /// Against learning of a return courier by courier, by few trials each. Its ration grows from now on, as after
+    /// an answer seen here; a note that is lost, late or wrong costs no more than a failure or two.
+    pub fn told_by_courier(&mut self, octets: &[u8]) {
+        let Some((destination, route)) = read_note(octets) else { return };
+        let Some(destination) = self.destinations.get_mut(&destination) else { return };
+        let Some(repeats) = destination.routes.get_mut(route).map(|r| &mut r.repeats) else { return };
+        for endpoint in destination.endpoints.values_mut().filter(|e| e.route == route) {
+            if endpoint.outage.health == Health::Out || repeats.doubtful() {
+                endpoint.outage.returns(self.now);
+            }
+        }
+        repeats.failures = 0;
+    }
+
     /// Goes through the rules until none fires.
     pub fn settle(&mut self, hands: &mut dyn Hands) {
         for line in self.lines.drain(..) {
             hands.log(&line);
         }
+        for (destination, route) in self.news.drain(..) {
+            hands.tell(&note(destination, &route));
+        }
         while self.ask_register(hands)
             || self.end_what_cannot_be_delivered(hands)
             || self.send_what_earns_most(hands)
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -21,6 +21,9 @@
     fn hang_up(&mut self, endpoint: &str) {
         self.0.push(format!("hang up {endpoint}"));
     }
+    fn tell(&mut self, note: &[u8]) {
+        self.0.push(format!("tell {note:?}"));
+    }
     fn wake(&mut self, _: Duration) {}
     fn watch(&mut self) {
         self.0.push("watch".into());
@@ -429,3 +432,28 @@
         assert_eq!(destination.endpoints["a"].outage.rationed(doubtful), rationed, "{report:?}");
     }
 }
+
+#[test]
+fn a_note_of_a_return_starts_the_ramp_of_one_that_is_out_and_other_notes_are_passed_over() {
+    let mut courier = courier(Effect::Retriable);
+    let out = |courier: &mut Courier| {
+        let destination = courier.destinations.get_mut(&9).unwrap();
+        destination.endpoints.values_mut().for_each(|e| e.outage.health = Health::Out);
+    };
+    out(&mut courier);
+    let told = note(9, "");
+    let later = [&[NOTE_VERSION + 1], &told[1..]].concat();
+    for odd in
+        [&[][..], &[NOTE_VERSION], &told[..5], &later, &note(8, ""), &note(9, "a"), b"\x01........\xff"]
+    {
+        courier.told_by_courier(odd);
+        assert_eq!(courier.destinations[&9].endpoints["a"].outage.health, Health::Out, "{odd:?}");
+    }
+    courier.told_by_courier(&told);
+    assert_eq!(courier.destinations[&9].endpoints["b"].outage.health, Health::Cold { since: ms(1) });
+    courier.may_tell(true);
+    out(&mut courier);
+    let call = Call { destination: 9, endpoint: "a".into(), grade: 0, key: None, started: ms(1) };
+    courier.judge(&call, Outcome::Handled, ms(9), None);
+    assert!(settled(&mut courier).contains(&format!("tell {told:?}")));
+}
