--- a/src/policy.rs
+++ b/src/policy.rs
@@ -61,6 +61,7 @@
 const TRIAL_GAP: Duration = ms(1_000); // longest gap between trials that cannot have run
 const DEAR_TRIAL_GAP: Duration = ms(1_500); // and between those that may: each can cost its notice
 const BY_NOTICE: f64 = 0.8; // of the ramp, for each notice handed in: sums up to the destination's traffic
+const TRIALS_PER_S: f64 = 1.0; // of all couriers together at one that is out: the page's one repeat a second, shared
 const BY_TIME: f64 = 0.3; // of the ramp, of this courier's part of the known rate: for what was handed in before
 const FIRST_COLD_RATE: f64 = 1.0; // calls/s that a destination of unknown rate is taken for when cold: little
 const RAMP_FACTOR: f64 = 0.75; // of the allowed multiple: the rest is for trials and for the others' parts
@@ -313,9 +314,9 @@
         ramp.share(Duration::ZERO)
     }
 
-    /// `part` calls/s are this courier's part of what the endpoint takes when warm.
-    fn fill(&mut self, now: Duration, ramp: Return, part: f64) {
-        let rate = self.ration((now + self.filled) / 2, ramp) * BY_TIME * part; // the ramp is straight
+    /// `part` calls/s are this courier's part of what the endpoint takes when warm, `trials` its part of trials.
+    fn fill(&mut self, now: Duration, ramp: Return, part: f64, trials: f64) {
+        let rate = self.ration((now + self.filled) / 2, ramp) * BY_TIME * part + trials; // the ramp is straight
         self.saved = (self.saved + rate * (now - self.filled).as_secs_f64()).min(1.0);
         self.filled = now;
     }
@@ -758,7 +759,8 @@
             let Some(route) = destination.routes.get_mut(&e.route) else { continue };
             route.pace.fill(self.now);
             let part = route.pace.sure.unwrap_or(FIRST_COLD_RATE) / f64::from(self.couriers);
-            e.outage.fill(self.now, self.ramp, part / open as f64);
+            let trials = TRIALS_PER_S / f64::from(self.couriers);
+            e.outage.fill(self.now, self.ramp, part / open as f64, trials / open as f64);
             let trial = e.outage.health == Health::Out;
             let open = route.told <= self.now && route.closed <= self.now && route.pace.ready();
             // Against hundreds of couriers that each saw too little for a verdict. May slow a destination at which
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -151,7 +151,8 @@
             if rng.random_bool(asked * 0.02 / f64::from(couriers)) {
                 outage.handed_in(ms(at), ramp, 1.0);
             }
-            outage.fill(ms(at), ramp, 10.0 / f64::from(couriers));
+            let part = |sum| sum / f64::from(couriers);
+            outage.fill(ms(at), ramp, part(10.0), part(TRIALS_PER_S));
             if outage.saved >= 1.0 {
                 outage.saved -= 1.0;
                 sent += 1;
