Trials count in the ration of what is out, not of what returns; gap between trials kept

Tried and taken back: no gap between trials besides the ration, as the two overlap. The gap is what keeps the slots free.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -316,7 +316,9 @@
 
     /// `part` calls/s are this courier's part of what the endpoint takes when warm, `trials` its part of trials.
     fn fill(&mut self, now: Duration, ramp: Return, part: f64, trials: f64) {
-        let rate = self.ration((now + self.filled) / 2, ramp) * BY_TIME * part + trials; // the ramp is straight
+        let share = self.ration((now + self.filled) / 2, ramp); // the ramp is straight
+        let trials = if matches!(self.health, Health::Cold { .. }) { 0.0 } else { trials };
+        let rate = share * BY_TIME * part + trials;
         self.saved = (self.saved + rate * (now - self.filled).as_secs_f64()).min(1.0);
         self.filled = now;
     }
