A ration is the larger of what notices and time earn, not their sum

Cause: with few couriers the parts by time and by notices both fell short of what a returning destination takes, in sum they might pass it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -60,9 +60,8 @@
 const SHUT: Duration = ms(2_500); // refusing for longer than a limit's span, a second or two, is being shut
 const TRIAL_GAP: Duration = ms(1_000); // longest gap between trials that cannot have run
 const DEAR_TRIAL_GAP: Duration = ms(1_500); // and between those that may: each can cost its notice
-const BY_NOTICE: f64 = 0.8; // of the ramp, for each notice handed in: sums up to the destination's traffic
+const BY_NOTICE: f64 = 0.9; // of the ramp, for each notice handed in: what is asked for may be over what it takes
 const TRIALS_PER_S: f64 = 1.0; // of all couriers together at one that is out: the page's one repeat a second, shared
-const BY_TIME: f64 = 0.3; // of the ramp, of this courier's part of the known rate: for what was handed in before
 const FIRST_COLD_RATE: f64 = 1.0; // calls/s that a destination of unknown rate is taken for when cold: little
 const RAMP_FACTOR: f64 = 0.75; // of the allowed multiple: the rest is for trials and for the others' parts
 const MOST_RAMP: f64 = 1.6; // x the warm part of the known rate: capacity lies over a limit, by a half or so
@@ -263,22 +262,39 @@
     Cold { since: Duration },
 }
 
-/// Whether one endpoint is out, and its ration until it is well again: a share of what is handed in for its
-/// destination, and of this courier's part of what it takes. The first sums up over any number of couriers.
+/// What an endpoint that is not well may get: a share of what is handed in for its destination, which sums up over
+/// any number of couriers, or of this courier's part of what it takes, whichever is more.
+pub(crate) struct Ration {
+    by_notice: f64,
+    by_time: f64,
+}
+
+impl Ration {
+    fn ready(&self) -> bool {
+        self.by_notice >= 1.0 || self.by_time >= 1.0
+    }
+
+    fn spend(&mut self) {
+        self.by_notice = (self.by_notice - 1.0).max(0.0);
+        self.by_time = (self.by_time - 1.0).max(0.0);
+    }
+}
+
+/// Whether one endpoint is out, and its ration until it is well again.
 pub(crate) struct Outage {
     health: Health,
     share: f64,
     told: Duration,
     answered: Duration,
-    saved: f64,
+    ration: Ration,
     filled: Duration,
 }
 
 impl Outage {
-    /// `saved` is by chance under one, so that of many couriers with little work each some may send at once.
-    fn new(saved: f64) -> Self {
-        let zero = Duration::ZERO;
-        Self { health: Health::Well, share: 0.0, told: zero, answered: zero, saved, filled: zero }
+    /// The ration begins by chance under one, so that of many couriers with little work each some send at once.
+    fn new(chance: f64) -> Self {
+        let (zero, ration) = (Duration::ZERO, Ration { by_notice: chance, by_time: 0.0 });
+        Self { health: Health::Well, share: 0.0, told: zero, answered: zero, ration, filled: zero }
     }
 
     fn failed(&mut self, now: Duration, weight: f64) {
@@ -305,7 +321,7 @@
     }
 
     /// The share of the ration for `at`; one that stayed cold for the warm-up time without a failure is well.
-    fn ration(&mut self, at: Duration, ramp: Return) -> f64 {
+    fn allowed(&mut self, at: Duration, ramp: Return) -> f64 {
         match self.health {
             Health::Cold { since } if at >= since + ramp.warm_up => self.health = Health::Well,
             Health::Cold { since } => return ramp.share(at.saturating_sub(since)),
@@ -316,16 +332,17 @@
 
     /// `part` calls/s are this courier's part of what the endpoint takes when warm, `trials` its part of trials.
     fn fill(&mut self, now: Duration, ramp: Return, part: f64, trials: f64) {
-        let share = self.ration((now + self.filled) / 2, ramp); // the ramp is straight
+        let share = self.allowed((now + self.filled) / 2, ramp); // the ramp is straight
         let trials = if matches!(self.health, Health::Cold { .. }) { 0.0 } else { trials };
-        let rate = share * BY_TIME * part + trials;
-        self.saved = (self.saved + rate * (now - self.filled).as_secs_f64()).min(1.0);
+        let rate = (share * part).max(trials);
+        self.ration.by_time = (self.ration.by_time + rate * (now - self.filled).as_secs_f64()).min(1.0);
         self.filled = now;
     }
 
     /// One notice for its destination, of which `part` falls to this endpoint.
     fn handed_in(&mut self, now: Duration, ramp: Return, part: f64) {
-        self.saved = (self.saved + self.ration(now, ramp) * BY_NOTICE * part).min(1.0);
+        let share = self.allowed(now, ramp);
+        self.ration.by_notice = (self.ration.by_notice + share * BY_NOTICE * part).min(1.0);
     }
 
     fn rationed(&self, doubtful: bool) -> bool {
@@ -768,7 +785,7 @@
             // Against hundreds of couriers that each saw too little for a verdict. May slow a destination at which
             // calls get lost by chance, until one is answered there.
             let doubtful = route.repeats.doubtful();
-            let willing = (!e.outage.rationed(doubtful) || e.outage.saved >= 1.0)
+            let willing = (!e.outage.rationed(doubtful) || e.outage.ration.ready())
                 && (!trial || route.trial <= self.now);
             if !open || !willing || e.credits.left() <= 0 {
                 continue;
@@ -856,7 +873,7 @@
         self.idle.remove(&(held.destination, name.to_owned()));
         endpoint.credits.spent += 1;
         if endpoint.outage.rationed(route.repeats.doubtful()) {
-            endpoint.outage.saved -= 1.0;
+            endpoint.outage.ration.spend();
         }
         endpoint.used = Some(now);
         let (destination, endpoint) = (held.destination, name.into());
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -153,8 +153,8 @@
             }
             let part = |sum| sum / f64::from(couriers);
             outage.fill(ms(at), ramp, part(10.0), part(TRIALS_PER_S));
-            if outage.saved >= 1.0 {
-                outage.saved -= 1.0;
+            if outage.ration.ready() {
+                outage.ration.spend();
                 sent += 1;
             }
         }
@@ -336,7 +336,7 @@
     let mut courier = courier(Effect::Binding);
     courier.grade("again", grade(Effect::Retriable, 0.1));
     for endpoint in courier.destinations.get_mut(&9).unwrap().endpoints.values_mut() {
-        (endpoint.outage.health, endpoint.outage.saved) = (Health::Out, 1.0);
+        (endpoint.outage.health, endpoint.outage.ration.by_time) = (Health::Out, 1.0);
     }
     courier.notice(1, "g", None, ms(9_500), None, 9);
     courier.notice(2, "again", None, ms(9_500), None, 9);
