Refusals in a row with nothing handled between count as failures; module and docs put in order

Reports do not tell these refusals from a limit's: the share left stood still at 0.03. From the third refusal in a row each counts as a failure, so the destination comes on rations. May slow one that is asked for twice its limit.

--- a/src/courier.rs
+++ b/src/courier.rs
@@ -54,6 +54,18 @@
     pub(crate) latency: BTreeMap<usize, Latency>,
 }
 
+impl Quota {
+    /// Whether one more notice is within the share; if so, it is counted.
+    pub(crate) fn covers(&mut self, now: Duration) -> bool {
+        let more = self.rate * (now - self.filled).as_secs_f64();
+        self.saved = (self.saved + more).min(self.rate.max(1.0));
+        self.filled = now;
+        let covers = self.saved >= 1.0;
+        self.saved -= f64::from(u8::from(covers));
+        covers
+    }
+}
+
 pub(crate) struct Endpoint {
     pub(crate) zone: String,
     pub(crate) kind: String,
@@ -261,4 +273,49 @@
     pub fn at(&mut self, now: Duration) {
         self.now = self.now.max(now);
     }
+
+    /// The end of a list or of changes; what a whole list leaves out is gone.
+    pub fn list_ends(&mut self, whole: Option<&BTreeSet<String>>, asked: bool) {
+        if whole.is_some() || self.left {
+            let busy: BTreeSet<_> = self.calls.values().map(|call| &call.endpoint).collect();
+            let now = self.now;
+            self.left = false;
+            self.destinations.retain(|_, destination| {
+                destination.endpoints.retain(|name, endpoint| {
+                    if whole.is_some_and(|names| !names.contains(name)) {
+                        endpoint.listing = Listing::Gone;
+                    }
+                    let gone = endpoint.listing == Listing::Gone;
+                    self.left |= gone && busy.contains(name);
+                    !gone || busy.contains(name)
+                });
+                let live: BTreeSet<_> = destination.endpoints.values().map(|e| &e.route).collect();
+                destination.routes.retain(|name, route| live.contains(name) || route.told > now);
+                !destination.routes.is_empty()
+            });
+        }
+        if asked {
+            (self.register.asked, self.register.failures) = (true, 0);
+        }
+    }
+
+    /// The client left, or the notice is over: nothing more is owed for it.
+    pub fn over(&mut self, id: NoticeId) {
+        if let Some(key) = self.held.remove(&id).and_then(|held| held.key)
+            && let Some(turn) = self.turns.get_mut(&key)
+        {
+            turn.line.retain(|other| *other != id);
+            let now = self.now;
+            self.turns.retain(|_, t| !t.line.is_empty() || !t.out.is_empty() || t.rest > now);
+        }
+    }
+
+    pub(crate) fn routes_of(&self, destination: DestinationId) -> impl Iterator<Item = &Route> {
+        self.destinations.get(&destination).into_iter().flat_map(|d| d.routes.values())
+    }
+
+    /// The end of the waits told for all routes of a destination.
+    pub(crate) fn told(&self, destination: DestinationId) -> Duration {
+        self.routes_of(destination).map(|r| r.told).min().unwrap_or_default()
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! carries out what it asks for through [`Hands`]. Times are spans since that courier's own start.
 
 pub mod courier;
+mod note;
 mod policy;
 
 use std::time::Duration;
@@ -63,6 +64,33 @@
     pub in_order: bool,
 }
 
+impl Grade {
+    /// The share of the earnings that is left when a notice is handled at `age`.
+    ///
+    /// ```
+    /// use quillhub::{Effect, Grade};
+    /// use std::time::Duration;
+    ///
+    /// let (contract, limit) = (Duration::from_secs(1), Duration::from_secs(5));
+    /// let even = Grade { effect: Effect::Retriable, contract, limit, earnings: 1.0, late_share: 0.2, halving: false,
+    ///     in_order: false };
+    /// assert_eq!([1, 3, 5].map(|s| (even.left(Duration::from_secs(s)) * 10.0).round()), [10.0, 6.0, 2.0]);
+    /// let halving = Grade { halving: true, ..even };
+    /// assert_eq!([2, 3, 5].map(|s| halving.left(Duration::from_secs(s))), [0.5, 0.25, 0.2]);
+    /// ```
+    pub fn left(&self, age: Duration) -> f64 {
+        if age <= self.contract {
+            return 1.0;
+        }
+        let late = (age - self.contract).as_secs_f64();
+        if self.halving {
+            return 0.5f64.powf(late / self.contract.as_secs_f64()).max(self.late_share);
+        }
+        let span = (self.limit.saturating_sub(self.contract)).as_secs_f64().max(0.001);
+        1.0 - (1.0 - self.late_share) * (late / span).min(1.0)
+    }
+}
+
 /// How a send ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,7 +5,7 @@
 //! in order and again from the first, until none fires. docs/design.md says where each rule comes from.
 
 use crate::courier::{Call, Courier, Destination, Endpoint, Held, Return, Route, Slots, Turn};
-use crate::{DestinationId, Effect, Hands, ListedRate, Listing, NoticeId, Outcome};
+use crate::{DestinationId, Effect, Hands, ListedRate, Listing, NoticeId, Outcome, note};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -52,6 +52,7 @@
 const LISTED_SLACK: f64 = 1.5; // a rough rate may be so far off, either way; credits do the rest
 // Outage of an endpoint.
 const DOUBTFUL: u32 = 2; // failures with nothing handled between that put a destination on rations: a call and its repeat
+const STREAK: u32 = 3; // refusals with nothing handled between, from which each counts as a failure: seldom a limit
 const FAIL_WEIGHT: f64 = 0.2; // of an answered failure in the failing share: four are a verdict
 const SILENT_WEIGHT: f64 = 0.35; // of a failed connection or a time-out: two are a verdict
 const LOST_WEIGHT: f64 = 0.1; // of a refusal, a reset, or one lost while others were answered: seven are one
@@ -65,7 +66,6 @@
 const FIRST_COLD_RATE: f64 = 1.0; // calls/s that a destination of unknown rate is taken for when cold: little
 const RAMP_FACTOR: f64 = 0.75; // of the allowed multiple: the rest is for trials and for the others' parts
 const MOST_RAMP: f64 = 1.6; // x the warm part of the known rate: capacity lies over a limit, by a half or so
-const NOTE_VERSION: u8 = 1; // first byte of a note: later versions are passed over
 // Register.
 const ASK_BASE: Duration = ms(500); // first gap's upper end between asks that failed
 const ASK_CAP: Duration = ms(4_000); // and the longest
@@ -85,16 +85,6 @@
     cap / 2 + gap(rng, k, BASE, cap) / 2
 }
 
-/// The note that a route of `destination` answers again.
-fn note(destination: DestinationId, route: &str) -> Vec<u8> {
-    [&[NOTE_VERSION], &destination.to_le_bytes()[..], route.as_bytes()].concat()
-}
-
-fn read_note(octets: &[u8]) -> Option<(DestinationId, &str)> {
-    let (destination, route) = octets.strip_prefix(&[NOTE_VERSION])?.split_first_chunk()?;
-    Some((DestinationId::from_le_bytes(*destination), std::str::from_utf8(route).ok()?))
-}
-
 /// Repeats and first tries of the last SPAN, in seconds; old seconds leave with each count.
 #[derive(Default)]
 pub(crate) struct Repeats {
@@ -172,17 +162,15 @@
         self.most as i64 - i64::from(self.spent)
     }
 
-    fn answered(&mut self) {
-        if f64::from(self.spent) * 2.0 >= self.most {
+    /// One comes back: of a call that was lost at the price of half of all, of an answered one with some more.
+    fn earned(&mut self, lost: bool) {
+        if lost {
+            self.most = (self.most / 2.0).max(1.0);
+        } else if f64::from(self.spent) * 2.0 >= self.most {
             self.most = (self.most + 1.0 / self.most).min(MOST_CREDITS);
         }
         self.spent = self.spent.saturating_sub(1);
     }
-
-    fn lost(&mut self) {
-        self.most = (self.most / 2.0).max(1.0);
-        self.spent = self.spent.saturating_sub(1);
-    }
 }
 
 /// How long an idle connection to endpoints of one kind is kept.
@@ -220,12 +208,8 @@
 }
 
 impl Pace {
-    fn rate(&self) -> Option<f64> {
-        self.known.map(|rate| rate * self.part)
-    }
-
     fn fill(&mut self, now: Duration) {
-        if let Some(rate) = self.rate() {
+        if let Some(rate) = self.known.map(|rate| rate * self.part) {
             let most = (rate * BURST.as_secs_f64()).max(1.0);
             self.saved = (self.saved + rate * (now - self.filled).as_secs_f64()).min(most);
         }
@@ -376,9 +360,14 @@
 struct Way {
     endpoint: String,
     zone: String,
-    trial: bool,
     repeats: bool,
-    rank: (bool, i64, i64, Duration, u32),
+    rank: (bool, i64, i64, Duration, u32), // a trial is worst
+}
+
+impl Way {
+    fn trial(&self) -> bool {
+        self.rank.0
+    }
 }
 
 impl Courier {
@@ -397,10 +386,8 @@
         let sure = rate.map(|rate| if self.listed == ListedRate::Rough { rate / LISTED_SLACK } else { rate });
         let now = self.now;
         let destination = self.destinations.entry(owner).or_default();
-        let entry = destination
-            .routes
-            .entry(route.into())
-            .or_insert_with(|| Route::new(Pace { known, sure, part: 1.0, saved: 1.0, filled: now }));
+        let fresh = || Route::new(Pace { known, sure, part: 1.0, saved: 1.0, filled: now });
+        let entry = destination.routes.entry(route.into()).or_insert_with(fresh);
         if !entry.reported {
             (entry.pace.known, entry.pace.sure) = (known, sure);
         }
@@ -418,31 +405,6 @@
         self.left |= listing == Listing::Gone;
     }
 
-    /// The end of a list or of changes; what a whole list leaves out is gone.
-    pub fn list_ends(&mut self, whole: Option<&BTreeSet<String>>, asked: bool) {
-        if whole.is_some() || self.left {
-            let busy: BTreeSet<_> = self.calls.values().map(|call| &call.endpoint).collect();
-            let now = self.now;
-            self.left = false;
-            self.destinations.retain(|_, destination| {
-                destination.endpoints.retain(|name, endpoint| {
-                    if whole.is_some_and(|names| !names.contains(name)) {
-                        endpoint.listing = Listing::Gone;
-                    }
-                    let gone = endpoint.listing == Listing::Gone;
-                    self.left |= gone && busy.contains(name);
-                    !gone || busy.contains(name)
-                });
-                let live: BTreeSet<_> = destination.endpoints.values().map(|e| &e.route).collect();
-                destination.routes.retain(|name, route| live.contains(name) || route.told > now);
-                !destination.routes.is_empty()
-            });
-        }
-        if asked {
-            (self.register.asked, self.register.failures) = (true, 0);
-        }
-    }
-
     pub fn list_failed(&mut self) {
         let register = &mut self.register;
         register.failures += 1;
@@ -463,14 +425,7 @@
         let Some(grade) = self.grades.iter().position(|g| g.0 == grade) else { return false };
         let mut worth = self.grades[grade].1.earnings;
         if let Some(quota) = tenant.and_then(|name| self.quotas.get_mut(name)) {
-            let more = quota.rate * (self.now - quota.filled).as_secs_f64();
-            quota.saved = (quota.saved + more).min(quota.rate.max(1.0));
-            quota.filled = self.now;
-            if quota.saved >= 1.0 {
-                quota.saved -= 1.0;
-            } else {
-                worth *= self.over_share;
-            }
+            worth *= if quota.covers(self.now) { 1.0 } else { self.over_share };
         }
         let key = key.filter(|_| self.grades[grade].1.in_order);
         if let Some(key) = key {
@@ -482,22 +437,10 @@
                 endpoint.outage.handed_in(self.now, self.ramp, 1.0 / open as f64);
             }
         }
-        let held = Held::new(grade, destination, key, limit, worth);
-        self.held.insert(id, held);
+        self.held.insert(id, Held::new(grade, destination, key, limit, worth));
         true
     }
 
-    /// The client left, or the notice is over: nothing more is owed for it.
-    pub fn over(&mut self, id: NoticeId) {
-        if let Some(key) = self.held.remove(&id).and_then(|held| held.key)
-            && let Some(turn) = self.turns.get_mut(&key)
-        {
-            turn.line.retain(|other| *other != id);
-            let now = self.now;
-            self.turns.retain(|_, t| !t.line.is_empty() || !t.out.is_empty() || t.rest > now);
-        }
-    }
-
     /// How a send ended. `left` is the share of the limit that is left, `rate` the limit in calls a second.
     pub fn outcome(
         &mut self,
@@ -543,14 +486,14 @@
             (route.pace.known, route.pace.sure, route.reported) = (Some(rate), Some(rate), true);
         }
         let before = endpoint.outage.health;
-        let mut weight = 0.0;
+        // Whether the call got no answer, and how much it says of an outage.
+        let (mut lost, mut weight) = (false, 0.0);
         let keep = || Keep::new(self.idle_close, self.couriers);
         let keep = self.keeps.entry(endpoint.kind.clone()).or_insert_with(keep);
         match outcome {
             Outcome::Handled => {
                 keep.handled(self.idle_close);
                 latency.handled(self.now, took);
-                endpoint.credits.answered();
                 endpoint.outage.handled(self.now);
                 route.pace.handled();
                 route.refusals = 0;
@@ -560,9 +503,9 @@
                 if self.may_tell && (before == Health::Out || route.repeats.doubtful()) {
                     self.news.push((call.destination, endpoint.route.clone()));
                 }
+                route.repeats.failures = 0;
             }
             Outcome::Refused(wait) => {
-                endpoint.credits.answered();
                 route.pace.refused(self.couriers);
                 if route.refusals == 0 {
                     route.refused = self.now;
@@ -580,10 +523,13 @@
                 } else if call.started >= endpoint.outage.told {
                     weight = LOST_WEIGHT;
                 }
+                // Where answers tell that there is no limit, or so many came in a row, it is shut or its queue full.
+                let no_limit = report.is_some_and(|(_, rate)| rate <= 0.0);
+                route.repeats.failures += u32::from(no_limit || route.refusals >= STREAK);
             }
             Outcome::Error => {
-                endpoint.credits.answered();
                 weight = FAIL_WEIGHT;
+                route.repeats.failures += 1;
             }
             Outcome::TimedOut | Outcome::Unconnected | Outcome::Reset => {
                 if outcome == Outcome::Unconnected {
@@ -592,30 +538,20 @@
                 // Against taking calls that get lost one by one, as on a bad network, for an outage: where
                 // others were answered since, or the connection stood, this one says little: an endpoint that
                 // died refuses the next connection. May delay the verdict on one that fails in turns.
-                if outcome == Outcome::Reset || endpoint.outage.answered > call.started {
-                    endpoint.credits.answered();
-                    weight = LOST_WEIGHT;
-                } else {
-                    latency.timed_out += u32::from(outcome == Outcome::TimedOut);
-                    endpoint.credits.lost();
-                    weight = SILENT_WEIGHT;
-                }
+                lost = outcome != Outcome::Reset && endpoint.outage.answered <= call.started;
+                weight = if lost { SILENT_WEIGHT } else { LOST_WEIGHT };
+                latency.timed_out += u32::from(lost && outcome == Outcome::TimedOut);
+                route.repeats.failures += 1;
             }
-            Outcome::CalledOff | Outcome::Unsent => endpoint.credits.answered(),
+            Outcome::CalledOff | Outcome::Unsent => {}
         }
+        endpoint.credits.earned(lost);
         if endpoint.credits.spent == 0 && outcome != Outcome::Unconnected && !self.idle_close.is_zero() {
             self.idle.insert((call.destination, call.endpoint.clone()), self.now);
         }
         if weight > 0.0 {
             endpoint.outage.failed(self.now, weight);
         }
-        match outcome {
-            Outcome::Handled => route.repeats.failures = 0,
-            Outcome::CalledOff | Outcome::Unsent => {}
-            // A refusal is one too where answers tell that there is no limit: then it is shut, or its queue full.
-            Outcome::Refused(_) if report.is_none_or(|(_, rate)| rate > 0.0) => {}
-            _ => route.repeats.failures += 1,
-        }
         let after = endpoint.outage.health;
         if after == Health::Out && outcome != Outcome::Handled {
             route.trials += 1;
@@ -623,9 +559,8 @@
             route.trial = route.trial.max(self.now + trial_gap(&mut self.rng, route.trials, cap));
         }
         if std::mem::discriminant(&before) != std::mem::discriminant(&after) {
-            let line =
-                format!("{} of destination {}: {before:?} -> {after:?}", call.endpoint, call.destination);
-            self.lines.push(line);
+            let (name, owner) = (&call.endpoint, call.destination);
+            self.lines.push(format!("{name} of destination {owner}: {before:?} -> {after:?}"));
         }
     }
 
@@ -634,7 +569,7 @@
     /// Against learning of a return courier by courier, by few trials each. Its ration grows from now on, as after
     /// an answer seen here; a note that is lost, late or wrong costs no more than a failure or two.
     pub fn told_by_courier(&mut self, octets: &[u8]) {
-        let Some((destination, route)) = read_note(octets) else { return };
+        let Some((destination, route)) = note::read(octets) else { return };
         let Some(destination) = self.destinations.get_mut(&destination) else { return };
         let Some(repeats) = destination.routes.get_mut(route).map(|r| &mut r.repeats) else { return };
         for endpoint in destination.endpoints.values_mut().filter(|e| e.route == route) {
@@ -651,7 +586,7 @@
             hands.log(&line);
         }
         for (destination, route) in self.news.drain(..) {
-            hands.tell(&note(destination, &route));
+            hands.tell(&note::of_return(destination, &route));
         }
         while self.ask_register(hands)
             || self.end_what_cannot_be_delivered(hands)
@@ -683,18 +618,7 @@
     /// What `held` earns when handled at `at`.
     fn earns(&self, held: &Held, at: Duration) -> f64 {
         let grade = &self.grades[held.grade].1;
-        let age = (at + grade.limit).saturating_sub(held.limit);
-        if age <= grade.contract {
-            return held.worth;
-        }
-        let late = (age - grade.contract).as_secs_f64();
-        let left = if grade.halving {
-            0.5f64.powf(late / grade.contract.as_secs_f64()).max(grade.late_share)
-        } else {
-            let span = (grade.limit.saturating_sub(grade.contract)).as_secs_f64().max(0.001);
-            1.0 - (1.0 - grade.late_share) * (late / span).min(1.0)
-        };
-        held.worth * left
+        held.worth * grade.left((at + grade.limit).saturating_sub(held.limit))
     }
 
     /// The last moment at which another send of `held` may start, by its limit and its destination's memory.
@@ -738,15 +662,6 @@
         true
     }
 
-    fn routes_of(&self, destination: DestinationId) -> impl Iterator<Item = &Route> {
-        self.destinations.get(&destination).into_iter().flat_map(|d| d.routes.values())
-    }
-
-    /// The end of the waits told for all routes of a destination.
-    fn told(&self, destination: DestinationId) -> Duration {
-        self.routes_of(destination).map(|r| r.told).min().unwrap_or_default()
-    }
-
     /// The calls out to each destination, and whether it is sick: one of them is far over a usual call, or
     /// all its endpoints are out.
     fn calls_out(&self) -> BTreeMap<DestinationId, (usize, bool)> {
@@ -796,7 +711,7 @@
             let load = i64::from(e.credits.spent) + AWAY * i64::from(e.zone != self.zone) + doubt;
             let rank = (trial, toll, load, idle, e.place);
             let repeats = route.repeats.allows(self.now);
-            ways.push(Way { endpoint: name.clone(), zone: e.zone.clone(), trial, repeats, rank });
+            ways.push(Way { endpoint: name.clone(), zone: e.zone.clone(), repeats, rank });
         }
         ways.sort_by_key(|way| way.rank);
         ways
@@ -804,20 +719,16 @@
 
     /// The way that `held` may take now, if any.
     fn way<'a>(&self, id: NoticeId, held: &Held, ways: &'a [Way]) -> Option<&'a Way> {
-        if held.out > 0 || held.not_before > self.now || held.sends >= self.most_sends {
-            return None;
-        }
-        if held.key.is_some_and(|key| !self.turns.get(&key).is_some_and(|turn| turn.has(id, self.now))) {
-            return None;
-        }
-        if self.last_start(held) < self.now {
+        let has_turn = |key| self.turns.get(&key).is_some_and(|turn| turn.has(id, self.now));
+        let ready = held.out == 0 && held.not_before <= self.now && held.sends < self.most_sends;
+        if !ready || !held.key.is_none_or(has_turn) || self.last_start(held) < self.now {
             return None;
         }
         let one_zone =
             matches!(self.grades[held.grade].1.effect, Effect::Fingerprinted { one_zone: true, .. });
         let zone = held.may_have_run.as_ref().filter(|_| one_zone).map(|first| &first.1);
         ways.iter()
-            .find(|w| (held.sends == 0 || w.repeats || w.trial) && zone.is_none_or(|zone| *zone == w.zone))
+            .find(|w| (held.sends == 0 || w.repeats || w.trial()) && zone.is_none_or(|zone| *zone == w.zone))
     }
 
     fn send_what_earns_most(&mut self, hands: &mut dyn Hands) -> bool {
@@ -835,12 +746,8 @@
             let usual = self.usual(held.destination, held.grade);
             let earns = self.earns(held, self.now + usual);
             let grade = &self.grades[held.grade].1;
-            let safe = match (way.trial, held.may_have_run.is_some(), grade.effect) {
-                (false, ..) => 3,
-                (true, true, _) => 2,
-                (true, false, Effect::Retriable) => 1,
-                (true, false, _) => 0,
-            };
+            let again = u8::from(grade.effect == Effect::Retriable);
+            let safe = if !way.trial() { 3 } else { held.may_have_run.as_ref().map_or(again, |_| 2) };
             let due = (held.limit + grade.contract).saturating_sub(grade.limit);
             let rank = (safe, earns / usual.as_secs_f64().max(LEAST_CALL), due);
             let better = best.as_ref().is_none_or(|(top, ..)| {
@@ -851,7 +758,7 @@
             }
         }
         let Some((_, id, way)) = best else { return false };
-        self.send(id, &way.endpoint.clone(), way.trial, hands);
+        self.send(id, &way.endpoint.clone(), way.trial(), hands);
         true
     }
 
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -123,9 +123,9 @@
 fn credits_are_spent_by_sends_halved_by_silence_and_earned_by_answers() {
     let mut credits = Credits { most: 4.0, spent: 4 };
     assert_eq!(credits.left(), 0);
-    credits.lost();
+    credits.earned(true);
     assert_eq!((credits.most, credits.left()), (2.0, -1));
-    credits.answered();
+    credits.earned(false);
     assert!(credits.most > 2.0 && credits.left() == 0);
 }
 
@@ -442,11 +442,17 @@
         destination.endpoints.values_mut().for_each(|e| e.outage.health = Health::Out);
     };
     out(&mut courier);
-    let told = note(9, "");
-    let later = [&[NOTE_VERSION + 1], &told[1..]].concat();
-    for odd in
-        [&[][..], &[NOTE_VERSION], &told[..5], &later, &note(8, ""), &note(9, "a"), b"\x01........\xff"]
-    {
+    let told = note::of_return(9, "");
+    let later = [&[told[0] + 1], &told[1..]].concat();
+    for odd in [
+        &[][..],
+        &told[..1],
+        &told[..5],
+        &later,
+        &note::of_return(8, ""),
+        &note::of_return(9, "a"),
+        b"\x01........\xff",
+    ] {
         courier.told_by_courier(odd);
         assert_eq!(courier.destinations[&9].endpoints["a"].outage.health, Health::Out, "{odd:?}");
     }
