The pace takes the whole known rate: no part of it cut by refusals

Cause: after some refusals a courier held itself to half of its part by number while others did not, so room under a limit stayed unused; the growing rest of the route after a refusal does the same work.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -47,8 +47,6 @@
 const DOUBT: f64 = 4.0; // calls out that a failing share of 1 counts for: a repeat goes elsewhere first
 // Pace of a route.
 const BURST: Duration = ms(700); // of the rate may go at once: limits are counted over a second or so
-const PART_CUT: f64 = 0.7; // of this courier's part at a refusal: to half in two
-const PART_STEP: f64 = 0.02; // regained with each handled call: back in some tens of calls
 const LISTED_SLACK: f64 = 1.5; // a rough rate may be so far off, either way; credits do the rest
 // Outage of an endpoint.
 const DOUBTFUL: u32 = 2; // failures with nothing handled between that put a destination on rations: a call and its repeat
@@ -198,18 +196,17 @@
     }
 }
 
-/// This courier's pace of calls to one route: a part, cut by refusals, of the rate known for it.
+/// This courier's pace of calls to one route: no more than the whole rate known for it; a refusal empties it.
 pub(crate) struct Pace {
     known: Option<f64>,
     sure: Option<f64>,
-    part: f64,
     saved: f64,
     filled: Duration,
 }
 
 impl Pace {
     fn fill(&mut self, now: Duration) {
-        if let Some(rate) = self.known.map(|rate| rate * self.part) {
+        if let Some(rate) = self.known {
             let most = (rate * BURST.as_secs_f64()).max(1.0);
             self.saved = (self.saved + rate * (now - self.filled).as_secs_f64()).min(most);
         }
@@ -219,15 +216,6 @@
     fn ready(&self) -> bool {
         self.known.is_none() || self.saved >= 1.0
     }
-
-    fn refused(&mut self, couriers: u32) {
-        self.part = (self.part * PART_CUT).max(0.5 / f64::from(couriers));
-        self.saved = 0.0;
-    }
-
-    fn handled(&mut self) {
-        self.part = (self.part + PART_STEP).min(1.0);
-    }
 }
 
 impl Return {
@@ -386,7 +374,7 @@
         let sure = rate.map(|rate| if self.listed == ListedRate::Rough { rate / LISTED_SLACK } else { rate });
         let now = self.now;
         let destination = self.destinations.entry(owner).or_default();
-        let fresh = || Route::new(Pace { known, sure, part: 1.0, saved: 1.0, filled: now });
+        let fresh = || Route::new(Pace { known, sure, saved: 1.0, filled: now });
         let entry = destination.routes.entry(route.into()).or_insert_with(fresh);
         if !entry.reported {
             (entry.pace.known, entry.pace.sure) = (known, sure);
@@ -495,7 +483,6 @@
                 keep.handled(self.idle_close);
                 latency.handled(self.now, took);
                 endpoint.outage.handled(self.now);
-                route.pace.handled();
                 route.refusals = 0;
                 if before == Health::Out {
                     (route.trials, route.trial) = (0, self.now); // its siblings may be back too
@@ -506,7 +493,7 @@
                 route.repeats.failures = 0;
             }
             Outcome::Refused(wait) => {
-                route.pace.refused(self.couriers);
+                route.pace.saved = 0.0;
                 if route.refusals == 0 {
                     route.refused = self.now;
                 }
