--- a/src/policy.rs
+++ b/src/policy.rs
@@ -184,7 +184,7 @@
 impl Keep {
     fn new(idle_close: Duration, couriers: u32) -> Self {
         let least = idle_close / couriers.max(KEPT_BY) * KEPT_BY;
-        Self { time: idle_close, least }
+        Self { time: (least * KEEP_CUT).min(idle_close), least }
     }
 
     fn failed(&mut self) {
