--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,8 +72,9 @@
     /// use std::time::Duration;
     ///
     /// let (contract, limit) = (Duration::from_secs(1), Duration::from_secs(5));
-    /// let even = Grade { effect: Effect::Retriable, contract, limit, earnings: 1.0, late_share: 0.2, halving: false,
-    ///     in_order: false };
+    /// let effect = Effect::Retriable;
+    /// let even =
+    ///     Grade { effect, contract, limit, earnings: 1., late_share: 0.2, halving: false, in_order: false };
     /// assert_eq!([1, 3, 5].map(|s| (even.left(Duration::from_secs(s)) * 10.0).round()), [10.0, 6.0, 2.0]);
     /// let halving = Grade { halving: true, ..even };
     /// assert_eq!([2, 3, 5].map(|s| halving.left(Duration::from_secs(s))), [0.5, 0.25, 0.2]);
--- a/src/note.rs
+++ b/src/note.rs
@@ -1,4 +1,4 @@
-//! The notes that couriers send each other: a version, a destination's number, and the route where routes are apart.
+//! The notes between couriers: a version, a destination's number, and the route where routes are apart.
 
 use crate::DestinationId;
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -23,7 +23,7 @@
 const SPAN: Duration = ms(10_000); // over which first tries and repeats are compared: the design page's
 const REPEAT_SHARE: f64 = 0.1; // repeats for each first try: the design page's
 const REPEATS_PER_S: f64 = 1.0; // and so many a second besides: the design page's
-const REPEATS_UNANSWERED: f64 = 1.0; // but so many in all while nothing is answered there: one quick one, as the article
+const REPEATS_UNANSWERED: f64 = 1.0; // but so many in all while nothing is answered there: the article
 // Latency.
 const UNKNOWN_CALL: Duration = ms(500); // a usual call where nothing recent is known: the design page's
 const SAMPLES: usize = 31; // calls whose median is usual: odd; a slow spell does not become usual at once
@@ -43,14 +43,14 @@
 // Idle connections.
 const KEPT_BY: u32 = 4; // couriers that may keep theirs as long as they last: so few fill no endpoint's table
 const KEEP_CUT: u32 = 4; // to which part a failed connection cuts the time kept: three are enough to learn by
-const KEEP_GROWTH: f64 = 0.02; // of it regained with each handled call: one in seventy may fail in the long run
+const KEEP_GROWTH: f64 = 0.02; // of it regained with each handled call: in the long run one in seventy fails
 const DOUBT: f64 = 4.0; // calls out that a failing share of 1 counts for: a repeat goes elsewhere first
 // Pace of a route.
 const BURST: Duration = ms(700); // of the rate may go at once: limits are counted over a second or so
 const LISTED_SLACK: f64 = 1.5; // a rough rate may be so far off, either way; credits do the rest
 // Outage of an endpoint.
-const DOUBTFUL: u32 = 2; // failures with nothing handled between that put a destination on rations: a call and its repeat
-const STREAK: u32 = 3; // refusals with nothing handled between, from which each counts as a failure: seldom a limit
+const DOUBTFUL: u32 = 2; // failures in a row that put a destination on rations: a call and its repeat
+const STREAK: u32 = 3; // refusals in a row from which each counts as a failure: seldom a limit
 const FAIL_WEIGHT: f64 = 0.2; // of an answered failure in the failing share: four are a verdict
 const SILENT_WEIGHT: f64 = 0.35; // of a failed connection or a time-out: two are a verdict
 const LOST_WEIGHT: f64 = 0.1; // of a refusal, a reset, or one lost while others were answered: seven are one
@@ -59,8 +59,8 @@
 const SHUT: Duration = ms(2_500); // refusing for longer than a limit's span, a second or two, is being shut
 const TRIAL_GAP: Duration = ms(1_000); // longest gap between trials that cannot have run
 const DEAR_TRIAL_GAP: Duration = ms(1_500); // and between those that may: each can cost its notice
-const BY_NOTICE: f64 = 0.9; // of the ramp, for each notice handed in: what is asked for may be over what it takes
-const TRIALS_PER_S: f64 = 1.0; // of all couriers together at one that is out: the page's one repeat a second, shared
+const BY_NOTICE: f64 = 0.9; // of the ramp, for each notice handed in: more may be asked for than it takes
+const TRIALS_PER_S: f64 = 1.0; // of all couriers together at one that is out: the page's one a second
 const FIRST_COLD_RATE: f64 = 1.0; // calls/s that a destination of unknown rate is taken for when cold: little
 const RAMP_FACTOR: f64 = 0.75; // of the allowed multiple: the rest is for trials and for the others' parts
 const MOST_RAMP: f64 = 1.6; // x the warm part of the known rate: capacity lies over a limit, by a half or so
@@ -108,8 +108,7 @@
     fn allows(&self, now: Duration) -> bool {
         let live = self.seconds.iter().filter(|s| s.0 + SPAN.as_secs() > now.as_secs());
         let (firsts, repeats) = live.fold((0, 0), |sum, s| (sum.0 + s.1, sum.1 + s.2));
-        // Against the sum of many couriers' repeats at a destination that returns, each with a few notices. May
-        // keep a notice back that was lost twice where little else is sent.
+        // Against the sum of many couriers' repeats at one that returns. May hold back a notice lost twice.
         let besides = if self.failures > 0 { REPEATS_UNANSWERED } else { REPEATS_PER_S * SPAN.as_secs_f64() };
         f64::from(repeats) < REPEAT_SHARE * f64::from(firsts) + besides
     }
@@ -160,7 +159,7 @@
         self.most as i64 - i64::from(self.spent)
     }
 
-    /// One comes back: of a call that was lost at the price of half of all, of an answered one with some more.
+    /// One comes back: of an answered call with a little more, of a lost one at the price of half of all.
     fn earned(&mut self, lost: bool) {
         if lost {
             self.most = (self.most / 2.0).max(1.0);
@@ -173,9 +172,8 @@
 
 /// How long an idle connection to endpoints of one kind is kept.
 ///
-/// Against endpoints that take few connections, idle ones counted: a failed connection may mean that the table
-/// is full of those that other couriers keep. Holds too where each connection costs its endpoint. May cost
-/// handshakes where endpoints refuse connections for other reasons.
+/// Against endpoints that take few connections, and tables full of the idle ones of other couriers.
+/// Holds too where each connection costs its endpoint. May cost handshakes after outages.
 pub(crate) struct Keep {
     time: Duration,
     least: Duration,
@@ -184,7 +182,7 @@
 impl Keep {
     fn new(idle_close: Duration, couriers: u32) -> Self {
         let least = idle_close / couriers.max(KEPT_BY) * KEPT_BY;
-        Self { time: (least * KEEP_CUT).min(idle_close), least }
+        Self { time: idle_close, least }
     }
 
     fn failed(&mut self) {
@@ -234,8 +232,8 @@
     Cold { since: Duration },
 }
 
-/// What an endpoint that is not well may get: a share of what is handed in for its destination, which sums up over
-/// any number of couriers, or of this courier's part of what it takes, whichever is more.
+/// What an endpoint that is not well may get: a share of what is handed in for its destination, which sums up
+/// over any number of couriers, or of this courier's part of what it takes, whichever is more.
 pub(crate) struct Ration {
     by_notice: f64,
     by_time: f64,
@@ -263,7 +261,7 @@
 }
 
 impl Outage {
-    /// The ration begins by chance under one, so that of many couriers with little work each some send at once.
+    /// The ration begins by chance under one: of many couriers with little work each, some send at once.
     fn new(chance: f64) -> Self {
         let (zero, ration) = (Duration::ZERO, Ration { by_notice: chance, by_time: 0.0 });
         Self { health: Health::Well, share: 0.0, told: zero, answered: zero, ration, filled: zero }
@@ -302,7 +300,7 @@
         ramp.share(Duration::ZERO)
     }
 
-    /// `part` calls/s are this courier's part of what the endpoint takes when warm, `trials` its part of trials.
+    /// `part` calls/s are this courier's part of what the endpoint takes when warm, `trials` of its trials.
     fn fill(&mut self, now: Duration, ramp: Return, part: f64, trials: f64) {
         let share = self.allowed((now + self.filled) / 2, ramp); // the ramp is straight
         let trials = if matches!(self.health, Health::Cold { .. }) { 0.0 } else { trials };
@@ -349,13 +347,7 @@
     endpoint: String,
     zone: String,
     repeats: bool,
-    rank: (bool, i64, i64, Duration, u32), // a trial is worst
-}
-
-impl Way {
-    fn trial(&self) -> bool {
-        self.rank.0
-    }
+    rank: (bool, i64, i64, Duration, u32), // first, whether it is a trial
 }
 
 impl Courier {
@@ -395,8 +387,7 @@
 
     pub fn list_failed(&mut self) {
         let register = &mut self.register;
-        register.failures += 1;
-        register.asked = false;
+        (register.asked, register.failures) = (false, register.failures + 1);
         register.next = self.now + gap(&mut self.rng, register.failures, ASK_BASE, ASK_CAP);
     }
 
@@ -458,8 +449,7 @@
         held.not_before = self.now + gap(&mut self.rng, held.failures, BASE, CAP);
         if !outcome.never_ran() && held.may_have_run.as_ref().is_none_or(|first| first.0 > call.started) {
             let from = self.destinations.get(&call.destination).and_then(|d| d.endpoints.get(&call.endpoint));
-            let zone = from.map_or(String::new(), |e| e.zone.clone());
-            held.may_have_run = Some((call.started, zone));
+            held.may_have_run = Some((call.started, from.map_or(String::new(), |e| e.zone.clone())));
         }
     }
 
@@ -510,7 +500,7 @@
                 } else if call.started >= endpoint.outage.told {
                     weight = LOST_WEIGHT;
                 }
-                // Where answers tell that there is no limit, or so many came in a row, it is shut or its queue full.
+                // Where answers tell of no limit, or so many came in a row, it is shut or its queue full.
                 let no_limit = report.is_some_and(|(_, rate)| rate <= 0.0);
                 route.repeats.failures += u32::from(no_limit || route.refusals >= STREAK);
             }
@@ -551,10 +541,8 @@
         }
     }
 
-    /// A note from another courier: a route that is out here answered there. Others' notes are passed over.
-    ///
-    /// Against learning of a return courier by courier, by few trials each. Its ration grows from now on, as after
-    /// an answer seen here; a note that is lost, late or wrong costs no more than a failure or two.
+    /// A note from another courier: a route answered there. Against learning of a return courier by courier, by
+    /// few trials each: its ramp begins here too. A note that is lost, late or wrong costs a failure or two.
     pub fn told_by_courier(&mut self, octets: &[u8]) {
         let Some((destination, route)) = note::read(octets) else { return };
         let Some(destination) = self.destinations.get_mut(&destination) else { return };
@@ -644,7 +632,7 @@
                 && (held.sends >= self.most_sends
                     || self.now.max(held.not_before).max(self.told(held.destination)) > self.last_start(held))
         });
-        let Some(id) = lost.map(|(id, _)| *id) else { return false };
+        let Some((&id, _)) = lost else { return false };
         self.answer(id, hands);
         true
     }
@@ -665,7 +653,7 @@
         out
     }
 
-    /// The endpoints of a destination that may be sent to now, best first; `most` calls may be out to it.
+    /// The endpoints of a destination that may be sent to now, best first.
     fn doors(&mut self, id: DestinationId, out: &BTreeMap<DestinationId, (usize, bool)>) -> Vec<Way> {
         let Some(destination) = self.destinations.get_mut(&id) else { return Vec::new() };
         let (calls, slow) = out.get(&id).copied().unwrap_or_default();
@@ -684,8 +672,7 @@
             e.outage.fill(self.now, self.ramp, part / open as f64, trials / open as f64);
             let trial = e.outage.health == Health::Out;
             let open = route.told <= self.now && route.closed <= self.now && route.pace.ready();
-            // Against hundreds of couriers that each saw too little for a verdict. May slow a destination at which
-            // calls get lost by chance, until one is answered there.
+            // Doubt is against many couriers that each see too little for a verdict. May slow one that loses some.
             let doubtful = route.repeats.doubtful();
             let willing = (!e.outage.rationed(doubtful) || e.outage.ration.ready())
                 && (!trial || route.trial <= self.now);
@@ -715,7 +702,7 @@
             matches!(self.grades[held.grade].1.effect, Effect::Fingerprinted { one_zone: true, .. });
         let zone = held.may_have_run.as_ref().filter(|_| one_zone).map(|first| &first.1);
         ways.iter()
-            .find(|w| (held.sends == 0 || w.repeats || w.trial()) && zone.is_none_or(|zone| *zone == w.zone))
+            .find(|w| (held.sends == 0 || w.repeats || w.rank.0) && zone.is_none_or(|zone| *zone == w.zone))
     }
 
     fn send_what_earns_most(&mut self, hands: &mut dyn Hands) -> bool {
@@ -734,7 +721,7 @@
             let earns = self.earns(held, self.now + usual);
             let grade = &self.grades[held.grade].1;
             let again = u8::from(grade.effect == Effect::Retriable);
-            let safe = if !way.trial() { 3 } else { held.may_have_run.as_ref().map_or(again, |_| 2) };
+            let safe = if !way.rank.0 { 3 } else { held.may_have_run.as_ref().map_or(again, |_| 2) };
             let due = (held.limit + grade.contract).saturating_sub(grade.limit);
             let rank = (safe, earns / usual.as_secs_f64().max(LEAST_CALL), due);
             let better = best.as_ref().is_none_or(|(top, ..)| {
@@ -745,7 +732,7 @@
             }
         }
         let Some((_, id, way)) = best else { return false };
-        self.send(id, &way.endpoint.clone(), way.trial(), hands);
+        self.send(id, &way.endpoint.clone(), way.rank.0, hands);
         true
     }
 
@@ -770,9 +757,8 @@
             endpoint.outage.ration.spend();
         }
         endpoint.used = Some(now);
-        let (destination, endpoint) = (held.destination, name.into());
-        let call = Call { destination, endpoint, grade: held.grade, key: held.key, started: now };
-        self.calls.insert((id, held.sends), call);
+        let (destination, endpoint, grade, key) = (held.destination, name.into(), held.grade, held.key);
+        self.calls.insert((id, held.sends), Call { destination, endpoint, grade, key, started: now });
         if let Some(turn) = held.key.and_then(|key| self.turns.get_mut(&key)) {
             turn.out.push(id);
         }
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -91,7 +91,7 @@
     assert!(!repeats.allows(ms(9_900)) && repeats.allows(ms(10_900)));
 }
 
-/// akureyri-afhending-later, big-1: 232 couriers each with a notice or two pushed a destination over at its return.
+/// akureyri-afhending-later, big-1: 232 couriers with a notice or two each pushed one over at its return.
 #[test]
 fn one_quick_repeat_while_nothing_is_answered() {
     let mut courier = courier(Effect::Retriable);
@@ -160,7 +160,7 @@
     f64::from(sent)
 }
 
-/// The sum must not grow with the number of couriers: hundreds of them tried a dead destination once a second each.
+/// The sum must not grow with the number of couriers: hundreds each tried a dead one once a second.
 #[test]
 fn a_returning_destination_gets_no_more_from_many_couriers_than_from_few() {
     // Against the rule's budget: twice 10/s, warming from 0.2 by 0.08 a second, for 3 s.
@@ -356,7 +356,7 @@
     assert!(["a", "b", "c"].iter().all(|name| other.destinations[&9].endpoints[*name].credits.spent == 1));
 }
 
-/// incident ide3163: one call in six got no answer anywhere, and endpoints that answered the rest counted as out.
+/// incident ide3163: one call in six got no answer, and endpoints that answered the rest counted as out.
 #[test]
 fn calls_lost_while_others_are_answered_are_no_outage() {
     let mut courier = courier(Effect::Retriable);
@@ -401,7 +401,7 @@
     }
 }
 
-/// incident i639774: four calls in ten were reset everywhere, and endpoints that handled the rest counted as out.
+/// incident i639774: four calls in ten were reset, and endpoints that handled the rest counted as out.
 #[test]
 fn resets_between_handled_calls_are_no_outage_and_failed_connections_are_one() {
     let mut courier = courier(Effect::Retriable);
@@ -419,7 +419,7 @@
     assert_eq!(tell(6_100, Outcome::Unconnected), Health::Out);
 }
 
-/// isafjordur-utsending-later: one that had no limit was shut; 190 couriers saw two refusals each, too few for a verdict.
+/// isafjordur-utsending-later: one without a limit was shut; 190 couriers saw two refusals each.
 #[test]
 fn refusals_without_a_limit_put_a_destination_on_rations_and_those_above_a_limit_do_not() {
     for (report, rationed) in [(Some((0.0, 0.0)), true), (Some((0.0, 4.0)), false), (None, false)] {
