--- a/src/policy.rs
+++ b/src/policy.rs
@@ -541,8 +541,8 @@
         }
     }
 
-    /// A note from another courier: a route answered there. Against learning of a return courier by courier, by
-    /// few trials each: its ramp begins here too. A note that is lost, late or wrong costs a failure or two.
+    /// A note from another courier: a route answered there. Against learning of a return courier by courier,
+    /// by few trials each: its ramp begins here too. A note that is lost or wrong costs a failure or two.
     pub fn told_by_courier(&mut self, octets: &[u8]) {
         let Some((destination, route)) = note::read(octets) else { return };
         let Some(destination) = self.destinations.get_mut(&destination) else { return };
@@ -672,7 +672,7 @@
             e.outage.fill(self.now, self.ramp, part / open as f64, trials / open as f64);
             let trial = e.outage.health == Health::Out;
             let open = route.told <= self.now && route.closed <= self.now && route.pace.ready();
-            // Doubt is against many couriers that each see too little for a verdict. May slow one that loses some.
+            // Against many couriers that each see too little for a verdict. May slow one that loses some.
             let doubtful = route.repeats.doubtful();
             let willing = (!e.outage.rationed(doubtful) || e.outage.ration.ready())
                 && (!trial || route.trial <= self.now);
