One told to be shut is out as a whole, and no ration is saved up while a wait binds

Seen in the tapped wire. A wait told for longer than a limit's span is a verdict on all endpoints of the route, rations then begin by chance, and none is earned while a wait binds. May slow one whose limit was cut for long.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -140,7 +140,7 @@
         self.median.filter(|_| recent).unwrap_or(UNKNOWN_CALL)
     }
 
-    /// Longer after each time-out in a row: else a destination that is merely slow never gets to answer.
+    /// Longer after each time-out in a row, so that a slow one gets to answer.
     fn patience(&self) -> Duration {
         let longest = self.taken.iter().map(|s| s.1).max().unwrap_or(UNKNOWN_CALL);
         let calm = longest.mul_f64(PATIENCE).max(LEAST_PATIENCE);
@@ -159,7 +159,6 @@
         self.most as i64 - i64::from(self.spent)
     }
 
-    /// One comes back: of an answered call with a little more, of a lost one at the price of half of all.
     fn earned(&mut self, lost: bool) {
         if lost {
             self.most = (self.most / 2.0).max(1.0);
@@ -172,8 +171,7 @@
 
 /// How long an idle connection to endpoints of one kind is kept.
 ///
-/// Against endpoints that take few connections, and tables full of the idle ones of other couriers.
-/// Holds too where each connection costs its endpoint. May cost handshakes after outages.
+/// Against tables full of other couriers' idle ones. May cost handshakes after outages.
 pub(crate) struct Keep {
     time: Duration,
     least: Duration,
@@ -232,8 +230,7 @@
     Cold { since: Duration },
 }
 
-/// What an endpoint that is not well may get: a share of what is handed in for its destination, which sums up
-/// over any number of couriers, or of this courier's part of what it takes, whichever is more.
+/// What one that is not well may get: the larger, of a share of what is handed in or of its known rate.
 pub(crate) struct Ration {
     by_notice: f64,
     by_time: f64,
@@ -250,7 +247,6 @@
     }
 }
 
-/// Whether one endpoint is out, and its ration until it is well again.
 pub(crate) struct Outage {
     health: Health,
     share: f64,
@@ -412,8 +408,10 @@
         }
         if let Some(to) = self.destinations.get_mut(&destination) {
             let open = to.endpoints.values().filter(|e| e.listing == Listing::Open).count().max(1);
-            for endpoint in to.endpoints.values_mut() {
-                endpoint.outage.handed_in(self.now, self.ramp, 1.0 / open as f64);
+            let (now, routes) = (self.now, &to.routes);
+            let waits = |e: &Endpoint| routes.get(&e.route).is_some_and(|r| r.told > now);
+            for e in to.endpoints.values_mut().filter(|e| !waits(e)) {
+                e.outage.handed_in(now, self.ramp, 1.0 / open as f64);
             }
         }
         self.held.insert(id, Held::new(grade, destination, key, limit, worth));
@@ -465,7 +463,7 @@
         }
         let before = endpoint.outage.health;
         // Whether the call got no answer, and how much it says of an outage.
-        let (mut lost, mut weight) = (false, 0.0);
+        let (mut lost, mut shut, mut weight) = (false, false, 0.0);
         let keep = || Keep::new(self.idle_close, self.couriers);
         let keep = self.keeps.entry(endpoint.kind.clone()).or_insert_with(keep);
         match outcome {
@@ -491,11 +489,8 @@
                 let rest = gap(&mut self.rng, route.refusals, BASE, CAP);
                 route.closed = route.closed.max(self.now + rest);
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
-                // Against a herd at a destination that was shut and tells when it opens, which few calls saw:
-                // it returns cold however little it refused. May slow one whose limit was cut for long.
-                if route.told > self.now + SHUT {
-                    weight = 1.0;
-                } else if self.now > route.refused + SHUT {
+                shut = route.told > self.now + SHUT;
+                if self.now > route.refused + SHUT {
                     weight = SILENT_WEIGHT;
                 } else if call.started >= endpoint.outage.told {
                     weight = LOST_WEIGHT;
@@ -513,8 +508,7 @@
                     keep.failed();
                 }
                 // Against taking calls that get lost one by one, as on a bad network, for an outage: where
-                // others were answered since, or the connection stood, this one says little: an endpoint that
-                // died refuses the next connection. May delay the verdict on one that fails in turns.
+                // others were answered since, or the connection stood, it says little. May delay a verdict.
                 lost = outcome != Outcome::Reset && endpoint.outage.answered <= call.started;
                 weight = if lost { SILENT_WEIGHT } else { LOST_WEIGHT };
                 latency.timed_out += u32::from(lost && outcome == Outcome::TimedOut);
@@ -539,10 +533,15 @@
             let (name, owner) = (&call.endpoint, call.destination);
             self.lines.push(format!("{name} of destination {owner}: {before:?} -> {after:?}"));
         }
+        // Against a herd at a told shutting's end: all endpoints return cold, their rations begin by chance.
+        let name = endpoint.route.clone();
+        for e in destination.endpoints.values_mut().filter(|e| shut && e.route == name) {
+            e.outage.failed(self.now, 1.0);
+            e.outage.ration = Ration { by_notice: self.rng.random(), by_time: 0.0 };
+        }
     }
 
-    /// A note from another courier: a route answered there. Against learning of a return courier by courier,
-    /// by few trials each: its ramp begins here too. A note that is lost or wrong costs a failure or two.
+    /// A note from another courier: a route answered there. Against learning of a return courier by courier.
     pub fn told_by_courier(&mut self, octets: &[u8]) {
         let Some((destination, route)) = note::read(octets) else { return };
         let Some(destination) = self.destinations.get_mut(&destination) else { return };
@@ -669,6 +668,7 @@
             route.pace.fill(self.now);
             let part = route.pace.sure.unwrap_or(FIRST_COLD_RATE) / f64::from(self.couriers);
             let trials = TRIALS_PER_S / f64::from(self.couriers);
+            e.outage.filled = e.outage.filled.max(route.told.min(self.now)); // a wait earns nothing
             e.outage.fill(self.now, self.ramp, part / open as f64, trials / open as f64);
             let trial = e.outage.health == Health::Out;
             let open = route.told <= self.now && route.closed <= self.now && route.pace.ready();
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -238,7 +238,17 @@
     let mut courier = courier(Effect::Retriable);
     take(&mut courier, 1, None);
     courier.outcome(1, 0, Outcome::Refused(Some(ms(4_000))), ms(9), false, None);
-    assert_eq!(courier.destinations[&9].endpoints["a"].outage.health, Health::Out);
+    for endpoint in courier.destinations[&9].endpoints.values() {
+        assert_eq!(
+            endpoint.outage.health,
+            Health::Out,
+            "its sibling too: the wait is the whole destination's"
+        );
+    }
+    // isafjordur-utsending-later, ha7c03b: what each of 66 couriers had saved up during the wait went at its end.
+    let ready = |c: &Courier| c.destinations[&9].endpoints.values().any(|e| e.outage.ration.ready());
+    (2..40).for_each(|id| assert!(take(&mut courier, id, None).is_empty()));
+    assert!(!ready(&courier));
 }
 
 #[test]
