--- a/src/courier.rs
+++ b/src/courier.rs
@@ -46,14 +46,6 @@
     pub(crate) filled: Duration,
 }
 
-/// A destination as far as the list names its endpoints; gone with the last of them, once no wait binds.
-#[derive(Default)]
-pub(crate) struct Destination {
-    pub(crate) endpoints: BTreeMap<String, Endpoint>,
-    pub(crate) routes: BTreeMap<String, Route>,
-    pub(crate) latency: BTreeMap<usize, Latency>,
-}
-
 impl Quota {
     /// Whether one more notice is within the share; if so, it is counted.
     pub(crate) fn covers(&mut self, now: Duration) -> bool {
@@ -66,6 +58,14 @@
     }
 }
 
+/// A destination as far as the list names its endpoints; gone with the last of them, once no wait binds.
+#[derive(Default)]
+pub(crate) struct Destination {
+    pub(crate) endpoints: BTreeMap<String, Endpoint>,
+    pub(crate) routes: BTreeMap<String, Route>,
+    pub(crate) latency: BTreeMap<usize, Latency>,
+}
+
 pub(crate) struct Endpoint {
     pub(crate) zone: String,
     pub(crate) kind: String,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -534,8 +534,8 @@
             self.lines.push(format!("{name} of destination {owner}: {before:?} -> {after:?}"));
         }
         // Against a herd at a told shutting's end: all endpoints return cold, their rations begin by chance.
-        let name = endpoint.route.clone();
-        for e in destination.endpoints.values_mut().filter(|e| shut && e.route == name) {
+        let Some(name) = shut.then(|| endpoint.route.clone()) else { return };
+        for e in destination.endpoints.values_mut().filter(|e| e.route == name) {
             e.outage.failed(self.now, 1.0);
             e.outage.ration = Ration { by_notice: self.rng.random(), by_time: 0.0 };
         }
