--- a/crates/quillhub-drill/src/main.rs
+++ b/crates/quillhub-drill/src/main.rs
@@ -1,7 +1,6 @@
 //! Hosts many couriers, which share nothing, on the bench's wire: batches of lines in, one reply a batch out.
 
 mod reply;
-mod settings;
 mod wire;
 
 use std::io::{BufWriter, stdin, stdout};
--- a/crates/quillhub-drill/src/wire.rs
+++ b/crates/quillhub-drill/src/wire.rs
@@ -1,25 +1,15 @@
 //! The bench's wire: decodes lines into calls, and answers each batch with one reply.
 
 use crate::reply::Reply;
-use crate::settings::{self, ReportPlaces};
 use base64::prelude::*;
 use quillhub::courier::Courier;
 use quillhub::{Listing, Outcome};
+use quillhub_settings::{ReportPlaces, expected};
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt::Display;
 use std::io::{BufRead, Write};
 use std::str::FromStr;
 use std::time::Duration;
 
-/// The longest piece of what was found that a message quotes.
-const QUOTED: usize = 60;
-
-pub fn expected(what: impl Display, found: &str) -> String {
-    let short: String = found.chars().take(QUOTED).collect();
-    let more = if short.len() < found.len() { ".." } else { "" };
-    format!("expected {what}, found '{short}{more}'")
-}
-
 /// The fields of one line, taken in order.
 struct Fields<'a> {
     rest: Option<&'a str>,
@@ -180,7 +170,7 @@
             "HELLO" => {
                 let seed = fields.number("randomSeed")?;
                 let text = fields.rest.take().unwrap_or_default();
-                let (courier, places) = settings::start(seed, text)?;
+                let (courier, places) = quillhub_settings::start(seed, text)?;
                 self.couriers.insert(name.into(), Hosted { courier, places, start: self.clock });
             }
             "SHUTDOWN" => {
--- /dev/null
+++ b/crates/quillhub-net/src/clients.rs
@@ -0,0 +1,169 @@
+//! The clients' side: reads commands from a connection and answers them, one after the other.
+
+use crate::host::{Host, Taken};
+use crate::resp;
+use std::cell::RefCell;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore, watch};
+use tokio::task::spawn_local;
+
+/// Bytes of a part of a command, a body being the longest.
+const MOST_PART: usize = 64 * 1024;
+/// Bytes of a whole command: a body and its small parts.
+const MOST_COMMAND: usize = MOST_PART + 16 * 1024;
+/// Bytes of an id or a key; they go on as headers.
+const MOST_ID: usize = 256;
+/// How long a client may take over reading an answer of a few bytes before its connection is given up.
+const WRITING: Duration = Duration::from_secs(2);
+/// Pause after a failure to accept, such as having no descriptor left: calls that end free some.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What to do after a command.
+enum Next {
+    Answer(Vec<u8>),
+    /// An answer for a notice that is taken on once it is written.
+    Confirm(u64),
+    AnswerAndClose(Vec<u8>),
+}
+
+fn number(octets: &[u8], radix: u32) -> Option<u64> {
+    u64::from_str_radix(std::str::from_utf8(octets).ok()?, radix).ok()
+}
+
+/// Whether `id` can go on as it is in a header.
+fn plain(id: &[u8]) -> bool {
+    (1..=MOST_ID).contains(&id.len()) && id.iter().all(u8::is_ascii_graphic)
+}
+
+fn submit(host: &RefCell<Host>, parts: &[&[u8]]) -> Result<Next, &'static str> {
+    let &[turn, reference, list, body] = parts else { return Err("SUBMIT takes a key, an id, a list and a body") };
+    let value = |name| resp::named(list, name);
+    let turn = number(turn, 16).ok_or("the key is no hexadecimal number")?;
+    let grade = value("c").and_then(|grade| std::str::from_utf8(grade).ok()).ok_or("no class")?;
+    let lasts = value("d").and_then(|d| number(d, 10)).ok_or("no time limit")?;
+    let destination = value("dest").and_then(|dest| number(dest, 10)).ok_or("no destination")?;
+    let mark = value("k");
+    if !plain(reference) || !mark.is_none_or(plain) {
+        return Err("an id or key that cannot be passed on");
+    }
+    let (turn, lasts) = ((turn != 0).then_some(turn), Duration::from_millis(lasts.min(u64::from(u32::MAX))));
+    Ok(match host.borrow_mut().take_on(grade, turn, lasts, destination, reference, mark, body) {
+        Taken::On(id) => Next::Confirm(id),
+        Taken::Denied(come_back) => Next::Answer(resp::busy(come_back)),
+        Taken::Failed(why) => Next::Answer(resp::error(why)),
+    })
+}
+
+fn obey(host: &RefCell<Host>, parts: &[&[u8]]) -> Next {
+    let Some((name, parts)) = parts.split_first() else { return Next::Answer(Vec::new()) };
+    if name.eq_ignore_ascii_case(b"SUBMIT") {
+        return submit(host, parts).unwrap_or_else(|why| Next::AnswerAndClose(resp::error(why)));
+    }
+    Next::Answer(match parts {
+        [] if name.eq_ignore_ascii_case(b"PING") => resp::PONG.to_vec(),
+        [text] if name.eq_ignore_ascii_case(b"PING") => resp::bulk(text),
+        _ => resp::error("unknown command"),
+    })
+}
+
+/// What the connections need to know of the rest: when to close between commands.
+pub struct Doors {
+    /// True once connections are to close as soon as what was read is answered.
+    pub stopping: watch::Receiver<bool>,
+    /// Permits for connections; when none is left, the one that has idled longest is asked to go.
+    pub places: Arc<Semaphore>,
+    pub crowded: Rc<Notify>,
+}
+
+/// Serves one connection until it ends. `Err` is only for reads and writes that failed.
+async fn serve(host: &RefCell<Host>, stream: &mut TcpStream, doors: &Doors) -> std::io::Result<()> {
+    let mut stopping = doors.stopping.clone();
+    let mut buffer = Vec::new();
+    loop {
+        let next = match resp::command(&buffer, MOST_PART) {
+            Ok(Some((parts, used))) => {
+                // A client that closed its side has stopped waiting, and hands its notice in elsewhere.
+                if hung_up(stream) {
+                    return Ok(());
+                }
+                let next = obey(host, &parts);
+                buffer.drain(..used);
+                next
+            }
+            Ok(None) if buffer.len() > MOST_COMMAND => Next::AnswerAndClose(resp::error("too long")),
+            Err(resp::Malformed) => Next::AnswerAndClose(resp::error("not a command, or too long")),
+            Ok(None) => {
+                let idle = buffer.is_empty();
+                tokio::select! {
+                    biased;
+                    read = stream.read_buf(&mut buffer) => if read? == 0 { return Ok(()) },
+                    _ = stopping.wait_for(|stop| *stop), if idle => return Ok(()),
+                    () = doors.crowded.notified(), if idle => return Ok(()),
+                }
+                continue;
+            }
+        };
+        let (octets, id, close) = match &next {
+            Next::Answer(octets) => (&octets[..], None, false),
+            Next::Confirm(id) => (resp::OK, Some(*id), false),
+            Next::AnswerAndClose(octets) => (&octets[..], None, true),
+        };
+        let written = tokio::time::timeout(WRITING, stream.write_all(octets)).await;
+        if !matches!(written, Ok(Ok(()))) {
+            if let Some(id) = id {
+                host.borrow_mut().gone(id);
+            }
+            return written.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
+        }
+        if close {
+            return stream.shutdown().await;
+        }
+    }
+}
+
+/// Whether the other side has closed, with nothing more to read.
+fn hung_up(stream: &TcpStream) -> bool {
+    let mut one = [std::mem::MaybeUninit::uninit()];
+    matches!(socket2::SockRef::from(stream).peek(&mut one), Ok(0))
+}
+
+/// Accepts connections until told to stop, each served by a task of its own.
+pub async fn accept(host: Rc<RefCell<Host>>, listener: TcpListener, doors: Rc<Doors>) {
+    loop {
+        let place = match doors.places.clone().try_acquire_owned() {
+            Ok(place) => place,
+            Err(_) => {
+                doors.crowded.notify_one();
+                match doors.places.clone().acquire_owned().await {
+                    Ok(place) => place,
+                    Err(_) => return,
+                }
+            }
+        };
+        let (mut stream, from): (TcpStream, SocketAddr) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                tracing::warn!(%error, "no connection could be accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let (host, doors) = (host.clone(), doors.clone());
+        spawn_local(async move {
+            let _place = place;
+            let served = match stream.set_nodelay(true) {
+                Ok(()) => serve(&host, &mut stream, &doors).await,
+                Err(error) => Err(error),
+            };
+            if let Err(error) = served {
+                tracing::debug!(%from, %error, "a client's connection ended");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/quillhub-net/src/command.rs
@@ -0,0 +1,108 @@
+//! The command line.
+
+use argh::FromArgs;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// A courier of quillhub, an outbound gateway: takes notices and delivers them to partners' systems.
+#[derive(FromArgs)]
+struct Line {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Serve(Serve),
+    Check(Check),
+    Version(Version),
+}
+
+/// Run a courier until SIGTERM or SIGINT.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "serve")]
+struct Serve {
+    /// configuration file (default: the one that $RELAY_CONFIG names)
+    #[argh(option)]
+    config: Option<PathBuf>,
+    /// folder that outlasts the process (default: the one that $RELAY_STATE names)
+    #[argh(option)]
+    state: Option<PathBuf>,
+    /// least level of log lines: error, warn, info, debug or trace (default: info)
+    #[argh(option, default = "tracing::Level::INFO")]
+    log: tracing::Level,
+}
+
+/// Read a configuration file and say what is wrong with it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct Check {
+    /// configuration file (default: the one that $RELAY_CONFIG names)
+    #[argh(option)]
+    config: Option<PathBuf>,
+}
+
+/// Print the version.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "version")]
+struct Version {}
+
+fn place(given: Option<PathBuf>, variable: &str, option: &str) -> Result<PathBuf, String> {
+    let named = given.or_else(|| std::env::var_os(variable).map(PathBuf::from));
+    named.ok_or(format!("expected {option} or ${variable}, found neither"))
+}
+
+fn text(config: Option<PathBuf>) -> Result<String, String> {
+    let path = place(config, "RELAY_CONFIG", "--config")?;
+    std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn serve(text: &str, state: &Path) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("the runtime cannot start: {e}"))?;
+    runtime.block_on(async {
+        let signals = |kind| signal(kind).map_err(|e| format!("signals cannot be caught: {e}"));
+        let (mut term, mut interrupt) =
+            (signals(SignalKind::terminate())?, signals(SignalKind::interrupt())?);
+        let stop = async move {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        };
+        crate::serve(text, state, stop).await
+    })
+}
+
+fn obey(command: Command) -> Result<(), String> {
+    match command {
+        Command::Serve(serve_with) => {
+            let subscriber = tracing_subscriber::fmt().with_max_level(serve_with.log).with_ansi(false);
+            subscriber.with_writer(std::io::stderr).init();
+            let text = text(serve_with.config)?;
+            serve(&text, &place(serve_with.state, "RELAY_STATE", "--state")?)
+        }
+        Command::Check(check) => {
+            crate::check(&text(check.config)?)?;
+            println!("the configuration can be used");
+            Ok(())
+        }
+        Command::Version(Version {}) => {
+            println!("quillhub {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    }
+}
+
+/// Reads the command line and obeys it; what fails is told in one line, with exit status 2.
+pub fn run() -> ExitCode {
+    match obey(argh::from_env::<Line>().command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(trouble) => {
+            eprintln!("quillhub: {trouble}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/quillhub-net/src/finals.rs
@@ -0,0 +1,84 @@
+//! Final answers on their way to the platform: each is sent until it is confirmed.
+
+use crate::host::{Final, Host};
+use crate::http;
+use crate::link::{Broken, Link};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+const PATH: &str = "/v2/finals";
+/// Answers in one call: some kilobytes.
+const MOST: usize = 64;
+/// The platform answers at once; a call without an answer for so long is given up and made again.
+const PATIENCE: Duration = Duration::from_secs(1);
+/// Pause after a call that failed.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Bytes of the answer's body.
+const MOST_BODY: usize = 64 * 1024;
+
+/// The line that tells of one final answer.
+fn line(end: &Final) -> String {
+    let reference = serde_json::Value::from(String::from_utf8_lossy(&end.reference));
+    let result = if end.denied { "bounced" } else { "dead" };
+    match end.come_back {
+        Some(wait) if end.denied => {
+            format!("{{\"ref\":{reference},\"result\":\"{result}\",\"wait_ms\":{}}}\n", wait.as_millis())
+        }
+        _ => format!("{{\"ref\":{reference},\"result\":\"{result}\"}}\n"),
+    }
+}
+
+/// One call; its status, and the link if it may be used again.
+async fn post(link: Option<Link>, at: SocketAddr, body: &[u8]) -> Result<(u16, Option<Link>), Broken> {
+    let mut link = match link.filter(Link::quiet) {
+        Some(link) => link,
+        None => Link::open(at).await.map_err(Broken::Failed)?,
+    };
+    let headers = [("Content-Type", &b"application/x-ndjson"[..])];
+    let request = http::request("POST", PATH, &at.to_string(), &headers, body);
+    link.write(&request).await.map_err(Broken::Failed)?;
+    let head = link.head().await?;
+    link.body(head.framing()?, MOST_BODY).await?;
+    Ok((head.status, head.keeps().then_some(link)))
+}
+
+/// Sends what waits, oldest first, as long as the host lives.
+pub async fn flush(host: Rc<RefCell<Host>>, platform: SocketAddr) {
+    let waits = host.borrow().finals_wait.clone();
+    let (mut link, mut most) = (None, MOST);
+    loop {
+        let (count, body) = {
+            let host = host.borrow();
+            let lines: Vec<_> = host.finals.iter().take(most).map(line).collect();
+            (lines.len(), lines.concat())
+        };
+        if count == 0 {
+            waits.notified().await;
+            continue;
+        }
+        match timeout(PATIENCE, post(link.take(), platform, body.as_bytes())).await {
+            Ok(Ok((204, kept))) => {
+                host.borrow_mut().confirmed(count);
+                (link, most) = (kept, MOST);
+            }
+            // One that cannot be read would hold up all others for ever: it is found by itself and given up.
+            Ok(Ok((400, _))) if most == 1 => {
+                tracing::error!(body, "the platform cannot read this final answer; it is given up");
+                host.borrow_mut().confirmed(count);
+            }
+            Ok(Ok((status, _))) => {
+                tracing::warn!(status, count, "final answers were not taken");
+                most = if status == 400 { 1 } else { MOST };
+                sleep(PAUSE).await;
+            }
+            Ok(Err(error)) => {
+                tracing::debug!(?error, count, "final answers did not get through");
+                sleep(PAUSE).await;
+            }
+            Err(_) => tracing::debug!(count, "no answer to final answers"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/quillhub-net/src/host.rs
@@ -0,0 +1,365 @@
+//! The host: owns the courier, tells it what happened on the sockets, and does there what it asks for.
+
+use crate::endpoints::{self, Answer, Endpoints, Failed};
+use crate::http;
+use crate::peers::Peers;
+use crate::wal::{self, Owed, Wal};
+use quillhub::courier::Courier;
+use quillhub::{Hands, NoticeId};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant, SystemTime};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+/// A notice that is held: what its calls and its final answer need. Gone with its end.
+struct Notice {
+    reference: Box<[u8]>,
+    mark: Option<Box<[u8]>>,
+    body: Rc<[u8]>,
+    sends: u32,
+    /// Its record, until that is on file.
+    unfiled: Option<Vec<u8>>,
+}
+
+/// How taking on a notice ended.
+#[derive(Debug, PartialEq)]
+pub enum Taken {
+    On(NoticeId),
+    Denied(Option<Duration>),
+    Failed(&'static str),
+}
+
+/// A final answer for the platform: the notice, its own name for it, and the wait of a denial.
+pub struct Final {
+    pub id: NoticeId,
+    pub reference: Box<[u8]>,
+    pub denied: bool,
+    pub come_back: Option<Duration>,
+}
+
+pub struct Host {
+    me: Weak<RefCell<Host>>,
+    /// Out of its place only while it is told something.
+    courier: Option<Courier>,
+    started: Instant,
+    /// What the courier's clock showed at `started`: it begins with what is owed from before.
+    before: Duration,
+    notices: BTreeMap<NoticeId, Notice>,
+    next: NoticeId,
+    /// The answer of the round that is taking on a notice.
+    turned_away: Option<Taken>,
+    wal: Wal,
+    /// Final answers that the platform has not confirmed; each goes with its confirmation.
+    pub finals: VecDeque<Final>,
+    pub finals_wait: Rc<Notify>,
+    pub endpoints: Endpoints,
+    connecting: Duration,
+    peers: Option<Rc<Peers>>,
+    pub watch_wanted: Rc<Notify>,
+    reports: bool,
+    calls: usize,
+    /// Set when the process is about to end: nothing new is decided then.
+    closing: bool,
+}
+
+fn log_failed(what: &str, result: std::io::Result<()>) {
+    if let Err(error) = result {
+        tracing::error!(%error, "{what} could not be written to the lasting folder");
+    }
+}
+
+impl Host {
+    /// `connecting` bounds the opening of a connection; `reports` says whether answers hold reports.
+    pub fn new(
+        courier: Courier,
+        wal: Wal,
+        endpoints: Endpoints,
+        connecting: Duration,
+        peers: Option<Rc<Peers>>,
+        reports: bool,
+    ) -> Rc<RefCell<Self>> {
+        Rc::new_cyclic(|me| {
+            RefCell::new(Self {
+                me: me.clone(),
+                courier: Some(courier),
+                started: Instant::now(),
+                before: Duration::ZERO,
+                notices: BTreeMap::new(),
+                next: 1,
+                turned_away: None,
+                wal,
+                finals: VecDeque::new(),
+                finals_wait: Rc::new(Notify::new()),
+                endpoints,
+                connecting,
+                peers,
+                watch_wanted: Rc::new(Notify::new()),
+                reports,
+                calls: 0,
+                closing: false,
+            })
+        })
+    }
+
+    fn now(&self) -> Duration {
+        self.before + self.started.elapsed()
+    }
+
+    /// Tells the courier what happened, and lets it act. A panic in there ends only the task that told it.
+    pub fn tell<T>(&mut self, event: impl FnOnce(&mut Courier) -> T) -> T {
+        let mut courier = self.courier.take().expect("it is put back below, after a panic too");
+        let now = self.now();
+        let told = catch_unwind(AssertUnwindSafe(|| {
+            courier.at(now);
+            let told = event(&mut courier);
+            if !self.closing {
+                courier.settle(self);
+            }
+            told
+        }));
+        self.courier = Some(courier);
+        told.unwrap_or_else(|panic| resume_unwind(panic))
+    }
+
+    /// Takes back what was owed when the last process ended.
+    pub fn take_back(&mut self, all: BTreeMap<NoticeId, Owed>) {
+        let wall = SystemTime::now();
+        let ago = |at: &SystemTime| wall.duration_since(*at).unwrap_or_default();
+        let runs = all.values().flat_map(|owed| owed.sends.values().flatten()).map(|(at, _)| ago(at));
+        self.before = runs.max().unwrap_or_default();
+        let now = self.now();
+        self.next = all.last_key_value().map_or(1, |(id, _)| id + 1);
+        tracing::info!(notices = all.len(), "owed from before");
+        let mut courier = self.courier.take().expect("nothing is being told");
+        courier.at(now);
+        for (id, owed) in all {
+            if let Some((denied, come_back)) = owed.answer {
+                self.finals.push_back(Final { id, reference: owed.reference.into(), denied, come_back });
+                continue;
+            }
+            let lasts = owed.limit.and_then(|limit| limit.duration_since(wall).ok()).unwrap_or_default();
+            if !courier.notice(id, &owed.grade, owed.turn, now + lasts, None, owed.destination) {
+                tracing::error!(notice = id, grade = owed.grade, "owed, but of no known grade: written off");
+                self.finals.push_back(Final {
+                    id,
+                    reference: owed.reference.into(),
+                    denied: false,
+                    come_back: None,
+                });
+                continue;
+            }
+            let sends = owed.sends.last_key_value().map_or(0, |(send, _)| send + 1);
+            let first = owed.sends.values().flatten().min();
+            courier.sent_before(id, sends, first.map(|(at, name)| (now - ago(at), name.as_str())));
+            let (reference, mark) = (owed.reference.into(), owed.mark.map(Into::into));
+            let notice = Notice { reference, mark, body: owed.body.into(), sends, unfiled: None };
+            self.notices.insert(id, notice);
+        }
+        self.courier = Some(courier);
+    }
+
+    /// Takes on a notice: the courier is told of it, and if it does not turn it away at once, it is on file.
+    #[allow(clippy::too_many_arguments)]
+    pub fn take_on(
+        &mut self,
+        grade: &str,
+        turn: Option<u64>,
+        lasts: Duration,
+        destination: u64,
+        reference: &[u8],
+        mark: Option<&[u8]>,
+        body: &[u8],
+    ) -> Taken {
+        let id = self.next;
+        self.next += 1;
+        let record = wal::taken(&Owed {
+            grade: grade.into(),
+            destination,
+            turn,
+            limit: Some(SystemTime::now() + lasts),
+            reference: reference.into(),
+            mark: mark.map(Into::into),
+            body: body.into(),
+            ..Owed::default()
+        });
+        let room = self.wal.room().saturating_sub(record.len() as u64);
+        let notice = Notice {
+            reference: reference.into(),
+            mark: mark.map(Into::into),
+            body: body.into(),
+            sends: 0,
+            unfiled: Some(record),
+        };
+        self.notices.insert(id, notice);
+        self.turned_away = None;
+        let limit = self.now() + lasts;
+        let known = self.tell(|courier| {
+            courier.folder_room(room);
+            courier.notice(id, grade, turn, limit, None, destination)
+        });
+        if !known {
+            self.notices.remove(&id);
+            return Taken::Failed("unknown grade");
+        }
+        if let Some(answer) = self.turned_away.take() {
+            return answer;
+        }
+        if let Err(error) = self.file(id) {
+            tracing::error!(%error, "a notice could not be taken on");
+            self.gone(id);
+            return Taken::Failed("the lasting folder cannot be written");
+        }
+        Taken::On(id)
+    }
+
+    fn file(&mut self, id: NoticeId) -> std::io::Result<()> {
+        match self.notices.get_mut(&id).and_then(|notice| notice.unfiled.take()) {
+            Some(record) => self.wal.taken(id, &record),
+            None => Ok(()),
+        }
+    }
+
+    /// The client left before it heard that its notice is taken on, or the notice is over for other reasons.
+    pub fn gone(&mut self, id: NoticeId) {
+        if self.notices.remove(&id).is_some_and(|notice| notice.unfiled.is_none()) {
+            log_failed("an end", self.wal.over(id));
+        }
+        self.tell(|courier| courier.over(id));
+    }
+
+    /// The platform has these final answers: nothing is owed any more.
+    pub fn confirmed(&mut self, count: usize) {
+        for end in self.finals.drain(..count).collect::<Vec<_>>() {
+            log_failed("an end", self.wal.over(end.id));
+        }
+    }
+
+    /// A final answer of the courier: the client's, if it still waits for the first, or else the platform's.
+    fn answer(&mut self, id: NoticeId, denied: bool, come_back: Option<Duration>) {
+        let Some(notice) = self.notices.remove(&id) else { return };
+        if notice.unfiled.is_some() {
+            self.turned_away = Some(if denied { Taken::Denied(come_back) } else { Taken::Failed("written off") });
+            return;
+        }
+        log_failed("an answer", self.wal.answered(id, denied, come_back));
+        self.finals.push_back(Final { id, reference: notice.reference, denied, come_back });
+        self.finals_wait.notify_one();
+    }
+
+    fn ended(&mut self, id: NoticeId, send: u32, name: &str, end: Result<Answer, Failed>, took: Duration) {
+        self.calls -= 1;
+        let (outcome, over) = endpoints::outcome(&end);
+        tracing::debug!(notice = id, send, endpoint = name, ?outcome, ?took, "call ended");
+        if self.notices.contains_key(&id) {
+            if over {
+                log_failed("an end", self.wal.over(id));
+                self.notices.remove(&id);
+            } else if outcome.never_ran() {
+                log_failed("an outcome", self.wal.did_not_run(id, send));
+            }
+        }
+        let report = end.ok().and_then(|answer| answer.report).filter(|_| self.reports);
+        self.tell(|courier| courier.outcome(id, send, outcome, took, over, report));
+    }
+
+    /// Calls that are out, and whether anything is still owed that could be worked on.
+    pub fn busy(&self) -> (usize, bool) {
+        (self.calls, !self.notices.is_empty() || !self.finals.is_empty())
+    }
+
+    /// From now on nothing new is decided; what ends is still noted.
+    pub fn close(&mut self) {
+        self.closing = true;
+    }
+}
+
+impl Hands for Host {
+    fn send(&mut self, id: NoticeId, endpoint: &str, patience: Duration) {
+        let started = Instant::now();
+        let filed = self.file(id);
+        let Some(notice) = self.notices.get_mut(&id) else { return };
+        let send = notice.sends;
+        notice.sends += 1;
+        let body = notice.body.clone();
+        let lasts = format!("{:.3}", patience.as_secs_f64());
+        let mut headers = vec![("X-Request-Id", &notice.reference[..])];
+        headers.extend(notice.mark.as_deref().map(|mark| ("Idempotency-Key", mark)));
+        headers.push(("X-Deadline", lasts.as_bytes()));
+        let address = self.endpoints.address(endpoint);
+        let host = address.map(|at| at.to_string()).unwrap_or_default();
+        let request = http::request("POST", "/events", &host, &headers, &body);
+        let filed = filed.and_then(|()| self.wal.may_have_run(id, send, SystemTime::now(), endpoint));
+        let safe = filed.is_ok();
+        log_failed("a send", filed);
+        let link = self.endpoints.take(endpoint);
+        let (me, name, connecting) = (self.me.clone(), endpoint.to_owned(), self.connecting);
+        self.calls += 1;
+        spawn_local(async move {
+            let goes = {
+                let (me, name) = (me.clone(), name.clone());
+                move || me.upgrade().is_some_and(|host| host.borrow().may_go(id, send, &name))
+            };
+            let call = spawn_local(async move {
+                match address.filter(|_| safe) {
+                    Some(at) => endpoints::call(link, at, connecting, patience, &request, goes).await,
+                    None => (Err(Failed::Here), None),
+                }
+            });
+            // A panic there ends only that call; it may have run.
+            let (end, link) = call.await.unwrap_or((Err(Failed::Broken), None));
+            let Some(host) = me.upgrade() else { return };
+            let mut host = host.borrow_mut();
+            if let Some(link) = link {
+                host.endpoints.put(&name, link);
+            }
+            host.ended(id, send, &name, end, started.elapsed());
+        });
+    }
+
+    fn deny(&mut self, id: NoticeId, come_back: Option<Duration>) {
+        self.answer(id, true, come_back);
+    }
+
+    fn write_off(&mut self, id: NoticeId) {
+        self.answer(id, false, None);
+    }
+
+    fn hang_up(&mut self, endpoint: &str) {
+        self.endpoints.hang_up(endpoint);
+    }
+
+    fn tell(&mut self, note: &[u8]) {
+        if let Some(peers) = &self.peers {
+            peers.tell(note);
+        }
+    }
+
+    fn wake(&mut self, wait: Duration) {
+        let me = self.me.clone();
+        spawn_local(async move {
+            tokio::time::sleep(wait).await;
+            if let Some(host) = me.upgrade() {
+                host.borrow_mut().tell(Courier::woken);
+            }
+        });
+    }
+
+    fn watch(&mut self) {
+        self.watch_wanted.notify_one();
+    }
+
+    fn log(&mut self, line: &str) {
+        tracing::info!("{line}");
+    }
+}
+
+impl Host {
+    /// Asked before a call's first byte: whether the courier still wants it to go.
+    fn may_go(&self, id: NoticeId, send: u32, endpoint: &str) -> bool {
+        let now = self.now();
+        self.courier.as_ref().is_some_and(|courier| courier.may_go(id, send, endpoint, now))
+    }
+}
--- /dev/null
+++ b/crates/quillhub-net/src/http.rs
@@ -0,0 +1,158 @@
+//! HTTP/1.1, as far as a caller needs it: writes requests and reads answers. Nothing here touches a socket.
+
+use winnow::ascii::{crlf, dec_uint, hex_uint, space0, space1};
+use winnow::combinator::{repeat, terminated};
+use winnow::error::ErrMode;
+use winnow::stream::{AsChar, Partial, Stream};
+use winnow::token::{one_of, take, take_till, take_while};
+use winnow::{ModalResult, Parser};
+
+/// Bytes of an answer's head: far more than any header here needs.
+const MOST_HEAD: usize = 16 * 1024;
+/// Headers of an answer.
+const MOST_HEADERS: usize = 64;
+/// Bytes of a chunk's first line, extensions included.
+const MOST_CHUNK_LINE: usize = 256;
+
+type Input<'a> = Partial<&'a [u8]>;
+
+/// What came cannot be an answer, whatever follows.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Malformed;
+
+/// How the body's end is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    Length(usize),
+    Chunked,
+    ToEnd,
+}
+
+/// An answer's first line and headers.
+#[derive(Debug)]
+pub struct Head {
+    pub status: u16,
+    keeps: bool,
+    headers: Vec<(String, String)>,
+}
+
+impl Head {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|h| h.0.eq_ignore_ascii_case(name)).map(|h| h.1.as_str())
+    }
+
+    /// Whether the connection may carry another call after this answer.
+    pub fn keeps(&self) -> bool {
+        let said = self.header("connection").unwrap_or_default();
+        let says = |word| said.split(',').any(|part| part.trim().eq_ignore_ascii_case(word));
+        (self.keeps || says("keep-alive")) && !says("close")
+    }
+
+    pub fn framing(&self) -> Result<Framing, Malformed> {
+        if self.status < 200 || matches!(self.status, 204 | 304) {
+            return Ok(Framing::Length(0));
+        }
+        if let Some(coding) = self.header("transfer-encoding") {
+            return if coding.trim().eq_ignore_ascii_case("chunked") {
+                Ok(Framing::Chunked)
+            } else {
+                Err(Malformed)
+            };
+        }
+        match self.header("content-length") {
+            Some(length) => length.trim().parse().map(Framing::Length).map_err(|_| Malformed),
+            None => Ok(Framing::ToEnd),
+        }
+    }
+}
+
+fn first_line(input: &mut Input<'_>) -> ModalResult<(bool, u16)> {
+    let minor = one_of(b'0'..=b'9');
+    let reason = take_till(0.., |byte| byte == b'\r' || byte == b'\n');
+    (b"HTTP/1.", minor, space1, dec_uint.verify(|s| (100..1000).contains(s)), reason, crlf)
+        .map(|(_, minor, _, status, _, _)| (minor > b'0', status))
+        .parse_next(input)
+}
+
+fn header(input: &mut Input<'_>) -> ModalResult<(String, String)> {
+    let name = take_while(1.., |byte: u8| byte.is_alphanum() || b"!#$%&'*+-.^_`|~".contains(&byte));
+    let value = take_till(0.., |byte| byte == b'\r' || byte == b'\n');
+    let text = |octets: &[u8]| String::from_utf8_lossy(octets).trim().to_owned();
+    (name, b':', space0, value, crlf)
+        .map(|(name, _, _, value, _): (&[u8], _, _, &[u8], _)| (text(name), text(value)))
+        .parse_next(input)
+}
+
+/// Nothing while more must come.
+fn whole<T>(input: &[u8], rest: &Input<'_>, read: ModalResult<T>) -> Result<Option<(T, usize)>, Malformed> {
+    match read {
+        Ok(value) => Ok(Some((value, input.len() - rest.eof_offset()))),
+        Err(ErrMode::Incomplete(_)) => Ok(None),
+        Err(_) => Err(Malformed),
+    }
+}
+
+/// The head at the start of `input` and how many bytes it takes; nothing if more must come.
+///
+/// ```
+/// use quillhub_net::http::{Framing, head};
+///
+/// let input = b"HTTP/1.1 200 OK\r\nX-Load: x0=0.4\r\nContent-Length: 2\r\n\r\nhi";
+/// let (answer, used) = head(input).unwrap().unwrap();
+/// assert_eq!((answer.status, answer.header("x-load"), used), (200, Some("x0=0.4"), input.len() - 2));
+/// assert_eq!(answer.framing(), Ok(Framing::Length(2)));
+/// assert!(head(&input[..30]).unwrap().is_none());
+/// assert!(head(b"SSH-2.0-").is_err());
+/// ```
+pub fn head(input: &[u8]) -> Result<Option<(Head, usize)>, Malformed> {
+    let mut rest = Partial::new(input);
+    let lines = repeat(0..=MOST_HEADERS, header);
+    let read = (first_line, terminated(lines, crlf)).parse_next(&mut rest);
+    let read = whole(input, &rest, read)?;
+    if read.is_none() && input.len() > MOST_HEAD {
+        return Err(Malformed);
+    }
+    Ok(read.map(|(((keeps, status), headers), used)| (Head { status, keeps, headers }, used)))
+}
+
+fn a_chunk<'a>(most: usize, input: &mut Input<'a>) -> ModalResult<&'a [u8]> {
+    let extension = take_till(0.., |byte| byte == b'\r' || byte == b'\n');
+    let length = (hex_uint, extension, crlf).map(|(length, _, _): (u32, _, _)| length as usize);
+    match length.verify(|length| *length <= most).parse_next(input)? {
+        0 => {
+            let trailer: ModalResult<Vec<_>> =
+                terminated(repeat(0..=MOST_HEADERS, header), crlf).parse_next(input);
+            trailer.map(|_| &[][..])
+        }
+        length => terminated(take(length), crlf).parse_next(input),
+    }
+}
+
+/// The chunk at the start of `input`, empty for the last, and how many bytes it takes; nothing if more must
+/// come. It may not be longer than `most`.
+pub fn chunk(input: &[u8], most: usize) -> Result<Option<(&[u8], usize)>, Malformed> {
+    let mut rest = Partial::new(input);
+    let read = a_chunk(most, &mut rest);
+    let read = whole(input, &rest, read)?;
+    if read.is_none() && input.len() > most + MOST_CHUNK_LINE + MOST_HEAD {
+        return Err(Malformed);
+    }
+    Ok(read)
+}
+
+/// A request with a body; header values must hold no line ends.
+pub fn request(method: &str, path: &str, host: &str, headers: &[(&str, &[u8])], body: &[u8]) -> Vec<u8> {
+    let mut octets = format!("{method} {path} HTTP/1.1\r\nHost: {host}\r\n").into_bytes();
+    for (name, value) in headers {
+        octets.extend_from_slice(name.as_bytes());
+        octets.extend_from_slice(b": ");
+        octets.extend_from_slice(value);
+        octets.extend_from_slice(b"\r\n");
+    }
+    if method != "GET" {
+        octets.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+    }
+    octets.extend_from_slice(b"\r\n");
+    octets.extend_from_slice(body);
+    octets
+}
--- /dev/null
+++ b/crates/quillhub-net/src/link.rs
@@ -0,0 +1,113 @@
+//! One HTTP connection of ours: a socket and what was read from it and not yet used.
+
+use crate::http::{self, Framing, Head};
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Why nothing more can be read from a connection.
+#[derive(Debug)]
+pub enum Broken {
+    Ended,
+    Failed(io::Error),
+    Malformed,
+}
+
+impl From<http::Malformed> for Broken {
+    fn from(_: http::Malformed) -> Self {
+        Self::Malformed
+    }
+}
+
+pub struct Link {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl Link {
+    pub async fn open(at: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(at).await?;
+        stream.set_nodelay(true)?;
+        Ok(Self { stream, buffer: Vec::new() })
+    }
+
+    pub async fn write(&mut self, octets: &[u8]) -> io::Result<()> {
+        self.stream.write_all(octets).await
+    }
+
+    async fn more(&mut self) -> Result<(), Broken> {
+        match self.stream.read_buf(&mut self.buffer).await {
+            Ok(0) => Err(Broken::Ended),
+            Ok(_) => Ok(()),
+            Err(error) => Err(Broken::Failed(error)),
+        }
+    }
+
+    /// The next answer's head; interim answers are passed over.
+    pub async fn head(&mut self) -> Result<Head, Broken> {
+        loop {
+            match http::head(&self.buffer)? {
+                Some((head, used)) => {
+                    self.buffer.drain(..used);
+                    if head.status >= 200 {
+                        return Ok(head);
+                    }
+                }
+                None => self.more().await?,
+            }
+        }
+    }
+
+    /// The next chunk of a chunked body; empty for the last.
+    pub async fn chunk(&mut self, most: usize) -> Result<Vec<u8>, Broken> {
+        loop {
+            if let Some((octets, used)) = http::chunk(&self.buffer, most)? {
+                let octets = octets.to_vec();
+                self.buffer.drain(..used);
+                return Ok(octets);
+            }
+            self.more().await?;
+        }
+    }
+
+    /// A whole body of `most` bytes at most.
+    pub async fn body(&mut self, framing: Framing, most: usize) -> Result<Vec<u8>, Broken> {
+        let mut body = Vec::new();
+        match framing {
+            Framing::Length(length) if length > most => return Err(Broken::Malformed),
+            Framing::Length(length) => {
+                while self.buffer.len() < length {
+                    self.more().await?;
+                }
+                body.extend(self.buffer.drain(..length));
+            }
+            Framing::Chunked => loop {
+                let octets = self.chunk(most).await?;
+                if octets.is_empty() {
+                    break;
+                }
+                body.extend_from_slice(&octets);
+                if body.len() > most {
+                    return Err(Broken::Malformed);
+                }
+            },
+            Framing::ToEnd => loop {
+                if self.buffer.len() > most {
+                    return Err(Broken::Malformed);
+                }
+                match self.more().await {
+                    Err(Broken::Ended) => return Ok(std::mem::take(&mut self.buffer)),
+                    other => other?,
+                }
+            },
+        }
+        Ok(body)
+    }
+
+    /// Whether the connection is still open with nothing read or to read, so that a call may use it.
+    pub fn quiet(&self) -> bool {
+        let blocks = |e: io::Error| e.kind() == ErrorKind::WouldBlock;
+        self.buffer.is_empty() && self.stream.try_read(&mut [0]).is_err_and(blocks)
+    }
+}
--- /dev/null
+++ b/crates/quillhub-net/src/main.rs
@@ -0,0 +1,5 @@
+//! The program: all of it is in the library.
+
+fn main() -> std::process::ExitCode {
+    quillhub_net::command::run()
+}
--- /dev/null
+++ b/crates/quillhub-net/src/peers.rs
@@ -0,0 +1,52 @@
+//! Notes between couriers, as datagrams; they may be lost.
+
+use crate::host::Host;
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+/// Bytes of a datagram.
+const MOST: usize = 256;
+/// Pause after a failed read, such as of a datagram that could not be delivered.
+const PAUSE: Duration = Duration::from_millis(5);
+
+pub struct Peers {
+    socket: UdpSocket,
+    /// The address that reaches all.
+    all: SocketAddr,
+    /// What came from here is passed over.
+    own: Option<SocketAddr>,
+}
+
+impl Peers {
+    pub async fn open(listen: SocketAddr, all: SocketAddr, own: Option<SocketAddr>) -> io::Result<Self> {
+        Ok(Self { socket: UdpSocket::bind(listen).await?, all, own })
+    }
+
+    /// Sends a note to all, if it goes at once.
+    pub fn tell(&self, note: &[u8]) {
+        if note.len() > MOST {
+            tracing::error!(bytes = note.len(), "a note is too long");
+        } else if let Err(error) = self.socket.try_send_to(note, self.all) {
+            tracing::debug!(%error, "a note was not sent");
+        }
+    }
+
+    /// Hands what comes to the courier, as long as the host lives.
+    pub async fn hear(self: Rc<Self>, host: Rc<RefCell<Host>>) {
+        let mut octets = [0; MOST + 1];
+        loop {
+            match self.socket.recv_from(&mut octets).await {
+                Ok((length, from)) if length <= MOST && Some(from) != self.own => {
+                    host.borrow_mut().tell(|courier| courier.told_by_courier(&octets[..length]));
+                }
+                Ok(_) => {}
+                Err(_) => sleep(PAUSE).await,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/quillhub-net/src/register.rs
@@ -0,0 +1,118 @@
+//! The register: the list at first, then a watch on its changes, opened again whenever it ends.
+
+use crate::host::Host;
+use crate::http::{self, Framing};
+use crate::link::{Broken, Link};
+use quillhub::Listing;
+use quillhub_settings::At;
+use serde_json::Value;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+const PATH: &str = "/registry/instances";
+/// A watch sends a line every 2 s; one silent for so long has ended, whatever its connection says.
+const SILENCE: Duration = Duration::from_millis(2_500);
+/// Pause before a watch that ended is opened again, where the register tells changes unasked.
+const PAUSE: Duration = Duration::from_millis(250);
+/// Bytes of a line: the whole list of a large deployment.
+const MOST_LINE: usize = 4 * 1024 * 1024;
+
+fn listing(phase: &At) -> Result<Listing, String> {
+    match phase.word()? {
+        "up" => Ok(Listing::Open),
+        "draining" => Ok(Listing::Draining),
+        "removed" => Ok(Listing::Gone),
+        _ => phase.wrong("up, draining or removed"),
+    }
+}
+
+/// Tells the courier a list or changes of it, and gives its number. `asked` is false for the list known at
+/// the start. A list that cannot be read tells nothing.
+pub fn tell(host: &mut Host, list: &Value, asked: bool) -> Result<u64, String> {
+    let top = At::top(list);
+    let whole = top.get("complete").map_or(Ok(false), |v| v.flag())?;
+    let revision = top.need("revision")?.whole()?;
+    let members = top.need("members")?.rows()?;
+    let mut rows = Vec::with_capacity(members.len());
+    for member in &members {
+        let name = member.need("id")?.word()?;
+        let address = member.need("host_port")?;
+        let Ok(address) = address.word()?.parse::<SocketAddr>() else { return address.wrong("an address") };
+        let word = |name| member.get(name).map_or(Ok(""), |v| v.word());
+        let (zone, kind, phase) = (word("locality")?, word("flavor")?, listing(&member.need("phase")?)?);
+        let rate = member.get("size").map(|v| v.number()).transpose()?;
+        rows.push((name, address, zone, kind, member.need("cell")?.whole()?, phase, rate));
+    }
+    for (name, address, .., phase, _) in &rows {
+        match phase {
+            Listing::Gone => host.endpoints.gone(name),
+            _ => host.endpoints.listed(name, *address),
+        }
+    }
+    let names: BTreeSet<String> = rows.iter().map(|row| row.0.to_owned()).collect();
+    if whole {
+        host.endpoints.keep_only(|name| names.contains(name));
+    }
+    host.tell(|courier| {
+        for (name, _, zone, kind, owner, phase, rate) in rows {
+            courier.listed(name, zone, kind, owner, phase, rate);
+        }
+        courier.list_ends(whole.then_some(&names), asked);
+    });
+    Ok(revision)
+}
+
+/// One watch, from `revision` on, until it ends.
+async fn watch(host: &RefCell<Host>, at: SocketAddr, revision: &mut u64) -> Result<(), Broken> {
+    let opened = timeout(SILENCE, Link::open(at)).await.map_err(|_| Broken::Ended)?;
+    let mut link = opened.map_err(Broken::Failed)?;
+    let path = format!("{PATH}?watch=1&after={revision}");
+    let request = http::request("GET", &path, &at.to_string(), &[], &[]);
+    link.write(&request).await.map_err(Broken::Failed)?;
+    let head = timeout(SILENCE, link.head()).await.map_err(|_| Broken::Ended)??;
+    if head.status != 200 || head.framing()? != Framing::Chunked {
+        return Err(Broken::Malformed);
+    }
+    let mut line = Vec::new();
+    loop {
+        let chunk = timeout(SILENCE, link.chunk(MOST_LINE)).await.map_err(|_| Broken::Ended)??;
+        if chunk.is_empty() || line.len() > MOST_LINE {
+            return Err(Broken::Ended);
+        }
+        line.extend_from_slice(&chunk);
+        while let Some(end) = line.iter().position(|byte| *byte == b'\n') {
+            let text: Vec<u8> = line.drain(..=end).collect();
+            if text.trim_ascii().is_empty() {
+                continue;
+            }
+            let value = serde_json::from_slice::<Value>(&text).map_err(|_| Broken::Malformed)?;
+            match tell(&mut host.borrow_mut(), &value, true) {
+                Ok(number) => *revision = number,
+                Err(trouble) => {
+                    tracing::error!(trouble, "the register's list cannot be read");
+                    return Err(Broken::Malformed);
+                }
+            }
+        }
+    }
+}
+
+/// Keeps a watch open. Where the register `must_be_asked`, the courier says when.
+pub async fn follow(host: Rc<RefCell<Host>>, at: SocketAddr, mut revision: u64, must_be_asked: bool) {
+    let wanted = host.borrow().watch_wanted.clone();
+    loop {
+        if must_be_asked {
+            wanted.notified().await;
+        }
+        let ended = watch(&host, at, &mut revision).await;
+        tracing::info!(?ended, revision, "the watch on the register ended");
+        host.borrow_mut().tell(|courier| courier.list_failed());
+        if !must_be_asked {
+            sleep(PAUSE).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/quillhub-net/src/resp.rs
@@ -0,0 +1,75 @@
+//! RESP2, as far as clients use it: reads commands and writes answers. Nothing here touches a socket.
+
+use std::time::Duration;
+use winnow::ascii::{crlf, dec_uint};
+use winnow::combinator::terminated;
+use winnow::error::ErrMode;
+use winnow::stream::{Partial, Stream};
+use winnow::token::take;
+use winnow::{ModalResult, Parser};
+
+/// Parts of a command: the longest known has five; a few more are read to be answered with an error.
+const MOST_PARTS: usize = 16;
+
+pub const OK: &[u8] = b"+OK\r\n";
+pub const PONG: &[u8] = b"+PONG\r\n";
+
+type Input<'a> = Partial<&'a [u8]>;
+
+/// What came cannot be a command, whatever follows.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Malformed;
+
+fn count(mark: u8, most: usize, input: &mut Input<'_>) -> ModalResult<usize> {
+    (mark, dec_uint, crlf).map(|(_, count, _): (_, usize, _)| count).verify(|n| *n <= most).parse_next(input)
+}
+
+/// The parts of the first command in `input` and how many bytes it takes; nothing if more must come. No part
+/// may be longer than `most`.
+///
+/// ```
+/// use quillhub_net::resp::command;
+///
+/// let input = b"*2\r\n$4\r\nECHO\r\n$2\r\nhi\r\n*1\r\n";
+/// assert_eq!(command(input, 9), Ok(Some((vec![&b"ECHO"[..], b"hi"], 22))));
+/// assert_eq!(command(&input[..20], 9), Ok(None));
+/// assert!(command(input, 3).is_err());
+/// ```
+#[allow(clippy::type_complexity)]
+pub fn command(input: &[u8], most: usize) -> Result<Option<(Vec<&[u8]>, usize)>, Malformed> {
+    let mut rest = Partial::new(input);
+    let mut read = || {
+        let parts = count(b'*', MOST_PARTS, &mut rest)?;
+        let mut part = || {
+            let length = count(b'$', most, &mut rest)?;
+            terminated(take(length), crlf).parse_next(&mut rest)
+        };
+        (0..parts).map(|_| part()).collect::<ModalResult<Vec<&[u8]>>>()
+    };
+    match read() {
+        Ok(parts) => Ok(Some((parts, input.len() - rest.eof_offset()))),
+        Err(ErrMode::Incomplete(_)) => Ok(None),
+        Err(_) => Err(Malformed),
+    }
+}
+
+/// The value of `name` in a list like `c=notice,d=8000`.
+pub fn named<'a>(list: &'a [u8], name: &str) -> Option<&'a [u8]> {
+    list.split(|byte| *byte == b',').find_map(|pair| pair.strip_prefix(name.as_bytes())?.strip_prefix(b"="))
+}
+
+pub fn busy(come_back: Option<Duration>) -> Vec<u8> {
+    match come_back {
+        Some(wait) => format!("-BUSY {}\r\n", wait.as_millis()).into_bytes(),
+        None => b"-BUSY\r\n".to_vec(),
+    }
+}
+
+pub fn error(what: &str) -> Vec<u8> {
+    format!("-ERR {what}\r\n").into_bytes()
+}
+
+/// A bulk string.
+pub fn bulk(octets: &[u8]) -> Vec<u8> {
+    [format!("${}\r\n", octets.len()).as_bytes(), octets, b"\r\n"].concat()
+}
--- a/crates/quillhub-drill/src/settings.rs
+++ b/crates/quillhub-settings/src/lib.rs
@@ -1,61 +1,75 @@
-//! Reads the settings of a new courier and hands each to it.
+//! Reads the settings of a new courier and hands each to it; shared by all hosts of couriers.
 
-use crate::wire::expected;
 use quillhub::courier::Courier;
 use quillhub::{Effect, Grade, ListedRate};
 use serde_json::Value;
+use std::fmt::Display;
 use std::time::Duration;
 
-/// A value of the settings with the path it stands at, for messages.
+/// The longest piece of what was found that a message quotes.
+const QUOTED: usize = 60;
+
+/// One line on what was expected and what stands there instead.
+pub fn expected(what: impl Display, found: &str) -> String {
+    let short: String = found.chars().take(QUOTED).collect();
+    let more = if short.len() < found.len() { ".." } else { "" };
+    format!("expected {what}, found '{short}{more}'")
+}
+
+/// A JSON value with the path it stands at, for messages.
 #[derive(Clone)]
-struct At<'a> {
-    value: &'a Value,
+pub struct At<'a> {
+    pub value: &'a Value,
     path: String,
 }
 
 impl<'a> At<'a> {
+    pub fn top(value: &'a Value) -> Self {
+        Self { value, path: String::new() }
+    }
+
     /// What stands under `name`; nothing if it is absent or null.
-    fn get(&self, name: &str) -> Option<At<'a>> {
+    pub fn get(&self, name: &str) -> Option<At<'a>> {
         let value = self.value.get(name).filter(|value| !value.is_null())?;
         Some(At { value, path: format!("{}.{name}", self.path).trim_start_matches('.').into() })
     }
 
-    fn need(&self, name: &str) -> Result<At<'a>, String> {
+    pub fn need(&self, name: &str) -> Result<At<'a>, String> {
         self.get(name).ok_or(format!("expected settings with {}.{name}, found none", self.path))
     }
 
-    fn wrong<T>(&self, wanted: &str) -> Result<T, String> {
+    pub fn wrong<T>(&self, wanted: &str) -> Result<T, String> {
         let what = format!("{wanted} as settings' {}", self.path);
         Err(expected(what, &self.value.to_string()))
     }
 
-    fn number(&self) -> Result<f64, String> {
+    pub fn number(&self) -> Result<f64, String> {
         self.value.as_f64().map_or_else(|| self.wrong("a number"), Ok)
     }
 
-    fn whole(&self) -> Result<u64, String> {
+    pub fn whole(&self) -> Result<u64, String> {
         self.value.as_u64().map_or_else(|| self.wrong("a whole number"), Ok)
     }
 
-    fn span(&self) -> Result<Duration, String> {
+    pub fn span(&self) -> Result<Duration, String> {
         self.whole().map(Duration::from_micros)
     }
 
-    fn flag(&self) -> Result<bool, String> {
+    pub fn flag(&self) -> Result<bool, String> {
         self.value.as_bool().map_or_else(|| self.wrong("true or false"), Ok)
     }
 
-    fn word(&self) -> Result<&'a str, String> {
+    pub fn word(&self) -> Result<&'a str, String> {
         self.value.as_str().map_or_else(|| self.wrong("a text"), Ok)
     }
 
-    fn rows(&self) -> Result<Vec<At<'a>>, String> {
+    pub fn rows(&self) -> Result<Vec<At<'a>>, String> {
         let Some(rows) = self.value.as_array() else { return self.wrong("a list") };
         let row = |(at, value)| At { value, path: format!("{}[{at}]", self.path) };
         Ok(rows.iter().enumerate().map(row).collect())
     }
 
-    fn words(&self) -> Result<Vec<&'a str>, String> {
+    pub fn words(&self) -> Result<Vec<&'a str>, String> {
         self.rows()?.iter().map(At::word).collect()
     }
 }
@@ -69,10 +83,18 @@
 
 /// A courier started with the settings in `text`, and where its load reports hold what.
 pub fn start(seed: u64, text: &str) -> Result<(Courier, ReportPlaces), String> {
-    let Some(value) = serde_json::from_str::<Value>(text).ok().filter(Value::is_object) else {
-        return Err(expected("settings as a JSON object", text));
-    };
-    let top = At { value: &value, path: String::new() };
+    match serde_json::from_str::<Value>(text) {
+        Ok(value) => read(seed, &value),
+        Err(_) => Err(expected("settings as a JSON object", text)),
+    }
+}
+
+/// The same with settings that are read already.
+pub fn read(seed: u64, value: &Value) -> Result<(Courier, ReportPlaces), String> {
+    if !value.is_object() {
+        return Err(expected("settings as a JSON object", &value.to_string()));
+    }
+    let top = At::top(value);
     let none = Value::Object(serde_json::Map::new());
     let part = |name: &str| top.get(name).unwrap_or(At { value: &none, path: name.into() });
     let (limits, rules, family) = (part("limits"), part("rules"), part("familyInfo"));
--- a/src/courier.rs
+++ b/src/courier.rs
@@ -150,6 +150,7 @@
     pub(crate) zone: String,
     pub(crate) slots: Slots,
     pub(crate) room: usize,
+    pub(crate) folder_room: u64,
     pub(crate) most_sends: u32,
     pub(crate) longest_wait: Duration,
     pub(crate) ramp: Return,
@@ -187,6 +188,7 @@
             zone: zone.into(),
             slots: Slots { most: 1 },
             room: usize::MAX,
+            folder_room: u64::MAX,
             most_sends: u32::MAX,
             longest_wait: Duration::ZERO,
             ramp: Return { factor: 1.0, start: 0.0, warm_up: Duration::ZERO },
@@ -310,6 +312,29 @@
         }
     }
 
+    /// Of a notice told just now: so many sends were begun before, the first that may have run then and there.
+    pub fn sent_before(&mut self, id: NoticeId, sends: u32, ran: Option<(Duration, &str)>) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let endpoints = self.destinations.get(&held.destination).map(|d| &d.endpoints);
+        let zone = |name| endpoints.and_then(|e| e.get(name)).map_or(String::new(), |e| e.zone.clone());
+        held.sends = sends;
+        held.may_have_run = ran.map(|(at, name)| (at, zone(name)));
+    }
+
+    /// Bytes that the host can still keep for what is handed in.
+    pub fn folder_room(&mut self, bytes: u64) {
+        self.folder_room = bytes;
+    }
+
+    /// Whether a send that was asked for may still go: its endpoint was not told to be left alone since.
+    pub fn may_go(&self, id: NoticeId, send: u32, endpoint: &str, now: Duration) -> bool {
+        let Some(call) = self.calls.get(&(id, send)) else { return false };
+        let destination = self.destinations.get(&call.destination);
+        let Some(endpoint) = destination.and_then(|d| d.endpoints.get(endpoint)) else { return false };
+        let route = destination.and_then(|d| d.routes.get(&endpoint.route));
+        endpoint.listing == Listing::Open && route.is_some_and(|route| route.told <= now)
+    }
+
     pub(crate) fn routes_of(&self, destination: DestinationId) -> impl Iterator<Item = &Route> {
         self.destinations.get(&destination).into_iter().flat_map(|d| d.routes.values())
     }
