What was sent before a restart, a short folder and held-back calls are decided in the module

The courier on sockets comes back owing what it had taken on, bounds a folder, and opens connections that take time. The module is told: what of a notice was sent before (sent_before: no repeat outside its mark's memory, its key rests), the folder's room (a notice handed in when none is left is denied at once), and is asked before a call's first byte (may_go: a wait or drain told while the connection was opened holds it back).

--- a/crates/quillhub-net/src/clients.rs
+++ b/crates/quillhub-net/src/clients.rs
@@ -42,7 +42,9 @@
 }
 
 fn submit(host: &RefCell<Host>, parts: &[&[u8]]) -> Result<Next, &'static str> {
-    let &[turn, reference, list, body] = parts else { return Err("SUBMIT takes a key, an id, a list and a body") };
+    let &[turn, reference, list, body] = parts else {
+        return Err("SUBMIT takes a key, an id, a list and a body");
+    };
     let value = |name| resp::named(list, name);
     let turn = number(turn, 16).ok_or("the key is no hexadecimal number")?;
     let grade = value("c").and_then(|grade| std::str::from_utf8(grade).ok()).ok_or("no class")?;
--- a/crates/quillhub-net/src/endpoints.rs
+++ b/crates/quillhub-net/src/endpoints.rs
@@ -171,7 +171,8 @@
             return;
         }
         while self.idle.values().map(Vec::len).sum::<usize>() >= self.most_idle {
-            let oldest = self.idle.iter().filter_map(|(name, links)| Some((links.first()?.1, name.clone()))).min();
+            let oldest =
+                self.idle.iter().filter_map(|(name, links)| Some((links.first()?.1, name.clone()))).min();
             let Some(links) = oldest.and_then(|(_, name)| self.idle.get_mut(&name)) else { break };
             links.remove(0);
         }
--- a/crates/quillhub-net/src/finals.rs
+++ b/crates/quillhub-net/src/finals.rs
@@ -75,7 +75,7 @@
                 sleep(PAUSE).await;
             }
             Ok(Err(error)) => {
-                tracing::debug!(?error, count, "final answers did not get through");
+                tracing::debug!(%error, count, "final answers did not get through");
                 sleep(PAUSE).await;
             }
             Err(_) => tracing::debug!(count, "no answer to final answers"),
--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -153,7 +153,11 @@
             }
             let sends = owed.sends.last_key_value().map_or(0, |(send, _)| send + 1);
             let first = owed.sends.values().flatten().min();
-            courier.sent_before(id, sends, first.map(|(at, name)| (now - ago(at), name.as_str())));
+            courier.sent_before(
+                id,
+                sends,
+                first.map(|(at, name)| (now.saturating_sub(ago(at)), name.as_str())),
+            );
             let (reference, mark) = (owed.reference.into(), owed.mark.map(Into::into));
             let notice = Notice { reference, mark, body: owed.body.into(), sends, unfiled: None };
             self.notices.insert(id, notice);
@@ -241,7 +245,8 @@
     fn answer(&mut self, id: NoticeId, denied: bool, come_back: Option<Duration>) {
         let Some(notice) = self.notices.remove(&id) else { return };
         if notice.unfiled.is_some() {
-            self.turned_away = Some(if denied { Taken::Denied(come_back) } else { Taken::Failed("written off") });
+            self.turned_away =
+                Some(if denied { Taken::Denied(come_back) } else { Taken::Failed("written off") });
             return;
         }
         log_failed("an answer", self.wal.answered(id, denied, come_back));
@@ -298,10 +303,8 @@
         let (me, name, connecting) = (self.me.clone(), endpoint.to_owned(), self.connecting);
         self.calls += 1;
         spawn_local(async move {
-            let goes = {
-                let (me, name) = (me.clone(), name.clone());
-                move || me.upgrade().is_some_and(|host| host.borrow().may_go(id, send, &name))
-            };
+            let asked = me.clone();
+            let goes = move || asked.upgrade().is_some_and(|host| host.borrow().may_go(id, send));
             let call = spawn_local(async move {
                 match address.filter(|_| safe) {
                     Some(at) => endpoints::call(link, at, connecting, patience, &request, goes).await,
@@ -358,8 +361,8 @@
 
 impl Host {
     /// Asked before a call's first byte: whether the courier still wants it to go.
-    fn may_go(&self, id: NoticeId, send: u32, endpoint: &str) -> bool {
+    fn may_go(&self, id: NoticeId, send: u32) -> bool {
         let now = self.now();
-        self.courier.as_ref().is_some_and(|courier| courier.may_go(id, send, endpoint, now))
+        self.courier.as_ref().is_some_and(|courier| courier.may_go(id, send, now))
     }
 }
--- a/crates/quillhub-net/src/lib.rs
+++ b/crates/quillhub-net/src/lib.rs
@@ -54,13 +54,15 @@
 /// Runs a courier with the configuration in `text`, its lasting folder at `state`, until `stop` is done and
 /// what is owed is put in order.
 pub async fn serve(text: &str, state: &Path, stop: impl Future<Output = ()>) -> Result<(), String> {
-    let value: Value = serde_json::from_str(text).map_err(|e| format!("the configuration is no JSON: {e}"))?;
+    let value: Value =
+        serde_json::from_str(text).map_err(|e| format!("the configuration is no JSON: {e}"))?;
     LocalSet::new().run_until(run(&value, state, stop)).await
 }
 
 /// Reads all of a configuration, as [`serve`] does, and does nothing with it.
 pub fn check(text: &str) -> Result<(), String> {
-    let value: Value = serde_json::from_str(text).map_err(|e| format!("the configuration is no JSON: {e}"))?;
+    let value: Value =
+        serde_json::from_str(text).map_err(|e| format!("the configuration is no JSON: {e}"))?;
     read(&value).map(|_| ())
 }
 
@@ -116,7 +118,8 @@
 async fn run(value: &Value, state: &Path, stop: impl Future<Output = ()>) -> Result<(), String> {
     let plan = read(value)?;
     let told = |what: &'static str| move |error: std::io::Error| format!("{what}: {error}");
-    let (wal, owed) = wal::Wal::open(state, plan.folder).map_err(told("the lasting folder cannot be used"))?;
+    let (wal, owed) =
+        wal::Wal::open(state, plan.folder).map_err(told("the lasting folder cannot be used"))?;
     let peers = match plan.peers {
         Some((listen, all, own)) => {
             let opened = peers::Peers::open(listen, all, own).await;
--- a/crates/quillhub-net/src/link.rs
+++ b/crates/quillhub-net/src/link.rs
@@ -1,6 +1,7 @@
 //! One HTTP connection of ours: a socket and what was read from it and not yet used.
 
 use crate::http::{self, Framing, Head};
+use std::fmt;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -14,6 +15,16 @@
     Malformed,
 }
 
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Self::Ended => f.write_str("it ended"),
+            Self::Failed(error) => write!(f, "{error}"),
+            Self::Malformed => f.write_str("what came cannot be read"),
+        }
+    }
+}
+
 impl From<http::Malformed> for Broken {
     fn from(_: http::Malformed) -> Self {
         Self::Malformed
--- a/crates/quillhub-net/src/register.rs
+++ b/crates/quillhub-net/src/register.rs
@@ -108,8 +108,9 @@
         if must_be_asked {
             wanted.notified().await;
         }
-        let ended = watch(&host, at, &mut revision).await;
-        tracing::info!(?ended, revision, "the watch on the register ended");
+        if let Err(end) = watch(&host, at, &mut revision).await {
+            tracing::info!(%end, revision, "the watch on the register ended");
+        }
         host.borrow_mut().tell(|courier| courier.list_failed());
         if !must_be_asked {
             sleep(PAUSE).await;
--- a/src/courier.rs
+++ b/src/courier.rs
@@ -13,6 +13,12 @@
     pub(crate) most: usize,
 }
 
+impl Slots {
+    pub(crate) fn part(&self, share: f64) -> usize {
+        ((self.most as f64 * share) as usize).max(1)
+    }
+}
+
 /// What the rules say of a destination that returns.
 #[derive(Clone, Copy)]
 pub(crate) struct Return {
@@ -39,6 +45,31 @@
     pub(crate) rests_for: Option<NoticeId>,
 }
 
+impl Turn {
+    pub(crate) fn has(&self, id: NoticeId, now: Duration) -> bool {
+        self.line.front() == Some(&id)
+            && self.out.iter().all(|other| *other == id)
+            && (self.rest <= now || self.rests_for == Some(id))
+    }
+}
+
+/// What one that is not well may get: the larger, of a share of what is handed in or of its known rate.
+pub(crate) struct Ration {
+    pub(crate) by_notice: f64,
+    pub(crate) by_time: f64,
+}
+
+impl Ration {
+    pub(crate) fn ready(&self) -> bool {
+        self.by_notice >= 1.0 || self.by_time >= 1.0
+    }
+
+    pub(crate) fn spend(&mut self) {
+        self.by_notice = (self.by_notice - 1.0).max(0.0);
+        self.by_time = (self.by_time - 1.0).max(0.0);
+    }
+}
+
 /// A tenant's share of the pool that falls to this courier, as a bucket of one second.
 pub(crate) struct Quota {
     pub(crate) rate: f64,
@@ -151,6 +182,8 @@
     pub(crate) slots: Slots,
     pub(crate) room: usize,
     pub(crate) folder_room: u64,
+    /// The notice handed in last, until the rules have been gone through.
+    pub(crate) fresh: Option<NoticeId>,
     pub(crate) most_sends: u32,
     pub(crate) longest_wait: Duration,
     pub(crate) ramp: Return,
@@ -189,6 +222,7 @@
             slots: Slots { most: 1 },
             room: usize::MAX,
             folder_room: u64::MAX,
+            fresh: None,
             most_sends: u32::MAX,
             longest_wait: Duration::ZERO,
             ramp: Return { factor: 1.0, start: 0.0, warm_up: Duration::ZERO },
@@ -312,29 +346,11 @@
         }
     }
 
-    /// Of a notice told just now: so many sends were begun before, the first that may have run then and there.
-    pub fn sent_before(&mut self, id: NoticeId, sends: u32, ran: Option<(Duration, &str)>) {
-        let Some(held) = self.held.get_mut(&id) else { return };
-        let endpoints = self.destinations.get(&held.destination).map(|d| &d.endpoints);
-        let zone = |name| endpoints.and_then(|e| e.get(name)).map_or(String::new(), |e| e.zone.clone());
-        held.sends = sends;
-        held.may_have_run = ran.map(|(at, name)| (at, zone(name)));
-    }
-
-    /// Bytes that the host can still keep for what is handed in.
+    /// Bytes that the host can still keep on file; told before each notice, without that notice's own.
     pub fn folder_room(&mut self, bytes: u64) {
         self.folder_room = bytes;
     }
 
-    /// Whether a send that was asked for may still go: its endpoint was not told to be left alone since.
-    pub fn may_go(&self, id: NoticeId, send: u32, endpoint: &str, now: Duration) -> bool {
-        let Some(call) = self.calls.get(&(id, send)) else { return false };
-        let destination = self.destinations.get(&call.destination);
-        let Some(endpoint) = destination.and_then(|d| d.endpoints.get(endpoint)) else { return false };
-        let route = destination.and_then(|d| d.routes.get(&endpoint.route));
-        endpoint.listing == Listing::Open && route.is_some_and(|route| route.told <= now)
-    }
-
     pub(crate) fn routes_of(&self, destination: DestinationId) -> impl Iterator<Item = &Route> {
         self.destinations.get(&destination).into_iter().flat_map(|d| d.routes.values())
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,10 +1,10 @@
-//! All decisions of a courier. Its hosts call [`Courier`]: today `crates/quillhub-drill` on the bench's wire,
-//! later the service on sockets. Its interface, the words and the trait [`Hands`], is in `lib.rs`.
+//! All decisions of a courier. Its hosts call [`Courier`]: `crates/quillhub-drill` on the bench's wire,
+//! `crates/quillhub-net` on sockets. Its interface, the words and the trait [`Hands`], is in `lib.rs`.
 //!
 //! A host tells one input at a time, after [`Courier::at`]; then [`Courier::settle`] goes through the rules,
 //! in order and again from the first, until none fires. docs/design.md says where each rule comes from.
 
-use crate::courier::{Call, Courier, Destination, Endpoint, Held, Return, Route, Slots, Turn};
+use crate::courier::{Call, Courier, Destination, Endpoint, Held, Ration, Return, Route};
 use crate::{DestinationId, Effect, Hands, ListedRate, Listing, NoticeId, Outcome, note};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -230,23 +230,6 @@
     Cold { since: Duration },
 }
 
-/// What one that is not well may get: the larger, of a share of what is handed in or of its known rate.
-pub(crate) struct Ration {
-    by_notice: f64,
-    by_time: f64,
-}
-
-impl Ration {
-    fn ready(&self) -> bool {
-        self.by_notice >= 1.0 || self.by_time >= 1.0
-    }
-
-    fn spend(&mut self) {
-        self.by_notice = (self.by_notice - 1.0).max(0.0);
-        self.by_time = (self.by_time - 1.0).max(0.0);
-    }
-}
-
 pub(crate) struct Outage {
     health: Health,
     share: f64,
@@ -316,20 +299,6 @@
     }
 }
 
-impl Slots {
-    fn part(&self, share: f64) -> usize {
-        ((self.most as f64 * share) as usize).max(1)
-    }
-}
-
-impl Turn {
-    fn has(&self, id: NoticeId, now: Duration) -> bool {
-        self.line.front() == Some(&id)
-            && self.out.iter().all(|other| *other == id)
-            && (self.rest <= now || self.rests_for == Some(id))
-    }
-}
-
 impl Destination {
     /// All that may be sent to is out.
     fn out(&self) -> bool {
@@ -415,9 +384,30 @@
             }
         }
         self.held.insert(id, Held::new(grade, destination, key, limit, worth));
+        self.fresh = Some(id);
         true
     }
 
+    /// Against effects that happen twice across a restart: what was sent of a notice told just now.
+    pub fn sent_before(&mut self, id: NoticeId, sends: u32, ran: Option<(Duration, &str)>) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        held.sends = sends;
+        let Some((at, name)) = ran else { return };
+        let from = self.destinations.get(&held.destination).and_then(|d| d.endpoints.get(name));
+        held.may_have_run = Some((at, from.map_or(String::new(), |e| e.zone.clone())));
+        if let Some(turn) = held.key.and_then(|key| self.turns.get_mut(&key)) {
+            (turn.rest, turn.rests_for) = (self.now + self.key_rest, Some(id));
+        }
+    }
+
+    /// Asked before a call's first byte. Against waits and drains told while its connection was opened.
+    pub fn may_go(&self, id: NoticeId, send: u32, now: Duration) -> bool {
+        let Some(call) = self.calls.get(&(id, send)) else { return false };
+        let Some(destination) = self.destinations.get(&call.destination) else { return false };
+        let Some(endpoint) = destination.endpoints.get(&call.endpoint) else { return false };
+        endpoint.listing == Listing::Open && destination.routes[&endpoint.route].told <= now
+    }
+
     /// How a send ended. `left` is the share of the limit that is left, `rate` the limit in calls a second.
     pub fn outcome(
         &mut self,
@@ -563,6 +553,7 @@
             hands.tell(&note::of_return(destination, &route));
         }
         while self.ask_register(hands)
+            || self.keep_folder(hands)
             || self.end_what_cannot_be_delivered(hands)
             || self.send_what_earns_most(hands)
             || self.keep_room(hands)
@@ -766,6 +757,13 @@
         held.out += 1;
     }
 
+    /// The lasting folder is short: what was handed in just now is not taken on.
+    fn keep_folder(&mut self, hands: &mut dyn Hands) -> bool {
+        let Some(id) = self.fresh.take().filter(|_| self.folder_room == 0) else { return false };
+        self.answer(id, hands);
+        true
+    }
+
     /// Room short: the one that earns least goes, so that it is not chance that turns the next one away.
     fn keep_room(&mut self, hands: &mut dyn Hands) -> bool {
         let spare = ((self.room as f64 * SPARE_ROOM) as usize).max(1);
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::Grade;
+use crate::courier::Slots;
 use rand::SeedableRng;
 
 const MARKED: Effect = Effect::Fingerprinted { memory: ms(6_000), one_zone: false };
@@ -472,3 +473,43 @@
     courier.judge(&call, Outcome::Handled, ms(9), None);
     assert!(settled(&mut courier).contains(&format!("tell {told:?}")));
 }
+
+#[test]
+fn with_the_folder_short_only_what_is_handed_in_just_then_is_denied() {
+    let mut courier = courier(MARKED);
+    assert_eq!(take(&mut courier, 1, None), ["send 1 a"]);
+    courier.folder_room(0);
+    assert_eq!(take(&mut courier, 2, None), ["deny 2 false"]);
+    courier.folder_room(1);
+    assert_eq!(take(&mut courier, 3, None).len(), 1);
+    assert!(courier.held.contains_key(&1) && courier.held.contains_key(&3));
+}
+
+#[test]
+fn what_may_have_run_before_a_restart_is_sent_again_only_while_its_mark_is_remembered() {
+    for (effect, ago, then) in [
+        (MARKED, 4_000, "send 1 a"),
+        (MARKED, 7_000, "deny 1 false"),
+        (Effect::Binding, 4_000, "write off 1"),
+        (Effect::Retriable, 7_000, "send 1 a"),
+    ] {
+        let mut courier = courier(effect);
+        courier.at(ms(8_000));
+        assert!(courier.notice(1, "g", Some(5), ms(18_000), None, 9));
+        courier.sent_before(1, 1, Some((ms(8_000 - ago), "a")));
+        assert_eq!(settled(&mut courier), [then], "{effect:?}, {ago} ms ago");
+    }
+}
+
+#[test]
+fn a_call_does_not_go_once_its_destination_told_a_wait_or_its_endpoint_drains() {
+    let mut courier = courier(MARKED);
+    take(&mut courier, 1, None);
+    take(&mut courier, 2, None);
+    assert!(courier.may_go(1, 0, ms(1)) && courier.may_go(2, 0, ms(1)) && !courier.may_go(1, 1, ms(1)));
+    let told = Outcome::Refused(Some(ms(500)));
+    courier.outcome(2, 0, told, ms(1), false, None);
+    assert!(!courier.may_go(1, 0, ms(500)) && courier.may_go(1, 0, ms(501)));
+    courier.listed("a", "x", "k", 9, Listing::Draining, None);
+    assert!(!courier.may_go(1, 0, ms(501)));
+}
