New connections after the sign to stop are served before they close

Seen in a drill with stand-ins: after SIGTERM, connections of the first 0.4 s were accepted and closed at once, 25 notices without an answer. Cause: a connection's first wait looked at the sign to stop before its command could have come (clients.rs, serve). Now a late connection closes only after its command, or once no more are accepted; the backlog is accepted before the listener goes.

--- a/crates/quillhub-net/src/clients.rs
+++ b/crates/quillhub-net/src/clients.rs
@@ -74,10 +74,19 @@
     })
 }
 
+/// How far the courier is with stopping.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub enum Phase {
+    Serving,
+    /// Connections close between commands, but new ones still come, each with a command on its way.
+    Stopping,
+    /// No new connections, and those that still wait for a command close.
+    Closing,
+}
+
 /// What the connections need to know of the rest: when to close between commands.
 pub struct Doors {
-    /// True once connections are to close as soon as what was read is answered.
-    pub stopping: watch::Receiver<bool>,
+    pub phase: watch::Receiver<Phase>,
     /// Permits for connections; when none is left, the one that has idled longest is asked to go.
     pub places: Arc<Semaphore>,
     pub crowded: Rc<Notify>,
@@ -85,7 +94,9 @@
 
 /// Serves one connection until it ends. `Err` is only for reads and writes that failed.
 async fn serve(host: &RefCell<Host>, stream: &mut TcpStream, doors: &Doors) -> std::io::Result<()> {
-    let mut stopping = doors.stopping.clone();
+    let mut phase = doors.phase.clone();
+    // A connection that comes late brings a command: it is served before it closes.
+    let mut last = if *phase.borrow() == Phase::Serving { Phase::Stopping } else { Phase::Closing };
     let mut buffer = Vec::new();
     loop {
         let next = match resp::command(&buffer, MOST_PART) {
@@ -105,7 +116,7 @@
                 tokio::select! {
                     biased;
                     read = stream.read_buf(&mut buffer) => if read? == 0 { return Ok(()) },
-                    _ = stopping.wait_for(|stop| *stop), if idle => return Ok(()),
+                    _ = phase.wait_for(|phase| *phase >= last), if idle => return Ok(()),
                     () = doors.crowded.notified(), if idle => return Ok(()),
                 }
                 continue;
@@ -126,6 +137,7 @@
         if close {
             return stream.shutdown().await;
         }
+        last = Phase::Stopping;
     }
 }
 
@@ -135,8 +147,10 @@
     matches!(socket2::SockRef::from(stream).peek(&mut one), Ok(0))
 }
 
-/// Accepts connections until told to stop, each served by a task of its own.
+/// Accepts connections until the courier closes, those that came before that included. Each is served by a
+/// task of its own.
 pub async fn accept(host: Rc<RefCell<Host>>, listener: TcpListener, doors: Rc<Doors>) {
+    let mut phase = doors.phase.clone();
     loop {
         let place = match doors.places.clone().try_acquire_owned() {
             Ok(place) => place,
@@ -148,7 +162,12 @@
                 }
             }
         };
-        let (mut stream, from): (TcpStream, SocketAddr) = match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|phase| *phase == Phase::Closing) => return,
+        };
+        let (mut stream, from): (TcpStream, SocketAddr) = match accepted {
             Ok(accepted) => accepted,
             Err(error) => {
                 tracing::warn!(%error, "no connection could be accepted");
--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -60,7 +60,8 @@
     peers: Option<Rc<Peers>>,
     pub watch_wanted: Rc<Notify>,
     reports: bool,
-    calls: usize,
+    /// Calls that are out.
+    pub calls: usize,
     /// Set when the process is about to end: nothing new is decided then.
     closing: bool,
 }
@@ -270,9 +271,9 @@
         self.tell(|courier| courier.outcome(id, send, outcome, took, over, report));
     }
 
-    /// Calls that are out, and whether anything is still owed that could be worked on.
-    pub fn busy(&self) -> (usize, bool) {
-        (self.calls, !self.notices.is_empty() || !self.finals.is_empty())
+    /// Whether nothing is out and nothing is owed.
+    pub fn at_rest(&self) -> bool {
+        self.calls == 0 && self.notices.is_empty() && self.finals.is_empty()
     }
 
     /// From now on nothing new is decided; what ends is still noted.
--- a/crates/quillhub-net/src/lib.rs
+++ b/crates/quillhub-net/src/lib.rs
@@ -14,11 +14,11 @@
 pub mod resp;
 mod wal;
 
+use clients::Phase;
 use endpoints::Endpoints;
 use host::Host;
 use quillhub_settings::At;
 use serde_json::Value;
-use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -40,7 +40,7 @@
 /// How often closed idle connections are looked for: well within the time that one is kept.
 const SWEEP: Duration = Duration::from_millis(500);
 // After the sign to stop, counted from it; a process is killed no sooner than 3.7 s after it.
-const ACCEPTS: Duration = Duration::from_millis(400); // new connections may still come so long
+const ACCEPTS: Duration = Duration::from_millis(500); // new connections may still come so long
 const DECIDES: Duration = Duration::from_millis(2_000); // and so long what is held is still worked on
 const CALLS: Duration = Duration::from_millis(3_000); // calls that are out may take until then
 const FLUSHES: Duration = Duration::from_millis(3_300); // and final answers on their way
@@ -151,31 +151,30 @@
     });
     tracing::info!(listen = %plan.listen, "serving");
 
-    let (stopping, stopped) = watch::channel(false);
-    let places = Arc::new(Semaphore::new((free / 2).max(1)));
+    let (phase, seen) = watch::channel(Phase::Serving);
+    let connections = (free / 2).max(1);
+    let places = Arc::new(Semaphore::new(connections));
     let crowded = Rc::new(Notify::new());
-    let doors = Rc::new(clients::Doors { stopping: stopped, places, crowded });
-    let accepting = spawn_local(clients::accept(host.clone(), listener, doors));
+    let doors = Rc::new(clients::Doors { phase: seen, places: places.clone(), crowded });
+    spawn_local(clients::accept(host.clone(), listener, doors));
     stop.await;
     tracing::info!("stopping");
     let sign = Instant::now();
-    let _ = stopping.send(true);
+    phase.send_replace(Phase::Stopping);
     sleep_until(sign + ACCEPTS).await;
-    accepting.abort();
-    finish(&host, sign).await;
+    phase.send_replace(Phase::Closing);
+    // What is held is worked on, then calls may end, then final answers may go; each for its time.
+    let free = || places.available_permits() == connections;
+    until(sign + DECIDES, || host.borrow().at_rest() && free()).await;
+    host.borrow_mut().close();
+    until(sign + CALLS, || host.borrow().calls == 0).await;
+    until(sign + FLUSHES, || host.borrow().finals.is_empty()).await;
     tracing::info!("stopped");
     Ok(())
 }
 
-/// Works on what is held, lets calls end and final answers go, each for its time.
-async fn finish(host: &RefCell<Host>, sign: Instant) {
-    let until = |at: Duration, done: fn(&Host) -> bool| async move {
-        while sign.elapsed() < at && !done(&host.borrow()) {
-            sleep(LOOK).await;
-        }
-    };
-    until(DECIDES, |host| host.busy() == (0, false)).await;
-    host.borrow_mut().close();
-    until(CALLS, |host| host.busy().0 == 0).await;
-    until(FLUSHES, |host| host.finals.is_empty()).await;
+async fn until(at: Instant, done: impl Fn() -> bool) {
+    while Instant::now() < at && !done() {
+        sleep(LOOK).await;
+    }
 }
