--- a/crates/quillhub-net/src/clients.rs
+++ b/crates/quillhub-net/src/clients.rs
@@ -12,15 +12,22 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// Bytes of a part of a command, a body being the longest.
 const MOST_PART: usize = 64 * 1024;
 /// Bytes of a whole command: a body and its small parts.
 const MOST_COMMAND: usize = MOST_PART + 16 * 1024;
+/// Bytes of a connection's buffer that are kept between commands.
+const KEPT: usize = 4 * 1024;
 /// Bytes of an id or a key; they go on as headers.
 const MOST_ID: usize = 256;
 /// How long a client may take over reading an answer of a few bytes before its connection is given up.
 const WRITING: Duration = Duration::from_secs(2);
+/// How long the rest of a command may take to come: clients themselves wait less than a second.
+const COMMAND: Duration = Duration::from_secs(5);
+/// How long what still comes is read away after an error, so that the client gets to read it.
+const LINGER: Duration = Duration::from_millis(200);
 /// Pause after a failure to accept, such as having no descriptor left: calls that end free some.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -98,6 +105,7 @@
     // A connection that comes late brings a command: it is served before it closes.
     let mut last = if *phase.borrow() == Phase::Serving { Phase::Stopping } else { Phase::Closing };
     let mut buffer = Vec::new();
+    let mut began = Instant::now(); // the command that is being read
     loop {
         let next = match resp::command(&buffer, MOST_PART) {
             Ok(Some((parts, used))) => {
@@ -107,6 +115,7 @@
                 }
                 let next = obey(host, &parts);
                 buffer.drain(..used);
+                buffer.shrink_to(KEPT);
                 next
             }
             Ok(None) if buffer.len() > MOST_COMMAND => Next::AnswerAndClose(resp::error("too long")),
@@ -115,7 +124,15 @@
                 let idle = buffer.is_empty();
                 tokio::select! {
                     biased;
-                    read = stream.read_buf(&mut buffer) => if read? == 0 { return Ok(()) },
+                    read = stream.read_buf(&mut buffer) => {
+                        if read? == 0 {
+                            return Ok(());
+                        }
+                        if idle {
+                            began = Instant::now();
+                        }
+                    }
+                    () = sleep_until(began + COMMAND), if !idle => return Err(ErrorKind::TimedOut.into()),
                     _ = phase.wait_for(|phase| *phase >= last), if idle => return Ok(()),
                     () = doors.crowded.notified(), if idle => return Ok(()),
                 }
@@ -127,7 +144,7 @@
             Next::Confirm(id) => (resp::OK, Some(*id), false),
             Next::AnswerAndClose(octets) => (&octets[..], None, true),
         };
-        let written = tokio::time::timeout(WRITING, stream.write_all(octets)).await;
+        let written = timeout(WRITING, stream.write_all(octets)).await;
         if !matches!(written, Ok(Ok(()))) {
             if let Some(id) = id {
                 host.borrow_mut().gone(id);
@@ -135,7 +152,10 @@
             return written.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
         }
         if close {
-            return stream.shutdown().await;
+            stream.shutdown().await?;
+            let rest = async { while matches!(stream.read(&mut [0; 4096]).await, Ok(1..)) {} };
+            let _ = timeout(LINGER, rest).await;
+            return Ok(());
         }
         last = Phase::Stopping;
     }
@@ -152,16 +172,6 @@
 pub async fn accept(host: Rc<RefCell<Host>>, listener: TcpListener, doors: Rc<Doors>) {
     let mut phase = doors.phase.clone();
     loop {
-        let place = match doors.places.clone().try_acquire_owned() {
-            Ok(place) => place,
-            Err(_) => {
-                doors.crowded.notify_one();
-                match doors.places.clone().acquire_owned().await {
-                    Ok(place) => place,
-                    Err(_) => return,
-                }
-            }
-        };
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
@@ -171,10 +181,14 @@
             Ok(accepted) => accepted,
             Err(error) => {
                 tracing::warn!(%error, "no connection could be accepted");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
+                sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
+        if doors.places.available_permits() == 0 {
+            doors.crowded.notify_one();
+        }
+        let Ok(place) = doors.places.clone().acquire_owned().await else { return };
         let (host, doors) = (host.clone(), doors.clone());
         spawn_local(async move {
             let _place = place;
@@ -188,3 +202,7 @@
         });
     }
 }
+
+#[cfg(test)]
+#[path = "clients_tests.rs"]
+mod tests;
--- a/crates/quillhub-net/src/endpoints.rs
+++ b/crates/quillhub-net/src/endpoints.rs
@@ -12,8 +12,8 @@
 /// Bytes of an answer's body: it means nothing, and is only read so that the connection can be kept.
 const MOST_BODY: usize = 64 * 1024;
 /// Part of the idle time before its end in which a kept connection is not used: a call written then could
-/// reach an endpoint that has just closed. A twentieth is more than the longest way there takes.
-const IDLE_MARGIN: u32 = 20;
+/// reach an endpoint that has just closed. A tenth is more than the way there and back takes.
+const IDLE_MARGIN: u32 = 10;
 
 /// How far a call came that got no answer.
 #[derive(Debug)]
@@ -103,7 +103,8 @@
         Ok(Err(Broken::Ended | Broken::Failed(_) | Broken::Malformed)) => return (Err(Failed::Broken), None),
         Err(_) => return (Err(Failed::Silent), None),
     };
-    let wait = head.header("x-backoff-ms").and_then(|ms| ms.trim().parse().ok()).map(Duration::from_millis);
+    let wait = head.header("x-backoff-ms").and_then(|ms| ms.trim().parse::<f64>().ok());
+    let wait = wait.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok());
     let answer = Answer {
         status: head.status,
         wait: wait.filter(|wait| !wait.is_zero()),
@@ -192,3 +193,7 @@
         });
     }
 }
+
+#[cfg(test)]
+#[path = "endpoints_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/quillhub-net/src/endpoints_tests.rs
@@ -0,0 +1,108 @@
+use super::*;
+use crate::stand_in::{LONG, OK, answering, on_one_thread};
+use tokio::net::TcpListener;
+
+/// The end of one call to a stand-in that answers so, and whether its connection is kept.
+fn end(answer: &'static [u8]) -> (Outcome, bool, bool) {
+    on_one_thread(async {
+        let (at, _told) = answering(vec![answer]).await;
+        let (end, link) = call(None, at, LONG, LONG, b"x", || true).await;
+        let (outcome, over) = outcome(&end);
+        (outcome, over, link.is_some())
+    })
+}
+
+#[test]
+fn each_answer_has_its_outcome() {
+    let wait = Some(Duration::from_millis(1500));
+    for (answer, outcome, over, kept) in [
+        (OK, Outcome::Handled, true, true),
+        (&b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"[..], Outcome::Handled, true, false),
+        (b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", Outcome::Handled, true, false),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nstray", Outcome::Handled, true, false),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", Outcome::Handled, true, true),
+        (b"HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", Outcome::Error, false, true),
+        (
+            b"HTTP/1.1 429 x\r\nX-Backoff-Ms: 1500\r\nContent-Length: 0\r\n\r\n",
+            Outcome::Refused(wait),
+            false,
+            true,
+        ),
+        (b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", Outcome::Refused(None), false, true),
+        (b"HTTP/1.1 503 x\r\nX-Egress-Full: 1\r\nContent-Length: 0\r\n\r\n", Outcome::Unsent, false, true),
+        (b"HTTP/1.1 504 x\r\nContent-Length: 0\r\n\r\n", Outcome::Unsent, false, true),
+        (b"HTTP/1.1 410 x\r\nContent-Length: 0\r\n\r\n", Outcome::Unsent, true, true),
+        (b"", Outcome::Reset, false, false),
+        (b"RESP", Outcome::Reset, false, false),
+    ] {
+        assert_eq!(end(answer), (outcome, over, kept), "{}", String::from_utf8_lossy(answer));
+    }
+}
+
+#[test]
+fn a_call_without_an_answer_says_how_far_it_came() {
+    on_one_thread(async {
+        let short = Duration::from_millis(20);
+        let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        assert!(matches!(call(None, closed, LONG, LONG, b"x", || true).await.0, Err(Failed::Unready)));
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let silent = listener.local_addr().unwrap();
+        let open = async || Some(Link::open(silent).await.unwrap());
+        assert!(matches!(
+            call(open().await, silent, LONG, short, b"x", || true).await.0,
+            Err(Failed::Silent)
+        ));
+        // More than the buffers between hold: the last byte is never out.
+        let endless = vec![b'x'; 64 << 20];
+        assert!(matches!(
+            call(open().await, silent, LONG, short, &endless, || true).await.0,
+            Err(Failed::Unready)
+        ));
+        let (end, link) = call(None, silent, LONG, LONG, b"x", || false).await;
+        assert!(matches!(end, Err(Failed::Here)) && link.is_some());
+        let ends =
+            [Failed::Here, Failed::Unready, Failed::Broken, Failed::Silent].map(|end| outcome(&Err(end)).0);
+        let meant = [Outcome::Unsent, Outcome::Unconnected, Outcome::Reset, Outcome::TimedOut];
+        assert_eq!(ends, meant);
+    });
+}
+
+#[test]
+fn a_report_is_taken_where_both_values_are_told() {
+    assert_eq!(report("x0=0.4,x1=25"), Some((0.4, 25.0)));
+    assert_eq!(report("other=1, x1=0 ,x0=1"), Some((1.0, 0.0)));
+    for text in ["x0=0.4", "x0=a,x1=2", "x0=NaN,x1=2", "", "xx0=1,x1=2"] {
+        assert_eq!(report(text), None, "{text}");
+    }
+}
+
+#[test]
+fn a_kept_connection_is_used_until_it_ends_goes_or_is_too_old() {
+    on_one_thread(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let at = listener.local_addr().unwrap();
+        let mut endpoints = Endpoints::new(LONG, 2);
+        endpoints.listed("e", at);
+        endpoints.put("e", Link::open(at).await.unwrap());
+        assert!(endpoints.take("e").is_some() && endpoints.take("e").is_none());
+
+        endpoints.put("e", Link::open(at).await.unwrap());
+        endpoints.hang_up("e");
+        assert!(endpoints.take("e").is_none());
+
+        for _ in 0..3 {
+            endpoints.put("e", Link::open(at).await.unwrap());
+        }
+        assert_eq!(endpoints.idle["e"].len(), 2);
+        endpoints.listed("e", "127.0.0.1:1".parse().unwrap());
+        assert!(endpoints.take("e").is_none());
+
+        endpoints.put("gone", Link::open(at).await.unwrap());
+        assert!(!endpoints.idle.contains_key("gone"));
+
+        let mut brief = Endpoints::new(Duration::ZERO, 2);
+        brief.listed("e", at);
+        brief.put("e", Link::open(at).await.unwrap());
+        assert!(brief.take("e").is_none());
+    });
+}
--- a/crates/quillhub-net/src/finals.rs
+++ b/crates/quillhub-net/src/finals.rs
@@ -82,3 +82,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "finals_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/quillhub-net/src/finals_tests.rs
@@ -0,0 +1,42 @@
+use super::*;
+use crate::stand_in::{Folder, answering, host, on_one_thread};
+use tokio::task::spawn_local;
+
+fn end(id: u64, reference: &str, denied: bool, come_back: Option<Duration>) -> Final {
+    Final { id, reference: reference.as_bytes().into(), denied, come_back }
+}
+
+#[test]
+fn each_kind_of_final_answer_has_its_line() {
+    let wait = Some(Duration::from_millis(500));
+    assert_eq!(line(&end(1, "ab", false, wait)), "{\"ref\":\"ab\",\"result\":\"dead\"}\n");
+    assert_eq!(line(&end(1, "ab", true, None)), "{\"ref\":\"ab\",\"result\":\"bounced\"}\n");
+    assert_eq!(
+        line(&end(1, "a\"b", true, wait)),
+        "{\"ref\":\"a\\\"b\",\"result\":\"bounced\",\"wait_ms\":500}\n"
+    );
+}
+
+#[test]
+fn final_answers_are_sent_until_they_are_confirmed_and_one_that_cannot_be_read_holds_up_none() {
+    let folder = Folder::new();
+    on_one_thread(async {
+        let no = b"HTTP/1.1 400 x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+        let yes = b"HTTP/1.1 204 x\r\nConnection: close\r\n\r\n";
+        let down = b"HTTP/1.1 500 x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+        let (at, mut told) = answering(vec![b"", down, no, no, yes]).await;
+        let host = host(&folder, at);
+        host.borrow_mut().finals.extend([end(1, "a", false, None), end(2, "b", false, None)]);
+        spawn_local(flush(host.clone(), at));
+        let mut refs = Vec::new();
+        for _ in 0..5 {
+            let call = told.recv().await.unwrap();
+            refs.push(["\"a\"", "\"b\""].map(|name| call.contains(name)));
+        }
+        let (both, first, second) = ([true, true], [true, false], [false, true]);
+        assert_eq!(refs, [both, both, both, first, second]);
+        while !host.borrow().finals.is_empty() {
+            tokio::task::yield_now().await;
+        }
+    });
+}
--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -367,3 +367,7 @@
         self.courier.as_ref().is_some_and(|courier| courier.may_go(id, send, now))
     }
 }
+
+#[cfg(test)]
+#[path = "host_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/quillhub-net/src/host_tests.rs
@@ -0,0 +1,139 @@
+use super::*;
+use crate::stand_in::{Folder, OK, answering, host, on_one_thread};
+use std::net::SocketAddr;
+use tokio::net::TcpListener;
+
+const LASTS: Duration = Duration::from_secs(9);
+
+fn take(host: &RefCell<Host>, grade: &str) -> Taken {
+    host.borrow_mut().take_on(grade, None, LASTS, 9, b"ab", Some(b"k"), b"\0body")
+}
+
+/// An address where connections are made and nothing is answered, as long as the listener is kept.
+async fn silent() -> (SocketAddr, TcpListener) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    (listener.local_addr().unwrap(), listener)
+}
+
+#[test]
+fn a_notice_goes_on_as_it_came_and_is_over_with_200() {
+    let folder = Folder::new();
+    on_one_thread(async {
+        let (at, mut told) = answering(vec![OK]).await;
+        let host = host(&folder, at);
+        assert_eq!(take(&host, "once"), Taken::On(1));
+        let call = told.recv().await.unwrap();
+        for part in ["POST /events HTTP/1.1\r\n", "\r\nX-Request-Id: ab\r\n", "\r\nIdempotency-Key: k\r\n"] {
+            assert!(call.contains(part), "{call}");
+        }
+        assert!(call.ends_with("\r\nContent-Length: 5\r\n\r\n\0body"), "{call}");
+        while !host.borrow().at_rest() {
+            tokio::task::yield_now().await;
+        }
+    });
+    assert!(Wal::open(&folder.0, 1 << 20).unwrap().1.is_empty());
+}
+
+#[test]
+fn what_was_out_when_the_process_ended_is_owed_and_a_binding_one_is_not_sent_again() {
+    let folder = Folder::new();
+    on_one_thread(async {
+        let (at, _listener) = silent().await;
+        let first = host(&folder, at);
+        assert_eq!((take(&first, "once"), take(&first, "free")), (Taken::On(1), Taken::On(2)));
+        drop(first);
+        let second = host(&folder, at);
+        second.borrow_mut().tell(|_| ());
+        let second = second.borrow();
+        let ends: Vec<_> = second.finals.iter().map(|end| (end.id, end.denied)).collect();
+        assert_eq!(ends, [(1, false)], "the binding one is written off");
+        assert_eq!((second.notices[&2].sends, second.calls, second.next), (2, 1, 3), "the other goes again");
+    });
+}
+
+#[test]
+fn an_answer_on_file_is_final_across_a_restart() {
+    let folder = Folder::new();
+    on_one_thread(async {
+        let (at, _listener) = silent().await;
+        let first = host(&folder, at);
+        take(&first, "free");
+        first.borrow_mut().deny(1, Some(Duration::from_millis(500)));
+        drop(first);
+        let second = host(&folder, at);
+        second.borrow_mut().tell(|_| ());
+        let mut second = second.borrow_mut();
+        assert_eq!((second.calls, second.finals.len()), (0, 1));
+        assert_eq!(second.finals[0].come_back, Some(Duration::from_millis(500)));
+        second.confirmed(1);
+    });
+    assert!(Wal::open(&folder.0, 1 << 20).unwrap().1.is_empty());
+}
+
+#[test]
+fn what_is_turned_away_at_once_is_answered_and_owed_nothing() {
+    let folder = Folder::new();
+    on_one_thread(async {
+        let (at, _listener) = silent().await;
+        let host = host(&folder, at);
+        assert_eq!(take(&host, "unheard"), Taken::Failed("unknown grade"));
+        for _ in 0..8 {
+            assert!(matches!(take(&host, "once"), Taken::On(_)));
+        }
+        assert_eq!(take(&host, "once"), Taken::Denied(None), "room is short");
+        assert!(host.borrow().finals.is_empty());
+    });
+    assert_eq!(Wal::open(&folder.0, 1 << 20).unwrap().1.len(), 8);
+}
+
+#[test]
+fn a_full_folder_denies_and_one_that_cannot_be_written_fails_but_neither_ends_the_courier() {
+    let folder = Folder::new();
+    on_one_thread(async {
+        let (at, _listener) = silent().await;
+        let host = host(&folder, at);
+        let body = vec![0; 60_000];
+        let take = || host.borrow_mut().take_on("once", None, LASTS, 9, b"ab", None, &body);
+        let taken = (0..9).take_while(|_| matches!(take(), Taken::On(_))).count();
+        assert!((3..9).contains(&taken));
+        assert_eq!(take(), Taken::Denied(None));
+        assert!(folder.size() <= 1 << 20);
+    });
+}
+
+#[test]
+fn a_client_that_left_is_owed_nothing() {
+    let folder = Folder::new();
+    on_one_thread(async {
+        let (at, _listener) = silent().await;
+        let host = host(&folder, at);
+        take(&host, "free");
+        host.borrow_mut().gone(1);
+        assert!(host.borrow().notices.is_empty());
+    });
+    assert!(Wal::open(&folder.0, 1 << 20).unwrap().1.is_empty());
+}
+
+#[test]
+fn a_panic_while_something_is_told_leaves_the_courier_in_its_place() {
+    let folder = Folder::new();
+    on_one_thread(async {
+        let (at, _listener) = silent().await;
+        let host = host(&folder, at);
+        let panicked = catch_unwind(AssertUnwindSafe(|| host.borrow_mut().tell(|_| panic!("told badly"))));
+        assert!(panicked.is_err());
+        assert_eq!(take(&host, "free"), Taken::On(1));
+    });
+}
+
+#[test]
+fn nothing_new_is_decided_while_the_process_ends_but_what_comes_is_still_owed() {
+    let folder = Folder::new();
+    on_one_thread(async {
+        let (at, _listener) = silent().await;
+        let host = host(&folder, at);
+        host.borrow_mut().close();
+        assert_eq!((take(&host, "free"), host.borrow().calls), (Taken::On(1), 0));
+    });
+    assert_eq!(Wal::open(&folder.0, 1 << 20).unwrap().1.len(), 1);
+}
--- a/crates/quillhub-net/src/http.rs
+++ b/crates/quillhub-net/src/http.rs
@@ -156,3 +156,7 @@
     octets.extend_from_slice(body);
     octets
 }
+
+#[cfg(test)]
+#[path = "http_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/quillhub-net/src/http_tests.rs
@@ -0,0 +1,71 @@
+use super::*;
+
+const ANSWER: &[u8] = b"HTTP/1.1 503 \r\nX-Egress-Full:1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn read(text: &str) -> Head {
+    head(text.as_bytes()).unwrap().unwrap().0
+}
+
+#[test]
+fn a_head_is_read_once_it_is_whole_and_not_before() {
+    for cut in 0..ANSWER.len() {
+        assert!(head(&ANSWER[..cut]).unwrap().is_none(), "cut at {cut}");
+    }
+    let (answer, used) = head(&[ANSWER, b"0\r\n"].concat()).unwrap().unwrap();
+    assert_eq!((answer.status, answer.header("x-egress-FULL"), used), (503, Some("1"), ANSWER.len()));
+}
+
+#[test]
+fn what_cannot_become_a_head_is_told_and_a_head_without_end_is_bounded() {
+    for text in
+        ["HTTP/2 200", "HTTP/1.1 abc", "HTTP/1.1 20 \r\n", "HTTP/1.1 200\n", "HTTP/1.1 200 OK\r\n: x\r\n"]
+    {
+        assert_eq!(head(text.as_bytes()).err(), Some(Malformed), "{text:?}");
+    }
+    let endless = [b"HTTP/1.1 200 OK\r\nA: ".to_vec(), vec![b'x'; MOST_HEAD]].concat();
+    assert_eq!(head(&endless).err(), Some(Malformed));
+    let many = format!("HTTP/1.1 200 OK\r\n{}\r\n", "A: b\r\n".repeat(MOST_HEADERS + 1));
+    assert_eq!(head(many.as_bytes()).err(), Some(Malformed));
+}
+
+#[test]
+fn the_head_says_where_the_body_ends_and_whether_the_connection_stays() {
+    let framing = |text| read(text).framing();
+    assert_eq!(framing("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n"), Ok(Framing::Length(12)));
+    assert_eq!(framing("HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\n"), Err(Malformed));
+    assert_eq!(framing("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n"), Err(Malformed));
+    assert_eq!(framing("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n"), Ok(Framing::Chunked));
+    assert_eq!(framing("HTTP/1.1 204 No Content\r\nContent-Length: 3\r\n\r\n"), Ok(Framing::Length(0)));
+    assert_eq!(framing("HTTP/1.1 200 OK\r\n\r\n"), Ok(Framing::ToEnd));
+    for (text, keeps) in [
+        ("HTTP/1.1 200 OK\r\n\r\n", true),
+        ("HTTP/1.1 200 OK\r\nConnection: x, Close\r\n\r\n", false),
+        ("HTTP/1.0 200 OK\r\n\r\n", false),
+        ("HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n\r\n", true),
+    ] {
+        assert_eq!(read(text).keeps(), keeps, "{text:?}");
+    }
+}
+
+#[test]
+fn chunks_are_read_whole_and_bounded() {
+    let input = b"3;x=y\r\nabc\r\n0\r\nT: u\r\n\r\n";
+    for cut in 0..12 {
+        assert_eq!(chunk(&input[..cut], 9), Ok(None), "cut at {cut}");
+    }
+    assert_eq!(chunk(input, 9), Ok(Some((&b"abc"[..], 12))));
+    assert_eq!(chunk(&input[12..], 9), Ok(Some((&[][..], input.len() - 12))));
+    for text in ["a\r\n", "fffffffff\r\n", "\r\n", "1\r\nab"] {
+        assert_eq!(chunk(text.as_bytes(), 9), Err(Malformed), "{text:?}");
+    }
+}
+
+#[test]
+fn a_request_carries_what_it_is_given_as_it_is() {
+    let written = request("POST", "/events", "h:1", &[("X-Request-Id", b"ab")], b"\0\r\n");
+    assert_eq!(
+        written,
+        b"POST /events HTTP/1.1\r\nHost: h:1\r\nX-Request-Id: ab\r\nContent-Length: 3\r\n\r\n\0\r\n"
+    );
+    assert_eq!(request("GET", "/", "h", &[], b""), b"GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+}
--- a/crates/quillhub-net/src/lib.rs
+++ b/crates/quillhub-net/src/lib.rs
@@ -12,6 +12,8 @@
 mod peers;
 mod register;
 pub mod resp;
+#[cfg(test)]
+mod stand_in;
 mod wal;
 
 use clients::Phase;
@@ -63,7 +65,8 @@
 pub fn check(text: &str) -> Result<(), String> {
     let value: Value =
         serde_json::from_str(text).map_err(|e| format!("the configuration is no JSON: {e}"))?;
-    read(&value).map(|_| ())
+    read(&value)?;
+    value.get("known").map_or(Ok(()), register::check)
 }
 
 struct Plan {
@@ -178,3 +181,7 @@
         sleep(LOOK).await;
     }
 }
+
+#[cfg(test)]
+#[path = "lib_tests.rs"]
+mod tests;
--- a/crates/quillhub-net/src/peers.rs
+++ b/crates/quillhub-net/src/peers.rs
@@ -24,7 +24,9 @@
 
 impl Peers {
     pub async fn open(listen: SocketAddr, all: SocketAddr, own: Option<SocketAddr>) -> io::Result<Self> {
-        Ok(Self { socket: UdpSocket::bind(listen).await?, all, own })
+        let socket = UdpSocket::bind(listen).await?;
+        socket.writable().await?;
+        Ok(Self { socket, all, own })
     }
 
     /// Sends a note to all, if it goes at once.
@@ -50,3 +52,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "peers_tests.rs"]
+mod tests;
--- a/crates/quillhub-net/src/register.rs
+++ b/crates/quillhub-net/src/register.rs
@@ -30,24 +30,37 @@
     }
 }
 
+/// One row, in the order in which it is told: name, address, zone and kind, owner, phase, rate.
+type Row<'a> = (&'a str, SocketAddr, [&'a str; 2], u64, Listing, Option<f64>);
+
+fn row<'a>(member: At<'a>) -> Result<Row<'a>, String> {
+    let address = member.need("host_port")?;
+    let Ok(at) = address.word()?.parse() else { return address.wrong("an address") };
+    let word = |name| member.get(name).map_or(Ok(""), |v| v.word());
+    let places = [word("locality")?, word("flavor")?];
+    let rate = member.get("size").map(|v| v.number()).transpose()?;
+    let phase = listing(&member.need("phase")?)?;
+    Ok((member.need("id")?.word()?, at, places, member.need("cell")?.whole()?, phase, rate))
+}
+
+/// Reads a list or changes of it: its number, whether it is whole, and its rows.
+fn read(list: &Value) -> Result<(u64, bool, Vec<Row<'_>>), String> {
+    let top = At::top(list);
+    let whole = top.get("complete").map_or(Ok(false), |v| v.flag())?;
+    let rows = top.need("members")?.rows()?.into_iter().map(row).collect::<Result<_, String>>()?;
+    Ok((top.need("revision")?.whole()?, whole, rows))
+}
+
+/// What is wrong with a list, if anything.
+pub fn check(list: &Value) -> Result<(), String> {
+    read(list).map(|_| ())
+}
+
 /// Tells the courier a list or changes of it, and gives its number. `asked` is false for the list known at
 /// the start. A list that cannot be read tells nothing.
 pub fn tell(host: &mut Host, list: &Value, asked: bool) -> Result<u64, String> {
-    let top = At::top(list);
-    let whole = top.get("complete").map_or(Ok(false), |v| v.flag())?;
-    let revision = top.need("revision")?.whole()?;
-    let members = top.need("members")?.rows()?;
-    let mut rows = Vec::with_capacity(members.len());
-    for member in &members {
-        let name = member.need("id")?.word()?;
-        let address = member.need("host_port")?;
-        let Ok(address) = address.word()?.parse::<SocketAddr>() else { return address.wrong("an address") };
-        let word = |name| member.get(name).map_or(Ok(""), |v| v.word());
-        let (zone, kind, phase) = (word("locality")?, word("flavor")?, listing(&member.need("phase")?)?);
-        let rate = member.get("size").map(|v| v.number()).transpose()?;
-        rows.push((name, address, zone, kind, member.need("cell")?.whole()?, phase, rate));
-    }
-    for (name, address, .., phase, _) in &rows {
+    let (revision, whole, rows) = read(list)?;
+    for (name, address, _, _, phase, _) in &rows {
         match phase {
             Listing::Gone => host.endpoints.gone(name),
             _ => host.endpoints.listed(name, *address),
@@ -58,7 +71,7 @@
         host.endpoints.keep_only(|name| names.contains(name));
     }
     host.tell(|courier| {
-        for (name, _, zone, kind, owner, phase, rate) in rows {
+        for (name, _, [zone, kind], owner, phase, rate) in rows {
             courier.listed(name, zone, kind, owner, phase, rate);
         }
         courier.list_ends(whole.then_some(&names), asked);
@@ -117,3 +130,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "register_tests.rs"]
+mod tests;
--- a/crates/quillhub-net/src/resp.rs
+++ b/crates/quillhub-net/src/resp.rs
@@ -1,15 +1,17 @@
 //! RESP2, as far as clients use it: reads commands and writes answers. Nothing here touches a socket.
 
 use std::time::Duration;
-use winnow::ascii::{crlf, dec_uint};
+use winnow::ascii::crlf;
 use winnow::combinator::terminated;
 use winnow::error::ErrMode;
-use winnow::stream::{Partial, Stream};
-use winnow::token::take;
+use winnow::stream::{AsChar, Partial, Stream};
+use winnow::token::{take, take_while};
 use winnow::{ModalResult, Parser};
 
 /// Parts of a command: the longest known has five; a few more are read to be answered with an error.
 const MOST_PARTS: usize = 16;
+/// Digits of a count.
+const MOST_DIGITS: usize = 9;
 
 pub const OK: &[u8] = b"+OK\r\n";
 pub const PONG: &[u8] = b"+PONG\r\n";
@@ -21,7 +23,8 @@
 pub struct Malformed;
 
 fn count(mark: u8, most: usize, input: &mut Input<'_>) -> ModalResult<usize> {
-    (mark, dec_uint, crlf).map(|(_, count, _): (_, usize, _)| count).verify(|n| *n <= most).parse_next(input)
+    let digits = take_while(1..=MOST_DIGITS, AsChar::is_dec_digit).parse_to();
+    (mark, digits, crlf).map(|(_, count, _): (_, usize, _)| count).verify(|n| *n <= most).parse_next(input)
 }
 
 /// The parts of the first command in `input` and how many bytes it takes; nothing if more must come. No part
@@ -73,3 +76,7 @@
 pub fn bulk(octets: &[u8]) -> Vec<u8> {
     [format!("${}\r\n", octets.len()).as_bytes(), octets, b"\r\n"].concat()
 }
+
+#[cfg(test)]
+#[path = "resp_tests.rs"]
+mod tests;
--- a/crates/quillhub-net/src/wal.rs
+++ b/crates/quillhub-net/src/wal.rs
@@ -158,6 +158,8 @@
     file: File,
     /// Bytes of the records of each notice that is owed; an entry goes when the notice is over.
     live: BTreeMap<u64, u64>,
+    /// The sum of those, with what their later records may take.
+    owed: u64,
 }
 
 fn path(folder: &Path, number: u64) -> PathBuf {
@@ -196,7 +198,8 @@
         let number = numbers.last().map_or(0, |last| last + 1);
         let segment = (budget / SEGMENTS).min(MOST_SEGMENT);
         let (file, current) = (create(folder, number)?, Segment { number, size: 0 });
-        Ok((Self { folder: folder.into(), budget, segment, old, current, file, live }, owed))
+        let sum = live.values().map(|bytes| bytes + LATER).sum();
+        Ok((Self { folder: folder.into(), budget, segment, old, current, file, live, owed: sum }, owed))
     }
 
     /// Room that cleaning and a last large frame may need.
@@ -204,13 +207,9 @@
         2 * (self.segment.max(MOST_FRAME) + BLOCK)
     }
 
-    fn owed_bytes(&self) -> u64 {
-        self.live.values().map(|bytes| bytes + LATER).sum()
-    }
-
     /// Bytes that may still be taken on, if all that is over were cleaned away.
     pub fn room(&self) -> u64 {
-        self.budget.saturating_sub(2 * self.spare() + self.owed_bytes())
+        self.budget.saturating_sub(2 * self.spare() + self.owed)
     }
 
     fn used(&self) -> u64 {
@@ -253,7 +252,7 @@
     fn append(&mut self, kind: u8, id: u64, payload: &[u8]) -> io::Result<()> {
         let frame = frame(kind, id, payload);
         let length = frame.len() as u64;
-        let wanted = self.budget.min(MOST_OVER + 2 * self.owed_bytes() + 2 * self.spare());
+        let wanted = self.budget.min(MOST_OVER + 2 * self.owed + 2 * self.spare());
         for _ in 0..self.old.len() {
             if self.used() + length + self.spare() <= wanted {
                 break;
@@ -264,7 +263,9 @@
             return Err(io::Error::new(io::ErrorKind::StorageFull, "the lasting folder is full"));
         }
         self.write(&frame)?;
-        *self.live.entry(id).or_default() += length;
+        let bytes = self.live.entry(id).or_default();
+        self.owed += length + if *bytes == 0 { LATER } else { 0 };
+        *bytes += length;
         Ok(())
     }
 
@@ -288,7 +289,7 @@
 
     pub fn over(&mut self, id: u64) -> io::Result<()> {
         let result = self.append(OVER, id, &[]);
-        self.live.remove(&id);
+        self.owed -= self.live.remove(&id).map_or(0, |bytes| bytes + LATER);
         result
     }
 }
