Notices taken after a restart get numbers that no record of the folder has

Checked: the debug log shows one held at the second stop and none read back at the third start. Ruled out: torn records, lost wake-ups. Cause: with nothing owed at a start, numbers began at 1 again (host.rs, take_back), and the records of an earlier notice of that number, over long ago, ended the new one as the folder was read back. Now the folder gives out numbers, above all that stand in it (wal.rs, number). Test: a_number_does_not_come_again_after_a_restart.

--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -48,7 +48,6 @@
     /// What the courier's clock showed at `started`: it begins with what is owed from before.
     before: Duration,
     notices: BTreeMap<NoticeId, Notice>,
-    next: NoticeId,
     /// The answer of the round that is taking on a notice.
     turned_away: Option<Taken>,
     wal: Wal,
@@ -89,7 +88,6 @@
                 started: Instant::now(),
                 before: Duration::ZERO,
                 notices: BTreeMap::new(),
-                next: 1,
                 turned_away: None,
                 wal,
                 finals: VecDeque::new(),
@@ -132,7 +130,6 @@
         let runs = all.values().flat_map(|owed| owed.sends.values().flatten()).map(|(at, _)| ago(at));
         self.before = runs.max().unwrap_or_default();
         let now = self.now();
-        self.next = all.last_key_value().map_or(1, |(id, _)| id + 1);
         tracing::info!(notices = all.len(), "owed from before");
         let mut courier = self.courier.take().expect("nothing is being told");
         courier.at(now);
@@ -178,8 +175,7 @@
         mark: Option<&[u8]>,
         body: &[u8],
     ) -> Taken {
-        let id = self.next;
-        self.next += 1;
+        let id = self.wal.number();
         let record = wal::taken(&Owed {
             grade: grade.into(),
             destination,
--- a/crates/quillhub-net/src/wal.rs
+++ b/crates/quillhub-net/src/wal.rs
@@ -160,6 +160,8 @@
     live: BTreeMap<u64, u64>,
     /// The sum of those, with what their later records may take.
     owed: u64,
+    /// Above every number in the folder, those of notices that are over too.
+    next: u64,
 }
 
 fn path(folder: &Path, number: u64) -> PathBuf {
@@ -181,10 +183,12 @@
         numbers.sort_unstable();
         let (mut owed, mut over) = (BTreeMap::<u64, Owed>::new(), BTreeSet::new());
         let (mut live, mut old) = (BTreeMap::<u64, u64>::new(), VecDeque::new());
+        let mut next = 1;
         for number in &numbers {
             let octets = fs::read(path(folder, *number))?;
             old.push_back(Segment { number: *number, size: octets.len() as u64 });
             frames(&octets, |frame, kind, id, payload| {
+                next = next.max(id + 1);
                 *live.entry(id).or_default() += frame.len() as u64;
                 if kind == OVER {
                     over.insert(id);
@@ -199,7 +203,13 @@
         let segment = (budget / SEGMENTS).min(MOST_SEGMENT);
         let (file, current) = (create(folder, number)?, Segment { number, size: 0 });
         let sum = live.values().map(|bytes| bytes + LATER).sum();
-        Ok((Self { folder: folder.into(), budget, segment, old, current, file, live, owed: sum }, owed))
+        Ok((Self { folder: folder.into(), budget, segment, old, current, file, live, owed: sum, next }, owed))
+    }
+
+    /// A number for a new notice, which no record of the folder has.
+    pub fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next - 1
     }
 
     /// Room that cleaning and a last large frame may need.
--- a/crates/quillhub-net/src/wal_tests.rs
+++ b/crates/quillhub-net/src/wal_tests.rs
@@ -53,6 +53,20 @@
     assert_eq!(read_back(&folder)[&1], bare);
 }
 
+#[test]
+fn a_number_does_not_come_again_after_a_restart() {
+    let folder = Folder::new();
+    let (mut wal, _) = Wal::open(&folder.0, ROOM).unwrap();
+    for id in [wal.number(), wal.number()] {
+        wal.taken(id, &taken(&notice(3))).unwrap();
+        wal.over(id).unwrap();
+    }
+    let (mut wal, _) = Wal::open(&folder.0, ROOM).unwrap();
+    let id = wal.number();
+    wal.taken(id, &taken(&notice(3))).unwrap();
+    assert_eq!(read_back(&folder).into_keys().collect::<Vec<_>>(), [3]);
+}
+
 #[test]
 fn a_torn_tail_costs_the_torn_record_only() {
     let folder = Folder::new();
