Each part is given its few values; jobs that last go on after a panic

The record of all that a configuration tells is gone: configuration.rs reads for each part what that part needs, and check reads all of it. The jobs that last as long as the process (accepting, the register's watch, final answers, notes, sweeping) are begun again after a panic, against one bad event that would end all final answers; it may repeat a log line where the cause stays. Host::event is what tells the courier something, as Hands::tell sends notes.

--- a/crates/quillhub-net/src/clients.rs
+++ b/crates/quillhub-net/src/clients.rs
@@ -169,7 +169,7 @@
 
 /// Accepts connections until the courier closes, those that came before that included. Each is served by a
 /// task of its own.
-pub async fn accept(host: Rc<RefCell<Host>>, listener: TcpListener, doors: Rc<Doors>) {
+pub async fn accept(host: Rc<RefCell<Host>>, listener: Rc<TcpListener>, doors: Rc<Doors>) {
     let mut phase = doors.phase.clone();
     loop {
         let accepted = tokio::select! {
--- a/crates/quillhub-net/src/clients_tests.rs
+++ b/crates/quillhub-net/src/clients_tests.rs
@@ -20,7 +20,7 @@
         let (phase, seen) = watch::channel(came);
         let (places, crowded) = (Arc::new(Semaphore::new(2)), Rc::new(Notify::new()));
         let doors = Rc::new(Doors { phase: seen, places: places.clone(), crowded });
-        spawn_local(accept(host(&folder, at), listener, doors));
+        spawn_local(accept(host(&folder, at), Rc::new(listener), doors));
         let mut client = TcpStream::connect(at).await.unwrap();
         client.write_all(input).await.unwrap();
         if leave {
@@ -96,7 +96,11 @@
         let at = listener.local_addr().unwrap();
         let (_phase, seen) = watch::channel(Phase::Serving);
         let (places, crowded) = (Arc::new(Semaphore::new(1)), Rc::new(Notify::new()));
-        spawn_local(accept(host(&folder, at), listener, Rc::new(Doors { phase: seen, places, crowded })));
+        spawn_local(accept(
+            host(&folder, at),
+            Rc::new(listener),
+            Rc::new(Doors { phase: seen, places, crowded }),
+        ));
         let mut answer = [0; 7];
         let mut first = TcpStream::connect(at).await.unwrap();
         first.write_all(PING).await.unwrap();
--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -108,7 +108,7 @@
     }
 
     /// Tells the courier what happened, and lets it act. A panic in there ends only the task that told it.
-    pub fn tell<T>(&mut self, event: impl FnOnce(&mut Courier) -> T) -> T {
+    pub fn event<T>(&mut self, event: impl FnOnce(&mut Courier) -> T) -> T {
         let mut courier = self.courier.take().expect("it is put back below, after a panic too");
         let now = self.now();
         let told = catch_unwind(AssertUnwindSafe(|| {
@@ -197,7 +197,7 @@
         self.notices.insert(id, notice);
         self.turned_away = None;
         let limit = self.now() + lasts;
-        let known = self.tell(|courier| {
+        let known = self.event(|courier| {
             courier.folder_room(room);
             courier.notice(id, grade, turn, limit, None, destination)
         });
@@ -228,7 +228,7 @@
         if self.notices.remove(&id).is_some_and(|notice| notice.unfiled.is_none()) {
             log_failed("an end", self.wal.over(id));
         }
-        self.tell(|courier| courier.over(id));
+        self.event(|courier| courier.over(id));
     }
 
     /// The platform has these final answers: nothing is owed any more.
@@ -264,7 +264,7 @@
             }
         }
         let report = end.ok().and_then(|answer| answer.report).filter(|_| self.reports);
-        self.tell(|courier| courier.outcome(id, send, outcome, took, over, report));
+        self.event(|courier| courier.outcome(id, send, outcome, took, over, report));
     }
 
     /// Whether nothing is out and nothing is owed.
@@ -342,7 +342,7 @@
         spawn_local(async move {
             tokio::time::sleep(wait).await;
             if let Some(host) = me.upgrade() {
-                host.borrow_mut().tell(Courier::woken);
+                host.borrow_mut().event(Courier::woken);
             }
         });
     }
--- a/crates/quillhub-net/src/host_tests.rs
+++ b/crates/quillhub-net/src/host_tests.rs
@@ -43,7 +43,7 @@
         assert_eq!((take(&first, "once"), take(&first, "free")), (Taken::On(1), Taken::On(2)));
         drop(first);
         let second = host(&folder, at);
-        second.borrow_mut().tell(|_| ());
+        second.borrow_mut().event(|_| ());
         let second = second.borrow();
         let ends: Vec<_> = second.finals.iter().map(|end| (end.id, end.denied)).collect();
         assert_eq!(ends, [(1, false)], "the binding one is written off");
@@ -61,7 +61,7 @@
         first.borrow_mut().deny(1, Some(Duration::from_millis(500)));
         drop(first);
         let second = host(&folder, at);
-        second.borrow_mut().tell(|_| ());
+        second.borrow_mut().event(|_| ());
         let mut second = second.borrow_mut();
         assert_eq!((second.calls, second.finals.len()), (0, 1));
         assert_eq!(second.finals[0].come_back, Some(Duration::from_millis(500)));
@@ -120,7 +120,7 @@
     on_one_thread(async {
         let (at, _listener) = silent().await;
         let host = host(&folder, at);
-        let panicked = catch_unwind(AssertUnwindSafe(|| host.borrow_mut().tell(|_| panic!("told badly"))));
+        let panicked = catch_unwind(AssertUnwindSafe(|| host.borrow_mut().event(|_| panic!("told badly"))));
         assert!(panicked.is_err());
         assert_eq!(take(&host, "free"), Taken::On(1));
     });
--- a/crates/quillhub-net/src/lib.rs
+++ b/crates/quillhub-net/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod clients;
 pub mod command;
+mod configuration;
 mod endpoints;
 mod finals;
 mod host;
@@ -19,10 +20,10 @@
 use clients::Phase;
 use endpoints::Endpoints;
 use host::Host;
+use peers::Peers;
 use quillhub_settings::At;
-use serde_json::Value;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -31,12 +32,8 @@
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
+use wal::Wal;
 
-const MB: u64 = 1024 * 1024;
-/// The lasting folder's bound where none is told.
-const FOLDER_MB: f64 = 64.0;
-/// Descriptors where none are told: the usual soft limit.
-const SOCKETS: u64 = 1024;
 /// Descriptors for all that is neither a client's connection nor one to an endpoint.
 const OTHER_SOCKETS: usize = 64;
 /// How often closed idle connections are looked for: well within the time that one is kept.
@@ -46,120 +43,76 @@
 const DECIDES: Duration = Duration::from_millis(2_000); // and so long what is held is still worked on
 const CALLS: Duration = Duration::from_millis(3_000); // calls that are out may take until then
 const FLUSHES: Duration = Duration::from_millis(3_300); // and final answers on their way
+/// Pause after a panic in a job that lasts.
+const AFTER_PANIC: Duration = Duration::from_millis(50);
 /// How often the end of all that is looked for.
 const LOOK: Duration = Duration::from_millis(5);
 
-fn address(at: &At) -> Result<SocketAddr, String> {
-    at.word()?.parse().or_else(|_| at.wrong("an address"))
-}
-
 /// Runs a courier with the configuration in `text`, its lasting folder at `state`, until `stop` is done and
 /// what is owed is put in order.
 pub async fn serve(text: &str, state: &Path, stop: impl Future<Output = ()>) -> Result<(), String> {
-    let value: Value =
-        serde_json::from_str(text).map_err(|e| format!("the configuration is no JSON: {e}"))?;
-    LocalSet::new().run_until(run(&value, state, stop)).await
+    let value = configuration::parse(text)?;
+    LocalSet::new().run_until(run(&At::top(&value), state, stop)).await
 }
 
 /// Reads all of a configuration, as [`serve`] does, and does nothing with it.
 pub fn check(text: &str) -> Result<(), String> {
-    let value: Value =
-        serde_json::from_str(text).map_err(|e| format!("the configuration is no JSON: {e}"))?;
-    read(&value)?;
-    value.get("known").map_or(Ok(()), register::check)
-}
-
-struct Plan {
-    courier: quillhub::courier::Courier,
-    reports: bool,
-    listen: SocketAddr,
-    platform: SocketAddr,
-    peers: Option<(SocketAddr, SocketAddr, Option<SocketAddr>)>,
-    folder: u64,
-    sockets: usize,
-    connecting: Duration,
-    idle_close: Duration,
-    must_be_asked: bool,
+    configuration::check(&At::top(&configuration::parse(text)?))
 }
 
-fn read(value: &Value) -> Result<Plan, String> {
-    let top = At::top(value);
-    let seed = top.need("seed")?;
-    let Ok(number) = u64::from_str_radix(seed.word()?, 16) else { return seed.wrong("a hexadecimal number") };
-    let settings = top.need("settings")?;
-    let (courier, places) = quillhub_settings::read(number, settings.value)?;
-    let limits = settings.get("limits");
-    let limit = |name| limits.as_ref().and_then(|limits| limits.get(name));
-    let span = |name| limit(name).map(|v| v.span()).transpose();
-    let own = settings.get("me").map(|me| me.whole()).transpose()?;
-    let own = match (top.get("peers"), own) {
-        (Some(peers), Some(me)) => peers.rows()?.get(me as usize).map(address).transpose()?,
-        _ => None,
-    };
-    let may_tell = limit("peerMessages").map_or(Ok(false), |v| v.flag())?;
-    let peers = match (top.get("peer_listen"), top.get("peers_all")) {
-        (Some(listen), Some(all)) if may_tell => Some((address(&listen)?, address(&all)?, own)),
-        _ => None,
-    };
-    let mode = settings.get("membershipMode").map(|v| v.word()).transpose()?;
-    let bound = top.get("limits");
-    let bound = |name| bound.as_ref().and_then(|bound| bound.get(name));
-    Ok(Plan {
-        courier,
-        reports: places.left.is_some() && places.limit.is_some(),
-        listen: address(&top.need("listen")?)?,
-        platform: address(&top.need("discovery")?)?,
-        peers,
-        folder: (bound("disk_mb").map_or(Ok(FOLDER_MB), |v| v.number())? * MB as f64) as u64,
-        sockets: bound("sockets").map_or(Ok(SOCKETS), |v| v.whole())? as usize,
-        connecting: span("connectTimeoutUs")?.unwrap_or(Duration::MAX),
-        idle_close: span("idleCloseUs")?.unwrap_or(Duration::MAX),
-        must_be_asked: mode == Some("subscribe"),
-    })
+/// Keeps a job running that is to last as long as the process: a panic ends only what it was at.
+fn lasting<F: Future<Output = ()> + 'static>(job: impl Fn() -> F + 'static) {
+    spawn_local(async move {
+        while spawn_local(job()).await.is_err() {
+            sleep(AFTER_PANIC).await;
+        }
+    });
 }
 
-async fn run(value: &Value, state: &Path, stop: impl Future<Output = ()>) -> Result<(), String> {
-    let plan = read(value)?;
+async fn run(top: &At<'_>, state: &Path, stop: impl Future<Output = ()>) -> Result<(), String> {
     let told = |what: &'static str| move |error: std::io::Error| format!("{what}: {error}");
-    let (wal, owed) =
-        wal::Wal::open(state, plan.folder).map_err(told("the lasting folder cannot be used"))?;
-    let peers = match plan.peers {
+    let (courier, reports) = configuration::courier(top)?;
+    let (listen, platform) = configuration::addresses(top)?;
+    let (folder, sockets) = configuration::bounds(top)?;
+    let (connecting, idle_close) = configuration::connections(top)?;
+    let must_be_asked = configuration::must_be_asked(top)?;
+    let peers = match configuration::notes(top)? {
         Some((listen, all, own)) => {
-            let opened = peers::Peers::open(listen, all, own).await;
+            let opened = Peers::open(listen, all, own).await;
             Some(Rc::new(opened.map_err(told("the address for notes cannot be used"))?))
         }
         None => None,
     };
-    let free = plan.sockets.saturating_sub(OTHER_SOCKETS);
-    let endpoints = Endpoints::new(plan.idle_close, free / 4);
-    let host = Host::new(plan.courier, wal, endpoints, plan.connecting, peers.clone(), plan.reports);
-    let revision = match value.get("known") {
-        Some(known) => register::tell(&mut host.borrow_mut(), known, false)?,
+    let (wal, owed) = Wal::open(state, folder).map_err(told("the lasting folder cannot be used"))?;
+    let free = sockets.saturating_sub(OTHER_SOCKETS);
+    let endpoints = Endpoints::new(idle_close, free / 4);
+    let host = Host::new(courier, wal, endpoints, connecting, peers.clone(), reports);
+    let revision = match top.get("known") {
+        Some(known) => register::tell(&mut host.borrow_mut(), known.value, false)?,
         None => 0,
     };
     host.borrow_mut().take_back(owed);
-    spawn_local(finals::flush(host.clone(), plan.platform));
-    host.borrow_mut().tell(|_| ());
-    spawn_local(register::follow(host.clone(), plan.platform, revision, plan.must_be_asked));
+    let at = host.clone();
+    lasting(move || finals::flush(at.clone(), platform));
+    host.borrow_mut().event(|_| ());
+    let (at, revision) = (host.clone(), Rc::new(Cell::new(revision)));
+    lasting(move || register::follow(at.clone(), platform, revision.clone(), must_be_asked));
     if let Some(peers) = peers {
-        spawn_local(peers.hear(host.clone()));
+        let at = host.clone();
+        lasting(move || peers.clone().hear(at.clone()));
     }
-    let listener = TcpListener::bind(plan.listen).await.map_err(told("the address cannot be listened on"))?;
-    let sweeper = host.clone();
-    spawn_local(async move {
-        loop {
-            sleep(SWEEP).await;
-            sweeper.borrow_mut().endpoints.sweep();
-        }
-    });
-    tracing::info!(listen = %plan.listen, "serving");
+    let at = host.clone();
+    lasting(move || sweep(at.clone()));
+    let listener = TcpListener::bind(listen).await.map_err(told("the address cannot be listened on"))?;
+    tracing::info!(%listen, "serving");
 
     let (phase, seen) = watch::channel(Phase::Serving);
     let connections = (free / 2).max(1);
     let places = Arc::new(Semaphore::new(connections));
     let crowded = Rc::new(Notify::new());
     let doors = Rc::new(clients::Doors { phase: seen, places: places.clone(), crowded });
-    spawn_local(clients::accept(host.clone(), listener, doors));
+    let (at, listener) = (host.clone(), Rc::new(listener));
+    lasting(move || clients::accept(at.clone(), listener.clone(), doors.clone()));
     stop.await;
     tracing::info!("stopping");
     let sign = Instant::now();
@@ -176,6 +129,13 @@
     Ok(())
 }
 
+async fn sweep(host: Rc<RefCell<Host>>) {
+    loop {
+        sleep(SWEEP).await;
+        host.borrow_mut().endpoints.sweep();
+    }
+}
+
 async fn until(at: Instant, done: impl Fn() -> bool) {
     while Instant::now() < at && !done() {
         sleep(LOOK).await;
--- a/crates/quillhub-net/src/lib_tests.rs
+++ b/crates/quillhub-net/src/lib_tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::stand_in::{Folder, on_one_thread, plan};
-use serde_json::json;
+use serde_json::{Value, json};
 
 #[test]
 fn a_configuration_that_cannot_be_used_is_told_in_one_line() {
--- a/crates/quillhub-net/src/peers.rs
+++ b/crates/quillhub-net/src/peers.rs
@@ -44,7 +44,7 @@
         loop {
             match self.socket.recv_from(&mut octets).await {
                 Ok((length, from)) if length <= MOST && Some(from) != self.own => {
-                    host.borrow_mut().tell(|courier| courier.told_by_courier(&octets[..length]));
+                    host.borrow_mut().event(|courier| courier.told_by_courier(&octets[..length]));
                 }
                 Ok(_) => {}
                 Err(_) => sleep(PAUSE).await,
--- a/crates/quillhub-net/src/register.rs
+++ b/crates/quillhub-net/src/register.rs
@@ -6,7 +6,7 @@
 use quillhub::Listing;
 use quillhub_settings::At;
 use serde_json::Value;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -70,7 +70,7 @@
     if whole {
         host.endpoints.keep_only(|name| names.contains(name));
     }
-    host.tell(|courier| {
+    host.event(|courier| {
         for (name, _, [zone, kind], owner, phase, rate) in rows {
             courier.listed(name, zone, kind, owner, phase, rate);
         }
@@ -80,10 +80,10 @@
 }
 
 /// One watch, from `revision` on, until it ends.
-async fn watch(host: &RefCell<Host>, at: SocketAddr, revision: &mut u64) -> Result<(), Broken> {
+async fn watch(host: &RefCell<Host>, at: SocketAddr, revision: &Cell<u64>) -> Result<(), Broken> {
     let opened = timeout(SILENCE, Link::open(at)).await.map_err(|_| Broken::Ended)?;
     let mut link = opened.map_err(Broken::Failed)?;
-    let path = format!("{PATH}?watch=1&after={revision}");
+    let path = format!("{PATH}?watch=1&after={}", revision.get());
     let request = http::request("GET", &path, &at.to_string(), &[], &[]);
     link.write(&request).await.map_err(Broken::Failed)?;
     let head = timeout(SILENCE, link.head()).await.map_err(|_| Broken::Ended)??;
@@ -104,7 +104,7 @@
             }
             let value = serde_json::from_slice::<Value>(&text).map_err(|_| Broken::Malformed)?;
             match tell(&mut host.borrow_mut(), &value, true) {
-                Ok(number) => *revision = number,
+                Ok(number) => revision.set(number),
                 Err(trouble) => {
                     tracing::error!(trouble, "the register's list cannot be read");
                     return Err(Broken::Malformed);
@@ -115,16 +115,16 @@
 }
 
 /// Keeps a watch open. Where the register `must_be_asked`, the courier says when.
-pub async fn follow(host: Rc<RefCell<Host>>, at: SocketAddr, mut revision: u64, must_be_asked: bool) {
+pub async fn follow(host: Rc<RefCell<Host>>, at: SocketAddr, revision: Rc<Cell<u64>>, must_be_asked: bool) {
     let wanted = host.borrow().watch_wanted.clone();
     loop {
         if must_be_asked {
             wanted.notified().await;
         }
-        if let Err(end) = watch(&host, at, &mut revision).await {
-            tracing::info!(%end, revision, "the watch on the register ended");
+        if let Err(end) = watch(&host, at, &revision).await {
+            tracing::info!(%end, revision = revision.get(), "the watch on the register ended");
         }
-        host.borrow_mut().tell(|courier| courier.list_failed());
+        host.borrow_mut().event(|courier| courier.list_failed());
         if !must_be_asked {
             sleep(PAUSE).await;
         }
--- a/crates/quillhub-net/src/register_tests.rs
+++ b/crates/quillhub-net/src/register_tests.rs
@@ -62,9 +62,9 @@
             26\r\nevision\":8,\"members\":[],\"more\":[null]}\r\n1\r\n\n\r\n0\r\n\r\n";
         let (at, mut told) = answering(vec![answer]).await;
         let host = host(&folder, at);
-        let mut revision = 6;
-        assert!(matches!(watch(&host, at, &mut revision).await, Err(Broken::Ended)));
-        assert_eq!((revision, host.borrow().endpoints.address("e")), (8, None));
+        let revision = Cell::new(6);
+        assert!(matches!(watch(&host, at, &revision).await, Err(Broken::Ended)));
+        assert_eq!((revision.get(), host.borrow().endpoints.address("e")), (8, None));
         let call = told.recv().await.unwrap();
         assert!(call.starts_with("GET /registry/instances?watch=1&after=6 HTTP/1.1\r\n"), "{call}");
     });
