A notice whose record cannot be written is never answered as taken on

Found in reading host.rs (file): the record was taken out before it was written. Where the module sent the notice in its first round and the write failed, the second look found no record to write, and the client got +OK for something no restart would know. Now the record stays until it is on file. X-Deadline is at least a millisecond.

--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -217,10 +217,12 @@
     }
 
     fn file(&mut self, id: NoticeId) -> std::io::Result<()> {
-        match self.notices.get_mut(&id).and_then(|notice| notice.unfiled.take()) {
-            Some(record) => self.wal.taken(id, &record),
-            None => Ok(()),
+        let Some(notice) = self.notices.get_mut(&id) else { return Ok(()) };
+        if let Some(record) = &notice.unfiled {
+            self.wal.taken(id, record)?;
+            notice.unfiled = None;
         }
+        Ok(())
     }
 
     /// The client left before it heard that its notice is taken on, or the notice is over for other reasons.
@@ -286,7 +288,7 @@
         let send = notice.sends;
         notice.sends += 1;
         let body = notice.body.clone();
-        let lasts = format!("{:.3}", patience.as_secs_f64());
+        let lasts = format!("{:.3}", patience.as_secs_f64().max(0.001));
         let mut headers = vec![("X-Request-Id", &notice.reference[..])];
         headers.extend(notice.mark.as_deref().map(|mark| ("Idempotency-Key", mark)));
         headers.push(("X-Deadline", lasts.as_bytes()));
--- a/crates/quillhub-net/src/host_tests.rs
+++ b/crates/quillhub-net/src/host_tests.rs
@@ -87,7 +87,7 @@
 }
 
 #[test]
-fn a_full_folder_denies_and_one_that_cannot_be_written_fails_but_neither_ends_the_courier() {
+fn a_full_folder_denies() {
     let folder = Folder::new();
     on_one_thread(async {
         let (at, _listener) = silent().await;
@@ -101,6 +101,26 @@
     });
 }
 
+#[test]
+fn what_cannot_be_written_to_the_folder_is_not_taken_on_nor_sent() {
+    let folder = Folder::new();
+    on_one_thread(async {
+        let (at, mut told) = answering(vec![OK, OK, OK]).await;
+        let host = host(&folder, at);
+        std::fs::remove_dir_all(&folder.0).unwrap();
+        let body = vec![0; 60_000]; // one fills a segment, and the next needs a new file
+        let take = || host.borrow_mut().take_on("free", None, LASTS, 9, b"ab", None, &body);
+        assert_eq!(take(), Taken::On(1));
+        for _ in 0..2 {
+            assert_eq!(take(), Taken::Failed("the lasting folder cannot be written"));
+        }
+        while !host.borrow().at_rest() {
+            tokio::task::yield_now().await;
+        }
+        assert!(told.try_recv().is_ok() && told.try_recv().is_err(), "one call");
+    });
+}
+
 #[test]
 fn a_client_that_left_is_owed_nothing() {
     let folder = Folder::new();
