One notice made in one place, one way to take back, one reading of input that may go on

From reading the whole change once more; what is sent and answered stays as it was. take_back told the courier by a copy of what Host::event does and built final answers by hand: it goes through event and write_off now, so a notice of an unknown grade gets its answer on file too (test added; before, only the queue had it). Notice::of serves taking on and taking back, and a body is copied once less. The two parsers had twin ends and twin errors: partial.rs. register.rs reads addresses by configuration.rs. The parts of the descriptors have names and reasons. A match over all kinds of one error is one arm.

--- a/crates/quillhub-net/src/configuration.rs
+++ b/crates/quillhub-net/src/configuration.rs
@@ -16,7 +16,7 @@
     serde_json::from_str(text).map_err(|error| format!("the configuration is no JSON: {error}"))
 }
 
-fn address(at: &At) -> Result<SocketAddr, String> {
+pub fn address(at: &At) -> Result<SocketAddr, String> {
     at.word()?.parse().or_else(|_| at.wrong("an address"))
 }
 
--- a/crates/quillhub-net/src/endpoints.rs
+++ b/crates/quillhub-net/src/endpoints.rs
@@ -1,7 +1,7 @@
 //! The endpoints: their addresses, the connections kept to them, and one call on one connection.
 
 use crate::http;
-use crate::link::{Broken, Link};
+use crate::link::Link;
 use quillhub::Outcome;
 use std::collections::BTreeMap;
 use std::io;
@@ -100,7 +100,7 @@
     }
     let head = match timeout(left(), link.head()).await {
         Ok(Ok(head)) => head,
-        Ok(Err(Broken::Ended | Broken::Failed(_) | Broken::Malformed)) => return (Err(Failed::Broken), None),
+        Ok(Err(_)) => return (Err(Failed::Broken), None),
         Err(_) => return (Err(Failed::Silent), None),
     };
     let wait = head.header("x-backoff-ms").and_then(|ms| ms.trim().parse::<f64>().ok());
--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -24,6 +24,14 @@
     unfiled: Option<Vec<u8>>,
 }
 
+impl Notice {
+    fn of(owed: Owed, unfiled: Option<Vec<u8>>) -> Self {
+        let (reference, mark) = (owed.reference.into(), owed.mark.map(Into::into));
+        let sends = owed.sends.last_key_value().map_or(0, |(send, _)| send + 1);
+        Self { reference, mark, body: owed.body.into(), sends, unfiled }
+    }
+}
+
 /// How taking on a notice ended.
 #[derive(Debug, PartialEq)]
 pub enum Taken {
@@ -123,7 +131,7 @@
         told.unwrap_or_else(|panic| resume_unwind(panic))
     }
 
-    /// Takes back what was owed when the last process ended.
+    /// Takes back what was owed when the last process ended; what is answered goes to the platform first.
     pub fn take_back(&mut self, all: BTreeMap<NoticeId, Owed>) {
         let wall = SystemTime::now();
         let ago = |at: &SystemTime| wall.duration_since(*at).unwrap_or_default();
@@ -131,36 +139,32 @@
         self.before = runs.max().unwrap_or_default();
         let now = self.now();
         tracing::info!(notices = all.len(), "owed from before");
-        let mut courier = self.courier.take().expect("nothing is being told");
-        courier.at(now);
+        let mut held = Vec::new();
         for (id, owed) in all {
             if let Some((denied, come_back)) = owed.answer {
                 self.finals.push_back(Final { id, reference: owed.reference.into(), denied, come_back });
                 continue;
             }
             let lasts = owed.limit.and_then(|limit| limit.duration_since(wall).ok()).unwrap_or_default();
-            if !courier.notice(id, &owed.grade, owed.turn, now + lasts, None, owed.destination) {
-                tracing::error!(notice = id, grade = owed.grade, "owed, but of no known grade: written off");
-                self.finals.push_back(Final {
-                    id,
-                    reference: owed.reference.into(),
-                    denied: false,
-                    come_back: None,
-                });
-                continue;
-            }
-            let sends = owed.sends.last_key_value().map_or(0, |(send, _)| send + 1);
             let first = owed.sends.values().flatten().min();
-            courier.sent_before(
-                id,
-                sends,
-                first.map(|(at, name)| (now.saturating_sub(ago(at)), name.as_str())),
-            );
-            let (reference, mark) = (owed.reference.into(), owed.mark.map(Into::into));
-            let notice = Notice { reference, mark, body: owed.body.into(), sends, unfiled: None };
+            let first = first.map(|(at, name)| (now.saturating_sub(ago(at)), name.clone()));
+            let (grade, turn, destination) = (owed.grade.clone(), owed.turn, owed.destination);
+            let notice = Notice::of(owed, None);
+            held.push((id, grade, turn, now + lasts, destination, notice.sends, first));
             self.notices.insert(id, notice);
         }
-        self.courier = Some(courier);
+        let unknown = self.event(|courier| {
+            held.retain(|(id, grade, turn, limit, destination, sends, first)| {
+                let known = courier.notice(*id, grade, *turn, *limit, None, *destination);
+                courier.sent_before(*id, *sends, first.as_ref().map(|(at, name)| (*at, name.as_str())));
+                !known
+            });
+            held
+        });
+        for (id, grade, ..) in unknown {
+            tracing::error!(notice = id, grade, "owed, but of no known grade: written off");
+            self.write_off(id);
+        }
     }
 
     /// Takes on a notice: the courier is told of it, and if it does not turn it away at once, it is on file.
@@ -176,7 +180,7 @@
         body: &[u8],
     ) -> Taken {
         let id = self.wal.number();
-        let record = wal::taken(&Owed {
+        let owed = Owed {
             grade: grade.into(),
             destination,
             turn,
@@ -185,15 +189,10 @@
             mark: mark.map(Into::into),
             body: body.into(),
             ..Owed::default()
-        });
-        let room = self.wal.room().saturating_sub(record.len() as u64);
-        let notice = Notice {
-            reference: reference.into(),
-            mark: mark.map(Into::into),
-            body: body.into(),
-            sends: 0,
-            unfiled: Some(record),
         };
+        let record = wal::taken(&owed);
+        let room = self.wal.room().saturating_sub(record.len() as u64);
+        let notice = Notice::of(owed, Some(record));
         self.notices.insert(id, notice);
         self.turned_away = None;
         let limit = self.now() + lasts;
@@ -269,6 +268,12 @@
         self.event(|courier| courier.outcome(id, send, outcome, took, over, report));
     }
 
+    /// Asked before a call's first byte: whether the courier still wants it to go.
+    fn may_go(&self, id: NoticeId, send: u32) -> bool {
+        let now = self.now();
+        self.courier.as_ref().is_some_and(|courier| courier.may_go(id, send, now))
+    }
+
     /// Whether nothing is out and nothing is owed.
     pub fn at_rest(&self) -> bool {
         self.calls == 0 && self.notices.is_empty() && self.finals.is_empty()
@@ -358,14 +363,6 @@
     }
 }
 
-impl Host {
-    /// Asked before a call's first byte: whether the courier still wants it to go.
-    fn may_go(&self, id: NoticeId, send: u32) -> bool {
-        let now = self.now();
-        self.courier.as_ref().is_some_and(|courier| courier.may_go(id, send, now))
-    }
-}
-
 #[cfg(test)]
 #[path = "host_tests.rs"]
 mod tests;
--- a/crates/quillhub-net/src/host_tests.rs
+++ b/crates/quillhub-net/src/host_tests.rs
@@ -70,6 +70,21 @@
     assert!(Wal::open(&folder.0, 1 << 20).unwrap().1.is_empty());
 }
 
+#[test]
+fn what_is_owed_but_of_no_known_grade_is_written_off() {
+    let folder = Folder::new();
+    let (mut wal, _) = Wal::open(&folder.0, 1 << 20).unwrap();
+    let owed = Owed { grade: "unheard".into(), limit: Some(SystemTime::now() + LASTS), ..Owed::default() };
+    wal.taken(1, &wal::taken(&owed)).unwrap();
+    on_one_thread(async {
+        let (at, _listener) = silent().await;
+        let host = host(&folder, at);
+        let ends: Vec<_> = host.borrow().finals.iter().map(|end| (end.id, end.denied)).collect();
+        assert_eq!((ends, host.borrow().notices.len()), (vec![(1, false)], 0));
+    });
+    assert_eq!(Wal::open(&folder.0, 1 << 20).unwrap().1[&1].answer, Some((false, None)));
+}
+
 #[test]
 fn what_is_turned_away_at_once_is_answered_and_owed_nothing() {
     let folder = Folder::new();
--- a/crates/quillhub-net/src/http.rs
+++ b/crates/quillhub-net/src/http.rs
@@ -1,9 +1,10 @@
 //! HTTP/1.1, as far as a caller needs it: writes requests and reads answers. Nothing here touches a socket.
 
+pub use crate::partial::Malformed;
+use crate::partial::{Input, whole};
 use winnow::ascii::{crlf, dec_uint, hex_uint, space0, space1};
 use winnow::combinator::{repeat, terminated};
-use winnow::error::ErrMode;
-use winnow::stream::{AsChar, Partial, Stream};
+use winnow::stream::AsChar;
 use winnow::token::{one_of, take, take_till, take_while};
 use winnow::{ModalResult, Parser};
 
@@ -14,12 +15,6 @@
 /// Bytes of a chunk's first line, extensions included.
 const MOST_CHUNK_LINE: usize = 256;
 
-type Input<'a> = Partial<&'a [u8]>;
-
-/// What came cannot be an answer, whatever follows.
-#[derive(Debug, PartialEq, Eq)]
-pub struct Malformed;
-
 /// How the body's end is found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -83,15 +78,6 @@
         .parse_next(input)
 }
 
-/// Nothing while more must come.
-fn whole<T>(input: &[u8], rest: &Input<'_>, read: ModalResult<T>) -> Result<Option<(T, usize)>, Malformed> {
-    match read {
-        Ok(value) => Ok(Some((value, input.len() - rest.eof_offset()))),
-        Err(ErrMode::Incomplete(_)) => Ok(None),
-        Err(_) => Err(Malformed),
-    }
-}
-
 /// The head at the start of `input` and how many bytes it takes; nothing if more must come.
 ///
 /// ```
@@ -105,7 +91,7 @@
 /// assert!(head(b"SSH-2.0-").is_err());
 /// ```
 pub fn head(input: &[u8]) -> Result<Option<(Head, usize)>, Malformed> {
-    let mut rest = Partial::new(input);
+    let mut rest = Input::new(input);
     let lines = repeat(0..=MOST_HEADERS, header);
     let read = (first_line, terminated(lines, crlf)).parse_next(&mut rest);
     let read = whole(input, &rest, read)?;
@@ -131,7 +117,7 @@
 /// The chunk at the start of `input`, empty for the last, and how many bytes it takes; nothing if more must
 /// come. It may not be longer than `most`.
 pub fn chunk(input: &[u8], most: usize) -> Result<Option<(&[u8], usize)>, Malformed> {
-    let mut rest = Partial::new(input);
+    let mut rest = Input::new(input);
     let read = a_chunk(most, &mut rest);
     let read = whole(input, &rest, read)?;
     if read.is_none() && input.len() > most + MOST_CHUNK_LINE + MOST_HEAD {
--- a/crates/quillhub-net/src/lib.rs
+++ b/crates/quillhub-net/src/lib.rs
@@ -10,6 +10,7 @@
 mod host;
 pub mod http;
 mod link;
+mod partial;
 mod peers;
 mod register;
 pub mod resp;
@@ -36,6 +37,10 @@
 
 /// Descriptors for all that is neither a client's connection nor one to an endpoint.
 const OTHER_SOCKETS: usize = 64;
+/// Part of the rest that clients' connections may take: a half, as each may bring a call.
+const CLIENTS: usize = 2;
+/// Part of it that idle connections to endpoints may take; calls that are out have the last quarter.
+const IDLE: usize = 4;
 /// How often closed idle connections are looked for: well within the time that one is kept.
 const SWEEP: Duration = Duration::from_millis(500);
 // After the sign to stop, counted from it; a process is killed no sooner than 3.7 s after it.
@@ -85,7 +90,7 @@
     };
     let (wal, owed) = Wal::open(state, folder).map_err(told("the lasting folder cannot be used"))?;
     let free = sockets.saturating_sub(OTHER_SOCKETS);
-    let endpoints = Endpoints::new(idle_close, free / 4);
+    let endpoints = Endpoints::new(idle_close, free / IDLE);
     let host = Host::new(courier, wal, endpoints, connecting, peers.clone(), reports);
     let revision = match top.get("known") {
         Some(known) => register::tell(&mut host.borrow_mut(), known.value, false)?,
@@ -94,7 +99,6 @@
     host.borrow_mut().take_back(owed);
     let at = host.clone();
     lasting(move || finals::flush(at.clone(), platform));
-    host.borrow_mut().event(|_| ());
     let (at, revision) = (host.clone(), Rc::new(Cell::new(revision)));
     lasting(move || register::follow(at.clone(), platform, revision.clone(), must_be_asked));
     if let Some(peers) = peers {
@@ -107,7 +111,7 @@
     tracing::info!(%listen, "serving");
 
     let (phase, seen) = watch::channel(Phase::Serving);
-    let connections = (free / 2).max(1);
+    let connections = (free / CLIENTS).max(1);
     let places = Arc::new(Semaphore::new(connections));
     let crowded = Rc::new(Notify::new());
     let doors = Rc::new(clients::Doors { phase: seen, places: places.clone(), crowded });
--- a/crates/quillhub-net/src/resp.rs
+++ b/crates/quillhub-net/src/resp.rs
@@ -1,10 +1,11 @@
 //! RESP2, as far as clients use it: reads commands and writes answers. Nothing here touches a socket.
 
+pub use crate::partial::Malformed;
+use crate::partial::{Input, whole};
 use std::time::Duration;
 use winnow::ascii::crlf;
 use winnow::combinator::terminated;
-use winnow::error::ErrMode;
-use winnow::stream::{AsChar, Partial, Stream};
+use winnow::stream::AsChar;
 use winnow::token::{take, take_while};
 use winnow::{ModalResult, Parser};
 
@@ -16,12 +17,6 @@
 pub const OK: &[u8] = b"+OK\r\n";
 pub const PONG: &[u8] = b"+PONG\r\n";
 
-type Input<'a> = Partial<&'a [u8]>;
-
-/// What came cannot be a command, whatever follows.
-#[derive(Debug, PartialEq, Eq)]
-pub struct Malformed;
-
 fn count(mark: u8, most: usize, input: &mut Input<'_>) -> ModalResult<usize> {
     let digits = take_while(1..=MOST_DIGITS, AsChar::is_dec_digit).parse_to();
     (mark, digits, crlf).map(|(_, count, _): (_, usize, _)| count).verify(|n| *n <= most).parse_next(input)
@@ -40,7 +35,7 @@
 /// ```
 #[allow(clippy::type_complexity)]
 pub fn command(input: &[u8], most: usize) -> Result<Option<(Vec<&[u8]>, usize)>, Malformed> {
-    let mut rest = Partial::new(input);
+    let mut rest = Input::new(input);
     let mut read = || {
         let parts = count(b'*', MOST_PARTS, &mut rest)?;
         let mut part = || {
@@ -49,11 +44,8 @@
         };
         (0..parts).map(|_| part()).collect::<ModalResult<Vec<&[u8]>>>()
     };
-    match read() {
-        Ok(parts) => Ok(Some((parts, input.len() - rest.eof_offset()))),
-        Err(ErrMode::Incomplete(_)) => Ok(None),
-        Err(_) => Err(Malformed),
-    }
+    let read = read();
+    whole(input, &rest, read)
 }
 
 /// The value of `name` in a list like `c=notice,d=8000`.
