SIGHUP reads the configuration again: register and platform may be elsewhere

Cause: command.rs caught SIGTERM and SIGINT only, and register.rs and finals.rs held the address they were started with.

Now all three signals are caught before anything else; the file is read again on SIGHUP, checked whole, and one that cannot be used is logged and changes nothing. Register and platform are watched addresses: the old watch is dropped at once, the whole list is taken at the new address and a watch opened behind it; final answers that the old address has not confirmed go to the new one. Parts that only a start heeds are named in the log.

Holds also against a register that is moved while it is silent, and against SIGHUP during stopping. May send a final answer twice, which does no harm. Tests: register, finals, lib; without the change they do not compile or wait for ever.

--- a/crates/quillhub-net/src/command.rs
+++ b/crates/quillhub-net/src/command.rs
@@ -20,7 +20,7 @@
     Version(Version),
 }
 
-/// Run a courier until SIGTERM or SIGINT.
+/// Run a courier until SIGTERM or SIGINT; SIGHUP makes it read its configuration again.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct Serve {
@@ -54,16 +54,17 @@
     named.ok_or(format!("expected {option} or ${variable}, found neither"))
 }
 
-fn text(config: Option<PathBuf>) -> Result<String, String> {
-    let path = place(config, "RELAY_CONFIG", "--config")?;
-    std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))
+fn text(path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
 }
 
-fn serve(text: &str, state: &Path) -> Result<(), String> {
+fn serve(config: &Path, state: &Path) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("the runtime cannot start: {e}"))?;
     runtime.block_on(async {
         let signals = |kind| signal(kind).map_err(|e| format!("signals cannot be caught: {e}"));
+        // All are caught before anything else is done: one that is not ends the process.
+        let mut hangup = signals(SignalKind::hangup())?;
         let (mut term, mut interrupt) =
             (signals(SignalKind::terminate())?, signals(SignalKind::interrupt())?);
         let stop = async move {
@@ -72,7 +73,11 @@
                 _ = interrupt.recv() => {}
             }
         };
-        crate::serve(text, state, stop).await
+        let next = async || match hangup.recv().await {
+            Some(()) => text(config),
+            None => std::future::pending().await,
+        };
+        crate::serve(&text(config)?, state, stop, next).await
     })
 }
 
@@ -81,11 +86,11 @@
         Command::Serve(serve_with) => {
             let subscriber = tracing_subscriber::fmt().with_max_level(serve_with.log).with_ansi(false);
             subscriber.with_writer(std::io::stderr).init();
-            let text = text(serve_with.config)?;
-            serve(&text, &place(serve_with.state, "RELAY_STATE", "--state")?)
+            let config = place(serve_with.config, "RELAY_CONFIG", "--config")?;
+            serve(&config, &place(serve_with.state, "RELAY_STATE", "--state")?)
         }
         Command::Check(check) => {
-            crate::check(&text(check.config)?)?;
+            crate::check(&text(&place(check.config, "RELAY_CONFIG", "--config")?)?)?;
             println!("the configuration can be used");
             Ok(())
         }
--- a/crates/quillhub-net/src/configuration.rs
+++ b/crates/quillhub-net/src/configuration.rs
@@ -69,6 +69,17 @@
     Ok(mode.map(|v| v.word()).transpose()? == Some("subscribe"))
 }
 
+/// The parts in which two configurations differ, but for the one that is heeded at once and the list that only
+/// a start goes by.
+pub fn differing(one: &Value, other: &Value) -> Vec<String> {
+    let names = |value: &Value| value.as_object().map_or(Vec::new(), |parts| parts.keys().cloned().collect());
+    let mut names: Vec<String> = [names(one), names(other)].concat();
+    names.sort();
+    names.dedup();
+    names.retain(|name| !["discovery", "known"].contains(&name.as_str()) && one.get(name) != other.get(name));
+    names
+}
+
 /// What is wrong with a configuration, if anything.
 pub fn check(top: &At) -> Result<(), String> {
     courier(top)?;
--- a/crates/quillhub-net/src/finals.rs
+++ b/crates/quillhub-net/src/finals.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 const PATH: &str = "/v2/finals";
@@ -45,10 +46,11 @@
     Ok((head.status, head.keeps().then_some(link)))
 }
 
-/// Sends what waits, oldest first, as long as the host lives.
-pub async fn flush(host: Rc<RefCell<Host>>, platform: SocketAddr) {
+/// Sends what waits, oldest first, as long as the host lives. Once the platform is elsewhere, a call that is
+/// out is made again there: one that the old address has not confirmed may never have been read.
+pub async fn flush(host: Rc<RefCell<Host>>, mut platform: watch::Receiver<SocketAddr>) {
     let waits = host.borrow().finals_wait.clone();
-    let (mut link, mut most) = (None, MOST);
+    let (mut link, mut most, mut to) = (None, MOST, *platform.borrow());
     loop {
         let (count, body) = {
             let host = host.borrow();
@@ -59,7 +61,16 @@
             waits.notified().await;
             continue;
         }
-        match timeout(PATIENCE, post(link.take(), platform, body.as_bytes())).await {
+        let at = *platform.borrow_and_update();
+        let ended = tokio::select! {
+            ended = timeout(PATIENCE, post(link.take().filter(|_| at == to), at, body.as_bytes())) => ended,
+            Ok(()) = platform.changed() => {
+                most = MOST;
+                continue;
+            }
+        };
+        to = at;
+        match ended {
             Ok(Ok((204, kept))) => {
                 host.borrow_mut().confirmed(count);
                 (link, most) = (kept, MOST);
--- a/crates/quillhub-net/src/finals_tests.rs
+++ b/crates/quillhub-net/src/finals_tests.rs
@@ -27,7 +27,8 @@
         let (at, mut told) = answering(vec![b"", down, no, no, yes]).await;
         let host = host(&folder, at);
         host.borrow_mut().finals.extend([end(1, "a", false, None), end(2, "b", false, None)]);
-        spawn_local(flush(host.clone(), at));
+        let (_platform, seen) = watch::channel(at);
+        spawn_local(flush(host.clone(), seen));
         let mut refs = Vec::new();
         for _ in 0..5 {
             let call = told.recv().await.unwrap();
@@ -40,3 +41,22 @@
         }
     });
 }
+
+#[test]
+fn what_the_platform_has_not_confirmed_goes_to_its_new_address() {
+    let folder = Folder::new();
+    on_one_thread(async {
+        let (old, mut told_old) = answering(vec![b"HTTP/1.1 100 Continue\r\n\r\n"]).await;
+        let (new, mut told_new) = answering(vec![b"HTTP/1.1 204 x\r\n\r\n"]).await;
+        let host = host(&folder, old);
+        host.borrow_mut().finals.push_back(end(1, "a", false, None));
+        let (at, seen) = watch::channel(old);
+        spawn_local(flush(host.clone(), seen));
+        assert!(told_old.recv().await.unwrap().contains("\"a\""));
+        at.send_replace(new);
+        assert!(told_new.recv().await.unwrap().contains("\"a\""));
+        while !host.borrow().finals.is_empty() {
+            tokio::task::yield_now().await;
+        }
+    });
+}
--- a/crates/quillhub-net/src/lib.rs
+++ b/crates/quillhub-net/src/lib.rs
@@ -23,8 +23,11 @@
 use host::Host;
 use peers::Peers;
 use quillhub_settings::At;
+use serde_json::Value;
 use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -54,10 +57,51 @@
 const LOOK: Duration = Duration::from_millis(5);
 
 /// Runs a courier with the configuration in `text`, its lasting folder at `state`, until `stop` is done and
-/// what is owed is put in order.
-pub async fn serve(text: &str, state: &Path, stop: impl Future<Output = ()>) -> Result<(), String> {
+/// what is owed is put in order. `next` waits for a new configuration and gives its text; it is called again
+/// and again. What can change while the courier runs is where the register and the platform are.
+pub async fn serve(
+    text: &str,
+    state: &Path,
+    stop: impl Future<Output = ()>,
+    next: impl AsyncFnMut() -> Result<String, String>,
+) -> Result<(), String> {
     let value = configuration::parse(text)?;
-    LocalSet::new().run_until(run(&At::top(&value), state, stop)).await
+    let top = At::top(&value);
+    let (at, seen) = watch::channel(configuration::addresses(&top)?.1);
+    LocalSet::new()
+        .run_until(async {
+            tokio::select! {
+                ended = run(&top, state, seen, stop) => ended,
+                never = follow(&value, &at, next) => match never {},
+            }
+        })
+        .await
+}
+
+/// Takes up new configurations as they come; one that cannot be used changes nothing.
+async fn follow(
+    started_with: &Value,
+    at: &watch::Sender<SocketAddr>,
+    mut next: impl AsyncFnMut() -> Result<String, String>,
+) -> Infallible {
+    loop {
+        let read = next().await.and_then(|text| {
+            check(&text)?;
+            let value = configuration::parse(&text)?;
+            let to = configuration::addresses(&At::top(&value))?.1;
+            Ok((to, configuration::differing(started_with, &value)))
+        });
+        match read {
+            Ok((to, later)) => {
+                let moved = at.send_if_modified(|at| std::mem::replace(at, to) != to);
+                tracing::info!(discovery = %to, moved, "a new configuration");
+                if !later.is_empty() {
+                    tracing::warn!(?later, "differs, and will only be heeded at the next start");
+                }
+            }
+            Err(trouble) => tracing::error!(trouble, "a new configuration cannot be used; the old one stays"),
+        }
+    }
 }
 
 /// Reads all of a configuration, as [`serve`] does, and does nothing with it.
@@ -74,10 +118,15 @@
     });
 }
 
-async fn run(top: &At<'_>, state: &Path, stop: impl Future<Output = ()>) -> Result<(), String> {
+async fn run(
+    top: &At<'_>,
+    state: &Path,
+    discovery: watch::Receiver<SocketAddr>,
+    stop: impl Future<Output = ()>,
+) -> Result<(), String> {
     let told = |what: &'static str| move |error: std::io::Error| format!("{what}: {error}");
     let (courier, reports) = configuration::courier(top)?;
-    let (listen, platform) = configuration::addresses(top)?;
+    let listen = configuration::addresses(top)?.0;
     let (folder, sockets) = configuration::bounds(top)?;
     let (connecting, idle_close) = configuration::connections(top)?;
     let must_be_asked = configuration::must_be_asked(top)?;
@@ -93,14 +142,14 @@
     let endpoints = Endpoints::new(idle_close, free / IDLE);
     let host = Host::new(courier, wal, endpoints, connecting, peers.clone(), reports);
     let revision = match top.get("known") {
-        Some(known) => register::tell(&mut host.borrow_mut(), known.value, false)?,
-        None => 0,
+        Some(known) => Some(register::tell(&mut host.borrow_mut(), known.value, false)?),
+        None => None,
     };
     host.borrow_mut().take_back(owed);
-    let at = host.clone();
-    lasting(move || finals::flush(at.clone(), platform));
+    let (at, platform) = (host.clone(), discovery.clone());
+    lasting(move || finals::flush(at.clone(), platform.clone()));
     let (at, revision) = (host.clone(), Rc::new(Cell::new(revision)));
-    lasting(move || register::follow(at.clone(), platform, revision.clone(), must_be_asked));
+    lasting(move || register::follow(at.clone(), discovery.clone(), revision.clone(), must_be_asked));
     if let Some(peers) = peers {
         let at = host.clone();
         lasting(move || peers.clone().hear(at.clone()));
--- a/crates/quillhub-net/src/lib_tests.rs
+++ b/crates/quillhub-net/src/lib_tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::stand_in::{Folder, on_one_thread, plan};
 use serde_json::{Value, json};
+use std::future::pending;
 
 #[test]
 fn a_configuration_that_cannot_be_used_is_told_in_one_line() {
@@ -26,8 +27,37 @@
 #[test]
 fn a_courier_with_nothing_owed_stops_when_it_is_told_to() {
     let folder = Folder::new();
-    let ran = on_one_thread(serve(&plan().to_string(), &folder.0, async {}));
+    let ran = on_one_thread(serve(&plan().to_string(), &folder.0, async {}, pending));
     assert_eq!(ran, Ok(()));
-    let trouble = on_one_thread(serve(&plan().to_string(), &folder.0.join("missing"), async {})).unwrap_err();
+    let missing = folder.0.join("missing");
+    let trouble = on_one_thread(serve(&plan().to_string(), &missing, async {}, pending)).unwrap_err();
     assert!(trouble.starts_with("the lasting folder cannot be used"), "{trouble}");
 }
+
+#[test]
+fn a_new_configuration_moves_the_register_and_one_that_cannot_be_used_changes_nothing() {
+    let started_with = plan();
+    let (mut lame, mut moved) = (plan(), plan());
+    lame["discovery"] = json!("127.0.0.1:2");
+    lame["seed"] = json!("x");
+    moved["discovery"] = json!("127.0.0.1:3");
+    moved["listen"] = json!("127.0.0.1:4");
+    assert_eq!(configuration::differing(&started_with, &moved), ["listen"]);
+    let mut texts = vec![Ok(moved.to_string()), Ok(lame.to_string()), Err("no such file".to_owned())];
+    on_one_thread(async {
+        let (at, mut seen) = watch::channel("127.0.0.1:1".parse().unwrap());
+        let seen_first = async {
+            seen.changed().await.unwrap();
+            *seen.borrow()
+        };
+        let next = async || match texts.pop() {
+            Some(text) => text,
+            None => pending().await,
+        };
+        tokio::select! {
+            biased;
+            to = seen_first => assert_eq!(to.port(), 3),
+            never = follow(&started_with, &at, next) => match never {},
+        }
+    });
+}
--- a/crates/quillhub-net/src/register.rs
+++ b/crates/quillhub-net/src/register.rs
@@ -1,4 +1,5 @@
-//! The register: the list at first, then a watch on its changes, opened again whenever it ends.
+//! The register: the list at first, then a watch on its changes, opened again whenever it ends or the register
+//! is elsewhere.
 
 use crate::configuration::address;
 use crate::host::Host;
@@ -12,6 +13,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 const PATH: &str = "/registry/instances";
@@ -79,15 +81,41 @@
     Ok(revision)
 }
 
-/// One watch, from `revision` on, until it ends.
-async fn watch(host: &RefCell<Host>, at: SocketAddr, revision: &Cell<u64>) -> Result<(), Broken> {
+/// The register's answer to a question, as far as its head, and where its body ends.
+async fn ask(at: SocketAddr, path: &str) -> Result<(Link, Framing), Broken> {
     let opened = timeout(SILENCE, Link::open(at)).await.map_err(|_| Broken::Ended)?;
     let mut link = opened.map_err(Broken::Failed)?;
-    let path = format!("{PATH}?watch=1&after={}", revision.get());
-    let request = http::request("GET", &path, &at.to_string(), &[], &[]);
+    let request = http::request("GET", path, &at.to_string(), &[], &[]);
     link.write(&request).await.map_err(Broken::Failed)?;
     let head = timeout(SILENCE, link.head()).await.map_err(|_| Broken::Ended)??;
-    if head.status != 200 || head.framing()? != Framing::Chunked {
+    if head.status == 200 { Ok((link, head.framing()?)) } else { Err(Broken::Malformed) }
+}
+
+/// Tells the courier what `text` lists, and keeps the number of that.
+fn take(host: &RefCell<Host>, text: &[u8], revision: &Cell<Option<u64>>) -> Result<(), Broken> {
+    let value = serde_json::from_slice::<Value>(text).map_err(|_| Broken::Malformed)?;
+    let told = tell(&mut host.borrow_mut(), &value, true);
+    revision.set(Some(told.map_err(|trouble| {
+        tracing::error!(trouble, "the register's list cannot be read");
+        Broken::Malformed
+    })?));
+    Ok(())
+}
+
+/// One watch, from `revision` on, until it ends. Where there is none, the whole list is taken first: another
+/// register may number its changes otherwise.
+async fn one_watch(host: &RefCell<Host>, at: SocketAddr, revision: &Cell<Option<u64>>) -> Result<(), Broken> {
+    let after = match revision.get() {
+        Some(revision) => revision,
+        None => {
+            let (mut link, framing) = ask(at, PATH).await?;
+            let body = timeout(SILENCE, link.body(framing, MOST_LINE)).await.map_err(|_| Broken::Ended)??;
+            take(host, &body, revision)?;
+            revision.get().unwrap_or_default()
+        }
+    };
+    let (mut link, framing) = ask(at, &format!("{PATH}?watch=1&after={after}")).await?;
+    if framing != Framing::Chunked {
         return Err(Broken::Malformed);
     }
     let mut line = Vec::new();
@@ -99,29 +127,41 @@
         line.extend_from_slice(&chunk);
         while let Some(end) = line.iter().position(|byte| *byte == b'\n') {
             let text: Vec<u8> = line.drain(..=end).collect();
-            if text.trim_ascii().is_empty() {
-                continue;
-            }
-            let value = serde_json::from_slice::<Value>(&text).map_err(|_| Broken::Malformed)?;
-            match tell(&mut host.borrow_mut(), &value, true) {
-                Ok(number) => revision.set(number),
-                Err(trouble) => {
-                    tracing::error!(trouble, "the register's list cannot be read");
-                    return Err(Broken::Malformed);
-                }
+            if !text.trim_ascii().is_empty() {
+                take(host, &text, revision)?;
             }
         }
     }
 }
 
-/// Keeps a watch open. Where the register `must_be_asked`, the courier says when.
-pub async fn follow(host: Rc<RefCell<Host>>, at: SocketAddr, revision: Rc<Cell<u64>>, must_be_asked: bool) {
+/// Keeps a watch open. Where the register `must_be_asked`, the courier says when; but once the register is
+/// elsewhere it is watched there at once, and its whole list taken.
+pub async fn follow(
+    host: Rc<RefCell<Host>>,
+    mut register: watch::Receiver<SocketAddr>,
+    revision: Rc<Cell<Option<u64>>>,
+    must_be_asked: bool,
+) {
     let wanted = host.borrow().watch_wanted.clone();
+    let mut moved = false;
     loop {
-        if must_be_asked {
-            wanted.notified().await;
+        if must_be_asked && !moved {
+            tokio::select! {
+                () = wanted.notified() => {}
+                Ok(()) = register.changed() => revision.set(None),
+            }
+        }
+        let at = *register.borrow_and_update();
+        let ended = tokio::select! {
+            ended = one_watch(&host, at, &revision) => Some(ended),
+            Ok(()) = register.changed() => None,
+        };
+        moved = ended.is_none();
+        if moved {
+            revision.set(None);
+            continue;
         }
-        if let Err(end) = watch(&host, at, &revision).await {
+        if let Some(Err(end)) = ended {
             tracing::info!(%end, revision = revision.get(), "the watch on the register ended");
         }
         host.borrow_mut().event(|courier| courier.list_failed());
--- a/crates/quillhub-net/src/register_tests.rs
+++ b/crates/quillhub-net/src/register_tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::stand_in::{Folder, answering, host, on_one_thread};
 use serde_json::json;
+use tokio::task::spawn_local;
 
 fn member(id: &str, port: u16, phase: &str) -> Value {
     json!({"id": id, "host_port": format!("127.0.0.1:{port}"), "cell": 9, "phase": phase, "size": 1.0})
@@ -62,10 +63,31 @@
             26\r\nevision\":8,\"members\":[],\"more\":[null]}\r\n1\r\n\n\r\n0\r\n\r\n";
         let (at, mut told) = answering(vec![answer]).await;
         let host = host(&folder, at);
-        let revision = Cell::new(6);
-        assert!(matches!(watch(&host, at, &revision).await, Err(Broken::Ended)));
-        assert_eq!((revision.get(), host.borrow().endpoints.address("e")), (8, None));
+        let revision = Cell::new(Some(6));
+        assert!(matches!(one_watch(&host, at, &revision).await, Err(Broken::Ended)));
+        assert_eq!((revision.get(), host.borrow().endpoints.address("e")), (Some(8), None));
         let call = told.recv().await.unwrap();
         assert!(call.starts_with("GET /registry/instances?watch=1&after=6 HTTP/1.1\r\n"), "{call}");
     });
 }
+
+#[test]
+fn a_register_that_is_elsewhere_is_watched_there_at_once_from_its_whole_list_on() {
+    let folder = Folder::new();
+    on_one_thread(async {
+        let watched = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
+        let listed = b"HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n{\"revision\":2,\"complete\":true,\
+            \"members\":[{\"id\":\"f\",\"host_port\":\"127.0.0.1:2\",\"cell\":9,\"phase\":\"up\"}]}";
+        let (old, mut asked_old) = answering(vec![watched]).await;
+        let (new, mut asked_new) = answering(vec![listed, watched]).await;
+        let host = host(&folder, old);
+        let (at, seen) = watch::channel(old);
+        spawn_local(follow(host.clone(), seen, Rc::new(Cell::new(Some(6))), false));
+        assert!(asked_old.recv().await.unwrap().contains("after=6 "));
+        at.send_replace(new);
+        assert!(asked_new.recv().await.unwrap().starts_with("GET /registry/instances HTTP/1.1\r\n"));
+        assert!(asked_new.recv().await.unwrap().starts_with("GET /registry/instances?watch=1&after=2 "));
+        let known = ["e", "f"].map(|name| host.borrow().endpoints.address(name).is_some());
+        assert_eq!(known, [false, true]);
+    });
+}
