Lost answers no longer pass for slow destinations, nor hold all slots for 2 s each

A dump of the state each second and the log of ended calls told why: 20 to 25 of 100 calls got no answer. First 17 of 32 slots were out, with 17 notices held for a destination that had credit, pace and no wait: calls_out() called a destination slow for one call out four times as long as usual, so all eight counted as sick and shared half of the slots.

Ruled out: told waits (none), pace (savings of 20 and more), repeat budget (allowed), lasting folder (1.8 MB free), CPU (4% of a core).

Now a call out long tells of slowness only if nothing was answered at its endpoint since, or the last answer took as long. The floor of patience shrinks with the free share of the slots. As patience may now be shorter than the gap between two answers, a time-out within 2 s of an answer is no verdict on its own. May be late in seeing a destination that is slow now and then, and gives up sooner on one that turns slow while slots are short; doubling after time-outs bounds that.

--- a/src/courier.rs
+++ b/src/courier.rs
@@ -355,6 +355,19 @@
         self.destinations.get(&destination).into_iter().flat_map(|d| d.routes.values())
     }
 
+    pub(crate) fn endpoint(&self, destination: DestinationId, name: &str) -> Option<&Endpoint> {
+        self.destinations.get(&destination).and_then(|d| d.endpoints.get(name))
+    }
+
+    /// The zone of an endpoint; empty once it is gone.
+    pub(crate) fn zone_of(&self, destination: DestinationId, name: &str) -> String {
+        self.endpoint(destination, name).map_or(String::new(), |e| e.zone.clone())
+    }
+
+    pub(crate) fn latency(&self, destination: DestinationId, grade: usize) -> Option<&Latency> {
+        self.destinations.get(&destination).and_then(|d| d.latency.get(&grade))
+    }
+
     /// The end of the waits told for all routes of a destination.
     pub(crate) fn told(&self, destination: DestinationId) -> Duration {
         self.routes_of(destination).map(|r| r.told).min().unwrap_or_default()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,10 @@
 
 use std::time::Duration;
 
+pub(crate) const fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
 /// A notice's id, as its host gives it.
 pub type NoticeId = u64;
 /// A destination's number, as its host gives it.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,16 +5,12 @@
 //! in order and again from the first, until none fires. docs/design.md says where each rule comes from.
 
 use crate::courier::{Call, Courier, Destination, Endpoint, Held, Ration, Return, Route};
-use crate::{DestinationId, Effect, Hands, ListedRate, Listing, NoticeId, Outcome, note};
+use crate::{DestinationId, Effect, Hands, ListedRate, Listing, NoticeId, Outcome, ms, note};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-const fn ms(count: u64) -> Duration {
-    Duration::from_millis(count)
-}
-
 // Backoff: the design page's own starting values.
 const BASE: Duration = ms(200); // first gap's upper end: about one call
 const MULTIPLIER: f64 = 3.0; // of one gap to the next: the article's
@@ -29,7 +25,7 @@
 const SAMPLES: usize = 31; // calls whose median is usual: odd; a slow spell does not become usual at once
 const RECENT: Duration = ms(40_000); // older samples say nothing of now
 const PATIENCE: f64 = 2.0; // x the longest recent call: the tail of a healthy destination ends before it
-const LEAST_PATIENCE: Duration = ms(2_000); // room for a handshake and a queue whatever the usual call
+const LEAST_PATIENCE: Duration = ms(2_000); // room for a handshake and a queue, while slots are free
 const MOST_DOUBLINGS: u32 = 3; // of patience after time-outs in a row, so that a slow one gets through
 const LEAST_CALL: f64 = 0.05; // s of a slot that any call counts for, so that none is taken for free
 const SLOW: f64 = 4.0; // x usual call: a call out so long marks its destination as slow
@@ -140,10 +136,11 @@
         self.median.filter(|_| recent).unwrap_or(UNKNOWN_CALL)
     }
 
-    /// Longer after each time-out in a row, so that a slow one gets to answer.
-    fn patience(&self) -> Duration {
+    /// Longer after each time-out in a row, so that a slow one gets to answer; shorter where few slots are
+    /// `free`: against calls whose answers get lost, which would hold all of them.
+    fn patience(&self, free: f64) -> Duration {
         let longest = self.taken.iter().map(|s| s.1).max().unwrap_or(UNKNOWN_CALL);
-        let calm = longest.mul_f64(PATIENCE).max(LEAST_PATIENCE);
+        let calm = longest.mul_f64(PATIENCE).max(LEAST_PATIENCE.mul_f64(free));
         calm * 2u32.pow(self.timed_out.min(MOST_DOUBLINGS))
     }
 }
@@ -208,10 +205,6 @@
         }
         self.filled = now;
     }
-
-    fn ready(&self) -> bool {
-        self.known.is_none() || self.saved >= 1.0
-    }
 }
 
 impl Return {
@@ -293,10 +286,6 @@
         let share = self.allowed(now, ramp);
         self.ration.by_notice = (self.ration.by_notice + share * BY_NOTICE * part).min(1.0);
     }
-
-    fn rationed(&self, doubtful: bool) -> bool {
-        self.health != Health::Well || doubtful
-    }
 }
 
 impl Destination {
@@ -390,12 +379,12 @@
 
     /// Against effects that happen twice across a restart: what was sent of a notice told just now.
     pub fn sent_before(&mut self, id: NoticeId, sends: u32, ran: Option<(Duration, &str)>) {
+        let Some(destination) = self.held.get(&id).map(|held| held.destination) else { return };
+        let ran = ran.map(|(at, name)| (at, self.zone_of(destination, name)));
         let Some(held) = self.held.get_mut(&id) else { return };
-        held.sends = sends;
-        let Some((at, name)) = ran else { return };
-        let from = self.destinations.get(&held.destination).and_then(|d| d.endpoints.get(name));
-        held.may_have_run = Some((at, from.map_or(String::new(), |e| e.zone.clone())));
-        if let Some(turn) = held.key.and_then(|key| self.turns.get_mut(&key)) {
+        (held.sends, held.may_have_run) = (sends, ran);
+        let key = held.key.filter(|_| held.may_have_run.is_some());
+        if let Some(turn) = key.and_then(|key| self.turns.get_mut(&key)) {
             (turn.rest, turn.rests_for) = (self.now + self.key_rest, Some(id));
         }
     }
@@ -403,9 +392,9 @@
     /// Asked before a call's first byte. Against waits and drains told while its connection was opened.
     pub fn may_go(&self, id: NoticeId, send: u32, now: Duration) -> bool {
         let Some(call) = self.calls.get(&(id, send)) else { return false };
-        let Some(destination) = self.destinations.get(&call.destination) else { return false };
-        let Some(endpoint) = destination.endpoints.get(&call.endpoint) else { return false };
-        endpoint.listing == Listing::Open && destination.routes[&endpoint.route].told <= now
+        let Some(endpoint) = self.endpoint(call.destination, &call.endpoint) else { return false };
+        let told = self.destinations[&call.destination].routes[&endpoint.route].told;
+        endpoint.listing == Listing::Open && told <= now
     }
 
     /// How a send ended. `left` is the share of the limit that is left, `rate` the limit in calls a second.
@@ -431,13 +420,13 @@
         if over {
             self.over(id);
         }
+        let zone = self.zone_of(call.destination, &call.endpoint);
         let Some(held) = self.held.get_mut(&id) else { return };
         held.out -= 1;
         held.failures += u32::from(outcome != Outcome::Unsent);
         held.not_before = self.now + gap(&mut self.rng, held.failures, BASE, CAP);
         if !outcome.never_ran() && held.may_have_run.as_ref().is_none_or(|first| first.0 > call.started) {
-            let from = self.destinations.get(&call.destination).and_then(|d| d.endpoints.get(&call.endpoint));
-            held.may_have_run = Some((call.started, from.map_or(String::new(), |e| e.zone.clone())));
+            held.may_have_run = Some((call.started, zone));
         }
     }
 
@@ -476,8 +465,7 @@
                     route.refused = self.now;
                 }
                 route.refusals += 1;
-                let rest = gap(&mut self.rng, route.refusals, BASE, CAP);
-                route.closed = route.closed.max(self.now + rest);
+                route.closed = route.closed.max(self.now + gap(&mut self.rng, route.refusals, BASE, CAP));
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
                 shut = route.told > self.now + SHUT;
                 if self.now > route.refused + SHUT {
@@ -499,7 +487,9 @@
                 }
                 // Against taking calls that get lost one by one, as on a bad network, for an outage: where
                 // others were answered since, or the connection stood, it says little. May delay a verdict.
-                lost = outcome != Outcome::Reset && endpoint.outage.answered <= call.started;
+                let quiet =
+                    outcome != Outcome::TimedOut || endpoint.outage.answered + LEAST_PATIENCE <= self.now;
+                lost = outcome != Outcome::Reset && endpoint.outage.answered <= call.started && quiet;
                 weight = if lost { SILENT_WEIGHT } else { LOST_WEIGHT };
                 latency.timed_out += u32::from(lost && outcome == Outcome::TimedOut);
                 route.repeats.failures += 1;
@@ -576,8 +566,7 @@
     }
 
     fn usual(&self, destination: DestinationId, grade: usize) -> Duration {
-        let latency = self.destinations.get(&destination).and_then(|d| d.latency.get(&grade));
-        latency.map_or(UNKNOWN_CALL, |l| l.usual(self.now))
+        self.latency(destination, grade).map_or(UNKNOWN_CALL, |l| l.usual(self.now))
     }
 
     /// What `held` earns when handled at `at`.
@@ -627,15 +616,23 @@
         true
     }
 
-    /// The calls out to each destination, and whether it is sick: one of them is far over a usual call, or
-    /// all its endpoints are out.
+    /// Whether a call out so long tells of a slow destination. Against taking calls lost one by one for that,
+    /// where later ones are answered in their usual time. May tell late of one that is slow now and then.
+    fn slow(&self, call: &Call) -> bool {
+        let long = |took| took > self.usual(call.destination, call.grade).mul_f64(SLOW);
+        let last = self.latency(call.destination, call.grade).and_then(|l| l.taken.back());
+        let endpoint = self.endpoint(call.destination, &call.endpoint);
+        let answers = endpoint.is_some_and(|e| e.outage.answered > call.started);
+        long(self.now - call.started) && (!answers || last.is_some_and(|last| long(last.1)))
+    }
+
+    /// The calls out to each destination, and whether it is sick: slow, or all its endpoints are out.
     fn calls_out(&self) -> BTreeMap<DestinationId, (usize, bool)> {
         let mut out = BTreeMap::new();
         for call in self.calls.values() {
-            let usual = self.usual(call.destination, call.grade);
             let entry: &mut (usize, bool) = out.entry(call.destination).or_default();
             entry.0 += 1;
-            entry.1 |= self.now > call.started + usual.mul_f64(SLOW);
+            entry.1 = entry.1 || self.slow(call);
         }
         for (id, entry) in &mut out {
             entry.1 |= self.destinations.get(id).is_some_and(Destination::out);
@@ -662,11 +659,12 @@
             e.outage.filled = e.outage.filled.max(route.told.min(self.now)); // a wait earns nothing
             e.outage.fill(self.now, self.ramp, part / open as f64, trials / open as f64);
             let trial = e.outage.health == Health::Out;
-            let open = route.told <= self.now && route.closed <= self.now && route.pace.ready();
+            let paced = route.pace.known.is_none() || route.pace.saved >= 1.0;
+            let open = route.told <= self.now && route.closed <= self.now && paced;
             // Against many couriers that each see too little for a verdict. May slow one that loses some.
             let doubtful = route.repeats.doubtful();
-            let willing = (!e.outage.rationed(doubtful) || e.outage.ration.ready())
-                && (!trial || route.trial <= self.now);
+            let sound = e.outage.health == Health::Well && !doubtful;
+            let willing = (sound || e.outage.ration.ready()) && (!trial || route.trial <= self.now);
             if !open || !willing || e.credits.left() <= 0 {
                 continue;
             }
@@ -734,7 +732,8 @@
         let Some(endpoint) = destination.endpoints.get_mut(name) else { return };
         let Some(route) = destination.routes.get_mut(&endpoint.route) else { return };
         let latency = destination.latency.entry(held.grade).or_default();
-        let patience = latency.patience().min(held.limit.saturating_sub(now));
+        let free = 1.0 - self.calls.len() as f64 / self.slots.most as f64;
+        let patience = latency.patience(free).min(held.limit.saturating_sub(now));
         hands.send(id, name, patience);
         route.repeats.count(now, held.sends > 0);
         route.pace.saved -= 1.0;
@@ -744,7 +743,7 @@
         }
         self.idle.remove(&(held.destination, name.to_owned()));
         endpoint.credits.spent += 1;
-        if endpoint.outage.rationed(route.repeats.doubtful()) {
+        if endpoint.outage.health != Health::Well || route.repeats.doubtful() {
             endpoint.outage.ration.spend();
         }
         endpoint.used = Some(now);
@@ -786,9 +785,8 @@
 
     /// The time that an idle connection may still be kept.
     fn kept(&self, destination: DestinationId, name: &str, since: Duration) -> Duration {
-        let endpoint = self.destinations.get(&destination).and_then(|d| d.endpoints.get(name));
-        let time = endpoint.and_then(|e| self.keeps.get(&e.kind)).map_or(Duration::ZERO, |keep| keep.time);
-        since.saturating_add(time).saturating_sub(self.now)
+        let keep = self.endpoint(destination, name).and_then(|e| self.keeps.get(&e.kind));
+        since.saturating_add(keep.map_or(Duration::ZERO, |keep| keep.time)).saturating_sub(self.now)
     }
 
     fn close_idle(&mut self, hands: &mut dyn Hands) -> bool {
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -114,10 +114,12 @@
     assert_eq!(latency.usual(ms(5)), UNKNOWN_CALL);
     [300, 9_000, 400].iter().for_each(|took| latency.handled(ms(10), ms(*took)));
     assert_eq!(latency.usual(ms(20)), ms(400));
-    assert_eq!(latency.patience(), ms(18_000));
+    assert_eq!(latency.patience(1.0), ms(18_000));
     latency.timed_out = 1;
-    assert_eq!(latency.patience(), ms(36_000));
+    assert_eq!(latency.patience(1.0), ms(36_000));
     assert_eq!(latency.usual(ms(10) + RECENT), UNKNOWN_CALL);
+    let quick = Latency::default();
+    assert_eq!([1.0, 0.75, 0.1].map(|free| quick.patience(free)), [ms(2_000), ms(1_500), ms(1_000)]);
 }
 
 #[test]
@@ -134,9 +136,9 @@
 fn pace_saves_a_short_burst() {
     let mut pace = Pace { known: Some(10.0), sure: None, saved: 0.0, filled: Duration::ZERO };
     pace.fill(ms(50));
-    assert!(!pace.ready());
+    assert!(pace.saved < 1.0);
     pace.fill(ms(60_000));
-    assert!(pace.ready() && pace.saved <= 10.0 * BURST.as_secs_f64());
+    assert!(pace.saved >= 1.0 && pace.saved <= 10.0 * BURST.as_secs_f64());
 }
 
 /// What `couriers` send in 3 s to one that returns and takes 10/s, if it is asked for `asked`/s.
@@ -177,9 +179,9 @@
     let ramp = Return { factor: 2.0, start: 0.2, warm_up: ms(10_000) };
     let mut outage = Outage::new(0.0);
     outage.failed(ms(1), SILENT_WEIGHT);
-    assert!(outage.health == Health::Well && !outage.rationed(false));
+    assert_eq!(outage.health, Health::Well);
     outage.failed(ms(2), SILENT_WEIGHT);
-    assert!(outage.health == Health::Out && outage.rationed(false));
+    assert_eq!(outage.health, Health::Out);
     outage.handled(ms(100));
     assert_eq!(outage.health, Health::Cold { since: ms(100) });
     outage.handed_in(ms(10_100), ramp, 1.0);
@@ -377,11 +379,30 @@
         courier.judge(&call, Outcome::TimedOut, ms(9), None);
     }
     assert_eq!(courier.destinations[&9].endpoints["a"].outage.health, Health::Well);
-    for id in 60..=61 {
-        let call = Call { destination: 9, endpoint: "a".into(), grade: 0, key: None, started: ms(id) };
-        courier.judge(&call, Outcome::TimedOut, ms(9), None);
+    for (now, health) in [(80, Health::Well), (2_100, Health::Out)] {
+        courier.at(ms(now));
+        for id in 60..=61 {
+            let call = Call { destination: 9, endpoint: "a".into(), grade: 0, key: None, started: ms(id) };
+            courier.judge(&call, Outcome::TimedOut, ms(9), None);
+        }
+        assert_eq!(courier.destinations[&9].endpoints["a"].outage.health, health, "at {now}");
+    }
+}
+
+/// A fifth of the answers got lost: each destination had one call out for long, and all counted as slow.
+#[test]
+fn a_call_out_long_tells_of_a_slow_destination_unless_later_ones_are_answered_as_usual() {
+    for (answered, took, slow) in [(5, 300, true), (60, 300, false), (60, 1_300, true)] {
+        let mut courier = courier(Effect::Retriable);
+        let to = courier.destinations.get_mut(&9).unwrap();
+        [300, 300, took].iter().for_each(|took| to.latency.entry(0).or_default().handled(ms(5), ms(*took)));
+        to.endpoints.get_mut("a").unwrap().outage.answered = ms(answered);
+        let call = Call { destination: 9, endpoint: "a".into(), grade: 0, key: None, started: ms(10) };
+        courier.at(ms(20));
+        assert!(!courier.slow(&call), "not out for long");
+        courier.at(ms(1_300));
+        assert_eq!(courier.slow(&call), slow, "answered at {answered} after {took}");
     }
-    assert_eq!(courier.destinations[&9].endpoints["a"].outage.health, Health::Out);
 }
 
 /// incident i3b06b2: refusals above a limit in the first seconds made well endpoints count as out.
@@ -439,7 +460,8 @@
         (0..2).for_each(|_| courier.judge(&call, Outcome::Refused(None), ms(9), report));
         let destination = &courier.destinations[&9];
         let doubtful = destination.routes[""].repeats.doubtful();
-        assert_eq!(destination.endpoints["a"].outage.rationed(doubtful), rationed, "{report:?}");
+        let well = destination.endpoints["a"].outage.health == Health::Well;
+        assert_eq!(!well || doubtful, rationed, "{report:?}");
     }
 }
 
