Spoilt answers prove only a first line with 200; bad clients are told and closed in time

Read from the code and confirmed by tests that fail on it: endpoints.rs took the status of a 429, 503, 504 or 410 for proof although its body or framing was broken, called a 200 with an unreadable head a reset, and waited out the whole patience for a head or body that never ended. clients.rs let a silent connection stay until crowding and half a command for 5 s after its first byte, read up to 80 KiB for each of any number of connections, and on crowding closed whichever had waited longest, usual clients' first. Host::take_on took a second notice with the id of one that is held, and notices for destinations that the register never named.

Now the first line decides as soon as it is whole, and the rest has 250 ms. A status that says nothing ran is proof only if the answer is framed to the letter, whole, and followed by nothing or by a copy; otherwise it is heeded, its wait too, but the notice may have run (Outcome::Unproven). Reports outside what a share and a rate can be are not read. A new connection has 2.5 s for its first command, half-read commands share 24 large buffers, errors come after 50 ms and the fourth in a row closes, what still comes after an error is read away for 1 s. When places are short the oldest that never asked goes first. Ids held, or over since less than 5 s, and unknown destinations are refused; a time limit is cut to its grade's.

May write off a binding notice whose refusal came damaged; may close a client that takes over 2.5 s to send a command.

--- a/crates/quillhub-net/src/clients.rs
+++ b/crates/quillhub-net/src/clients.rs
@@ -2,15 +2,16 @@
 
 use crate::host::{Host, Taken};
 use crate::resp;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, SemaphorePermit, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -18,16 +19,29 @@
 const MOST_PART: usize = 64 * 1024;
 /// Bytes of a whole command: a body and its small parts.
 const MOST_COMMAND: usize = MOST_PART + 16 * 1024;
-/// Bytes of a connection's buffer that are kept between commands.
-const KEPT: usize = 4 * 1024;
 /// Bytes of an id or a key; they go on as headers.
 const MOST_ID: usize = 256;
 /// How long a client may take over reading an answer of a few bytes before its connection is given up.
 const WRITING: Duration = Duration::from_secs(2);
-/// How long the rest of a command may take to come: clients themselves wait less than a second.
-const COMMAND: Duration = Duration::from_secs(5);
+/// How long the rest of a command may take to come: clients themselves wait less than a second. A new connection
+/// has as long for its first, counted from its coming, so that one that says nothing is told soon.
+const COMMAND: Duration = Duration::from_millis(2_500);
 /// How long what still comes is read away after an error, so that the client gets to read it.
-const LINGER: Duration = Duration::from_millis(200);
+const LINGER: Duration = Duration::from_secs(1);
+/// Pause before an error. Against clients that come again as soon as they are turned away: they would take the
+/// time of all others. Costs the usual ones nothing, as they get none.
+const ERROR_PAUSE: Duration = Duration::from_millis(50);
+/// Errors in a row after which a connection closes.
+const MOST_ERRORS: u32 = 4;
+/// Bytes of a command that any connection may have read; for more it takes one of so many permits for all.
+/// Against many half-read commands: they take some megabytes at most.
+const SMALL: usize = 8 * 1024;
+const LARGE: usize = 24;
+/// How old a connection that has asked nothing must be to close before one that is kept idle: a usual client's
+/// first command comes with it.
+const YOUNG: Duration = Duration::from_millis(500);
+/// How long a connection that has to go may take before the next is told to.
+const LEAVES: Duration = Duration::from_millis(20);
 /// Pause after a failure to accept, such as having no descriptor left: calls that end free some.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -36,7 +50,8 @@
     Answer(Vec<u8>),
     /// An answer for a notice that is taken on once it is written.
     Confirm(u64),
-    AnswerAndClose(Vec<u8>),
+    Error(&'static str),
+    ErrorAndClose(&'static str),
 }
 
 fn number(octets: &[u8], radix: u32) -> Option<u64> {
@@ -66,19 +81,20 @@
         Taken::On(id) => Next::Confirm(id),
         Taken::Denied(come_back) => Next::Answer(resp::busy(come_back)),
         Taken::Failed(why) => Next::Answer(resp::error(why)),
+        Taken::Unusable(why) => Next::Error(why),
     })
 }
 
 fn obey(host: &RefCell<Host>, parts: &[&[u8]]) -> Next {
     let Some((name, parts)) = parts.split_first() else { return Next::Answer(Vec::new()) };
     if name.eq_ignore_ascii_case(b"SUBMIT") {
-        return submit(host, parts).unwrap_or_else(|why| Next::AnswerAndClose(resp::error(why)));
+        return submit(host, parts).unwrap_or_else(Next::ErrorAndClose);
+    }
+    match parts {
+        [] if name.eq_ignore_ascii_case(b"PING") => Next::Answer(resp::PONG.to_vec()),
+        [text] if name.eq_ignore_ascii_case(b"PING") => Next::Answer(resp::bulk(text)),
+        _ => Next::Error("unknown command"),
     }
-    Next::Answer(match parts {
-        [] if name.eq_ignore_ascii_case(b"PING") => resp::PONG.to_vec(),
-        [text] if name.eq_ignore_ascii_case(b"PING") => resp::bulk(text),
-        _ => resp::error("unknown command"),
-    })
 }
 
 /// How far the courier is with stopping.
@@ -91,20 +107,135 @@
     Closing,
 }
 
-/// What the connections need to know of the rest: when to close between commands.
+/// A connection, as one of those of which some must go when places are short.
+struct Seat {
+    /// Since its last answer, or its coming.
+    since: Instant,
+    /// Whether it has been answered a command.
+    proven: bool,
+    /// Whether part of a command was read.
+    begun: bool,
+    large: bool,
+    leave: Rc<Notify>,
+}
+
+/// What the connections need to know of the rest: when to close between commands, and who has a place.
 pub struct Doors {
-    pub phase: watch::Receiver<Phase>,
-    /// Permits for connections; when none is left, the one that has idled longest is asked to go.
-    pub places: Arc<Semaphore>,
-    pub crowded: Rc<Notify>,
+    phase: watch::Receiver<Phase>,
+    places: Arc<Semaphore>,
+    large: Semaphore,
+    /// By number; an entry goes with its connection, or when it is told to leave.
+    seats: RefCell<BTreeMap<u64, Seat>>,
+    next: Cell<u64>,
+}
+
+impl Doors {
+    /// `places` has a permit for each connection that may be open.
+    pub fn new(phase: watch::Receiver<Phase>, places: Arc<Semaphore>) -> Rc<Self> {
+        let (large, seats, next) = (Semaphore::new(LARGE), RefCell::default(), Cell::new(0));
+        Rc::new(Self { phase, places, large, seats, next })
+    }
+
+    fn seat(&self) -> (u64, Rc<Notify>) {
+        let (number, leave) = (self.next.get(), Rc::new(Notify::new()));
+        self.next.set(number + 1);
+        let (since, proven, begun, large) = (Instant::now(), false, false, false);
+        self.seats.borrow_mut().insert(number, Seat { since, proven, begun, large, leave: leave.clone() });
+        (number, leave)
+    }
+
+    fn note(&self, number: u64, note: impl FnOnce(&mut Seat)) {
+        if let Some(seat) = self.seats.borrow_mut().get_mut(&number) {
+            note(seat);
+        }
+    }
+
+    /// Tells one connection to leave, of those that hold much if `large`: first the oldest that never asked
+    /// anything whole, then the one longest idle, then any.
+    fn make_room(&self, large: bool) {
+        let now = Instant::now();
+        let rank = |seat: &Seat| match seat {
+            Seat { proven: false, since, .. } if now >= *since + YOUNG => 0,
+            Seat { proven: true, begun: false, .. } => 1,
+            _ => 2,
+        };
+        let mut seats = self.seats.borrow_mut();
+        let first = seats.iter().filter(|(_, seat)| seat.large || !large);
+        let first = first.min_by_key(|(_, seat)| (rank(seat), seat.since)).map(|(number, _)| *number);
+        if let Some(seat) = first.and_then(|number| seats.remove(&number)) {
+            seat.leave.notify_one();
+        }
+    }
+
+    /// Room for a large command; others that hold much are told to leave if there is none.
+    async fn large_permit(&self) -> Option<SemaphorePermit<'_>> {
+        loop {
+            if let Ok(permit) = self.large.try_acquire() {
+                return Some(permit);
+            }
+            self.make_room(true);
+            if let Ok(permit) = timeout(LEAVES, self.large.acquire()).await {
+                return permit.ok();
+            }
+        }
+    }
+
+    /// A place for a new connection; others are told to leave if there is none.
+    async fn place(&self) -> Option<OwnedSemaphorePermit> {
+        loop {
+            if let Ok(place) = self.places.clone().try_acquire_owned() {
+                return Some(place);
+            }
+            self.make_room(false);
+            if let Ok(place) = timeout(LEAVES, self.places.clone().acquire_owned()).await {
+                return place.ok();
+            }
+        }
+    }
+}
+
+/// Reads what has come. Nothing is kept ready for it while nothing comes.
+async fn read(stream: &TcpStream, mut take: impl FnMut(&[u8])) -> std::io::Result<usize> {
+    loop {
+        stream.readable().await?;
+        let mut octets = [0; SMALL];
+        match stream.try_read(&mut octets) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error),
+            Ok(length) => {
+                take(&octets[..length]);
+                return Ok(length);
+            }
+        }
+    }
+}
+
+/// Tells a client what is wrong and ends the connection, so that it gets to read that.
+async fn dismiss(stream: &mut TcpStream, why: &str, leave: &Notify) -> std::io::Result<()> {
+    sleep(ERROR_PAUSE).await;
+    timeout(WRITING, stream.write_all(&resp::error(why))).await??;
+    stream.shutdown().await?;
+    let rest = async { while matches!(read(stream, |_| ()).await, Ok(1..)) {} };
+    tokio::select! {
+        _ = timeout(LINGER, rest) => {}
+        () = leave.notified() => {}
+    }
+    Ok(())
 }
 
 /// Serves one connection until it ends. `Err` is only for reads and writes that failed.
-async fn serve(host: &RefCell<Host>, stream: &mut TcpStream, doors: &Doors) -> std::io::Result<()> {
+async fn serve(
+    host: &RefCell<Host>,
+    stream: &mut TcpStream,
+    doors: &Doors,
+    number: u64,
+    leave: &Notify,
+) -> std::io::Result<()> {
     let mut phase = doors.phase.clone();
     // A connection that comes late brings a command: it is served before it closes.
     let mut last = if *phase.borrow() == Phase::Serving { Phase::Stopping } else { Phase::Closing };
-    let mut buffer = Vec::new();
+    let (mut buffer, mut permit) = (Vec::new(), None);
+    let (mut proven, mut errors) = (false, 0);
     let mut began = Instant::now(); // the command that is being read
     loop {
         let next = match resp::command(&buffer, MOST_PART) {
@@ -115,34 +246,56 @@
                 }
                 let next = obey(host, &parts);
                 buffer.drain(..used);
-                buffer.shrink_to(KEPT);
+                if buffer.len() < SMALL {
+                    permit = None;
+                }
+                if buffer.is_empty() {
+                    buffer = Vec::new();
+                }
                 next
             }
-            Ok(None) if buffer.len() > MOST_COMMAND => Next::AnswerAndClose(resp::error("too long")),
-            Err(resp::Malformed) => Next::AnswerAndClose(resp::error("not a command, or too long")),
+            Ok(None) if buffer.len() > MOST_COMMAND => Next::ErrorAndClose("too long"),
+            Err(resp::Malformed) => Next::ErrorAndClose("not a command, or too long"),
             Ok(None) => {
                 let idle = buffer.is_empty();
-                tokio::select! {
+                let input = async {
+                    if buffer.len() >= SMALL && permit.is_none() {
+                        permit = doors.large_permit().await;
+                        doors.note(number, |seat| seat.large = true);
+                    }
+                    read(stream, |octets| buffer.extend_from_slice(octets)).await
+                };
+                let came = tokio::select! {
                     biased;
-                    read = stream.read_buf(&mut buffer) => {
-                        if read? == 0 {
-                            return Ok(());
-                        }
-                        if idle {
-                            began = Instant::now();
-                        }
+                    came = input => came?,
+                    () = sleep_until(began + COMMAND), if !idle => {
+                        return dismiss(stream, "the rest did not come", leave).await;
                     }
-                    () = sleep_until(began + COMMAND), if !idle => return Err(ErrorKind::TimedOut.into()),
+                    () = sleep_until(began + COMMAND), if !proven => return Ok(()),
                     _ = phase.wait_for(|phase| *phase >= last), if idle => return Ok(()),
-                    () = doors.crowded.notified(), if idle => return Ok(()),
+                    () = leave.notified() => return Ok(()),
+                };
+                if came == 0 {
+                    return Ok(());
+                }
+                if idle && proven {
+                    began = Instant::now();
+                    doors.note(number, |seat| seat.begun = true);
                 }
                 continue;
             }
         };
-        let (octets, id, close) = match &next {
-            Next::Answer(octets) => (&octets[..], None, false),
-            Next::Confirm(id) => (resp::OK, Some(*id), false),
-            Next::AnswerAndClose(octets) => (&octets[..], None, true),
+        let error;
+        let (octets, id) = match &next {
+            Next::Answer(octets) => (&octets[..], None),
+            Next::Confirm(id) => (resp::OK, Some(*id)),
+            Next::Error(why) if errors + 1 < MOST_ERRORS => {
+                errors += 1;
+                sleep(ERROR_PAUSE).await;
+                error = resp::error(why);
+                (&error[..], None)
+            }
+            Next::Error(why) | Next::ErrorAndClose(why) => return dismiss(stream, why, leave).await,
         };
         let written = timeout(WRITING, stream.write_all(octets)).await;
         if !matches!(written, Ok(Ok(()))) {
@@ -151,13 +304,18 @@
             }
             return written.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
         }
-        if close {
-            stream.shutdown().await?;
-            let rest = async { while matches!(stream.read(&mut [0; 4096]).await, Ok(1..)) {} };
-            let _ = timeout(LINGER, rest).await;
-            return Ok(());
+        if !matches!(next, Next::Error(_)) {
+            (proven, errors) = (true, 0);
+        }
+        (last, began) = (Phase::Stopping, Instant::now());
+        let (begun, large) = (!buffer.is_empty(), permit.is_some());
+        doors.note(number, |seat| {
+            (seat.since, seat.proven, seat.begun, seat.large) = (Instant::now(), proven, begun, large);
+        });
+        // One that hands in many commands at once takes turns with the others.
+        if begun {
+            tokio::task::yield_now().await;
         }
-        last = Phase::Stopping;
     }
 }
 
@@ -185,17 +343,15 @@
                 continue;
             }
         };
-        if doors.places.available_permits() == 0 {
-            doors.crowded.notify_one();
-        }
-        let Ok(place) = doors.places.clone().acquire_owned().await else { return };
+        let Some(place) = doors.place().await else { return };
         let (host, doors) = (host.clone(), doors.clone());
         spawn_local(async move {
-            let _place = place;
+            let (_place, (number, leave)) = (place, doors.seat());
             let served = match stream.set_nodelay(true) {
-                Ok(()) => serve(&host, &mut stream, &doors).await,
+                Ok(()) => serve(&host, &mut stream, &doors, number, &leave).await,
                 Err(error) => Err(error),
             };
+            doors.seats.borrow_mut().remove(&number);
             if let Err(error) = served {
                 tracing::debug!(%from, %error, "a client's connection ended");
             }
--- a/crates/quillhub-net/src/endpoints.rs
+++ b/crates/quillhub-net/src/endpoints.rs
@@ -11,6 +11,11 @@
 
 /// Bytes of an answer's body: it means nothing, and is only read so that the connection can be kept.
 const MOST_BODY: usize = 64 * 1024;
+/// How long the rest of an answer may take once it has begun: it is written at once, and a quarter of a second
+/// covers a packet that must be sent again. Against answers that never end, which would hold their call.
+const REST: Duration = Duration::from_millis(250);
+/// Calls a second beyond which a reported limit cannot be one.
+const MOST_RATE: f64 = 1e6;
 /// Part of the idle time before its end in which a kept connection is not used: a call written then could
 /// reach an endpoint that has just closed. A tenth is more than the way there and back takes.
 const IDLE_MARGIN: u32 = 10;
@@ -32,6 +37,11 @@
 #[derive(Debug)]
 pub struct Answer {
     pub status: u16,
+    /// Whether all of it came, framed to the letter, and nothing behind it but a copy: only then a status is
+    /// proof that nothing ran.
+    pub whole: bool,
+    /// From the call's start to the answer's first line.
+    pub took: Duration,
     pub wait: Option<Duration>,
     pub slots_taken: bool,
     pub report: Option<(f64, f64)>,
@@ -41,9 +51,10 @@
 pub fn outcome(end: &Result<Answer, Failed>) -> (Outcome, bool) {
     match end {
         Ok(Answer { status: 200, .. }) => (Outcome::Handled, true),
-        Ok(Answer { status: 429, wait, .. }) => (Outcome::Refused(*wait), false),
-        Ok(Answer { status: 503, slots_taken: true, .. }) => (Outcome::Unsent, false),
-        Ok(Answer { status: 503, wait, .. }) => (Outcome::Refused(*wait), false),
+        Ok(Answer { status: 503, slots_taken: true, whole: true, .. }) => (Outcome::Unsent, false),
+        Ok(Answer { status: 429 | 503, wait, whole: true, .. }) => (Outcome::Refused(*wait), false),
+        Ok(Answer { status: 429 | 503, wait, .. }) => (Outcome::Unproven(*wait), false),
+        Ok(Answer { status: 504 | 410, whole: false, .. }) => (Outcome::Reset, false),
         Ok(Answer { status: 504, .. }) => (Outcome::Unsent, false),
         Ok(Answer { status: 410, .. }) => (Outcome::Unsent, true),
         Ok(_) => (Outcome::Error, false),
@@ -60,7 +71,8 @@
         let pair = text.split(',').find_map(|pair| pair.trim().strip_prefix(name)?.strip_prefix('='));
         pair?.trim().parse().ok().filter(|value: &f64| value.is_finite())
     };
-    Some((value("x0")?, value("x1")?))
+    let (left, limit) = (value("x0")?, value("x1")?);
+    ((0.0..=1.0).contains(&left) && (0.0..=MOST_RATE).contains(&limit)).then_some((left, limit))
 }
 
 fn failed_to_open(error: &io::Error) -> Failed {
@@ -98,29 +110,52 @@
     if !matches!(timeout(left(), link.write(request)).await, Ok(Ok(()))) {
         return (Err(Failed::Unready), None);
     }
-    let head = match timeout(left(), link.head()).await {
-        Ok(Ok(head)) => head,
-        Ok(Err(_)) => return (Err(Failed::Broken), None),
-        Err(_) => return (Err(Failed::Silent), None),
-    };
-    let wait = head.header("x-backoff-ms").and_then(|ms| ms.trim().parse::<f64>().ok());
-    let wait = wait.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok());
-    let answer = Answer {
-        status: head.status,
-        wait: wait.filter(|wait| !wait.is_zero()),
-        slots_taken: head.header("x-egress-full").is_some_and(|full| full.trim() == "1"),
-        report: head.header("x-load").and_then(report),
-    };
-    let whole = match head.framing() {
-        Ok(framing @ (http::Framing::Length(_) | http::Framing::Chunked)) => {
-            matches!(timeout(left(), link.body(framing, MOST_BODY)).await, Ok(Ok(_)))
+    // Interim answers may come long before the one that counts.
+    let status = loop {
+        match timeout(left(), link.begin()).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return (Err(Failed::Broken), None),
+            Err(_) => return (Err(Failed::Silent), None),
+        }
+        match timeout(REST, link.status()).await {
+            Ok(Ok(100..200)) => {}
+            Ok(Ok(status)) => break status,
+            _ => return (Err(Failed::Broken), None),
+        }
+        if !matches!(timeout(REST, link.any_head()).await, Ok(Ok(_))) {
+            return (Err(Failed::Broken), None);
         }
-        _ => false,
     };
-    let kept = whole && head.keeps() && link.quiet();
+    // From here on the status stands, whatever the rest is.
+    let mut answer = Answer {
+        status,
+        whole: false,
+        took: started.elapsed(),
+        wait: None,
+        slots_taken: false,
+        report: None,
+    };
+    let kept = timeout(REST, rest(&mut link, &mut answer)).await.unwrap_or(false);
     (Ok(answer), kept.then_some(link))
 }
 
+/// Reads an answer behind its first line, and whether its connection may be used again. What has been learned
+/// of it stays in `answer` if it never ends.
+async fn rest(link: &mut Link, answer: &mut Answer) -> bool {
+    let Ok(head) = link.head().await else { return false };
+    let wait = head.header("x-backoff-ms").and_then(|ms| ms.trim().parse::<f64>().ok());
+    let wait = wait.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok());
+    answer.wait = wait.filter(|wait| !wait.is_zero());
+    answer.slots_taken = head.header("x-egress-full").is_some_and(|full| full.trim() == "1");
+    answer.report = head.header("x-load").and_then(report);
+    let Ok(framing) = head.framing() else { return false };
+    if link.body(framing, MOST_BODY).await.is_err() {
+        return false;
+    }
+    answer.whole = link.empty() || link.copied();
+    answer.whole && framing != http::Framing::ToEnd && head.keeps() && link.quiet()
+}
+
 /// Addresses by the list, and idle connections; both go with their endpoint, the connections also with time.
 pub struct Endpoints {
     addresses: BTreeMap<String, SocketAddr>,
--- a/crates/quillhub-net/src/endpoints_tests.rs
+++ b/crates/quillhub-net/src/endpoints_tests.rs
@@ -32,6 +32,7 @@
         (b"HTTP/1.1 503 x\r\nX-Egress-Full: 1\r\nContent-Length: 0\r\n\r\n", Outcome::Unsent, false, true),
         (b"HTTP/1.1 504 x\r\nContent-Length: 0\r\n\r\n", Outcome::Unsent, false, true),
         (b"HTTP/1.1 410 x\r\nContent-Length: 0\r\n\r\n", Outcome::Unsent, true, true),
+        (b"HTTP/1.1 100 x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", Outcome::Handled, true, true),
         (b"", Outcome::Reset, false, false),
         (b"RESP", Outcome::Reset, false, false),
     ] {
@@ -39,6 +40,44 @@
     }
 }
 
+#[test]
+fn a_spoilt_answer_proves_nothing_but_a_first_line_with_200_and_holds_its_call_no_longer() {
+    let wait = Some(Duration::from_millis(1500));
+    for (answer, outcome, over) in [
+        (&b"HTTP/1.1 200 OK\r\nCont\0ent: \xff"[..], Outcome::Handled, true),
+        (b"HTTP/1.1 200 OK\r\nA: b", Outcome::Handled, true),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", Outcome::Handled, true),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nok", Outcome::Handled, true),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", Outcome::Handled, true),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n", Outcome::Handled, true),
+        (b"HTTP/1.1 200", Outcome::Reset, false),
+        (b"HTTP/1.1 2000 \r\n\r\n", Outcome::Reset, false),
+        (b"\x16\x03\x01", Outcome::Reset, false),
+        (
+            b"HTTP/1.1 429 x\r\nX-Backoff-Ms: 1500\r\nContent-Length: 9\r\n\r\n",
+            Outcome::Unproven(wait),
+            false,
+        ),
+        (b"HTTP/1.1 429 x\r\nX-Backoff-Ms: 1500\r\n", Outcome::Unproven(None), false),
+        (
+            b"HTTP/1.1 429 x\r\nX-Backoff-Ms: 1500\r\nContent-Length: 0\r\n\r\nnoise",
+            Outcome::Unproven(wait),
+            false,
+        ),
+        (
+            b"HTTP/1.1 429 x\r\nX-Backoff-Ms: 1500\r\nContent-Length: 0\r\n\r\nHTTP/1.1 429 x\r\n",
+            Outcome::Refused(wait),
+            false,
+        ),
+        (b"HTTP/1.1 503 x\r\nContent-Length: 0\r\nContent-Length: 1\r\n\r\n", Outcome::Unproven(None), false),
+        (b"HTTP/1.1 503 x\r\nX-Egress-Full: 1\r\nContent-Length: x\r\n\r\n", Outcome::Unproven(None), false),
+        (b"HTTP/1.1 504 x\r\nContent-Length: 7\r\n\r\n", Outcome::Reset, false),
+        (b"HTTP/1.1 410 x\r\nContent-Length: +0\r\n\r\n", Outcome::Reset, false),
+    ] {
+        assert_eq!(end(answer), (outcome, over, false), "{}", String::from_utf8_lossy(answer));
+    }
+}
+
 #[test]
 fn a_call_without_an_answer_says_how_far_it_came() {
     on_one_thread(async {
@@ -71,7 +110,9 @@
 fn a_report_is_taken_where_both_values_are_told() {
     assert_eq!(report("x0=0.4,x1=25"), Some((0.4, 25.0)));
     assert_eq!(report("other=1, x1=0 ,x0=1"), Some((1.0, 0.0)));
-    for text in ["x0=0.4", "x0=a,x1=2", "x0=NaN,x1=2", "", "xx0=1,x1=2"] {
+    let none =
+        ["x0=0.4", "x0=a,x1=2", "x0=NaN,x1=2", "", "xx0=1,x1=2", "x0=1,x1=-2", "x0=7,x1=2", "x0=1,x1=1e300"];
+    for text in none {
         assert_eq!(report(text), None, "{text}");
     }
 }
--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -7,7 +7,7 @@
 use quillhub::courier::Courier;
 use quillhub::{Hands, NoticeId};
 use std::cell::RefCell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant, SystemTime};
@@ -38,6 +38,8 @@
     On(NoticeId),
     Denied(Option<Duration>),
     Failed(&'static str),
+    /// What was handed in cannot be a notice.
+    Unusable(&'static str),
 }
 
 /// A final answer for the platform: the notice, its own name for it, and the wait of a denial.
@@ -48,6 +50,10 @@
     pub come_back: Option<Duration>,
 }
 
+/// How long the name of a notice that is over is still known: whoever takes it for a new one, or for another's
+/// that is still held, does so soon.
+const KNOWN: Duration = Duration::from_secs(5);
+
 pub struct Host {
     me: Weak<RefCell<Host>>,
     /// Out of its place only while it is told something.
@@ -56,6 +62,9 @@
     /// What the courier's clock showed at `started`: it begins with what is owed from before.
     before: Duration,
     notices: BTreeMap<NoticeId, Notice>,
+    /// The clients' names for what is held, and for what is over since a short while; these in turn, with when.
+    references: BTreeSet<Box<[u8]>>,
+    past: VecDeque<(Duration, Box<[u8]>)>,
     /// The answer of the round that is taking on a notice.
     turned_away: Option<Taken>,
     wal: Wal,
@@ -96,6 +105,8 @@
                 started: Instant::now(),
                 before: Duration::ZERO,
                 notices: BTreeMap::new(),
+                references: BTreeSet::new(),
+                past: VecDeque::new(),
                 turned_away: None,
                 wal,
                 finals: VecDeque::new(),
@@ -141,6 +152,7 @@
         tracing::info!(notices = all.len(), "owed from before");
         let mut held = Vec::new();
         for (id, owed) in all {
+            self.references.insert(owed.reference.as_slice().into());
             if let Some((denied, come_back)) = owed.answer {
                 self.finals.push_back(Final { id, reference: owed.reference.into(), denied, come_back });
                 continue;
@@ -179,6 +191,17 @@
         mark: Option<&[u8]>,
         body: &[u8],
     ) -> Taken {
+        let now = self.now();
+        while let Some((_, past)) = self.past.pop_front_if(|(at, _)| *at + KNOWN <= now) {
+            self.references.remove(&past);
+        }
+        // Against ids of notices that are held: two of one name could not be told apart at their endpoints.
+        if self.references.contains(reference) {
+            return Taken::Unusable("the id is held already");
+        }
+        if !self.courier.as_ref().is_some_and(|courier| courier.knows(destination)) {
+            return Taken::Unusable("unknown destination");
+        }
         let id = self.wal.number();
         let owed = Owed {
             grade: grade.into(),
@@ -202,11 +225,12 @@
         });
         if !known {
             self.notices.remove(&id);
-            return Taken::Failed("unknown grade");
+            return Taken::Unusable("unknown grade");
         }
         if let Some(answer) = self.turned_away.take() {
             return answer;
         }
+        self.references.insert(reference.into());
         if let Err(error) = self.file(id) {
             tracing::error!(%error, "a notice could not be taken on");
             self.gone(id);
@@ -226,8 +250,11 @@
 
     /// The client left before it heard that its notice is taken on, or the notice is over for other reasons.
     pub fn gone(&mut self, id: NoticeId) {
-        if self.notices.remove(&id).is_some_and(|notice| notice.unfiled.is_none()) {
-            log_failed("an end", self.wal.over(id));
+        if let Some(notice) = self.notices.remove(&id) {
+            self.references.remove(&notice.reference);
+            if notice.unfiled.is_none() {
+                log_failed("an end", self.wal.over(id));
+            }
         }
         self.event(|courier| courier.over(id));
     }
@@ -236,6 +263,7 @@
     pub fn confirmed(&mut self, count: usize) {
         for end in self.finals.drain(..count).collect::<Vec<_>>() {
             log_failed("an end", self.wal.over(end.id));
+            self.past.push_back((self.now(), end.reference));
         }
     }
 
@@ -254,12 +282,14 @@
 
     fn ended(&mut self, id: NoticeId, send: u32, name: &str, end: Result<Answer, Failed>, took: Duration) {
         self.calls -= 1;
+        let took = end.as_ref().map_or(took, |answer| answer.took);
         let (outcome, over) = endpoints::outcome(&end);
         tracing::debug!(notice = id, send, endpoint = name, ?outcome, ?took, "call ended");
         if self.notices.contains_key(&id) {
             if over {
                 log_failed("an end", self.wal.over(id));
-                self.notices.remove(&id);
+                let reference = self.notices.remove(&id).map(|notice| notice.reference);
+                self.past.extend(reference.map(|reference| (self.now(), reference)));
             } else if outcome.never_ran() {
                 log_failed("an outcome", self.wal.did_not_run(id, send));
             }
--- a/crates/quillhub-net/src/host_tests.rs
+++ b/crates/quillhub-net/src/host_tests.rs
@@ -1,12 +1,20 @@
 use super::*;
 use crate::stand_in::{Folder, OK, answering, host, on_one_thread};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use tokio::net::TcpListener;
 
 const LASTS: Duration = Duration::from_secs(9);
 
+/// Hands in a notice with an id of its own.
 fn take(host: &RefCell<Host>, grade: &str) -> Taken {
-    host.borrow_mut().take_on(grade, None, LASTS, 9, b"ab", Some(b"k"), b"\0body")
+    take_with(host, grade, b"\0body")
+}
+
+fn take_with(host: &RefCell<Host>, grade: &str, body: &[u8]) -> Taken {
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    let reference = format!("ab{}", NUMBER.fetch_add(1, Ordering::Relaxed));
+    host.borrow_mut().take_on(grade, None, LASTS, 9, reference.as_bytes(), Some(b"k"), body)
 }
 
 /// An address where connections are made and nothing is answered, as long as the listener is kept.
@@ -23,7 +31,7 @@
         let host = host(&folder, at);
         assert_eq!(take(&host, "once"), Taken::On(1));
         let call = told.recv().await.unwrap();
-        for part in ["POST /events HTTP/1.1\r\n", "\r\nX-Request-Id: ab\r\n", "\r\nIdempotency-Key: k\r\n"] {
+        for part in ["POST /events HTTP/1.1\r\n", "\r\nX-Request-Id: ab", "\r\nIdempotency-Key: k\r\n"] {
             assert!(call.contains(part), "{call}");
         }
         assert!(call.ends_with("\r\nContent-Length: 5\r\n\r\n\0body"), "{call}");
@@ -91,7 +99,7 @@
     on_one_thread(async {
         let (at, _listener) = silent().await;
         let host = host(&folder, at);
-        assert_eq!(take(&host, "unheard"), Taken::Failed("unknown grade"));
+        assert_eq!(take(&host, "unheard"), Taken::Unusable("unknown grade"));
         for _ in 0..8 {
             assert!(matches!(take(&host, "once"), Taken::On(_)));
         }
@@ -108,7 +116,7 @@
         let (at, _listener) = silent().await;
         let host = host(&folder, at);
         let body = vec![0; 60_000];
-        let take = || host.borrow_mut().take_on("once", None, LASTS, 9, b"ab", None, &body);
+        let take = || take_with(&host, "once", &body);
         let taken = (0..9).take_while(|_| matches!(take(), Taken::On(_))).count();
         assert!((3..9).contains(&taken));
         assert_eq!(take(), Taken::Denied(None));
@@ -124,7 +132,7 @@
         let host = host(&folder, at);
         std::fs::remove_dir_all(&folder.0).unwrap();
         let body = vec![0; 60_000]; // one fills a segment, and the next needs a new file
-        let take = || host.borrow_mut().take_on("free", None, LASTS, 9, b"ab", None, &body);
+        let take = || take_with(&host, "free", &body);
         assert_eq!(take(), Taken::On(1));
         for _ in 0..2 {
             assert_eq!(take(), Taken::Failed("the lasting folder cannot be written"));
@@ -172,3 +180,29 @@
     });
     assert_eq!(Wal::open(&folder.0, 1 << 20).unwrap().1.len(), 1);
 }
+
+#[test]
+fn an_id_that_is_held_is_not_taken_on_again_and_what_is_held_stays_as_it_is() {
+    let folder = Folder::new();
+    on_one_thread(async {
+        let (at, _listener) = silent().await;
+        let first = host(&folder, at);
+        let take = |host: &RefCell<Host>, id: &[u8], to| {
+            host.borrow_mut().take_on("free", None, LASTS, to, id, None, b"body")
+        };
+        let held = Taken::Unusable("the id is held already");
+        assert_eq!(take(&first, b"a", 9), Taken::On(1));
+        assert_eq!(take(&first, b"a", 9), held);
+        assert_eq!(take(&first, b"b", 404), Taken::Unusable("unknown destination"));
+        assert_eq!((first.borrow().notices.len(), first.borrow().calls), (1, 1));
+        drop(first);
+        let second = host(&folder, at);
+        assert_eq!(take(&second, b"a", 9), held, "after a restart too");
+        second.borrow_mut().write_off(1);
+        second.borrow_mut().confirmed(1);
+        assert_eq!(take(&second, b"a", 9), held, "and for a while");
+        second.borrow_mut().before += KNOWN;
+        assert!(matches!(take(&second, b"a", 9), Taken::On(_)));
+        assert!(second.borrow().past.is_empty());
+    });
+}
--- a/crates/quillhub-net/src/http.rs
+++ b/crates/quillhub-net/src/http.rs
@@ -2,8 +2,8 @@
 
 pub use crate::partial::Malformed;
 use crate::partial::{Input, whole};
-use winnow::ascii::{crlf, dec_uint, hex_uint, space0, space1};
-use winnow::combinator::{repeat, terminated};
+use winnow::ascii::{crlf, hex_uint, space0, space1};
+use winnow::combinator::{opt, repeat, terminated};
 use winnow::stream::AsChar;
 use winnow::token::{one_of, take, take_till, take_while};
 use winnow::{ModalResult, Parser};
@@ -48,27 +48,42 @@
             return Ok(Framing::Length(0));
         }
         if let Some(coding) = self.header("transfer-encoding") {
-            return if coding.trim().eq_ignore_ascii_case("chunked") {
+            let alone = self.header("content-length").is_none();
+            return if alone && coding.trim().eq_ignore_ascii_case("chunked") {
                 Ok(Framing::Chunked)
             } else {
                 Err(Malformed)
             };
         }
-        match self.header("content-length") {
-            Some(length) => length.trim().parse().map(Framing::Length).map_err(|_| Malformed),
-            None => Ok(Framing::ToEnd),
+        let mut lengths = self.headers.iter().filter(|h| h.0.eq_ignore_ascii_case("content-length"));
+        let Some((_, length)) = lengths.next() else { return Ok(Framing::ToEnd) };
+        if !length.bytes().all(|byte| byte.is_ascii_digit()) || lengths.any(|(_, other)| other != length) {
+            return Err(Malformed);
         }
+        length.parse().map(Framing::Length).map_err(|_| Malformed)
     }
 }
 
 fn first_line(input: &mut Input<'_>) -> ModalResult<(bool, u16)> {
     let minor = one_of(b'0'..=b'9');
-    let reason = take_till(0.., |byte| byte == b'\r' || byte == b'\n');
-    (b"HTTP/1.", minor, space1, dec_uint.verify(|s| (100..1000).contains(s)), reason, crlf)
+    let status = take_while(3..=3, AsChar::is_dec_digit).parse_to().verify(|status| *status >= 100);
+    let reason = opt((b' ', take_till(0.., |byte| byte == b'\r' || byte == b'\n')));
+    (b"HTTP/1.", minor, space1, status, reason, crlf)
         .map(|(_, minor, _, status, _, _)| (minor > b'0', status))
         .parse_next(input)
 }
 
+/// The status in the first line at the start of `input`, whatever follows it; nothing if more must come.
+pub fn status(input: &[u8]) -> Result<Option<u16>, Malformed> {
+    let mut rest = Input::new(input);
+    let read = first_line(&mut rest);
+    let read = whole(input, &rest, read)?;
+    if read.is_none() && input.len() > MOST_HEAD {
+        return Err(Malformed);
+    }
+    Ok(read.map(|((_, status), _)| status))
+}
+
 fn header(input: &mut Input<'_>) -> ModalResult<(String, String)> {
     let name = take_while(1.., |byte: u8| byte.is_alphanum() || b"!#$%&'*+-.^_`|~".contains(&byte));
     let value = take_till(0.., |byte| byte == b'\r' || byte == b'\n');
--- a/crates/quillhub-net/src/http_tests.rs
+++ b/crates/quillhub-net/src/http_tests.rs
@@ -34,6 +34,8 @@
     assert_eq!(framing("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n"), Ok(Framing::Length(12)));
     assert_eq!(framing("HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\n"), Err(Malformed));
     assert_eq!(framing("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n"), Err(Malformed));
+    let both = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n";
+    assert_eq!(framing(both), Err(Malformed));
     assert_eq!(framing("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n"), Ok(Framing::Chunked));
     assert_eq!(framing("HTTP/1.1 204 No Content\r\nContent-Length: 3\r\n\r\n"), Ok(Framing::Length(0)));
     assert_eq!(framing("HTTP/1.1 200 OK\r\n\r\n"), Ok(Framing::ToEnd));
--- a/crates/quillhub-net/src/lib.rs
+++ b/crates/quillhub-net/src/lib.rs
@@ -33,7 +33,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Semaphore, watch};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until};
 use wal::Wal;
@@ -162,8 +162,7 @@
     let (phase, seen) = watch::channel(Phase::Serving);
     let connections = (free / CLIENTS).max(1);
     let places = Arc::new(Semaphore::new(connections));
-    let crowded = Rc::new(Notify::new());
-    let doors = Rc::new(clients::Doors { phase: seen, places: places.clone(), crowded });
+    let doors = clients::Doors::new(seen, places.clone());
     let (at, listener) = (host.clone(), Rc::new(listener));
     lasting(move || clients::accept(at.clone(), listener.clone(), doors.clone()));
     stop.await;
--- a/crates/quillhub-net/src/link.rs
+++ b/crates/quillhub-net/src/link.rs
@@ -31,6 +31,9 @@
     }
 }
 
+/// Bytes that a read has room for at least: more than most answers have.
+const READ: usize = 1024;
+
 pub struct Link {
     stream: TcpStream,
     buffer: Vec<u8>,
@@ -48,6 +51,7 @@
     }
 
     async fn more(&mut self) -> Result<(), Broken> {
+        self.buffer.reserve(READ);
         match self.stream.read_buf(&mut self.buffer).await {
             Ok(0) => Err(Broken::Ended),
             Ok(_) => Ok(()),
@@ -55,21 +59,52 @@
         }
     }
 
+    /// Waits until something of an answer has come.
+    pub async fn begin(&mut self) -> Result<(), Broken> {
+        if self.buffer.is_empty() { self.more().await } else { Ok(()) }
+    }
+
+    /// The status of the answer that has begun, as soon as its first line is whole. Nothing of it is taken.
+    pub async fn status(&mut self) -> Result<u16, Broken> {
+        loop {
+            match http::status(&self.buffer)? {
+                Some(status) => return Ok(status),
+                None => self.more().await?,
+            }
+        }
+    }
+
+    /// Whether nothing was read beyond the last answer.
+    pub fn empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
+    /// Whether what was read beyond an answer can only be another.
+    pub fn copied(&self) -> bool {
+        self.buffer.starts_with(b"HTTP/1.")
+    }
+
     /// The next answer's head; interim answers are passed over.
     pub async fn head(&mut self) -> Result<Head, Broken> {
         loop {
-            match http::head(&self.buffer)? {
-                Some((head, used)) => {
-                    self.buffer.drain(..used);
-                    if head.status >= 200 {
-                        return Ok(head);
-                    }
-                }
-                None => self.more().await?,
+            let head = self.any_head().await?;
+            if head.status >= 200 {
+                return Ok(head);
             }
         }
     }
 
+    /// The next head, an interim answer's too.
+    pub async fn any_head(&mut self) -> Result<Head, Broken> {
+        loop {
+            if let Some((head, used)) = http::head(&self.buffer)? {
+                self.buffer.drain(..used);
+                return Ok(head);
+            }
+            self.more().await?;
+        }
+    }
+
     /// The next chunk of a chunked body; empty for the last.
     pub async fn chunk(&mut self, most: usize) -> Result<Vec<u8>, Broken> {
         loop {
--- a/crates/quillhub-net/src/stand_in.rs
+++ b/crates/quillhub-net/src/stand_in.rs
@@ -89,7 +89,10 @@
     let host = Host::new(courier, wal, Endpoints::new(LONG, 8), LONG, None, false);
     let mut new = host.borrow_mut();
     new.endpoints.listed("e", at);
-    new.event(|courier| courier.listed("e", "", "", 9, Listing::Open, None));
+    new.event(|courier| {
+        courier.listed("e", "", "", 9, Listing::Open, None);
+        courier.list_ends(None, false);
+    });
     new.take_back(owed);
     drop(new);
     host
--- a/crates/quillhub-net/src/wal.rs
+++ b/crates/quillhub-net/src/wal.rs
@@ -21,9 +21,10 @@
 /// Segments in a full folder: cleaning one at a time then needs little room besides.
 const SEGMENTS: u64 = 16;
 /// The largest segment: more only makes cleaning come in larger steps.
-const MOST_SEGMENT: u64 = 1024 * 1024;
-/// What is kept of records that are over, besides as much again as is owed: reading back stays short.
-const MOST_OVER: u64 = 4 * 1024 * 1024;
+const MOST_SEGMENT: u64 = 128 * 1024;
+/// What is kept of records that are over, besides as much again as is owed: reading back stays short, and where
+/// the folder counts as memory it is as large after a minute as after a day.
+const MOST_OVER: u64 = 512 * 1024;
 /// Room that a notice's later records take at the most, about.
 const LATER: u64 = 512;
 
--- a/src/courier.rs
+++ b/src/courier.rs
@@ -1,7 +1,7 @@
 //! What a courier holds: the figures it was started with, and what it has seen. Nothing is decided here; the
 //! parts that decide are in [`crate::policy`].
 
-use crate::policy::{Credits, Keep, Latency, Outage, Pace, Repeats};
+use crate::policy::{Credits, FORGET, Keep, Latency, Outage, Pace, Repeats};
 use crate::{DestinationId, Grade, ListedRate, Listing, NoticeId};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -97,6 +97,12 @@
     pub(crate) latency: BTreeMap<usize, Latency>,
 }
 
+impl Destination {
+    fn is_named(&self) -> bool {
+        self.endpoints.values().any(|endpoint| endpoint.listing != Listing::Gone)
+    }
+}
+
 pub(crate) struct Endpoint {
     pub(crate) zone: String,
     pub(crate) kind: String,
@@ -196,6 +202,8 @@
     pub(crate) quotas: BTreeMap<String, Quota>,
     pub(crate) over_share: f64,
     pub(crate) destinations: BTreeMap<DestinationId, Destination>,
+    /// Destinations, and when the list last named an endpoint of theirs; gone a good while after.
+    pub(crate) named: BTreeMap<DestinationId, Duration>,
     pub(crate) left: bool,
     /// Endpoints with an idle connection, and since when; gone once it is used or closed.
     pub(crate) idle: BTreeMap<(DestinationId, String), Duration>,
@@ -235,6 +243,7 @@
             quotas: BTreeMap::new(),
             over_share: 1.0,
             destinations: BTreeMap::new(),
+            named: BTreeMap::new(),
             left: false,
             idle: BTreeMap::new(),
             idle_close: Duration::ZERO,
@@ -312,9 +321,11 @@
 
     /// The end of a list or of changes; what a whole list leaves out is gone.
     pub fn list_ends(&mut self, whole: Option<&BTreeSet<String>>, asked: bool) {
+        let now = self.now;
+        self.named.extend(self.destinations.iter().filter(|(_, d)| d.is_named()).map(|(id, _)| (*id, now)));
+        self.named.retain(|_, at| now < *at + FORGET);
         if whole.is_some() || self.left {
             let busy: BTreeSet<_> = self.calls.values().map(|call| &call.endpoint).collect();
-            let now = self.now;
             self.left = false;
             self.destinations.retain(|_, destination| {
                 destination.endpoints.retain(|name, endpoint| {
@@ -335,6 +346,12 @@
         }
     }
 
+    /// Whether there is such a destination, as far as the list tells; one without endpoints now may have some
+    /// soon. With no list at all there may be any.
+    pub fn knows(&self, destination: DestinationId) -> bool {
+        self.named.is_empty() || self.named.contains_key(&destination)
+    }
+
     /// The client left, or the notice is over: nothing more is owed for it.
     pub fn over(&mut self, id: NoticeId) {
         if let Some(key) = self.held.remove(&id).and_then(|held| held.key)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -103,6 +103,8 @@
     Error,
     /// Turned away unseen, with the wait that was told, if one was.
     Refused(Option<Duration>),
+    /// The same, by an answer that is not whole to the letter: it may have run.
+    Unproven(Option<Duration>),
     TimedOut,
     Unconnected,
     Reset,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,6 +8,7 @@
 use crate::{DestinationId, Effect, Hands, ListedRate, Listing, NoticeId, Outcome, ms, note};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -62,7 +63,7 @@
 const MOST_RAMP: f64 = 1.6; // x the warm part of the known rate: capacity lies over a limit, by a half or so
 // Register.
 const ASK_BASE: Duration = ms(500); // first gap's upper end between asks that failed
-const ASK_CAP: Duration = ms(4_000); // and the longest
+pub(crate) const FORGET: Duration = ms(600_000); // until a destination without endpoints does not exist
 // Holding room, and time.
 const SPARE_ROOM: f64 = 0.05; // of the room kept free, so that this courier chooses who is denied
 const BEAT: Duration = ms(20); // while a notice waits, the rules are gone through so often
@@ -342,7 +343,7 @@
     pub fn list_failed(&mut self) {
         let register = &mut self.register;
         (register.asked, register.failures) = (false, register.failures + 1);
-        register.next = self.now + gap(&mut self.rng, register.failures, ASK_BASE, ASK_CAP);
+        register.next = self.now + gap(&mut self.rng, register.failures, ASK_BASE, CAP);
     }
 
     /// A notice was handed in. False if its grade is unknown: then nothing was taken.
@@ -372,6 +373,7 @@
                 e.outage.handed_in(now, self.ramp, 1.0 / open as f64);
             }
         }
+        let limit = limit.min(self.now + self.grades[grade].1.limit); // against limits that none may ask for
         self.held.insert(id, Held::new(grade, destination, key, limit, worth));
         self.fresh = Some(id);
         true
@@ -413,7 +415,7 @@
             if let Some(at) = turn.out.iter().position(|other| *other == id) {
                 turn.out.remove(at);
             }
-            if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::CalledOff) {
+            if !outcome.never_ran() && !matches!(outcome, Outcome::Handled | Outcome::Error) {
                 (turn.rest, turn.rests_for) = (self.now + self.key_rest, Some(id));
             }
         }
@@ -459,7 +461,7 @@
                 }
                 route.repeats.failures = 0;
             }
-            Outcome::Refused(wait) => {
+            Outcome::Refused(wait) | Outcome::Unproven(wait) => {
                 route.pace.saved = 0.0;
                 if route.refusals == 0 {
                     route.refused = self.now;
@@ -702,7 +704,7 @@
         let waiting: BTreeSet<_> = waiting.map(|held| held.destination).collect();
         let out = self.calls_out();
         let doors: BTreeMap<_, _> = waiting.into_iter().map(|id| (id, self.doors(id, &out))).collect();
-        let mut best: Option<((u8, f64, Duration), NoticeId, &Way)> = None;
+        let mut best: Option<(_, NoticeId, &Way)> = None;
         for (id, held) in &self.held {
             let Some(ways) = doors.get(&held.destination) else { continue };
             let Some(way) = self.way(*id, held, ways) else { continue };
@@ -712,11 +714,8 @@
             let again = u8::from(grade.effect == Effect::Retriable);
             let safe = if !way.rank.0 { 3 } else { held.may_have_run.as_ref().map_or(again, |_| 2) };
             let due = (held.limit + grade.contract).saturating_sub(grade.limit);
-            let rank = (safe, earns / usual.as_secs_f64().max(LEAST_CALL), due);
-            let better = best.as_ref().is_none_or(|(top, ..)| {
-                rank.0.cmp(&top.0).then(rank.1.total_cmp(&top.1)).then(top.2.cmp(&rank.2)).is_gt()
-            });
-            if better {
+            let rank = (safe, (earns * 1e6 / usual.as_secs_f64().max(LEAST_CALL)) as i64, Reverse(due));
+            if best.as_ref().is_none_or(|(top, ..)| rank > *top) {
                 best = Some((rank, *id, way));
             }
         }
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -535,3 +535,34 @@
     courier.listed("a", "x", "k", 9, Listing::Draining, None);
     assert!(!courier.may_go(1, 0, ms(501)));
 }
+
+#[test]
+fn what_may_have_run_though_it_reads_as_refused_is_a_send_and_its_wait_is_heeded() {
+    let mut courier = courier(Effect::Binding);
+    assert_eq!(take(&mut courier, 1, None), ["send 1 a"]);
+    courier.outcome(1, 0, Outcome::Unproven(Some(ms(900))), ms(9), false, None);
+    assert_eq!(settled(&mut courier), ["write off 1"]);
+    assert!(take(&mut courier, 2, None).is_empty() && courier.told(9) >= ms(900));
+}
+
+#[test]
+fn a_notice_lasts_no_longer_than_its_grade_allows() {
+    let mut courier = courier(Effect::Retriable);
+    courier.notice(1, "g", None, ms(9_000_000), None, 9);
+    assert_eq!(courier.held[&1].limit, courier.now + ms(10_000));
+}
+
+#[test]
+fn a_destination_exists_from_its_first_listing_until_long_after_its_last() {
+    let mut courier = Courier::new(7, 2, "x");
+    assert!(courier.knows(9), "there is no list yet");
+    courier.listed("a", "x", "k", 9, Listing::Open, None);
+    courier.list_ends(None, true);
+    assert!(courier.knows(9) && !courier.knows(8));
+    courier.list_ends(Some(&BTreeSet::new()), true);
+    assert!(courier.knows(9));
+    courier.listed("b", "x", "k", 8, Listing::Open, None);
+    courier.at(FORGET);
+    courier.list_ends(None, true);
+    assert!(courier.knows(8) && !courier.knows(9));
+}
