Refusals of calls that were out together make one pause of their route

Only a refusal of a call that began after the last pause did counts for the gap; shut and doubt go by all of them, as before. May ask one call more of a destination that is full for longer.

--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -192,8 +192,9 @@
         body: &[u8],
     ) -> Taken {
         let now = self.now();
-        while let Some((_, past)) = self.past.pop_front_if(|(at, _)| *at + KNOWN <= now) {
-            self.references.remove(&past);
+        while let Some((_, past)) = self.past.front().filter(|(at, _)| *at + KNOWN <= now) {
+            self.references.remove(past);
+            self.past.pop_front();
         }
         // Against ids of notices that are held: two of one name could not be told apart at their endpoints.
         if self.references.contains(reference) {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -412,9 +412,7 @@
         let Some(call) = self.calls.remove(&(id, send)) else { return };
         self.judge(&call, outcome, took, report);
         if let Some(turn) = call.key.and_then(|key| self.turns.get_mut(&key)) {
-            if let Some(at) = turn.out.iter().position(|other| *other == id) {
-                turn.out.remove(at);
-            }
+            turn.out.retain(|other| *other != id);
             if !outcome.never_ran() && !matches!(outcome, Outcome::Handled | Outcome::Error) {
                 (turn.rest, turn.rests_for) = (self.now + self.key_rest, Some(id));
             }
@@ -452,7 +450,7 @@
                 keep.handled(self.idle_close);
                 latency.handled(self.now, took);
                 endpoint.outage.handled(self.now);
-                route.refusals = 0;
+                (route.refusals, route.rounds) = (0, 0);
                 if before == Health::Out {
                     (route.trials, route.trial) = (0, self.now); // its siblings may be back too
                 }
@@ -467,7 +465,10 @@
                     route.refused = self.now;
                 }
                 route.refusals += 1;
-                route.closed = route.closed.max(self.now + gap(&mut self.rng, route.refusals, BASE, CAP));
+                if call.started >= route.rested {
+                    (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
+                    route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, BASE, CAP));
+                }
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
                 shut = route.told > self.now + SHUT;
                 if self.now > route.refused + SHUT {
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -566,3 +566,16 @@
     courier.list_ends(None, true);
     assert!(courier.knows(8) && !courier.knows(9));
 }
+
+/// A dozen calls that were out together were refused, and their destination got nothing for four seconds.
+#[test]
+fn refusals_of_calls_that_were_out_together_make_one_pause() {
+    let mut courier = courier(Effect::Retriable);
+    let call = |at| Call { destination: 9, endpoint: "a".into(), grade: 0, key: None, started: ms(at) };
+    courier.at(ms(100));
+    (0..12).for_each(|at| courier.judge(&call(at), Outcome::Refused(None), ms(9), None));
+    let route = &courier.destinations[&9].routes[""];
+    assert!(route.closed <= ms(100) + BASE && route.refusals == 12);
+    courier.judge(&call(100), Outcome::Refused(None), ms(9), None);
+    assert_eq!(courier.destinations[&9].routes[""].rounds, 2);
+}
