A call's last byte is kept back 3 ms, so that a dead kept connection costs no call

A reset may have run, so each cost its notice a gap and its destination a repeat, and two in a row put the destination on rations.

Link::offer writes all but the last byte, looks for a moment whether the connection ends or brings something, and only then writes the last. What ends before has not run, so the same call may have a new connection. Holds against every connection dropped by something between, and against copies of an answer that come late. Costs 3 ms a call, more where a peer must see a whole request before it answers its first segment, which none may.

--- a/crates/quillhub-net/src/endpoints.rs
+++ b/crates/quillhub-net/src/endpoints.rs
@@ -84,8 +84,8 @@
     }
 }
 
-/// One call: on `link` if there is one, otherwise on a new connection, for `patience` at most. `goes` is asked
-/// last, before the first byte. The link comes back if another call may use it.
+/// One call: on `link` if there is one that still stands, otherwise on a new connection, for `patience` at most.
+/// `goes` is asked last, before the first byte. The link comes back if another call may use it.
 pub async fn call(
     link: Option<Link>,
     at: SocketAddr,
@@ -96,20 +96,26 @@
 ) -> (Result<Answer, Failed>, Option<Link>) {
     let started = Instant::now();
     let left = || patience.saturating_sub(started.elapsed());
-    let mut link = match link {
-        Some(link) => link,
-        None => match timeout(connecting.min(patience), Link::open(at)).await {
-            Ok(Ok(link)) => link,
-            Ok(Err(error)) => return (Err(failed_to_open(&error)), None),
-            Err(_) => return (Err(Failed::Unready), None),
-        },
+    let mut kept = link;
+    let mut link = loop {
+        let was_kept = kept.is_some();
+        let mut link = match kept.take() {
+            Some(link) => link,
+            None => match timeout(connecting.min(left()), Link::open(at)).await {
+                Ok(Ok(link)) => link,
+                Ok(Err(error)) => return (Err(failed_to_open(&error)), None),
+                Err(_) => return (Err(Failed::Unready), None),
+            },
+        };
+        if !goes() {
+            return (Err(Failed::Here), Some(link));
+        }
+        match timeout(left(), link.offer(request)).await {
+            Ok(Ok(())) => break link,
+            Ok(Err(_)) if was_kept => {} // it was dead; nothing has run, so this call may have a new one
+            _ => return (Err(Failed::Unready), None),
+        }
     };
-    if !goes() {
-        return (Err(Failed::Here), Some(link));
-    }
-    if !matches!(timeout(left(), link.write(request)).await, Ok(Ok(()))) {
-        return (Err(Failed::Unready), None);
-    }
     // Interim answers may come long before the one that counts.
     let status = loop {
         match timeout(left(), link.begin()).await {
--- a/crates/quillhub-net/src/endpoints_tests.rs
+++ b/crates/quillhub-net/src/endpoints_tests.rs
@@ -1,6 +1,8 @@
 use super::*;
 use crate::stand_in::{LONG, OK, answering, on_one_thread};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
+use tokio::task::spawn_local;
 
 /// The end of one call to a stand-in that answers so, and whether its connection is kept.
 fn end(answer: &'static [u8]) -> (Outcome, bool, bool) {
@@ -147,3 +149,32 @@
         assert!(brief.take("e").is_none());
     });
 }
+
+#[test]
+fn a_kept_connection_that_is_dead_or_brings_a_late_copy_costs_no_call() {
+    on_one_thread(async {
+        for stray in [&b""[..], b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let at = listener.local_addr().unwrap();
+            let kept = Link::open(at).await.unwrap();
+            let mut dying = listener.accept().await.unwrap().0;
+            drop(listener);
+            let peer = spawn_local(async move {
+                let mut first = [0; 1];
+                dying.read_exact(&mut first).await.unwrap();
+                dying.write_all(stray).await.unwrap(); // it goes as soon as something comes
+                let mut rest = Vec::new();
+                if stray.is_empty() {
+                    drop(dying);
+                } else {
+                    dying.read_to_end(&mut rest).await.unwrap();
+                }
+                rest
+            });
+            let (end, link) = call(Some(kept), at, LONG, LONG, b"xyz", || true).await;
+            // The new connection is refused, as nobody listens any more: so nothing has run.
+            assert!(matches!(end, Err(Failed::Unready)) && link.is_none());
+            assert!(!peer.await.unwrap().ends_with(b"z"), "the last byte never came");
+        }
+    });
+}
--- a/crates/quillhub-net/src/link.rs
+++ b/crates/quillhub-net/src/link.rs
@@ -4,8 +4,10 @@
 use std::fmt;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// Why nothing more can be read from a connection.
 #[derive(Debug)]
@@ -34,6 +36,10 @@
 /// Bytes that a read has room for at least: more than most answers have.
 const READ: usize = 1024;
 
+/// How long a call's last byte is kept back: more than the way there and back inside a building, and little
+/// beside any call.
+const MOMENT: Duration = Duration::from_millis(3);
+
 pub struct Link {
     stream: TcpStream,
     buffer: Vec<u8>,
@@ -50,6 +56,18 @@
         self.stream.write_all(octets).await
     }
 
+    /// Writes a call, its last byte only if the connection still stands a moment after the others and nothing
+    /// has come on it: what fails here has not run. Against kept connections that are dead without a sign, and
+    /// against copies of an answer that come late. Costs each call the moment.
+    pub async fn offer(&mut self, call: &[u8]) -> Result<(), Broken> {
+        let (most, last) = call.split_at(call.len().saturating_sub(1));
+        self.write(most).await.map_err(Broken::Failed)?;
+        match timeout(MOMENT, self.more()).await {
+            Err(_) => self.write(last).await.map_err(Broken::Failed),
+            Ok(came) => came.and(Err(Broken::Malformed)),
+        }
+    }
+
     async fn more(&mut self) -> Result<(), Broken> {
         self.buffer.reserve(READ);
         match self.stream.read_buf(&mut self.buffer).await {
--- a/crates/quillhub-net/src/stand_in.rs
+++ b/crates/quillhub-net/src/stand_in.rs
@@ -51,6 +51,14 @@
     runtime.block_on(LocalSet::new().run_until(test))
 }
 
+/// Whether all of a call is there, or nothing that tells its length.
+fn whole(call: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(call);
+    let Some((head, _)) = text.split_once("\r\n\r\n") else { return !text.starts_with("POST") };
+    let length = head.split_once("Content-Length: ").map(|(_, rest)| rest.lines().next().unwrap());
+    call.len() >= head.len() + 4 + length.map_or(0, |length| length.parse().unwrap())
+}
+
 /// Takes one call a connection: answers each with the next of `answers` and leaves the connection open, or
 /// closes it where that is empty. Hands out what was read.
 pub async fn answering(answers: Vec<&'static [u8]>) -> (SocketAddr, UnboundedReceiver<String>) {
@@ -60,9 +68,9 @@
         let mut open = Vec::new();
         for answer in answers {
             let mut stream = listener.accept().await.unwrap().0;
-            let mut read = vec![0; 65536];
-            let length = stream.read(&mut read).await.unwrap();
-            let _ = tell.send(String::from_utf8_lossy(&read[..length]).into_owned());
+            let mut read = Vec::new();
+            while stream.read_buf(&mut read).await.unwrap() > 0 && !whole(&read) {}
+            let _ = tell.send(String::from_utf8_lossy(&read).into_owned());
             if !answer.is_empty() {
                 stream.write_all(answer).await.unwrap();
                 open.push(stream);
