One that answered within 2 s is not down, and no note makes it cold

The log: Well -> Out, and Out -> Cold 40 ms later, again and again, on single connections that break. Causes in policy.rs: judge() gave a failed connection the weight of silence although the endpoint had answered moments before, as refused ones end within a millisecond; told_by_courier() made all endpoints of a route cold that two failures in a row had put in doubt, sound ones too.

Holds also where a firewall resets single connections. A dead endpoint with more than one call a second is found by seven failures instead of two, within 2 s at the latest.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -258,6 +258,10 @@
         }
     }
 
+    fn quiet(&self, now: Duration, began: Duration) -> bool {
+        self.answered <= began && self.answered + LEAST_PATIENCE <= now
+    }
+
     fn returns(&mut self, now: Duration) {
         self.share = self.share.min(BACK_SHARE);
         self.health = Health::Cold { since: now };
@@ -399,7 +403,7 @@
         endpoint.listing == Listing::Open && told <= now
     }
 
-    /// How a send ended. `left` is the share of the limit that is left, `rate` the limit in calls a second.
+    /// How a send ended; a report is the share of the limit that is left, and the limit in calls a second.
     pub fn outcome(
         &mut self,
         id: NoticeId,
@@ -489,10 +493,8 @@
                     keep.failed();
                 }
                 // Against taking calls that get lost one by one, as on a bad network, for an outage: where
-                // others were answered since, or the connection stood, it says little. May delay a verdict.
-                let quiet =
-                    outcome != Outcome::TimedOut || endpoint.outage.answered + LEAST_PATIENCE <= self.now;
-                lost = outcome != Outcome::Reset && endpoint.outage.answered <= call.started && quiet;
+                // others are just answered, or the connection stood, it says little. May delay a verdict.
+                lost = outcome != Outcome::Reset && endpoint.outage.quiet(self.now, call.started);
                 weight = if lost { SILENT_WEIGHT } else { LOST_WEIGHT };
                 latency.timed_out += u32::from(lost && outcome == Outcome::TimedOut);
                 route.repeats.failures += 1;
@@ -524,13 +526,14 @@
         }
     }
 
-    /// A note from another courier: a route answered there. Against learning of a return courier by courier.
+    /// A route answered another courier. Against learning of a return courier by courier.
     pub fn told_by_courier(&mut self, octets: &[u8]) {
         let Some((destination, route)) = note::read(octets) else { return };
         let Some(destination) = self.destinations.get_mut(&destination) else { return };
         let Some(repeats) = destination.routes.get_mut(route).map(|r| &mut r.repeats) else { return };
         for endpoint in destination.endpoints.values_mut().filter(|e| e.route == route) {
-            if endpoint.outage.health == Health::Out || repeats.doubtful() {
+            let quiet = endpoint.outage.quiet(self.now, self.now);
+            if endpoint.outage.health == Health::Out || repeats.doubtful() && quiet {
                 endpoint.outage.returns(self.now);
             }
         }
@@ -683,7 +686,6 @@
         ways
     }
 
-    /// The way that `held` may take now, if any.
     fn way<'a>(&self, id: NoticeId, held: &Held, ways: &'a [Way]) -> Option<&'a Way> {
         let has_turn = |key| self.turns.get(&key).is_some_and(|turn| turn.has(id, self.now));
         let ready = held.out == 0 && held.not_before <= self.now && held.sends < self.most_sends;
@@ -783,7 +785,6 @@
         true
     }
 
-    /// The time that an idle connection may still be kept.
     fn kept(&self, destination: DestinationId, name: &str, since: Duration) -> Duration {
         let keep = self.endpoint(destination, name).and_then(|e| self.keeps.get(&e.kind));
         since.saturating_add(keep.map_or(Duration::ZERO, |keep| keep.time)).saturating_sub(self.now)
