Patience shrinks only while calls stray; a call cut before its last byte has a second new try

As refused connections are a verdict at once again, a connection that breaks before the last byte of a call is replaced once more on the spot instead of being told as a failed one.

--- a/crates/quillhub-net/src/endpoints.rs
+++ b/crates/quillhub-net/src/endpoints.rs
@@ -14,6 +14,8 @@
 /// How long the rest of an answer may take once it has begun: it is written at once, and a quarter of a second
 /// covers a packet that must be sent again. Against answers that never end, which would hold their call.
 const REST: Duration = Duration::from_millis(250);
+/// Connections that may break under one call before its last byte: a kept one, and a new one by chance.
+const CUT: u32 = 2;
 /// Calls a second beyond which a reported limit cannot be one.
 const MOST_RATE: f64 = 1e6;
 /// Part of the idle time before its end in which a kept connection is not used: a call written then could
@@ -96,9 +98,8 @@
 ) -> (Result<Answer, Failed>, Option<Link>) {
     let started = Instant::now();
     let left = || patience.saturating_sub(started.elapsed());
-    let mut kept = link;
+    let (mut kept, mut cut) = (link, 0);
     let mut link = loop {
-        let was_kept = kept.is_some();
         let mut link = match kept.take() {
             Some(link) => link,
             None => match timeout(connecting.min(left()), Link::open(at)).await {
@@ -112,7 +113,7 @@
         }
         match timeout(left(), link.offer(request)).await {
             Ok(Ok(())) => break link,
-            Ok(Err(_)) if was_kept => {} // it was dead; nothing has run, so this call may have a new one
+            Ok(Err(_)) if cut < CUT => cut += 1, // nothing has run, so this call may have a new connection
             _ => return (Err(Failed::Unready), None),
         }
     };
--- a/src/courier.rs
+++ b/src/courier.rs
@@ -217,6 +217,8 @@
     pub(crate) turns: BTreeMap<u64, Turn>,
     pub(crate) held: BTreeMap<NoticeId, Held>,
     pub(crate) calls: BTreeMap<(NoticeId, u32), Call>,
+    /// About the share of calls that got no answer while others at their endpoint did.
+    pub(crate) strays: f64,
     pub(crate) beat: Option<Duration>,
     pub(crate) logged: Option<Duration>,
     pub(crate) lines: Vec<String>,
@@ -255,6 +257,7 @@
             turns: BTreeMap::new(),
             held: BTreeMap::new(),
             calls: BTreeMap::new(),
+            strays: 0.0,
             beat: None,
             logged: None,
             lines: Vec::new(),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -27,6 +27,7 @@
 const RECENT: Duration = ms(40_000); // older samples say nothing of now
 const PATIENCE: f64 = 2.0; // x the longest recent call: the tail of a healthy destination ends before it
 const LEAST_PATIENCE: Duration = ms(2_000); // room for a handshake and a queue, while slots are free
+const STRAYS: f64 = 0.05; // of calls lost one by one: much; the least patience then goes by the free slots
 const MOST_DOUBLINGS: u32 = 3; // of patience after time-outs in a row, so that a slow one gets through
 const LEAST_CALL: f64 = 0.05; // s of a slot that any call counts for, so that none is taken for free
 const SLOW: f64 = 4.0; // x usual call: a call out so long marks its destination as slow
@@ -137,11 +138,10 @@
         self.median.filter(|_| recent).unwrap_or(UNKNOWN_CALL)
     }
 
-    /// Longer after each time-out in a row, so that a slow one gets to answer; shorter where few slots are
-    /// `free`: against calls whose answers get lost, which would hold all of them.
-    fn patience(&self, free: f64) -> Duration {
+    /// Longer after each time-out in a row, so that a slow one gets to answer; `floor` is the least part.
+    fn patience(&self, floor: f64) -> Duration {
         let longest = self.taken.iter().map(|s| s.1).max().unwrap_or(UNKNOWN_CALL);
-        let calm = longest.mul_f64(PATIENCE).max(LEAST_PATIENCE.mul_f64(free));
+        let calm = longest.mul_f64(PATIENCE).max(LEAST_PATIENCE.mul_f64(floor));
         calm * 2u32.pow(self.timed_out.min(MOST_DOUBLINGS))
     }
 }
@@ -453,6 +453,7 @@
             Outcome::Handled => {
                 keep.handled(self.idle_close);
                 latency.handled(self.now, took);
+                self.strays *= 1.0 - STRAYS;
                 endpoint.outage.handled(self.now);
                 (route.refusals, route.rounds) = (0, 0);
                 if before == Health::Out {
@@ -494,9 +495,13 @@
                 }
                 // Against taking calls that get lost one by one, as on a bad network, for an outage: where
                 // others are just answered, or the connection stood, it says little. May delay a verdict.
-                lost = outcome != Outcome::Reset && endpoint.outage.quiet(self.now, call.started);
+                let refused = outcome == Outcome::Unconnected && endpoint.outage.answered <= call.started;
+                lost =
+                    refused || outcome == Outcome::TimedOut && endpoint.outage.quiet(self.now, call.started);
                 weight = if lost { SILENT_WEIGHT } else { LOST_WEIGHT };
                 latency.timed_out += u32::from(lost && outcome == Outcome::TimedOut);
+                let stray = !lost && outcome == Outcome::TimedOut;
+                self.strays += if stray { STRAYS } else { 0.0 };
                 route.repeats.failures += 1;
             }
             Outcome::CalledOff | Outcome::Unsent => {}
@@ -531,23 +536,17 @@
         let Some((destination, route)) = note::read(octets) else { return };
         let Some(destination) = self.destinations.get_mut(&destination) else { return };
         let Some(repeats) = destination.routes.get_mut(route).map(|r| &mut r.repeats) else { return };
-        for endpoint in destination.endpoints.values_mut().filter(|e| e.route == route) {
-            let quiet = endpoint.outage.quiet(self.now, self.now);
-            if endpoint.outage.health == Health::Out || repeats.doubtful() && quiet {
-                endpoint.outage.returns(self.now);
+        for e in destination.endpoints.values_mut().filter(|e| e.route == route) {
+            if e.outage.health == Health::Out || repeats.doubtful() && e.outage.quiet(self.now, self.now) {
+                e.outage.returns(self.now);
             }
         }
         repeats.failures = 0;
     }
 
-    /// Goes through the rules until none fires.
     pub fn settle(&mut self, hands: &mut dyn Hands) {
-        for line in self.lines.drain(..) {
-            hands.log(&line);
-        }
-        for (destination, route) in self.news.drain(..) {
-            hands.tell(&note::of_return(destination, &route));
-        }
+        self.lines.drain(..).for_each(|line| hands.log(&line));
+        self.news.drain(..).for_each(|(to, route)| hands.tell(&note::of_return(to, &route)));
         while self.ask_register(hands)
             || self.keep_folder(hands)
             || self.end_what_cannot_be_delivered(hands)
@@ -734,7 +733,8 @@
         let Some(endpoint) = destination.endpoints.get_mut(name) else { return };
         let Some(route) = destination.routes.get_mut(&endpoint.route) else { return };
         let latency = destination.latency.entry(held.grade).or_default();
-        let free = 1.0 - self.calls.len() as f64 / self.slots.most as f64;
+        // Against lost answers that hold all slots. May give up one that turns slow in the midst of that.
+        let free = (1.0 - self.calls.len() as f64 / self.slots.most as f64).max(1.0 - self.strays / STRAYS);
         let patience = latency.patience(free).min(held.limit.saturating_sub(now));
         hands.send(id, name, patience);
         route.repeats.count(now, held.sends > 0);
