One loop that reads until a parser has enough, one way to wait for a permit

From reading the whole change once more; what is sent and answered stays as it was. link.rs had the same loop three times (status, head, chunk): Link::parsed. http.rs bounded input that goes on in three places: within. Doors::place and Doors::large_permit were twins: Doors::permit. A new configuration was parsed twice, and the two addresses were read together where one was wanted: configuration::listen and discovery. register.rs kept an Option only to tell a move from an end. Courier::slow looked up endpoint and last answer for each call out, now only for one that is out long.

Left as they are: the tests' openings and the long constructors of courier.rs, alike in shape only; the zone that Courier::outcome copies for each call.

--- a/crates/quillhub-net/src/clients.rs
+++ b/crates/quillhub-net/src/clients.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, SemaphorePermit, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -123,7 +123,7 @@
 pub struct Doors {
     phase: watch::Receiver<Phase>,
     places: Arc<Semaphore>,
-    large: Semaphore,
+    large: Arc<Semaphore>,
     /// By number; an entry goes with its connection, or when it is told to leave.
     seats: RefCell<BTreeMap<u64, Seat>>,
     next: Cell<u64>,
@@ -132,7 +132,7 @@
 impl Doors {
     /// `places` has a permit for each connection that may be open.
     pub fn new(phase: watch::Receiver<Phase>, places: Arc<Semaphore>) -> Rc<Self> {
-        let (large, seats, next) = (Semaphore::new(LARGE), RefCell::default(), Cell::new(0));
+        let (large, seats, next) = (Arc::new(Semaphore::new(LARGE)), RefCell::default(), Cell::new(0));
         Rc::new(Self { phase, places, large, seats, next })
     }
 
@@ -167,31 +167,19 @@
         }
     }
 
-    /// Room for a large command; others that hold much are told to leave if there is none.
-    async fn large_permit(&self) -> Option<SemaphorePermit<'_>> {
+    /// A permit for a large command or for a new connection; others are told to leave if there is none.
+    async fn permit(&self, large: bool) -> Option<OwnedSemaphorePermit> {
+        let from = if large { &self.large } else { &self.places };
         loop {
-            if let Ok(permit) = self.large.try_acquire() {
+            if let Ok(permit) = from.clone().try_acquire_owned() {
                 return Some(permit);
             }
-            self.make_room(true);
-            if let Ok(permit) = timeout(LEAVES, self.large.acquire()).await {
+            self.make_room(large);
+            if let Ok(permit) = timeout(LEAVES, from.clone().acquire_owned()).await {
                 return permit.ok();
             }
         }
     }
-
-    /// A place for a new connection; others are told to leave if there is none.
-    async fn place(&self) -> Option<OwnedSemaphorePermit> {
-        loop {
-            if let Ok(place) = self.places.clone().try_acquire_owned() {
-                return Some(place);
-            }
-            self.make_room(false);
-            if let Ok(place) = timeout(LEAVES, self.places.clone().acquire_owned()).await {
-                return place.ok();
-            }
-        }
-    }
 }
 
 /// Reads what has come. Nothing is kept ready for it while nothing comes.
@@ -260,7 +248,7 @@
                 let idle = buffer.is_empty();
                 let input = async {
                     if buffer.len() >= SMALL && permit.is_none() {
-                        permit = doors.large_permit().await;
+                        permit = doors.permit(true).await;
                         doors.note(number, |seat| seat.large = true);
                     }
                     read(stream, |octets| buffer.extend_from_slice(octets)).await
@@ -343,7 +331,7 @@
                 continue;
             }
         };
-        let Some(place) = doors.place().await else { return };
+        let Some(place) = doors.permit(false).await else { return };
         let (host, doors) = (host.clone(), doors.clone());
         spawn_local(async move {
             let (_place, (number, leave)) = (place, doors.seat());
--- a/crates/quillhub-net/src/configuration.rs
+++ b/crates/quillhub-net/src/configuration.rs
@@ -28,9 +28,14 @@
     Ok((courier, places.left.is_some() && places.limit.is_some()))
 }
 
-/// Where clients connect, and where the register and the platform are.
-pub fn addresses(top: &At) -> Result<(SocketAddr, SocketAddr), String> {
-    Ok((address(&top.need("listen")?)?, address(&top.need("discovery")?)?))
+/// Where clients connect.
+pub fn listen(top: &At) -> Result<SocketAddr, String> {
+    address(&top.need("listen")?)
+}
+
+/// Where the register and the platform are.
+pub fn discovery(top: &At) -> Result<SocketAddr, String> {
+    address(&top.need("discovery")?)
 }
 
 /// If couriers may send each other notes: where to listen, what reaches all, and the address of this one.
@@ -83,7 +88,8 @@
 /// What is wrong with a configuration, if anything.
 pub fn check(top: &At) -> Result<(), String> {
     courier(top)?;
-    addresses(top)?;
+    listen(top)?;
+    discovery(top)?;
     notes(top)?;
     bounds(top)?;
     connections(top)?;
--- a/crates/quillhub-net/src/http.rs
+++ b/crates/quillhub-net/src/http.rs
@@ -73,15 +73,22 @@
         .parse_next(input)
 }
 
+/// What was `read` from `input` up to `rest`, as [`whole`] has it; what is longer than `most` must be whole.
+fn within<T>(
+    most: usize,
+    input: &[u8],
+    rest: &Input<'_>,
+    read: ModalResult<T>,
+) -> Result<Option<(T, usize)>, Malformed> {
+    let read = whole(input, rest, read)?;
+    if read.is_none() && input.len() > most { Err(Malformed) } else { Ok(read) }
+}
+
 /// The status in the first line at the start of `input`, whatever follows it; nothing if more must come.
 pub fn status(input: &[u8]) -> Result<Option<u16>, Malformed> {
     let mut rest = Input::new(input);
     let read = first_line(&mut rest);
-    let read = whole(input, &rest, read)?;
-    if read.is_none() && input.len() > MOST_HEAD {
-        return Err(Malformed);
-    }
-    Ok(read.map(|((_, status), _)| status))
+    Ok(within(MOST_HEAD, input, &rest, read)?.map(|((_, status), _)| status))
 }
 
 fn header(input: &mut Input<'_>) -> ModalResult<(String, String)> {
@@ -109,10 +116,7 @@
     let mut rest = Input::new(input);
     let lines = repeat(0..=MOST_HEADERS, header);
     let read = (first_line, terminated(lines, crlf)).parse_next(&mut rest);
-    let read = whole(input, &rest, read)?;
-    if read.is_none() && input.len() > MOST_HEAD {
-        return Err(Malformed);
-    }
+    let read = within(MOST_HEAD, input, &rest, read)?;
     Ok(read.map(|(((keeps, status), headers), used)| (Head { status, keeps, headers }, used)))
 }
 
@@ -134,11 +138,7 @@
 pub fn chunk(input: &[u8], most: usize) -> Result<Option<(&[u8], usize)>, Malformed> {
     let mut rest = Input::new(input);
     let read = a_chunk(most, &mut rest);
-    let read = whole(input, &rest, read)?;
-    if read.is_none() && input.len() > most + MOST_CHUNK_LINE + MOST_HEAD {
-        return Err(Malformed);
-    }
-    Ok(read)
+    within(most + MOST_CHUNK_LINE + MOST_HEAD, input, &rest, read)
 }
 
 /// A request with a body; header values must hold no line ends.
--- a/crates/quillhub-net/src/lib.rs
+++ b/crates/quillhub-net/src/lib.rs
@@ -67,7 +67,7 @@
 ) -> Result<(), String> {
     let value = configuration::parse(text)?;
     let top = At::top(&value);
-    let (at, seen) = watch::channel(configuration::addresses(&top)?.1);
+    let (at, seen) = watch::channel(configuration::discovery(&top)?);
     LocalSet::new()
         .run_until(async {
             tokio::select! {
@@ -86,10 +86,10 @@
 ) -> Infallible {
     loop {
         let read = next().await.and_then(|text| {
-            check(&text)?;
             let value = configuration::parse(&text)?;
-            let to = configuration::addresses(&At::top(&value))?.1;
-            Ok((to, configuration::differing(started_with, &value)))
+            let top = At::top(&value);
+            configuration::check(&top)?;
+            Ok((configuration::discovery(&top)?, configuration::differing(started_with, &value)))
         });
         match read {
             Ok((to, later)) => {
@@ -126,7 +126,7 @@
 ) -> Result<(), String> {
     let told = |what: &'static str| move |error: std::io::Error| format!("{what}: {error}");
     let (courier, reports) = configuration::courier(top)?;
-    let listen = configuration::addresses(top)?.0;
+    let listen = configuration::listen(top)?;
     let (folder, sockets) = configuration::bounds(top)?;
     let (connecting, idle_close) = configuration::connections(top)?;
     let must_be_asked = configuration::must_be_asked(top)?;
--- a/crates/quillhub-net/src/link.rs
+++ b/crates/quillhub-net/src/link.rs
@@ -82,16 +82,25 @@
         if self.buffer.is_empty() { self.more().await } else { Ok(()) }
     }
 
-    /// The status of the answer that has begun, as soon as its first line is whole. Nothing of it is taken.
-    pub async fn status(&mut self) -> Result<u16, Broken> {
+    /// What `parse` finds at the start of what came, once enough has come; the bytes that it says are taken.
+    async fn parsed<T>(
+        &mut self,
+        parse: impl Fn(&[u8]) -> Result<Option<(T, usize)>, http::Malformed>,
+    ) -> Result<T, Broken> {
         loop {
-            match http::status(&self.buffer)? {
-                Some(status) => return Ok(status),
-                None => self.more().await?,
+            if let Some((found, used)) = parse(&self.buffer)? {
+                self.buffer.drain(..used);
+                return Ok(found);
             }
+            self.more().await?;
         }
     }
 
+    /// The status of the answer that has begun, as soon as its first line is whole. Nothing of it is taken.
+    pub async fn status(&mut self) -> Result<u16, Broken> {
+        self.parsed(|octets| Ok(http::status(octets)?.map(|status| (status, 0)))).await
+    }
+
     /// Whether nothing was read beyond the last answer.
     pub fn empty(&self) -> bool {
         self.buffer.is_empty()
@@ -114,25 +123,12 @@
 
     /// The next head, an interim answer's too.
     pub async fn any_head(&mut self) -> Result<Head, Broken> {
-        loop {
-            if let Some((head, used)) = http::head(&self.buffer)? {
-                self.buffer.drain(..used);
-                return Ok(head);
-            }
-            self.more().await?;
-        }
+        self.parsed(http::head).await
     }
 
     /// The next chunk of a chunked body; empty for the last.
     pub async fn chunk(&mut self, most: usize) -> Result<Vec<u8>, Broken> {
-        loop {
-            if let Some((octets, used)) = http::chunk(&self.buffer, most)? {
-                let octets = octets.to_vec();
-                self.buffer.drain(..used);
-                return Ok(octets);
-            }
-            self.more().await?;
-        }
+        self.parsed(|octets| Ok(http::chunk(octets, most)?.map(|(chunk, used)| (chunk.to_vec(), used)))).await
     }
 
     /// A whole body of `most` bytes at most.
--- a/crates/quillhub-net/src/register.rs
+++ b/crates/quillhub-net/src/register.rs
@@ -153,15 +153,15 @@
         }
         let at = *register.borrow_and_update();
         let ended = tokio::select! {
-            ended = one_watch(&host, at, &revision) => Some(ended),
-            Ok(()) = register.changed() => None,
+            ended = one_watch(&host, at, &revision) => ended,
+            Ok(()) = register.changed() => {
+                moved = true;
+                revision.set(None);
+                continue;
+            }
         };
-        moved = ended.is_none();
-        if moved {
-            revision.set(None);
-            continue;
-        }
-        if let Some(Err(end)) = ended {
+        moved = false;
+        if let Err(end) = ended {
             tracing::info!(%end, revision = revision.get(), "the watch on the register ended");
         }
         host.borrow_mut().event(|courier| courier.list_failed());
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -625,10 +625,10 @@
     /// where later ones are answered in their usual time. May tell late of one that is slow now and then.
     fn slow(&self, call: &Call) -> bool {
         let long = |took| took > self.usual(call.destination, call.grade).mul_f64(SLOW);
-        let last = self.latency(call.destination, call.grade).and_then(|l| l.taken.back());
-        let endpoint = self.endpoint(call.destination, &call.endpoint);
-        let answers = endpoint.is_some_and(|e| e.outage.answered > call.started);
-        long(self.now - call.started) && (!answers || last.is_some_and(|last| long(last.1)))
+        let last = || self.latency(call.destination, call.grade).and_then(|l| l.taken.back());
+        let endpoint = || self.endpoint(call.destination, &call.endpoint);
+        let answers = || endpoint().is_some_and(|e| e.outage.answered > call.started);
+        long(self.now - call.started) && (!answers() || last().is_some_and(|last| long(last.1)))
     }
 
     /// The calls out to each destination, and whether it is sick: slow, or all its endpoints are out.
