--- /dev/null
+++ b/crates/quillhub-emulator/src/faults/drain.rs
@@ -0,0 +1,35 @@
+//! Endpoints drain, one after the other over the trouble's time, and are gone a while after; each may be replaced by
+//! one with a new id, at an address of its own or at the old one.
+
+use super::{Planned, Strike};
+use crate::world::World;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Drain {
+    /// From the drain of one endpoint to its end.
+    #[serde(default = "two_seconds", with = "humantime_serde")]
+    pub gone_after: Duration,
+    /// Whether a new endpoint takes its place.
+    #[serde(default = "yes")]
+    pub replaced: bool,
+    /// Whether the new one stands at the old one's address, where calls to the old id still arrive.
+    #[serde(default)]
+    pub same_address: bool,
+}
+
+fn two_seconds() -> Duration {
+    Duration::from_secs(2)
+}
+
+fn yes() -> bool {
+    true
+}
+
+impl Strike for Drain {
+    fn begin(&self, number: usize, planned: &Planned, world: &mut World) {
+        world.drain(number, planned, self);
+    }
+}
--- /dev/null
+++ b/crates/quillhub-emulator/src/faults/errors.rs
@@ -0,0 +1,22 @@
+//! Endpoints fail a share of the calls, quickly.
+
+use super::{Planned, Strike, Wrong, share};
+use crate::server::Trouble;
+use crate::world::World;
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Errors {
+    pub share: f64,
+}
+
+impl Strike for Errors {
+    fn check(&self) -> Wrong {
+        share("what.errors.share", self.share)
+    }
+
+    fn begin(&self, number: usize, planned: &Planned, world: &mut World) {
+        world.strike(number, &planned.whom, Trouble::Errs(self.share));
+    }
+}
--- /dev/null
+++ b/crates/quillhub-emulator/src/faults/mod.rs
@@ -0,0 +1,154 @@
+//! Troubles of a day, as data: when, what, whom, how much. They compose; each kind is one file here, which says how
+//! it begins and how it ends, and one line in [`Fault`].
+
+mod crash;
+mod crowd;
+mod cut;
+mod delay;
+mod drain;
+mod errors;
+mod handshake;
+mod hang;
+mod hot;
+mod loss;
+mod mute;
+mod notes;
+mod partial;
+mod refuse;
+mod register;
+mod shut;
+mod silent;
+mod slow;
+mod stale;
+mod stall;
+
+use crate::day::Whom;
+use crate::world::World;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+pub use crash::Crash;
+pub use crowd::Crowd;
+pub use cut::Cut;
+pub use delay::Delay;
+pub use drain::Drain;
+pub use errors::Errors;
+pub use handshake::Handshake;
+pub use hot::Hot;
+pub use loss::Loss;
+pub use mute::Mute;
+pub use notes::Notes;
+pub use partial::Partial;
+pub use register::Register;
+pub use shut::Shut;
+pub use slow::Slow;
+pub use stale::Stale;
+
+/// A trouble, when it begins and how long it lasts.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Planned {
+    #[serde(with = "humantime_serde")]
+    pub at: Duration,
+    #[serde(with = "humantime_serde")]
+    pub lasts: Duration,
+    pub what: Fault,
+    #[serde(default)]
+    pub whom: Whom,
+}
+
+/// The kinds of trouble; those with nothing more to say are written as a word, others as a table of one row.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    Refuse,
+    Hang,
+    Silent,
+    Stall,
+    Errors(Errors),
+    Shut(Shut),
+    Slow(Slow),
+    Mute(Mute),
+    Stale(Stale),
+    Handshake(Handshake),
+    Cut(Cut),
+    Loss(Loss),
+    Delay(Delay),
+    Register(Register),
+    Partial(Partial),
+    Drain(Drain),
+    Crash(Crash),
+    Notes(Notes),
+    Crowd(Crowd),
+    Hot(Hot),
+}
+
+/// The field that is wrong, what is expected there, and what was found.
+pub(crate) type Wrong = Result<(), (&'static str, &'static str, String)>;
+
+fn wrong(field: &'static str, wanted: &'static str, found: impl ToString) -> Wrong {
+    Err((field, wanted, found.to_string()))
+}
+
+fn share(field: &'static str, value: f64) -> Wrong {
+    if (0.0..=1.0).contains(&value) { Ok(()) } else { wrong(field, "a share from 0 to 1", value) }
+}
+
+fn over_zero(field: &'static str, value: f64) -> Wrong {
+    if value > 0.0 && value.is_finite() { Ok(()) } else { wrong(field, "a number over 0", value) }
+}
+
+/// What a kind of trouble does; `number` names this one among the day's.
+pub(crate) trait Strike {
+    fn check(&self) -> Wrong {
+        Ok(())
+    }
+    fn begin(&self, number: usize, planned: &Planned, world: &mut World);
+    /// Undoes what `begin` did, where [`World::relieve`] does not.
+    fn end(&self, _number: usize, _world: &mut World) {}
+}
+
+impl Fault {
+    fn kind(&self) -> &dyn Strike {
+        match self {
+            Self::Refuse => &refuse::Refuse,
+            Self::Hang => &hang::Hang,
+            Self::Silent => &silent::Silent,
+            Self::Stall => &stall::Stall,
+            Self::Errors(kind) => kind,
+            Self::Shut(kind) => kind,
+            Self::Slow(kind) => kind,
+            Self::Mute(kind) => kind,
+            Self::Stale(kind) => kind,
+            Self::Handshake(kind) => kind,
+            Self::Cut(kind) => kind,
+            Self::Loss(kind) => kind,
+            Self::Delay(kind) => kind,
+            Self::Register(kind) => kind,
+            Self::Partial(kind) => kind,
+            Self::Drain(kind) => kind,
+            Self::Crash(kind) => kind,
+            Self::Notes(kind) => kind,
+            Self::Crowd(kind) => kind,
+            Self::Hot(kind) => kind,
+        }
+    }
+
+    /// Whether the numbers of its [`Whom`] are those of couriers.
+    pub(crate) fn strikes_couriers(&self) -> bool {
+        matches!(self, Self::Stall | Self::Crash(_))
+    }
+
+    pub(crate) fn check(&self) -> Wrong {
+        self.kind().check()
+    }
+
+    pub(crate) fn begin(&self, number: usize, planned: &Planned, world: &mut World) {
+        self.kind().begin(number, planned, world);
+    }
+
+    pub(crate) fn end(&self, number: usize, world: &mut World) {
+        self.kind().end(number, world);
+        world.relieve(number);
+    }
+}
--- /dev/null
+++ b/crates/quillhub-emulator/src/faults/partial.rs
@@ -0,0 +1,26 @@
+//! The register tells a whole list in which a share of the endpoints is missing, and the true one at its end.
+
+use super::{Planned, Strike, Wrong, share};
+use crate::world::World;
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Partial {
+    /// Share of the endpoints that the list leaves out.
+    pub share: f64,
+}
+
+impl Strike for Partial {
+    fn check(&self) -> Wrong {
+        share("what.partial.share", self.share)
+    }
+
+    fn begin(&self, number: usize, planned: &Planned, world: &mut World) {
+        world.tell_part(number, planned, self.share);
+    }
+
+    fn end(&self, _: usize, world: &mut World) {
+        world.tell_all();
+    }
+}
--- /dev/null
+++ b/crates/quillhub-emulator/src/network.rs
@@ -0,0 +1,56 @@
+//! The network between couriers and endpoints: delays, and what goes wrong on the way between two zones.
+
+use crate::day::Network;
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use std::time::Duration;
+
+/// What is wrong with the way from one zone to another; absent means any zone.
+#[derive(Clone, Debug)]
+pub(crate) struct Spoilt {
+    pub(crate) fault: usize,
+    pub(crate) from: Option<usize>,
+    pub(crate) to: Option<usize>,
+    pub(crate) how: How,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum How {
+    /// Nothing gets through, and nobody is told.
+    Cut,
+    /// Such a share of what is sent does not arrive.
+    Loses(f64),
+    /// So much longer on the way.
+    Slower(Duration),
+}
+
+pub(crate) struct Ways {
+    pub(crate) of: Network,
+    /// What is wrong now; each goes with the end of its fault.
+    pub(crate) spoilt: Vec<Spoilt>,
+}
+
+impl Ways {
+    pub(crate) fn new(of: Network) -> Self {
+        Self { of, spoilt: Vec::new() }
+    }
+
+    /// The time that one thing takes from zone to zone; nothing if it does not arrive.
+    pub(crate) fn pass(&self, rng: &mut Pcg64Mcg, from: usize, to: usize) -> Option<Duration> {
+        let base = if from == to { self.of.within } else { self.of.between };
+        let mut time = base.mul_f64(1.0 + self.of.jitter.max(0.0) * rng.random::<f64>());
+        let between = |s: &&Spoilt| s.from.is_none_or(|z| z == from) && s.to.is_none_or(|z| z == to);
+        for spoilt in self.spoilt.iter().filter(between) {
+            match spoilt.how {
+                How::Cut => return None,
+                How::Loses(share) => {
+                    if rng.random::<f64>() < share {
+                        return None;
+                    }
+                }
+                How::Slower(more) => time += more,
+            }
+        }
+        Some(time)
+    }
+}
--- /dev/null
+++ b/crates/quillhub-emulator/src/server.rs
@@ -0,0 +1,224 @@
+//! Destinations as they are: routes with their limits, outages and returns, and the servers behind endpoints with
+//! workers, queues, connections and whatever troubles strike them. Nothing here knows of events or couriers' minds.
+
+use crate::day::{Destinations, Returns};
+use crate::limit::Limit;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// What is wrong with a server, by the fault that did it; several hold at once.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Trouble {
+    /// Connections are refused, and those that stood are reset.
+    Refuses,
+    /// Calls are taken and none is answered; connections come up.
+    Hangs,
+    /// Nothing at all comes back, not even for a connection.
+    Silent,
+    /// Such a share of the calls fails at once.
+    Errs(f64),
+    /// All are turned away; told when it opens or not.
+    Shut { until: Option<Duration> },
+    /// Calls take so many times as long.
+    Slow(f64),
+    /// Such a share of the answers is lost after their calls ran.
+    Mutes(f64),
+    /// Such a share of the kept connections is dead when used.
+    Stale(f64),
+    /// Opening a connection takes so much longer.
+    Handshake(Duration),
+}
+
+impl Trouble {
+    /// Whether an endpoint struck by it counts as out: down, silent, hung, shut, or most calls failing.
+    fn is_outage(self) -> bool {
+        match self {
+            Self::Refuses | Self::Hangs | Self::Silent | Self::Shut { .. } => true,
+            Self::Errs(share) => share > 0.5,
+            _ => false,
+        }
+    }
+}
+
+/// What shares one limit and returns as one.
+pub(crate) struct Route {
+    pub(crate) limit: Option<Limit>,
+    pub(crate) servers: Vec<usize>,
+    pub(crate) out: bool,
+    pub(crate) fell: bool,
+    /// Since when it is back, while it is cold.
+    pub(crate) back: Option<Duration>,
+    /// Calls a second that it works off when warm.
+    pub(crate) per_s: f64,
+    /// When calls came while it is cold; emptied with the span that pushes it over.
+    pub(crate) came: VecDeque<Duration>,
+}
+
+/// The share of its capacity that a route has `age` after its return.
+pub(crate) fn warmth(rules: &Returns, age: Duration) -> f64 {
+    let part = (age.as_secs_f64() / rules.warm_up.as_secs_f64().max(1e-9)).min(1.0);
+    rules.start + (1.0 - rules.start) * part
+}
+
+impl Route {
+    /// The share of its capacity that it has now.
+    pub(crate) fn capacity(&mut self, now: Duration, rules: &Returns) -> f64 {
+        let Some(back) = self.back else { return 1.0 };
+        if now >= back + rules.warm_up {
+            self.back = None;
+            self.came.clear();
+            return 1.0;
+        }
+        warmth(rules, now - back)
+    }
+
+    /// A call came. True if, with it, the route was sent too much for too long while it is cold.
+    pub(crate) fn pushed(&mut self, now: Duration, rules: &Returns) -> bool {
+        let Some(back) = self.back else { return false };
+        self.came.push_back(now);
+        while self.came.front().is_some_and(|at| *at + rules.push < now) {
+            self.came.pop_front();
+        }
+        if now < back + rules.push {
+            return false; // it has not been back for so long
+        }
+        // What it could do in the span: capacity grows evenly, so its middle tells its mean.
+        let could = self.per_s * rules.push.as_secs_f64() * warmth(rules, now - rules.push / 2 - back);
+        self.came.len() as f64 > rules.factor * could
+    }
+}
+
+/// The machine behind an endpoint, at one address.
+pub(crate) struct Server {
+    pub(crate) destination: usize,
+    pub(crate) kind: usize,
+    pub(crate) zone: usize,
+    pub(crate) route: usize,
+    /// How many times as long as usual calls take here.
+    pub(crate) pace: f64,
+    pub(crate) busy: usize,
+    /// Calls that wait for a worker, by number.
+    pub(crate) queue: VecDeque<u64>,
+    /// Connections with a call, or being opened.
+    pub(crate) open: usize,
+    /// Idle connections by courier, and since when; gone when used, hung up or closed for idleness.
+    pub(crate) idle: BTreeMap<usize, Vec<Duration>>,
+    pub(crate) troubles: Vec<(usize, Trouble)>,
+}
+
+impl Server {
+    pub(crate) fn new(destination: usize, kind: usize, zone: usize, route: usize, pace: f64) -> Self {
+        let (idle, troubles, queue) = (BTreeMap::new(), Vec::new(), VecDeque::new());
+        Self { destination, kind, zone, route, pace, busy: 0, queue, open: 0, idle, troubles }
+    }
+
+    pub(crate) fn is_out(&self) -> bool {
+        self.troubles.iter().any(|(_, trouble)| trouble.is_outage())
+    }
+
+    pub(crate) fn refuses(&self) -> bool {
+        self.troubles.iter().any(|(_, t)| *t == Trouble::Refuses)
+    }
+
+    pub(crate) fn silent(&self) -> bool {
+        self.troubles.iter().any(|(_, t)| *t == Trouble::Silent)
+    }
+
+    pub(crate) fn hangs(&self) -> bool {
+        self.troubles.iter().any(|(_, t)| matches!(t, Trouble::Hangs | Trouble::Silent))
+    }
+
+    /// When it opens, if it is shut, and whether that is told.
+    pub(crate) fn shut(&self) -> Option<Option<Duration>> {
+        let shut = |t: &Trouble| if let Trouble::Shut { until } = t { Some(*until) } else { None };
+        self.troubles.iter().filter_map(|(_, t)| shut(t)).max()
+    }
+
+    /// The share that all troubles together leave over, of those shares that `of` picks.
+    fn spared(&self, of: impl Fn(&Trouble) -> Option<f64>) -> f64 {
+        self.troubles.iter().filter_map(|(_, t)| of(t)).map(|share| 1.0 - share).product()
+    }
+
+    pub(crate) fn errs(&self) -> f64 {
+        1.0 - self.spared(|t| if let Trouble::Errs(share) = t { Some(*share) } else { None })
+    }
+
+    pub(crate) fn mutes(&self) -> f64 {
+        1.0 - self.spared(|t| if let Trouble::Mutes(share) = t { Some(*share) } else { None })
+    }
+
+    pub(crate) fn stale(&self) -> f64 {
+        1.0 - self.spared(|t| if let Trouble::Stale(share) = t { Some(*share) } else { None })
+    }
+
+    pub(crate) fn slow(&self) -> f64 {
+        let factor = |t: &Trouble| if let Trouble::Slow(factor) = t { Some(*factor) } else { None };
+        self.troubles.iter().filter_map(|(_, t)| factor(t)).product()
+    }
+
+    pub(crate) fn handshake(&self) -> Duration {
+        let more = |t: &Trouble| if let Trouble::Handshake(more) = t { Some(*more) } else { None };
+        self.troubles.iter().filter_map(|(_, t)| more(t)).sum()
+    }
+
+    /// Closes what idled for too long.
+    pub(crate) fn sweep(&mut self, now: Duration, idle_close: Duration) {
+        self.idle.retain(|_, since| {
+            since.retain(|at| *at + idle_close > now);
+            !since.is_empty()
+        });
+    }
+
+    /// Whether one more connection fits.
+    pub(crate) fn has_place(&self, kind: &Destinations) -> bool {
+        let idle: usize = self.idle.values().map(Vec::len).sum();
+        kind.connections.is_none_or(|most| self.open + idle < most)
+    }
+
+    /// Takes the connection of that courier that idled the shortest.
+    pub(crate) fn reuse(&mut self, courier: usize) -> bool {
+        let Some(since) = self.idle.get_mut(&courier) else { return false };
+        let found = since.pop().is_some();
+        if since.is_empty() {
+            self.idle.remove(&courier);
+        }
+        found
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn route(rules: &Returns, per_s: f64) -> Route {
+        let back = Some(rules.push * 10);
+        let (out, fell, came) = (false, false, VecDeque::new());
+        Route { limit: None, servers: vec![0], out, fell, back, per_s, came }
+    }
+
+    /// Whether a cold route that takes 10 calls a second when warm is pushed over by `per_s` for the warm-up.
+    fn falls(per_s: u64) -> bool {
+        let rules = Returns::default();
+        let mut route = route(&rules, 10.0);
+        let from = route.back.unwrap();
+        let calls = (0..per_s * 10).map(|n| from + Duration::from_millis(1_000 * n / per_s));
+        calls.into_iter().any(|at| route.pushed(at, &rules))
+    }
+
+    #[test]
+    fn a_cold_route_falls_when_sent_more_than_its_multiple_for_the_span() {
+        // After 3 s it could do 20% to 44% of 10 a second: 9.6 in the span, and twice that may come.
+        assert!(!falls(6) && falls(7));
+    }
+
+    #[test]
+    fn troubles_compose() {
+        let mut server = Server::new(0, 0, 0, 0, 1.0);
+        server.troubles = vec![(0, Trouble::Slow(2.0)), (1, Trouble::Slow(3.0)), (2, Trouble::Errs(0.5))];
+        assert_eq!((server.slow(), server.errs(), server.is_out()), (6.0, 0.5, false));
+        server.troubles.push((3, Trouble::Errs(0.5)));
+        assert_eq!(server.errs(), 0.75);
+        server.troubles.retain(|(fault, _)| *fault != 0);
+        assert_eq!(server.slow(), 3.0);
+    }
+}
--- /dev/null
+++ b/crates/quillhub-lab/src/baselines.rs
@@ -0,0 +1,419 @@
+//! Deciders to compare the module with, and for nothing else: ways of repeating that the design's source weighs, each
+//! as plain as it can be, and an oracle that sees the true state of every endpoint.
+
+use quillhub::{DestinationId, Effect, Grade, Hands, Listing, NoticeId, Outcome};
+use quillhub_emulator::{Decider, Start, module};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// Over which first tries and repeats are compared.
+const BUDGET_SPAN: Duration = Duration::from_secs(10);
+/// After which what the budget held back looks again.
+const BUDGET_LOOK: Duration = Duration::from_millis(200);
+/// Before its limit a notice is answered, so that the answer is in time.
+const MARGIN: Duration = Duration::from_millis(20);
+/// After which what found no endpoint looks again.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// What a decider's file name stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Named {
+    /// The real one.
+    Module,
+    /// A repeat after the same interval each time, counted from send to send.
+    Fixed,
+    /// Growing gaps without chance.
+    Exponential,
+    /// Growing gaps, each drawn evenly from zero on, and no bound on their sum.
+    Jitter,
+    /// Repeats at once, as long as they stay under a share of first tries.
+    Budget,
+    /// No repeats.
+    Single,
+    /// Sees the true state of every endpoint.
+    Oracle,
+}
+
+impl Named {
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Module => "module",
+            Self::Fixed => "fixed",
+            Self::Exponential => "exponential",
+            Self::Jitter => "jitter",
+            Self::Budget => "budget",
+            Self::Single => "single",
+            Self::Oracle => "oracle",
+        }
+    }
+}
+
+/// The figures of the baselines in an experiment file.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Baselines {
+    /// Of `fixed`.
+    #[serde(with = "humantime_serde")]
+    pub every: Duration,
+    /// Of `exponential` and `jitter`.
+    #[serde(with = "humantime_serde")]
+    pub base: Duration,
+    pub multiplier: f64,
+    #[serde(with = "humantime_serde")]
+    pub cap: Duration,
+    /// Of all: when a send is given up.
+    #[serde(with = "humantime_serde")]
+    pub timeout: Duration,
+    /// Of `budget`: repeats for each first try.
+    pub share: f64,
+}
+
+impl Default for Baselines {
+    fn default() -> Self {
+        Self {
+            every: Duration::from_secs(1),
+            base: Duration::from_millis(200),
+            multiplier: 3.0,
+            cap: Duration::from_secs(4),
+            timeout: Duration::from_secs(2),
+            share: 0.1,
+        }
+    }
+}
+
+/// The gap before the k-th repeat, without chance: `min(cap, base * multiplier^(k - 1))`.
+pub fn ideal_gap(of: &Baselines, k: u32) -> Duration {
+    let s = of.base.as_secs_f64() * of.multiplier.powi(k.saturating_sub(1) as i32);
+    Duration::from_secs_f64(s.min(of.cap.as_secs_f64()))
+}
+
+/// A decider of that name.
+pub fn make(named: Named, of: &Baselines, start: &Start) -> Box<dyn Decider> {
+    if named == Named::Module {
+        return module(start);
+    }
+    let day = start.day;
+    Box::new(Plain {
+        named,
+        of: of.clone(),
+        rng: Pcg64Mcg::seed_from_u64(start.seed),
+        now: Duration::ZERO,
+        slots: day.couriers.slots,
+        room: day.couriers.room,
+        most_sends: if named == Named::Single { 1 } else { day.couriers.most_sends },
+        grades: day.grades.iter().map(|grade| (grade.name.clone(), grade.grade())).collect(),
+        endpoints: BTreeMap::new(),
+        by_destination: BTreeMap::new(),
+        held: BTreeMap::new(),
+        due: BTreeSet::new(),
+        ends: BTreeSet::new(),
+        waits: BTreeMap::new(),
+        firsts: BTreeMap::new(),
+        calls: 0,
+        over: Vec::new(),
+        beat: None,
+    })
+}
+
+struct Known {
+    zone: String,
+    owner: DestinationId,
+    listing: Listing,
+    out: usize,
+    /// As last seen by an oracle.
+    room: usize,
+}
+
+struct Held {
+    grade: usize,
+    destination: DestinationId,
+    limit: Duration,
+    sends: u32,
+    due: Duration,
+    started: Duration,
+    endpoint: String,
+    /// The first send that may have run, and its zone.
+    ran: Option<(Duration, String)>,
+}
+
+struct Plain {
+    named: Named,
+    of: Baselines,
+    rng: Pcg64Mcg,
+    now: Duration,
+    slots: usize,
+    room: usize,
+    most_sends: u32,
+    grades: Vec<(String, Grade)>,
+    endpoints: BTreeMap<String, Known>,
+    by_destination: BTreeMap<DestinationId, BTreeSet<String>>,
+    held: BTreeMap<NoticeId, Held>,
+    /// What is not out, by when it may go.
+    due: BTreeSet<(Duration, NoticeId)>,
+    /// What is held, by when it must be answered.
+    ends: BTreeSet<(Duration, NoticeId)>,
+    /// Told waits; each goes when it is over.
+    waits: BTreeMap<DestinationId, Duration>,
+    /// First tries and repeats of the budget's span.
+    firsts: BTreeMap<DestinationId, VecDeque<(Duration, bool)>>,
+    calls: usize,
+    /// To be answered at the next settling.
+    over: Vec<NoticeId>,
+    beat: Option<Duration>,
+}
+
+impl Plain {
+    /// Whether the grade lets `held` be sent to `zone` now.
+    fn may_send(&self, held: &Held, zone: &str) -> bool {
+        match (&held.ran, self.grades[held.grade].1.effect) {
+            (None, _) | (_, Effect::Retriable) => true,
+            (Some(_), Effect::Binding) => false,
+            (Some((first, of)), Effect::Fingerprinted { memory, one_zone }) => {
+                self.now <= *first + memory && (!one_zone || of == zone)
+            }
+        }
+    }
+
+    fn gap(&mut self, held_sends: u32, started: Duration) -> Duration {
+        let ideal = ideal_gap(&self.of, held_sends);
+        match self.named {
+            Named::Fixed => started + self.of.every,
+            Named::Exponential => self.now + ideal,
+            Named::Jitter => self.now + ideal.mul_f64(self.rng.random()),
+            _ => self.now,
+        }
+    }
+
+    /// Whether the budget allows a repeat there.
+    fn budget(&mut self, destination: DestinationId) -> bool {
+        let now = self.now;
+        let sent = self.firsts.entry(destination).or_default();
+        while sent.front().is_some_and(|(at, _)| *at + BUDGET_SPAN <= now) {
+            sent.pop_front();
+        }
+        let repeats = sent.iter().filter(|(_, repeat)| *repeat).count();
+        (repeats as f64) < self.of.share * (sent.len() - repeats) as f64
+    }
+
+    /// The endpoint for a notice: the one with the fewest calls out, by chance among equals; an oracle's has room.
+    fn endpoint(&mut self, id: NoticeId) -> Option<String> {
+        let held = &self.held[&id];
+        let oracle = self.named == Named::Oracle;
+        let names = self.by_destination.get(&held.destination)?;
+        let open = names.iter().map(|name| (name, &self.endpoints[name])).filter(|(_, known)| {
+            known.listing == Listing::Open && (!oracle || known.room > 0) && self.may_send(held, &known.zone)
+        });
+        let load = |known: &Known| if oracle { usize::MAX - known.room } else { known.out };
+        let least = open.clone().map(|(_, known)| load(known)).min()?;
+        let best: Vec<_> = open.filter(|(_, known)| load(known) == least).map(|(name, _)| name).collect();
+        let at = self.rng.random_range(0..best.len());
+        Some(best[at].clone())
+    }
+
+    fn answer(&mut self, id: NoticeId, hands: &mut dyn Hands) {
+        let Some(held) = self.held.remove(&id) else { return };
+        self.due.remove(&(held.due, id));
+        self.ends.remove(&(held.limit, id));
+        if held.ran.is_some() && self.grades[held.grade].1.effect == Effect::Binding {
+            hands.write_off(id);
+        } else {
+            hands.deny(id, None);
+        }
+    }
+
+    fn put_off(&mut self, id: NoticeId, until: Duration) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        self.due.remove(&(held.due, id));
+        held.due = until;
+        self.due.insert((until, id));
+    }
+}
+
+impl Decider for Plain {
+    fn at(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+    }
+
+    fn listed(
+        &mut self,
+        name: &str,
+        zone: &str,
+        _: &str,
+        owner: DestinationId,
+        listing: Listing,
+        _: Option<f64>,
+    ) {
+        self.by_destination.entry(owner).or_default().insert(name.into());
+        let new = || Known { zone: zone.into(), owner, listing, out: 0, room: 0 };
+        self.endpoints.entry(name.into()).or_insert_with(new).listing = listing;
+    }
+
+    fn list_ends(&mut self, whole: Option<&BTreeSet<String>>, _: bool) {
+        let by_destination = &mut self.by_destination;
+        self.endpoints.retain(|name, known| {
+            if whole.is_some_and(|names| !names.contains(name)) {
+                known.listing = Listing::Gone;
+            }
+            let stays = known.listing != Listing::Gone || known.out > 0;
+            if !stays && let Some(names) = by_destination.get_mut(&known.owner) {
+                names.remove(name);
+            }
+            stays
+        });
+    }
+
+    fn notice(
+        &mut self,
+        id: NoticeId,
+        grade: &str,
+        _: Option<u64>,
+        limit: Duration,
+        _: Option<&str>,
+        destination: DestinationId,
+    ) -> bool {
+        let Some(grade) = self.grades.iter().position(|g| g.0 == grade) else { return false };
+        let limit = limit.saturating_sub(MARGIN);
+        let (now, endpoint) = (self.now, String::new());
+        let held = Held { grade, destination, limit, sends: 0, due: now, started: now, endpoint, ran: None };
+        self.held.insert(id, held);
+        self.due.insert((now, id));
+        self.ends.insert((limit, id));
+        if self.held.len() > self.room {
+            self.over.push(id);
+        }
+        true
+    }
+
+    fn sent_before(&mut self, id: NoticeId, sends: u32, ran: Option<(Duration, &str)>) {
+        let zone =
+            ran.and_then(|(_, name)| self.endpoints.get(name)).map_or(String::new(), |e| e.zone.clone());
+        if let Some(held) = self.held.get_mut(&id) {
+            (held.sends, held.ran) = (sends, ran.map(|(at, _)| (at, zone)));
+        }
+    }
+
+    fn may_go(&self, id: NoticeId, _: u32, now: Duration) -> bool {
+        let Some(held) = self.held.get(&id) else { return false };
+        let open = self.endpoints.get(&held.endpoint).is_some_and(|e| e.listing == Listing::Open);
+        open && self.waits.get(&held.destination).is_none_or(|until| *until <= now)
+    }
+
+    fn outcome(
+        &mut self,
+        id: NoticeId,
+        _: u32,
+        outcome: Outcome,
+        _: Duration,
+        over: bool,
+        _: Option<(f64, f64)>,
+    ) {
+        self.calls -= 1;
+        if let (Some(held), Outcome::Refused(Some(wait)) | Outcome::Unproven(Some(wait))) =
+            (self.held.get(&id), outcome)
+        {
+            let until = self.waits.entry(held.destination).or_default();
+            *until = (*until).max(self.now + wait);
+        }
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let known = self.endpoints.get_mut(&held.endpoint);
+        let zone = known.map_or(String::new(), |known| {
+            known.out -= 1;
+            known.zone.clone()
+        });
+        if over {
+            let limit = held.limit;
+            self.held.remove(&id);
+            self.ends.remove(&(limit, id));
+            return;
+        }
+        if !outcome.never_ran() && held.ran.is_none() {
+            held.ran = Some((held.started, zone));
+        }
+        let (sends, started) = (held.sends, held.started);
+        let due = self.gap(sends, started).max(self.now);
+        let held = &self.held[&id];
+        let zones: Vec<_> = self.by_destination.get(&held.destination).into_iter().flatten().collect();
+        let fits = zones.iter().any(|name| self.may_send(held, &self.endpoints[*name].zone));
+        if sends >= self.most_sends || due >= held.limit || !fits {
+            self.over.push(id);
+        } else {
+            self.held.get_mut(&id).expect("just seen").due = due;
+            self.due.insert((due, id));
+        }
+    }
+
+    fn woken(&mut self) {
+        self.beat = self.beat.filter(|at| *at > self.now);
+    }
+
+    fn settle(&mut self, hands: &mut dyn Hands) {
+        for id in std::mem::take(&mut self.over) {
+            self.answer(id, hands);
+        }
+        let now = self.now;
+        while let Some((_, id)) = self.ends.first().copied().filter(|(at, _)| *at <= now) {
+            self.answer(id, hands);
+        }
+        self.waits.retain(|_, until| *until > now);
+        while let Some((_, id)) = self.due.first().copied().filter(|(at, _)| *at <= now) {
+            let held = &self.held[&id];
+            let (destination, sends, limit) = (held.destination, held.sends, held.limit);
+            let waits = self.waits.get(&destination).copied();
+            if let Some(until) = waits {
+                self.put_off(id, until.min(limit));
+                continue;
+            }
+            if sends > 0 && self.named == Named::Budget && !self.budget(destination) {
+                self.put_off(id, (now + BUDGET_LOOK).min(limit));
+                continue;
+            }
+            if self.calls >= self.slots {
+                break;
+            }
+            let Some(name) = self.endpoint(id) else {
+                self.put_off(id, (now + LOOK).min(limit));
+                continue;
+            };
+            let timeout = if self.named == Named::Oracle { limit - now } else { self.of.timeout };
+            let patience = timeout.min(limit - now);
+            hands.send(id, &name, patience);
+            self.calls += 1;
+            if self.named == Named::Budget {
+                self.firsts.entry(destination).or_default().push_back((now, sends > 0));
+            }
+            let known = self.endpoints.get_mut(&name).expect("just chosen");
+            known.out += 1;
+            known.room = known.room.saturating_sub(1);
+            let held = self.held.get_mut(&id).expect("just seen");
+            self.due.remove(&(held.due, id));
+            (held.sends, held.started, held.endpoint) = (sends + 1, now, name);
+        }
+        // The next that comes due, or the limit of what waits for a slot: an end of a call tells of free ones.
+        let next = self.due.first().into_iter().chain(self.ends.first()).map(|(at, _)| *at).min();
+        let next = next.map(|at| at.max(now + LOOK / 5));
+        if let Some(at) = next.filter(|at| self.beat.is_none_or(|beat| beat > *at || beat <= now)) {
+            self.beat = Some(at);
+            hands.wake(at - now);
+        }
+    }
+
+    fn wants_truth(&self) -> bool {
+        self.named == Named::Oracle
+    }
+
+    fn sees(&mut self, room: &dyn Fn(&str) -> usize) {
+        let due: BTreeSet<_> =
+            self.due.iter().take_while(|d| d.0 <= self.now).map(|d| self.held[&d.1].destination).collect();
+        for destination in due {
+            for name in self.by_destination.get(&destination).into_iter().flatten() {
+                if let Some(known) = self.endpoints.get_mut(name) {
+                    known.room = room(name);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/quillhub-lab/src/command.rs
@@ -0,0 +1,176 @@
+//! The command line.
+
+use crate::experiment::Planned;
+use crate::results::Kept;
+use crate::{compare, explain, report, results, sweep};
+use argh::FromArgs;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// The laboratory of quillhub: experiments with couriers. All figures of the emulator are simulated.
+#[derive(FromArgs)]
+struct Line {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Run(Run),
+    Check(Check),
+    Compare(Compare),
+    Report(Report),
+    Explain(Explain),
+}
+
+/// Play an experiment over all cores; goes on where a stopped one ended.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "run")]
+struct Run {
+    /// experiment file
+    #[argh(positional)]
+    experiment: PathBuf,
+    /// folder for results (default: found/ and the experiment's name)
+    #[argh(option)]
+    out: Option<PathBuf>,
+    /// runs played at once (default: one for each core)
+    #[argh(option)]
+    threads: Option<usize>,
+}
+
+/// Read experiment files and say what is wrong with them.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct Check {
+    /// experiment files
+    #[argh(positional)]
+    experiments: Vec<PathBuf>,
+}
+
+/// Compare two folders of results, or two deciders of one, paired by day and seed.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "compare")]
+struct Compare {
+    /// folder of results
+    #[argh(positional)]
+    first: PathBuf,
+    /// folder of results
+    #[argh(positional)]
+    second: PathBuf,
+    /// decider of the first folder (default: module)
+    #[argh(option, default = "String::from(\"module\")")]
+    first_decider: String,
+    /// decider of the second folder (default: module)
+    #[argh(option, default = "String::from(\"module\")")]
+    second_decider: String,
+}
+
+/// Write one page with the tables and charts of a folder of results.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "report")]
+struct Report {
+    /// folder of results
+    #[argh(positional)]
+    results: PathBuf,
+    /// the page (default: report.html in that folder)
+    #[argh(option)]
+    out: Option<PathBuf>,
+}
+
+/// Tell the life of one notice of a kept run, line by line.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+struct Explain {
+    /// folder of results, and after a colon the line of its runs.jsonl (default: the first)
+    #[argh(positional)]
+    run: String,
+    /// number of the notice, or of its client's order
+    #[argh(positional)]
+    notice: u64,
+}
+
+/// The kept runs of a folder, and its experiment.
+fn kept(folder: &Path) -> Result<(Planned, Vec<Kept>), String> {
+    let runs = results::read(folder)?;
+    if runs.is_empty() {
+        return Err(format!("{}: expected runs in runs.jsonl, found none", folder.display()));
+    }
+    let mut planned = Planned::read(&folder.join("experiment.toml"))?;
+    planned.name = runs[0].experiment.clone();
+    Ok((planned, runs))
+}
+
+fn obey(command: Command) -> Result<(), String> {
+    match command {
+        Command::Run(line) => {
+            let planned = Planned::read(&line.experiment)?;
+            if let Some(threads) = line.threads {
+                let pool = rayon::ThreadPoolBuilder::new().num_threads(threads).build_global();
+                pool.map_err(|e| format!("--threads: {e}"))?;
+            }
+            let folder = line.out.unwrap_or_else(|| Path::new("found").join(&planned.name));
+            let runs = sweep::run(&planned, &folder, true)?;
+            report::write(&folder, &runs)?;
+            println!("{} (simulated)\n\n{}", planned.name, report::table(&runs));
+            println!("in {}", folder.display());
+        }
+        Command::Check(line) => {
+            let faults: Vec<_> =
+                line.experiments.iter().filter_map(|path| Planned::read(path).err()).collect();
+            if !faults.is_empty() {
+                return Err(faults.join("\n"));
+            }
+        }
+        Command::Compare(line) => {
+            let ((_, first), (_, second)) = (kept(&line.first)?, kept(&line.second)?);
+            fn of<'a>(runs: &'a [Kept], decider: &str) -> Result<Vec<&'a Kept>, String> {
+                let runs: Vec<_> = runs.iter().filter(|run| run.decider == decider).collect();
+                if runs.is_empty() {
+                    Err(format!("expected runs of '{decider}', found none"))
+                } else {
+                    Ok(runs)
+                }
+            }
+            let first = of(&first, &line.first_decider)?;
+            let second = of(&second, &line.second_decider)?;
+            let (pairs, differences) = compare::compare(&first, &second);
+            if pairs == 0 {
+                return Err("expected runs with the same days and seeds, found none".into());
+            }
+            let name = |folder: &Path, decider: &str| format!("{} of {}", decider, folder.display());
+            let names = (name(&line.first, &line.first_decider), name(&line.second, &line.second_decider));
+            print!("{}", compare::told((&names.0, &names.1), pairs, &differences));
+        }
+        Command::Report(line) => {
+            let (planned, runs) = kept(&line.results)?;
+            let (question, found) = (&planned.of.question, &planned.of.found);
+            let page = report::page(&planned.name, &planned.text, question, found, &runs)?;
+            let out = line.out.unwrap_or_else(|| line.results.join("report.html"));
+            std::fs::write(&out, page).map_err(|e| format!("{}: {e}", out.display()))?;
+            println!("{}", out.display());
+        }
+        Command::Explain(line) => {
+            let split = line.run.rsplit_once(':').and_then(|(f, n)| Some((f, n.parse::<usize>().ok()?)));
+            let (folder, nth) = split.unwrap_or((&line.run, 1));
+            let (planned, runs) = kept(Path::new(folder))?;
+            let many = runs.len();
+            let run = nth.checked_sub(1).and_then(|nth| runs.get(nth));
+            let run = run.ok_or(format!("{folder}: expected a line from 1 to {many}, found {nth}"))?;
+            explain::explain(&planned, run, line.notice)?.iter().for_each(|line| println!("{line}"));
+        }
+    }
+    Ok(())
+}
+
+/// Reads the command line and obeys it; what is wrong is told in one line, with exit status 2.
+pub fn main() -> ExitCode {
+    let line: Line = argh::from_env();
+    match obey(line.command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(trouble) => {
+            eprintln!("{trouble}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/quillhub-lab/src/main.rs
@@ -0,0 +1,5 @@
+//! The program `quillhub-lab`.
+
+fn main() -> std::process::ExitCode {
+    quillhub_lab::command::main()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -97,7 +97,7 @@
 }
 
 /// How a send ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Outcome {
     Handled,
     Error,
@@ -121,7 +121,7 @@
 }
 
 /// What the register says of an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Listing {
     Open,
     Draining,
