--- a/crates/quillhub-emulator/src/clients.rs
+++ b/crates/quillhub-emulator/src/clients.rs
@@ -2,10 +2,12 @@
 //! comes at its instant, whatever became of those before it.
 
 use crate::day::{Arrivals, Day, Pattern};
+use crate::site::chance;
 use quillhub::DestinationId;
 use rand::RngExt;
 use rand_distr::{Distribution, Exp, Poisson};
 use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// A notice as its client sees it, from its first handing in until its client knows its end or gives up.
@@ -42,9 +44,67 @@
     }
 }
 
+/// What each destination gets of all notices, or of those to its kind; destinations count from 0.
+pub(crate) struct Shares(BTreeMap<Option<String>, (Vec<usize>, Weights)>);
+
+impl Shares {
+    /// By the day's weights, times what `hot` says of each destination.
+    pub(crate) fn of(day: &Day, hot: impl Fn(usize) -> f64) -> Self {
+        let mut all = Vec::new();
+        let mut shares = BTreeMap::new();
+        let mut first = 0;
+        for kind in &day.destinations {
+            let parts: Vec<_> = (1..=kind.count).map(|k| (k as f64).powf(-kind.skew)).collect();
+            let sum: f64 = parts.iter().sum();
+            let own: Vec<_> =
+                parts.iter().zip(first..).map(|(part, id)| (id, part / sum * hot(id))).collect();
+            all.extend(own.iter().map(|(id, part)| (*id, kind.weight * part)));
+            let ids = own.iter().map(|(id, _)| *id).collect();
+            shares.insert(Some(kind.kind.clone()), (ids, Weights::of(own.iter().map(|(_, part)| *part))));
+            first += kind.count;
+        }
+        let ids = all.iter().map(|(id, _)| *id).collect();
+        shares.insert(None, (ids, Weights::of(all.iter().map(|(_, part)| *part))));
+        Self(shares)
+    }
+}
+
+/// One arrival of a day; `destination` as couriers know it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Arrival {
+    pub at: Duration,
+    pub grade: usize,
+    pub destination: DestinationId,
+}
+
+/// All arrivals of a day, in order, as the world has them too; troubles of clients are left out.
+pub fn arrivals(day: &Day, seed: u64) -> Vec<Arrival> {
+    let shares = Shares::of(day, |_| 1.0);
+    let mut all = Vec::new();
+    for (nth, of) in day.arrivals.iter().enumerate() {
+        let mut stream = Stream::new(stream_chance(seed, nth));
+        let mut now = Duration::ZERO;
+        while let Some((at, many)) = stream.next(of, now, day) {
+            now = at;
+            let destination = stream.destination(of, &shares);
+            for _ in 0..many {
+                let (grade, _) = stream.draw(nth, of, day);
+                all.push(Arrival { at, grade, destination });
+            }
+        }
+    }
+    all.sort_by_key(|arrival| arrival.at);
+    all
+}
+
+/// The chance of a stream: its own, so that nothing else shifts it.
+pub(crate) fn stream_chance(seed: u64, nth: usize) -> Pcg64Mcg {
+    chance(seed, 1_000 + nth as u64)
+}
+
 /// One stream's clock.
 pub(crate) struct Stream {
-    pub(crate) rng: Pcg64Mcg,
+    rng: Pcg64Mcg,
     /// By faults: the rate is multiplied by each.
     pub(crate) factors: Vec<(usize, f64)>,
     count: u64,
@@ -55,6 +115,22 @@
         Self { rng, factors: Vec::new(), count: 0 }
     }
 
+    /// The destination of what comes at once.
+    pub(crate) fn destination(&mut self, of: &Arrivals, shares: &Shares) -> DestinationId {
+        let (ids, weights) = &shares.0[&of.to];
+        ids[weights.pick(&mut self.rng)] as u64 + 1
+    }
+
+    /// Grade and key of one that comes.
+    pub(crate) fn draw(&mut self, nth: usize, of: &Arrivals, day: &Day) -> (usize, Option<u64>) {
+        let grade = match &of.grade {
+            Some(name) => day.grades.iter().position(|g| g.name == *name).expect("checked"),
+            None => self.rng.random_range(0..day.grades.len()),
+        };
+        let key = (of.keys > 0).then(|| (nth as u64) << 32 | self.rng.random_range(0..of.keys));
+        (grade, key)
+    }
+
     /// The instant of the next arrival after `now`, and how many come then; nothing after the stream's end.
     pub(crate) fn next(&mut self, of: &Arrivals, now: Duration, day: &Day) -> Option<(Duration, u64)> {
         let end = of.until.unwrap_or(day.length).min(day.length);
--- a/crates/quillhub-emulator/src/day.rs
+++ b/crates/quillhub-emulator/src/day.rs
@@ -547,7 +547,8 @@
             if !stream.per_s.is_finite() || stream.per_s <= 0.0 {
                 return wrong(&place("per_s"), "a rate over 0", &stream.per_s);
             }
-            if stream.per_s * self.length.as_secs_f64() > MOST {
+            let until = stream.until.unwrap_or(self.length).min(self.length);
+            if stream.per_s * until.saturating_sub(stream.from).as_secs_f64() > MOST {
                 return wrong(&place("per_s"), "at most ten million notices in all", &stream.per_s);
             }
             if let Some(name) = stream.grade.as_ref().filter(|n| self.grades.iter().all(|g| g.name != **n)) {
--- a/crates/quillhub-emulator/src/faults/handshake.rs
+++ b/crates/quillhub-emulator/src/faults/handshake.rs
@@ -2,7 +2,6 @@
 
 use super::{Planned, Strike};
 use crate::server::Trouble;
-use crate::world::World;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -14,7 +13,7 @@
 }
 
 impl Strike for Handshake {
-    fn begin(&self, number: usize, planned: &Planned, world: &mut World) {
-        world.strike(number, &planned.whom, Trouble::Handshake(self.more));
+    fn trouble(&self, _: &Planned) -> Option<Trouble> {
+        Some(Trouble::Handshake(self.more))
     }
 }
--- a/crates/quillhub-emulator/src/faults/hang.rs
+++ b/crates/quillhub-emulator/src/faults/hang.rs
@@ -2,12 +2,11 @@
 
 use super::{Planned, Strike};
 use crate::server::Trouble;
-use crate::world::World;
 
 pub(crate) struct Hang;
 
 impl Strike for Hang {
-    fn begin(&self, number: usize, planned: &Planned, world: &mut World) {
-        world.strike(number, &planned.whom, Trouble::Hangs);
+    fn trouble(&self, _: &Planned) -> Option<Trouble> {
+        Some(Trouble::Hangs)
     }
 }
--- a/crates/quillhub-emulator/src/faults/mod.rs
+++ b/crates/quillhub-emulator/src/faults/mod.rs
@@ -23,6 +23,7 @@
 mod stall;
 
 use crate::day::Whom;
+use crate::server::Trouble;
 use crate::world::World;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -103,7 +104,15 @@
     fn check(&self) -> Wrong {
         Ok(())
     }
-    fn begin(&self, number: usize, planned: &Planned, world: &mut World);
+    /// What it does to an endpoint, where that is all.
+    fn trouble(&self, _: &Planned) -> Option<Trouble> {
+        None
+    }
+    fn begin(&self, number: usize, planned: &Planned, world: &mut World) {
+        if let Some(trouble) = self.trouble(planned) {
+            world.strike(number, &planned.whom, trouble);
+        }
+    }
     /// Undoes what `begin` did, where [`World::relieve`] does not.
     fn end(&self, _number: usize, _world: &mut World) {}
 }
@@ -143,6 +152,10 @@
         self.kind().check()
     }
 
+    pub(crate) fn trouble(&self, planned: &Planned) -> Option<Trouble> {
+        self.kind().trouble(planned)
+    }
+
     pub(crate) fn begin(&self, number: usize, planned: &Planned, world: &mut World) {
         self.kind().begin(number, planned, world);
     }
--- a/crates/quillhub-emulator/src/faults/shut.rs
+++ b/crates/quillhub-emulator/src/faults/shut.rs
@@ -2,7 +2,6 @@
 
 use super::{Planned, Strike};
 use crate::server::Trouble;
-use crate::world::World;
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -14,8 +13,7 @@
 }
 
 impl Strike for Shut {
-    fn begin(&self, number: usize, planned: &Planned, world: &mut World) {
-        let until = self.tells.then(|| planned.at + planned.lasts);
-        world.strike(number, &planned.whom, Trouble::Shut { until });
+    fn trouble(&self, planned: &Planned) -> Option<Trouble> {
+        Some(Trouble::Shut { until: self.tells.then(|| planned.at + planned.lasts) })
     }
 }
--- a/crates/quillhub-emulator/src/faults/silent.rs
+++ b/crates/quillhub-emulator/src/faults/silent.rs
@@ -2,12 +2,11 @@
 
 use super::{Planned, Strike};
 use crate::server::Trouble;
-use crate::world::World;
 
 pub(crate) struct Silent;
 
 impl Strike for Silent {
-    fn begin(&self, number: usize, planned: &Planned, world: &mut World) {
-        world.strike(number, &planned.whom, Trouble::Silent);
+    fn trouble(&self, _: &Planned) -> Option<Trouble> {
+        Some(Trouble::Silent)
     }
 }
--- a/crates/quillhub-emulator/src/faults/slow.rs
+++ b/crates/quillhub-emulator/src/faults/slow.rs
@@ -2,7 +2,6 @@
 
 use super::{Planned, Strike, Wrong, over_zero};
 use crate::server::Trouble;
-use crate::world::World;
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -16,7 +15,7 @@
         over_zero("what.slow.factor", self.factor)
     }
 
-    fn begin(&self, number: usize, planned: &Planned, world: &mut World) {
-        world.strike(number, &planned.whom, Trouble::Slow(self.factor));
+    fn trouble(&self, _: &Planned) -> Option<Trouble> {
+        Some(Trouble::Slow(self.factor))
     }
 }
--- a/crates/quillhub-emulator/src/faults/stale.rs
+++ b/crates/quillhub-emulator/src/faults/stale.rs
@@ -2,7 +2,6 @@
 
 use super::{Planned, Strike, Wrong, share};
 use crate::server::Trouble;
-use crate::world::World;
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -16,7 +15,7 @@
         share("what.stale.share", self.share)
     }
 
-    fn begin(&self, number: usize, planned: &Planned, world: &mut World) {
-        world.strike(number, &planned.whom, Trouble::Stale(self.share));
+    fn trouble(&self, _: &Planned) -> Option<Trouble> {
+        Some(Trouble::Stale(self.share))
     }
 }
--- a/crates/quillhub-emulator/src/lib.rs
+++ b/crates/quillhub-emulator/src/lib.rs
@@ -48,15 +48,18 @@
 mod limit;
 mod network;
 mod server;
+mod site;
 mod tally;
 mod world;
 
 pub use audit::{Auditor, Breach, Rule};
+pub use clients::{Arrival, arrivals};
 pub use day::{
     Arrivals, Couriers, Day, Destinations, GradeOf, Law, LimitOf, Network, Pattern, Register, RegisterForm,
     Returns, Service, Whom,
 };
 pub use decider::{Decider, Start, module};
 pub use fact::{Answered, Fact, line};
+pub use site::{Site, Taken};
 pub use tally::{Second, Tally};
 pub use world::{Report, World};
--- a/crates/quillhub-emulator/src/server.rs
+++ b/crates/quillhub-emulator/src/server.rs
@@ -97,6 +97,8 @@
     /// How many times as long as usual calls take here.
     pub(crate) pace: f64,
     pub(crate) busy: usize,
+    /// How often it began anew.
+    pub(crate) starts: u32,
     /// Calls that wait for a worker, by number.
     pub(crate) queue: VecDeque<u64>,
     /// Connections with a call, or being opened.
@@ -109,7 +111,7 @@
 impl Server {
     pub(crate) fn new(destination: usize, kind: usize, zone: usize, route: usize, pace: f64) -> Self {
         let (idle, troubles, queue) = (BTreeMap::new(), Vec::new(), VecDeque::new());
-        Self { destination, kind, zone, route, pace, busy: 0, queue, open: 0, idle, troubles }
+        Self { destination, kind, zone, route, pace, busy: 0, starts: 0, queue, open: 0, idle, troubles }
     }
 
     pub(crate) fn is_out(&self) -> bool {
--- /dev/null
+++ b/crates/quillhub-emulator/src/site.rs
@@ -0,0 +1,328 @@
+//! All destinations of a day as one thing: what is where, who is struck, and what an endpoint does with a call that
+//! came. No events and no couriers: the world drives it in virtual time, stand-ins drive it on sockets.
+
+use crate::day::{Day, Whom};
+use crate::limit::Limit;
+use crate::server::{Route, Server, Trouble, warmth};
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// Part of its usual time after which a call fails that is to fail.
+const ERROR_PART: f64 = 0.1;
+/// A fault that is not of the day's: the end of one pushed over.
+const FALL: usize = usize::MAX;
+
+/// A seed of its own for each use of chance, so that one use more does not shift the others.
+pub(crate) fn chance(seed: u64, use_of: u64) -> Pcg64Mcg {
+    Pcg64Mcg::seed_from_u64(seed ^ use_of.wrapping_mul(0x9e37_79b9_7f4a_7c15))
+}
+
+/// What an endpoint does with a call that came.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Taken {
+    /// Its connection breaks.
+    Breaks,
+    /// Nothing comes back.
+    Hangs,
+    /// Turned away unseen, with the wait that is told, if one is.
+    TurnedAway(Option<Duration>),
+    /// It fails, after so long.
+    Fails(Duration),
+    /// A worker takes it up at once; [`Site::begins`] tells for how long.
+    Begins,
+    /// It waits for a worker.
+    Queues,
+}
+
+/// What changed for a route by a trouble's begin or end.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Turn {
+    Out,
+    Back,
+}
+
+pub struct Site<'a> {
+    pub(crate) day: &'a Day,
+    seed: u64,
+    pub(crate) servers: Vec<Server>,
+    pub(crate) routes: Vec<Route>,
+    /// By destination, from 0: its servers, in order of their making.
+    pub(crate) of_destination: Vec<Vec<usize>>,
+    /// Of each destination, how far a rough listed rate is off.
+    pub(crate) rough: Vec<f64>,
+}
+
+impl<'a> Site<'a> {
+    /// The destinations of the day's kinds, in their order; numbers of servers and destinations begin at 0.
+    pub fn new(day: &'a Day, seed: u64) -> Self {
+        let (servers, routes, of_destination, rough) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+        let mut site = Self { day, seed, servers, routes, of_destination, rough };
+        let mut rng = chance(seed, 2);
+        for (kind, of) in day.destinations.iter().enumerate() {
+            for _ in 0..of.count {
+                let destination = site.of_destination.len();
+                site.of_destination.push(Vec::new());
+                let pace = of.spread.powf(rng.random_range(-1.0..=1.0));
+                site.rough.push(rng.random_range(0.5..1.5));
+                for nth in 0..of.endpoints {
+                    if nth == 0 || of.routes_apart {
+                        let limit = of.limit.map(Limit::new);
+                        let (servers, out, fell, back) = (Vec::new(), false, false, None);
+                        let came = VecDeque::new();
+                        site.routes.push(Route { limit, servers, out, fell, back, per_s: 0.0, came });
+                    }
+                    let route = site.routes.len() - 1;
+                    let server = site.servers.len();
+                    let zone = server % day.couriers.zones.len();
+                    site.servers.push(Server::new(destination, kind, zone, route, pace));
+                    site.of_destination[destination].push(server);
+                    site.routes[route].servers.push(server);
+                    site.routes[route].per_s += of.workers as f64 / (of.service.mean.as_secs_f64() * pace);
+                }
+            }
+        }
+        site
+    }
+
+    pub fn servers(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Number, kind and zone of the destination that a server belongs to.
+    pub fn whose(&self, server: usize) -> (usize, &str, &str) {
+        let of = &self.servers[server];
+        let kind = &self.day.destinations[of.kind];
+        (of.destination, &kind.kind, &self.day.couriers.zones[of.zone])
+    }
+
+    /// Calls a second that a route's limit lets in, or that its servers work off when warm.
+    pub(crate) fn rate(&self, route: usize) -> f64 {
+        self.routes[route].limit.as_ref().map_or(self.routes[route].per_s, Limit::per_s)
+    }
+
+    /// A new server that does an old one's work; what the old one still has ends there.
+    pub(crate) fn replace(&mut self, old: usize) -> usize {
+        let at = &self.servers[old];
+        let (destination, route) = (at.destination, at.route);
+        self.servers.push(Server::new(destination, at.kind, at.zone, route, at.pace));
+        let new = self.servers.len() - 1;
+        self.of_destination[destination].retain(|other| *other != old);
+        self.of_destination[destination].push(new);
+        let route = &mut self.routes[route];
+        route.servers.retain(|other| *other != old);
+        route.servers.push(new);
+        new
+    }
+
+    /// What a server does with a call that came; it is counted. True with it if that pushed its route over.
+    pub fn takes(&mut self, at: usize, now: Duration, rng: &mut Pcg64Mcg) -> (Taken, bool) {
+        let rules = &self.day.returns;
+        let route = self.servers[at].route;
+        let falls = !self.routes[route].fell && self.routes[route].pushed(now, rules);
+        if falls {
+            self.routes[route].fell = true;
+            for server in self.routes[route].servers.clone() {
+                self.servers[server].troubles.push((FALL, Trouble::Refuses));
+            }
+        }
+        let (server, route) = (&mut self.servers[at], &mut self.routes[route]);
+        let kind = &self.day.destinations[server.kind];
+        let turned_away = match server.shut() {
+            Some(until) => Some(until.map(|until| until.saturating_sub(now))),
+            None => match route.limit.as_mut().map(|limit| (limit.take(now), limit.tells())) {
+                Some((Err(wait), tells)) => Some((rng.random::<f64>() < tells).then_some(wait)),
+                _ => None,
+            },
+        };
+        let taken = if server.refuses() {
+            Taken::Breaks
+        } else if server.hangs() {
+            Taken::Hangs
+        } else if let Some(wait) = turned_away {
+            Taken::TurnedAway(wait)
+        } else if rng.random::<f64>() < server.errs() {
+            Taken::Fails(kind.service.draw(rng).mul_f64(server.pace * ERROR_PART))
+        } else if server.busy < kind.workers {
+            server.busy += 1;
+            Taken::Begins
+        } else if server.queue.len() < kind.queue {
+            Taken::Queues
+        } else {
+            Taken::TurnedAway(None)
+        };
+        (taken, falls)
+    }
+
+    /// A worker takes up a call: for so long.
+    pub fn begins(&mut self, at: usize, now: Duration, rng: &mut Pcg64Mcg) -> Duration {
+        let server = &self.servers[at];
+        let warm = self.routes[server.route].capacity(now, &self.day.returns).max(0.01);
+        let kind = &self.day.destinations[server.kind];
+        kind.service.draw(rng).mul_f64(server.pace * server.slow() / warm)
+    }
+
+    /// Puts a call in the queue of a server.
+    pub fn queues(&mut self, at: usize, call: u64) {
+        self.servers[at].queue.push_back(call);
+    }
+
+    /// A worker is free; the call that it takes up next, if one waits.
+    pub fn ends(&mut self, at: usize) -> Option<u64> {
+        let server = &mut self.servers[at];
+        server.busy -= 1;
+        let next = server.queue.pop_front();
+        server.busy += usize::from(next.is_some());
+        next
+    }
+
+    /// Whether a server lets no connection in, and whether it says nothing at all.
+    pub fn refuses(&self, at: usize) -> (bool, bool) {
+        (self.servers[at].refuses(), self.servers[at].silent())
+    }
+
+    /// Shares of answers that are lost, and of kept connections that are dead.
+    pub fn spoils(&self, at: usize) -> (f64, f64) {
+        (self.servers[at].mutes(), self.servers[at].stale())
+    }
+
+    /// Connections that a server takes, idle ones counted, where it has a bound.
+    pub fn connections(&self, at: usize) -> Option<usize> {
+        self.day.destinations[self.servers[at].kind].connections
+    }
+
+    /// How long endpoints let a connection idle.
+    pub fn idle_close(&self) -> Duration {
+        self.day.network.idle_close
+    }
+
+    /// How often a server began anew: what it worked on before an outage is gone.
+    pub fn starts(&self, at: usize) -> u32 {
+        self.servers[at].starts
+    }
+
+    /// All calls that wait for a worker.
+    pub fn queued(&self) -> BTreeSet<u64> {
+        self.servers.iter().flat_map(|server| &server.queue).copied().collect()
+    }
+
+    /// The report in an answer, where there are reports.
+    pub fn report(&mut self, at: usize, now: Duration) -> Option<(f64, f64)> {
+        let server = &self.servers[at];
+        let kind = &self.day.destinations[server.kind];
+        kind.reports.then(|| match &mut self.routes[server.route].limit {
+            Some(limit) => limit.report(now, kind.report_age),
+            None => (1.0, 0.0),
+        })
+    }
+
+    /// Calls that a server could begin at once, and its route would let in.
+    pub(crate) fn room(&self, at: usize, now: Duration) -> usize {
+        let server = &self.servers[at];
+        let route = &self.routes[server.route];
+        if server.is_out() || route.fell {
+            return 0;
+        }
+        let workers = self.day.destinations[server.kind].workers;
+        let free = workers.saturating_sub(server.busy + server.queue.len());
+        let cold = route.back.map_or(free, |back| {
+            let warm = warmth(&self.day.returns, now - back);
+            let may = (self.day.returns.factor * route.per_s * warm * 0.9) as usize;
+            may.saturating_sub(route.came.iter().filter(|at| **at + Duration::from_secs(1) > now).count())
+        });
+        let limit = route.limit.clone().map_or(free, |mut limit| limit.has_room(now));
+        free.min(limit).min(cold)
+    }
+
+    /// The servers that a trouble strikes; `open` says which may be struck. The choice is the same whatever was
+    /// decided before.
+    pub fn struck(&self, number: usize, whom: &Whom, open: impl Fn(usize) -> bool) -> Vec<usize> {
+        let mut rng = chance(self.seed, 1 << 48 | number as u64);
+        let kind = |at: usize| &self.day.destinations[self.servers[at].kind].kind;
+        let zone = |at: usize| &self.day.couriers.zones[self.servers[at].zone];
+        let fits = |id: &usize| {
+            let of_kind = |at: &usize| whom.kind.as_ref().is_none_or(|wanted| wanted == kind(*at));
+            (whom.ids.is_empty() || whom.ids.contains(&(*id as u64 + 1)))
+                && self.of_destination[*id].first().is_some_and(of_kind)
+        };
+        let mut ids: Vec<_> = (0..self.of_destination.len()).filter(fits).collect();
+        if let Some(share) = whom.share {
+            ids.shuffle(&mut rng);
+            ids.truncate(((ids.len() as f64 * share).round() as usize).max(1));
+        }
+        let mut struck = Vec::new();
+        for id in ids {
+            let open = self.of_destination[id].iter().copied().filter(|at| open(*at));
+            let in_zone = open.filter(|at| whom.zone.as_ref().is_none_or(|wanted| wanted == zone(*at)));
+            struck.extend(in_zone.take(whom.endpoints.unwrap_or(usize::MAX)));
+        }
+        struck
+    }
+
+    /// A trouble of the day begins, as far as it strikes endpoints; nothing if it does not. The servers that it struck.
+    pub fn begins_fault(&mut self, number: usize, now: Duration) -> Option<Vec<usize>> {
+        let planned = &self.day.faults[number];
+        let trouble = planned.what.trouble(planned)?;
+        let struck = self.struck(number, &planned.whom, |_| true);
+        for at in &struck {
+            self.troubled(*at, number, trouble);
+            self.turns(self.servers[*at].route, now);
+        }
+        Some(struck)
+    }
+
+    pub fn ends_fault(&mut self, number: usize, now: Duration) {
+        for at in self.relieved(number) {
+            self.turns(self.servers[at].route, now);
+        }
+    }
+
+    /// A trouble begins at a server. What stood there is cut off if it refuses connections from now on: its queue is
+    /// empty then, and its workers are free.
+    pub(crate) fn troubled(&mut self, at: usize, number: usize, trouble: Trouble) {
+        let server = &mut self.servers[at];
+        if number != FALL {
+            server.troubles.push((number, trouble));
+        }
+        if trouble == Trouble::Refuses {
+            server.idle.clear();
+            server.queue.clear();
+            server.busy = 0;
+            server.starts += 1;
+        }
+    }
+
+    /// The end of a trouble; the servers that it struck.
+    pub(crate) fn relieved(&mut self, number: usize) -> Vec<usize> {
+        let mut struck = Vec::new();
+        for (at, server) in self.servers.iter_mut().enumerate() {
+            let before = server.troubles.len();
+            server.troubles.retain(|(fault, _)| *fault != number);
+            if server.troubles.len() != before {
+                struck.push(at);
+            }
+        }
+        struck
+    }
+
+    /// A route is out once all its endpoints are, and back once one is not; whether that is new.
+    pub(crate) fn turns(&mut self, route: usize, now: Duration) -> Option<Turn> {
+        let out = self.routes[route].servers.iter().all(|server| self.servers[*server].is_out());
+        let route = &mut self.routes[route];
+        if out == route.out || route.fell {
+            return None;
+        }
+        (route.out, route.back) = (out, (!out).then_some(now));
+        route.came.clear();
+        Some(if out { Turn::Out } else { Turn::Back })
+    }
+
+    /// The servers of the route of one that was pushed over.
+    pub(crate) fn fallen(&self, at: usize) -> Vec<usize> {
+        self.routes[self.servers[at].route].servers.clone()
+    }
+
+    pub(crate) const FALL: usize = FALL;
+}
--- a/crates/quillhub-emulator/src/tally.rs
+++ b/crates/quillhub-emulator/src/tally.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 use std::time::Duration;
 
-/// One second of a run.
+/// One second of a run, or a longer span of a long one.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Second {
     pub asked: u32,
@@ -27,6 +27,8 @@
     worth: Vec<f64>,
     grades: Vec<quillhub::Grade>,
     pub seconds: Vec<Second>,
+    /// Seconds of each row.
+    pub row_s: u64,
     pub asked: u64,
     pub handled: u64,
     pub in_contract: u64,
@@ -57,6 +59,9 @@
     pub by_destination: Vec<u64>,
 }
 
+/// Rows of a run's course: a day of seconds.
+const MOST_ROWS: u64 = 100_000;
+
 fn histogram() -> Histogram<u64> {
     Histogram::new_with_bounds(1, 24 * 3_600 * 1_000_000, 3).expect("the bounds are in order")
 }
@@ -68,6 +73,7 @@
             worth: day.grades.iter().map(|grade| grade.earnings).collect(),
             grades: day.grades.iter().map(|grade| grade.grade()).collect(),
             seconds: Vec::new(),
+            row_s: (day.length.as_secs() / MOST_ROWS).max(1),
             asked: 0,
             handled: 0,
             in_contract: 0,
@@ -93,7 +99,7 @@
     }
 
     fn second(&mut self, at: Duration) -> &mut Second {
-        let nth = at.as_secs() as usize;
+        let nth = (at.as_secs() / self.row_s) as usize;
         if self.seconds.len() <= nth {
             let held = self.held;
             self.seconds.resize(nth + 1, Second { held, ..Second::default() });
@@ -177,7 +183,7 @@
 
     /// The same of what was asked for in the worst ten seconds in a row.
     pub fn worst_ten(&self) -> f64 {
-        let sums = self.seconds.windows(10).map(|w| {
+        let sums = self.seconds.windows(10u64.div_ceil(self.row_s) as usize).map(|w| {
             let asked: f64 = w.iter().map(|s| s.worth).sum();
             (w.iter().map(|s| s.earned).sum::<f64>(), asked)
         });
--- a/crates/quillhub-emulator/src/world.rs
+++ b/crates/quillhub-emulator/src/world.rs
@@ -1,18 +1,18 @@
 //! Plays a day: the queue of what comes next, the couriers' side of every call, and the acts that deciders ask for.
 
 use crate::audit::{Auditor, Breach};
-use crate::clients::{Order, Stream, Weights};
+use crate::clients::{Order, Shares, Stream, stream_chance};
 use crate::day::{Day, EffectOf, RegisterForm, Whom};
 use crate::decider::{Decider, Start};
 use crate::fact::{Answered, Fact};
 use crate::faults::{self, Planned};
-use crate::limit::Limit;
 use crate::network::{How, Spoilt, Ways};
-use crate::server::{Route, Server, Trouble};
+use crate::server::Trouble;
+use crate::site::{Site, Taken, Turn, chance};
 use crate::tally::Tally;
 use quillhub::{DestinationId, Hands, Listing, NoticeId, Outcome};
+use rand::RngExt;
 use rand::seq::SliceRandom;
-use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
@@ -20,12 +20,8 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::Xxh3Default;
 
-/// Part of its usual time after which a call fails that is to fail.
-const ERROR_PART: f64 = 0.1;
 /// Share of the calls that run though their endpoint hangs: what is caught there may or may not have run.
 const RUNS_UNHEARD: f64 = 0.5;
-/// A fault that is not of the day's: the end of one pushed over.
-const FALL: usize = usize::MAX;
 /// How long the register takes to fail when it is out of reach.
 const ASK_FAILS: Duration = Duration::from_millis(500);
 /// How long a run goes on past the day and the longest limit, for calls that no one waits for any more.
@@ -35,22 +31,67 @@
 
 /// What comes next, and when.
 enum Event {
-    Arrival { stream: usize },
-    HandIn { order: u64 },
-    Connected { call: u64 },
-    Reach { call: u64 },
-    Effect { call: u64 },
-    Served { call: u64, server: usize },
-    Ends { call: u64, outcome: Outcome, kept: bool, report: Option<(f64, f64)> },
-    Wake { courier: usize, life: u32 },
-    Note { courier: usize, octets: Vec<u8> },
-    Told { courier: usize, life: u32, rows: Rows },
-    ListFails { courier: usize, life: u32 },
-    Begins { fault: usize },
-    Passes { fault: usize },
-    Drains { entry: usize, by: faults::Drain },
-    Gone { entry: usize, by: faults::Drain },
-    Rises { courier: usize },
+    /// So many come at once in a stream, for one destination.
+    Arrival {
+        stream: usize,
+        many: u64,
+    },
+    HandIn {
+        order: u64,
+    },
+    Connected {
+        call: u64,
+    },
+    Reach {
+        call: u64,
+    },
+    Effect {
+        call: u64,
+    },
+    Served {
+        call: u64,
+        server: usize,
+    },
+    Ends {
+        call: u64,
+        outcome: Outcome,
+        kept: bool,
+        report: Option<(f64, f64)>,
+    },
+    Wake {
+        courier: usize,
+        life: u32,
+    },
+    Note {
+        courier: usize,
+        octets: Vec<u8>,
+    },
+    Told {
+        courier: usize,
+        life: u32,
+        rows: Rows,
+    },
+    ListFails {
+        courier: usize,
+        life: u32,
+    },
+    Begins {
+        fault: usize,
+    },
+    Passes {
+        fault: usize,
+    },
+    Drains {
+        entry: usize,
+        by: faults::Drain,
+    },
+    Gone {
+        entry: usize,
+        by: faults::Drain,
+    },
+    Rises {
+        courier: usize,
+    },
 }
 
 /// What the register tells at once.
@@ -183,14 +224,14 @@
     seed: u64,
     rng: Pcg64Mcg,
     ways: Ways,
-    servers: Vec<Server>,
-    routes: Vec<Route>,
+    site: Site<'a>,
     entries: Vec<Entry>,
     names: BTreeMap<String, usize>,
-    by_destination: Vec<Vec<usize>>,
-    weights: BTreeMap<Option<String>, (Vec<usize>, Weights)>,
+    shares: Shares,
     heat: Vec<(usize, Vec<usize>, f64)>,
     streams: Vec<Stream>,
+    /// Chance of the front and of clients' waits.
+    front: Pcg64Mcg,
     couriers: Vec<Post>,
     calls: BTreeMap<u64, Call>,
     orders: BTreeMap<u64, Order>,
@@ -208,11 +249,6 @@
     last_number: u64,
 }
 
-/// A seed of its own for each use of chance, so that one use more does not shift the others.
-fn chance(seed: u64, use_of: u64) -> Pcg64Mcg {
-    Pcg64Mcg::seed_from_u64(seed ^ use_of.wrapping_mul(0x9e37_79b9_7f4a_7c15))
-}
-
 impl<'a> World<'a> {
     /// Plays `day` with one decider of `make` for each courier, and shows each fact to `seen`.
     pub fn run(
@@ -259,14 +295,13 @@
             seed,
             rng: chance(seed, 1),
             ways: Ways::new(day.network.clone()),
-            servers: Vec::new(),
-            routes: Vec::new(),
+            site: Site::new(day, seed),
             entries: Vec::new(),
             names: BTreeMap::new(),
-            by_destination: Vec::new(),
-            weights: BTreeMap::new(),
+            shares: Shares::of(day, |_| 1.0),
             heat: Vec::new(),
-            streams: (0..day.arrivals.len() as u64).map(|n| Stream::new(chance(seed, 1_000 + n))).collect(),
+            streams: (0..day.arrivals.len()).map(|n| Stream::new(stream_chance(seed, n))).collect(),
+            front: chance(seed, 3),
             couriers: Vec::new(),
             calls: BTreeMap::new(),
             orders: BTreeMap::new(),
@@ -281,7 +316,9 @@
             facts: 0,
             last_number: 0,
         };
-        world.build();
+        for server in 0..world.site.servers() {
+            world.list(server);
+        }
         for courier in 0..day.couriers.count as usize {
             let zone = courier % day.couriers.zones.len();
             let decider = (world.make)(&world.start(courier, 0));
@@ -316,49 +353,19 @@
         Start { seed, zone, day: self.day }
     }
 
-    /// All destinations with their endpoints, from the day's kinds.
-    fn build(&mut self) {
-        let mut rng = chance(self.seed, 2);
-        for (kind, of) in self.day.destinations.iter().enumerate() {
-            for _ in 0..of.count {
-                let destination = self.by_destination.len();
-                self.by_destination.push(Vec::new());
-                let pace = of.spread.powf(rng.random_range(-1.0..=1.0));
-                let rough = rng.random_range(0.5..1.5);
-                for nth in 0..of.endpoints {
-                    if nth == 0 || of.routes_apart {
-                        let limit = of.limit.map(Limit::new);
-                        let (servers, out, fell, back) = (Vec::new(), false, false, None);
-                        let came = VecDeque::new();
-                        self.routes.push(Route { limit, servers, out, fell, back, per_s: 0.0, came });
-                    }
-                    let route = self.routes.len() - 1;
-                    let server = self.servers.len();
-                    let zone = server % self.day.couriers.zones.len();
-                    self.servers.push(Server::new(destination, kind, zone, route, pace));
-                    self.routes[route].servers.push(server);
-                    self.routes[route].per_s += of.workers as f64 / (of.service.mean.as_secs_f64() * pace);
-                    self.list(server, rough);
-                }
-            }
-        }
-        self.weigh();
-    }
-
     /// A new row in the register, for that server.
-    fn list(&mut self, server: usize, rough: f64) -> usize {
+    fn list(&mut self, server: usize) -> usize {
         let entry = self.entries.len();
-        let (destination, route) = (self.servers[server].destination, self.servers[server].route);
-        let per_s = self.routes[route].limit.as_ref().map_or(self.routes[route].per_s, Limit::per_s);
+        let (destination, route) = (self.site.servers[server].destination, self.site.servers[server].route);
+        let per_s = self.site.rate(route);
         let rate = match self.day.register.rates {
             crate::day::Rates::Absent => None,
             crate::day::Rates::Exact => Some(per_s),
-            crate::day::Rates::Rough => Some(per_s * rough),
+            crate::day::Rates::Rough => Some(per_s * self.site.rough[destination]),
         };
         let name = format!("e{}", entry + 1);
-        let zone = &self.day.couriers.zones[self.servers[server].zone];
+        let zone = &self.day.couriers.zones[self.site.servers[server].zone];
         self.names.insert(name.clone(), entry);
-        self.by_destination[destination].push(entry);
         let fact = Fact::Placed { endpoint: &name, zone, route };
         self.auditor.told(self.now, &fact);
         fact.hash(&mut self.hash);
@@ -368,28 +375,11 @@
         entry
     }
 
-    /// What each destination gets of a stream to all, or to one kind.
+    /// Takes account of what is hot.
     fn weigh(&mut self) {
-        let hot = |destination: usize| -> f64 {
+        self.shares = Shares::of(self.day, |destination| {
             self.heat.iter().filter(|(_, whom, _)| whom.contains(&destination)).map(|h| h.2).product()
-        };
-        let mut all = Vec::new();
-        let mut weights = BTreeMap::new();
-        let mut first = 0;
-        for kind in &self.day.destinations {
-            let parts = (1..=kind.count).map(|k| (k as f64).powf(-kind.skew)).collect::<Vec<_>>();
-            let sum: f64 = parts.iter().sum();
-            let own = parts.iter().zip(first..).map(|(part, id)| (id, kind.weight * part / sum * hot(id)));
-            let own: Vec<_> = own.collect();
-            all.extend(own.iter().copied());
-            let even = own.iter().map(|(_, weight)| if kind.weight > 0.0 { *weight } else { 1.0 });
-            let ids = own.iter().map(|(id, _)| *id).collect();
-            weights.insert(Some(kind.kind.clone()), (ids, Weights::of(even)));
-            first += kind.count;
-        }
-        let ids = all.iter().map(|(id, _)| *id).collect();
-        weights.insert(None, (ids, Weights::of(all.iter().map(|(_, weight)| *weight))));
-        self.weights = weights;
+        });
     }
 
     fn at(&mut self, at: Duration, event: Event) {
@@ -441,7 +431,7 @@
             return self.at(at, event);
         }
         match event {
-            Event::Arrival { stream } => self.arrival(stream),
+            Event::Arrival { stream, many } => self.arrival(stream, many),
             Event::HandIn { order } => self.hand_in(order),
             Event::Connected { call } => self.connected(call),
             Event::Reach { call } => self.reach(call),
@@ -525,7 +515,7 @@
             Act::HangUp(name) => {
                 if let Some(entry) = self.names.get(&name) {
                     let server = self.entries[*entry].server;
-                    self.servers[server].idle.remove(&courier);
+                    self.site.servers[server].idle.remove(&courier);
                 }
             }
             Act::Tell(octets) => {
@@ -554,35 +544,21 @@
     fn next_arrival(&mut self, stream: usize) {
         let next = self.streams[stream].next(&self.day.arrivals[stream], self.now, self.day);
         if let Some((at, many)) = next {
-            for _ in 1..many {
-                self.at(at, Event::Arrival { stream: stream | CLUMP });
-            }
-            self.at(at, Event::Arrival { stream });
+            self.at(at, Event::Arrival { stream, many });
         }
     }
 
-    fn arrival(&mut self, stream: usize) {
-        let (stream, clumped) = (stream & !CLUMP, stream & CLUMP != 0);
+    fn arrival(&mut self, stream: usize, many: u64) {
         let of = &self.day.arrivals[stream];
-        let number = self.number();
-        let rng = &mut self.streams[stream].rng;
-        let grade = match &of.grade {
-            Some(name) => self.day.grades.iter().position(|g| g.name == *name).expect("checked"),
-            None => rng.random_range(0..self.day.grades.len()),
-        };
-        let (ids, weights) = &self.weights[&of.to];
-        // What comes in a clump is for one destination: that of the arrival before.
-        let last = self.orders.last_key_value().map(|(_, order)| order.destination as usize - 1);
-        let destination = last.filter(|_| clumped).unwrap_or_else(|| ids[weights.pick(rng)]);
-        let key = (of.keys > 0).then(|| rng.random_range(0..of.keys));
-        let key = key.map(|key| (stream as u64) << 32 | key);
-        let (born, destination) = (self.now, destination as u64 + 1);
-        self.orders.insert(number, Order { stream, grade, destination, key, born, denials: 0 });
-        self.tally.asked(self.now, stream, grade);
-        self.hand_in(number);
-        if !clumped {
-            self.next_arrival(stream);
+        let destination = self.streams[stream].destination(of, &self.shares);
+        for _ in 0..many {
+            let (grade, key) = self.streams[stream].draw(stream, of, self.day);
+            let (number, born) = (self.number(), self.now);
+            self.orders.insert(number, Order { stream, grade, destination, key, born, denials: 0 });
+            self.tally.asked(self.now, stream, grade);
+            self.hand_in(number);
         }
+        self.next_arrival(stream);
     }
 
     /// A client hands its notice to a courier, as the front deals it out.
@@ -598,12 +574,12 @@
         let courier = own.unwrap_or_else(|| {
             let open = |post: &Post| post.alive || post.trusted > now;
             let many = self.couriers.iter().filter(|post| open(post)).count();
-            let nth = self.streams[order.stream].rng.random_range(0..many.max(1));
+            let nth = self.front.random_range(0..many.max(1));
             self.couriers.iter().enumerate().filter(|(_, p)| open(p)).nth(nth).map_or(0, |(at, _)| at)
         });
         if !self.couriers[courier].alive {
             // The front does not know yet, or the sidecar is down: the client comes again in a while.
-            let wait = FRONT_WAIT.mul_f64(self.rng.random_range(0.5..1.0));
+            let wait = FRONT_WAIT.mul_f64(self.front.random_range(0.5..1.0));
             return self.after(wait, Event::HandIn { order: number });
         }
         if self.couriers[courier].still > now {
@@ -684,18 +660,18 @@
             working: false,
         };
         self.calls.insert(number, call);
-        self.tally.sent(now, self.servers[server].destination, send > 0);
+        self.tally.sent(now, self.site.servers[server].destination, send > 0);
         let network = &self.day.network;
         let (idle_close, connecting, handshake) = (network.idle_close, network.connecting, network.handshake);
-        self.servers[server].sweep(now, idle_close);
+        self.site.servers[server].sweep(now, idle_close);
         let gone = self.entries[entry].removed;
-        if !gone && self.servers[server].reuse(courier) {
+        if !gone && self.site.servers[server].reuse(courier) {
             self.calls.get_mut(&number).expect("just put there").connected = true;
-            self.servers[server].open += 1;
+            self.site.servers[server].open += 1;
             self.after(patience, timed_out(number));
-            if self.rng.random::<f64>() < self.servers[server].stale() {
+            if self.rng.random::<f64>() < self.site.servers[server].stale() {
                 self.fact(&Fact::Went { courier, notice, send });
-                let way = self.both_ways(zone, self.servers[server].zone);
+                let way = self.both_ways(zone, self.site.servers[server].zone);
                 if let Some(way) = way {
                     self.after(way, ended(number, Outcome::Reset));
                 }
@@ -705,18 +681,18 @@
             return;
         }
         self.tally.connections += 1;
-        let way = self.both_ways(zone, self.servers[server].zone);
+        let way = self.both_ways(zone, self.site.servers[server].zone);
         // Not up in time: nothing left, so nothing ran.
         self.after(patience.min(connecting), not_up(number));
-        let Some(way) = way.filter(|_| !self.servers[server].silent()) else { return };
-        let kind = &self.day.destinations[self.servers[server].kind];
-        let place = self.servers[server].has_place(kind);
-        if gone || self.servers[server].refuses() || !place {
+        let Some(way) = way.filter(|_| !self.site.servers[server].silent()) else { return };
+        let kind = &self.day.destinations[self.site.servers[server].kind];
+        let place = self.site.servers[server].has_place(kind);
+        if gone || self.site.servers[server].refuses() || !place {
             self.after(way, ended(number, Outcome::Unconnected));
         } else {
-            self.servers[server].open += 1;
+            self.site.servers[server].open += 1;
             self.calls.get_mut(&number).expect("just put there").connected = true;
-            let up = way + handshake + self.servers[server].handshake();
+            let up = way + handshake + self.site.servers[server].handshake();
             self.after(up, Event::Connected { call: number });
             // The rest of its patience runs from its first byte's connection on, as for a kept one.
             self.after(patience, timed_out(number));
@@ -748,7 +724,7 @@
         call.working = true; // from here on it may have run
         let (courier, notice, send, server) = (call.courier, call.notice, call.send, call.server);
         self.fact(&Fact::Went { courier, notice, send });
-        let (from, to) = (self.couriers[courier].zone, self.servers[server].zone);
+        let (from, to) = (self.couriers[courier].zone, self.site.servers[server].zone);
         if let Some(way) = self.ways.pass(&mut self.rng, from, to) {
             self.calls.get_mut(&number).expect("just seen").there = true;
             self.after(way, Event::Reach { call: number });
@@ -761,58 +737,43 @@
         let (at, courier, notice, send) = (call.server, call.courier, call.notice, call.send);
         let now = self.now;
         self.fact(&Fact::Reached { courier, notice, send });
-        let route = self.servers[at].route;
-        if !self.routes[route].fell && self.routes[route].pushed(now, &self.day.returns) {
-            self.fall(route);
+        let (taken, falls) = self.site.takes(at, now, &mut self.rng);
+        if falls {
+            self.fact(&Fact::Fell { route: self.site.servers[at].route });
+            for server in self.site.fallen(at) {
+                self.trouble(server, Site::FALL, Trouble::Refuses);
+            }
         }
-        let (kind, route) = (&self.day.destinations[self.servers[at].kind], &mut self.routes[route]);
-        let server = &mut self.servers[at];
-        let turned_away = match server.shut() {
-            Some(until) => Some(until.map(|until| until.saturating_sub(now))),
-            None => match route.limit.as_mut().map(|limit| (limit.take(now), limit.tells())) {
-                Some((Err(wait), tells)) => Some((self.rng.random::<f64>() < tells).then_some(wait)),
-                _ => None,
-            },
-        };
-        if server.refuses() {
-            self.back(number, Outcome::Reset, false);
-        } else if server.hangs() {
-            if self.rng.random::<f64>() < RUNS_UNHEARD {
-                self.effect(number);
+        match taken {
+            Taken::Breaks => self.back(number, Outcome::Reset, false),
+            Taken::Hangs => {
+                if self.rng.random::<f64>() < RUNS_UNHEARD {
+                    self.effect(number);
+                }
+                self.leaves_there(number);
             }
-            self.leaves_there(number);
-        } else if let Some(wait) = turned_away {
-            self.tally.turned_away += 1;
-            self.back(number, Outcome::Refused(wait), true);
-        } else if self.rng.random::<f64>() < server.errs() {
-            let time = kind.service.draw(&mut self.rng).mul_f64(server.pace * ERROR_PART);
-            self.calls.get_mut(&number).expect("just seen").there = false;
-            let way = self.ways.pass(&mut self.rng, self.servers[at].zone, self.couriers[courier].zone);
-            if let Some(way) = way {
-                self.after(
-                    time + way,
-                    Event::Ends { call: number, outcome: Outcome::Error, kept: true, report: None },
-                );
+            Taken::TurnedAway(wait) => {
+                self.tally.turned_away += 1;
+                self.back(number, Outcome::Refused(wait), true);
             }
-            self.drop_if_done(number);
-        } else if server.busy < kind.workers {
-            server.busy += 1;
-            self.begin(number, at);
-        } else if server.queue.len() < kind.queue {
-            server.queue.push_back(number);
-        } else {
-            self.tally.turned_away += 1;
-            self.back(number, Outcome::Refused(None), true);
+            Taken::Fails(time) => {
+                let zone = self.site.servers[at].zone;
+                let way = self.ways.pass(&mut self.rng, zone, self.couriers[courier].zone);
+                self.leaves_there(number);
+                if let Some(way) = way {
+                    let outcome = Outcome::Error;
+                    let ends = Event::Ends { call: number, outcome, kept: true, report: None };
+                    self.after(time + way, ends);
+                }
+            }
+            Taken::Begins => self.begin(number, at),
+            Taken::Queues => self.site.queues(at, number),
         }
     }
 
     /// A worker takes it up.
     fn begin(&mut self, number: u64, at: usize) {
-        let server = &self.servers[at];
-        let kind = &self.day.destinations[server.kind];
-        let warmth = self.routes[server.route].capacity(self.now, &self.day.returns);
-        let slow = server.pace * server.slow() / warmth.max(0.01);
-        let time = kind.service.draw(&mut self.rng).mul_f64(slow);
+        let time = self.site.begins(at, self.now, &mut self.rng);
         if let Some(call) = self.calls.get(&number) {
             self.tally.waited(self.now - call.started);
         }
@@ -833,8 +794,8 @@
         }
         let mut repeat = false;
         if grade.effect == EffectOf::Fingerprinted {
-            let zone = grade.one_zone.then(|| self.servers[at].zone);
-            let mark = (self.servers[at].destination, zone, order);
+            let zone = grade.one_zone.then(|| self.site.servers[at].zone);
+            let mark = (self.site.servers[at].destination, zone, order);
             let until = *self.marks.entry(mark).or_insert_with(|| {
                 self.forgets.push_back((now + grade.memory, mark));
                 now + grade.memory
@@ -849,12 +810,10 @@
         if !self.calls.get(&number).is_some_and(|call| call.there) {
             return; // cut off in the midst of it; its worker was freed then
         }
-        self.servers[at].busy -= 1;
-        if let Some(next) = self.servers[at].queue.pop_front() {
-            self.servers[at].busy += 1;
+        if let Some(next) = self.site.ends(at) {
             self.begin(next, at);
         }
-        let mute = self.servers[at].mutes();
+        let mute = self.site.spoils(at).0;
         if self.rng.random::<f64>() < mute {
             return self.leaves_there(number);
         }
@@ -873,14 +832,8 @@
     fn back(&mut self, number: u64, outcome: Outcome, kept: bool) {
         let Some(call) = self.calls.get(&number) else { return };
         let (at, courier, waits) = (call.server, call.courier, call.waits);
-        let server = &self.servers[at];
-        let kind = &self.day.destinations[server.kind];
-        let now = self.now;
-        let report = kind.reports.then(|| match &mut self.routes[server.route].limit {
-            Some(limit) => limit.report(now, kind.report_age),
-            None => (1.0, 0.0),
-        });
-        let way = self.ways.pass(&mut self.rng, self.servers[at].zone, self.couriers[courier].zone);
+        let report = self.site.report(at, self.now);
+        let way = self.ways.pass(&mut self.rng, self.site.servers[at].zone, self.couriers[courier].zone);
         self.leaves_there(number);
         if let Some(way) = way.filter(|_| waits) {
             self.after(way, Event::Ends { call: number, outcome, kept, report });
@@ -903,9 +856,9 @@
         let (at, took, connected) = (call.server, now - call.started, call.connected);
         if connected {
             call.connected = false;
-            self.servers[at].open -= 1;
+            self.site.servers[at].open -= 1;
             if kept && self.lives(courier, life) {
-                self.servers[at].idle.entry(courier).or_default().push(now);
+                self.site.servers[at].idle.entry(courier).or_default().push(now);
             }
         }
         self.drop_if_done(number);
@@ -934,48 +887,19 @@
     /// What an oracle may know: calls that the endpoint can begin at once.
     fn true_room(&self, name: &str) -> usize {
         let Some(entry) = self.names.get(name).map(|entry| &self.entries[*entry]) else { return 0 };
-        let server = &self.servers[entry.server];
-        let route = &self.routes[server.route];
-        if entry.removed || entry.listing != Listing::Open || server.is_out() || route.fell {
+        if entry.removed || entry.listing != Listing::Open {
             return 0;
         }
-        let workers = self.day.destinations[server.kind].workers;
-        let free = workers.saturating_sub(server.busy + server.queue.len());
-        let cold = route.back.map_or(free, |back| {
-            let age = self.now - back;
-            let may = self.day.returns.factor * route.per_s * crate::server::warmth(&self.day.returns, age);
-            let recent = route.came.iter().filter(|at| **at + Duration::from_secs(1) > self.now).count();
-            (may * 0.9) as usize - recent.min((may * 0.9) as usize)
-        });
-        let limit = route.limit.clone().map_or(free, |mut limit| limit.has_room(self.now));
-        free.min(limit).min(cold)
+        self.site.room(entry.server, self.now)
     }
 
     // Troubles. What follows is called by the kinds in `faults`.
 
-    /// Destinations, endpoints by endpoint, that are struck; the choice is the same whatever was decided before.
+    /// The servers that are struck, of those behind an endpoint that is listed as open.
     fn servers_struck(&self, number: usize, whom: &Whom) -> Vec<usize> {
-        let mut rng = chance(self.seed, 1 << 48 | number as u64);
-        let kind = |server: &Server| &self.day.destinations[server.kind].kind;
-        let fits = |id: &usize| {
-            let entry = self.by_destination[*id].first().map(|entry| self.entries[*entry].server);
-            let of_kind = |server: usize| whom.kind.as_ref().is_none_or(|k| k == kind(&self.servers[server]));
-            (whom.ids.is_empty() || whom.ids.contains(&(*id as u64 + 1))) && entry.is_some_and(of_kind)
-        };
-        let mut ids: Vec<_> = (0..self.by_destination.len()).filter(fits).collect();
-        if let Some(share) = whom.share {
-            ids.shuffle(&mut rng);
-            ids.truncate(((ids.len() as f64 * share).round() as usize).max(1));
-        }
-        let zone = |at: usize| &self.day.couriers.zones[self.servers[at].zone];
-        let mut struck = Vec::new();
-        for id in ids {
-            let open = self.by_destination[id].iter().map(|entry| &self.entries[*entry]);
-            let open = open.filter(|e| !e.removed && e.listing == Listing::Open).map(|e| e.server);
-            let in_zone = open.filter(|at| whom.zone.as_ref().is_none_or(|z| z == zone(*at)));
-            struck.extend(in_zone.take(whom.endpoints.unwrap_or(usize::MAX)));
-        }
-        struck
+        let open = self.entries.iter().filter(|e| !e.removed && e.listing == Listing::Open);
+        let open: BTreeSet<_> = open.map(|entry| entry.server).collect();
+        self.site.struck(number, whom, |server| open.contains(&server))
     }
 
     pub(crate) fn couriers_struck(&self, number: usize, whom: &Whom) -> Vec<usize> {
@@ -999,17 +923,15 @@
     }
 
     fn trouble(&mut self, at: usize, number: usize, trouble: Trouble) {
-        self.servers[at].troubles.push((number, trouble));
+        self.site.troubled(at, number, trouble);
         if trouble == Trouble::Refuses {
-            // What stood there is reset; its workers are free, as it begins anew.
-            self.servers[at].idle.clear();
-            self.servers[at].queue.clear();
-            self.servers[at].busy = 0;
+            // What stood there is reset.
             let cut: Vec<_> = self.calls.iter().filter(|(_, c)| c.server == at && c.connected).collect();
             let cut: Vec<_> = cut.into_iter().map(|(number, call)| (*number, call.courier)).collect();
             for (call, courier) in cut {
                 self.calls.get_mut(&call).expect("just seen").there = false;
-                let way = self.ways.pass(&mut self.rng, self.servers[at].zone, self.couriers[courier].zone);
+                let way =
+                    self.ways.pass(&mut self.rng, self.site.servers[at].zone, self.couriers[courier].zone);
                 if let Some(way) = way {
                     let up = self.calls[&call].working;
                     let outcome = if up { Outcome::Reset } else { Outcome::Unconnected };
@@ -1021,39 +943,25 @@
                 self.leaves_there(call);
             }
         }
-        self.route_changes(self.servers[at].route);
+        self.route_changes(self.site.servers[at].route);
     }
 
-    /// A route is out once all its endpoints are, and back once one is not.
-    fn route_changes(&mut self, at: usize) {
-        let out = self.routes[at].servers.iter().all(|server| self.servers[*server].is_out());
-        if out == self.routes[at].out || self.routes[at].fell {
-            return;
-        }
-        let route = &mut self.routes[at];
-        (route.out, route.back) = (out, (!out).then_some(self.now));
-        route.came.clear();
-        let milli_per_s = (route.per_s * 1_000.0) as u64;
-        self.fact(&if out { Fact::Out { route: at } } else { Fact::Back { route: at, milli_per_s } });
-    }
-
-    fn fall(&mut self, route: usize) {
-        self.fact(&Fact::Fell { route });
-        self.routes[route].fell = true;
-        for server in self.routes[route].servers.clone() {
-            self.trouble(server, FALL, Trouble::Refuses);
+    fn route_changes(&mut self, route: usize) {
+        match self.site.turns(route, self.now) {
+            Some(Turn::Out) => self.fact(&Fact::Out { route }),
+            Some(Turn::Back) => {
+                let milli_per_s = (self.site.routes[route].per_s * 1_000.0) as u64;
+                self.fact(&Fact::Back { route, milli_per_s });
+            }
+            None => {}
         }
     }
 
     /// Ends what a trouble did to endpoints and to the network.
     pub(crate) fn relieve(&mut self, number: usize) {
         self.ways.spoilt.retain(|spoilt| spoilt.fault != number);
-        for at in 0..self.servers.len() {
-            let before = self.servers[at].troubles.len();
-            self.servers[at].troubles.retain(|(fault, _)| *fault != number);
-            if self.servers[at].troubles.len() != before {
-                self.route_changes(self.servers[at].route);
-            }
+        for at in self.site.relieved(number) {
+            self.route_changes(self.site.servers[at].route);
         }
     }
 
@@ -1085,7 +993,7 @@
 
     pub(crate) fn heat(&mut self, number: usize, whom: &Whom, factor: f64) {
         let struck = self.servers_struck(number, whom);
-        let struck = struck.into_iter().map(|at| self.servers[at].destination).collect();
+        let struck = struck.into_iter().map(|at| self.site.servers[at].destination).collect();
         self.heat.push((number, struck, factor));
         self.weigh();
     }
@@ -1118,11 +1026,11 @@
             call.waits = false;
             if std::mem::take(&mut call.connected) {
                 let server = call.server;
-                self.servers[server].open -= 1;
+                self.site.servers[server].open -= 1;
             }
             self.drop_if_done(number);
         }
-        self.servers.iter_mut().for_each(|server| {
+        self.site.servers.iter_mut().for_each(|server| {
             server.idle.remove(&courier);
         });
         // Clients come again with what is lost, unless it may have taken effect and must not do so twice.
@@ -1257,7 +1165,7 @@
             .iter()
             .map(|(at, listing)| {
                 let entry = &self.entries[*at];
-                let server = &self.servers[entry.server];
+                let server = &self.site.servers[entry.server];
                 let zone = &self.day.couriers.zones[server.zone];
                 let kind = &self.day.destinations[server.kind].kind;
                 (entry.name.clone(), zone, kind, entry.destination, *listing, entry.rate)
@@ -1326,28 +1234,13 @@
     /// A new endpoint for one that drains.
     fn replace(&mut self, entry: usize, same_address: bool) {
         let (old, rate) = (self.entries[entry].server, self.entries[entry].rate);
-        let server = if same_address {
-            old
-        } else {
-            let at = &self.servers[old];
-            let new = Server::new(at.destination, at.kind, at.zone, at.route, at.pace);
-            self.servers.push(new);
-            let server = self.servers.len() - 1;
-            let route = &mut self.routes[self.servers[old].route];
-            // The new one does the old one's work; what the old one still has ends there.
-            route.servers.retain(|other| *other != old);
-            route.servers.push(server);
-            server
-        };
-        let new = self.list(server, 1.0);
+        let server = if same_address { old } else { self.site.replace(old) };
+        let new = self.list(server);
         self.entries[new].rate = rate;
         self.list_changes(new, Listing::Open);
     }
 }
 
-/// Marks an arrival that belongs to the clump of the one before.
-const CLUMP: usize = 1 << 62;
-
 fn ended(call: u64, outcome: Outcome) -> Event {
     Event::Ends { call, outcome, kept: false, report: None }
 }
--- a/crates/quillhub-lab/src/baselines.rs
+++ b/crates/quillhub-lab/src/baselines.rs
@@ -12,7 +12,7 @@
 /// Over which first tries and repeats are compared.
 const BUDGET_SPAN: Duration = Duration::from_secs(10);
 /// After which what the budget held back looks again.
-const BUDGET_LOOK: Duration = Duration::from_millis(200);
+const BUDGET_LOOK: Duration = Duration::from_secs(1);
 /// Before its limit a notice is answered, so that the answer is in time.
 const MARGIN: Duration = Duration::from_millis(20);
 /// After which what found no endpoint looks again.
@@ -112,7 +112,7 @@
         due: BTreeSet::new(),
         ends: BTreeSet::new(),
         waits: BTreeMap::new(),
-        firsts: BTreeMap::new(),
+        sent: BTreeMap::new(),
         calls: 0,
         over: Vec::new(),
         beat: None,
@@ -140,6 +140,28 @@
     ran: Option<(Duration, String)>,
 }
 
+/// What was sent to a destination in the budget's span, and how much of it again.
+#[derive(Default)]
+struct Sent {
+    times: VecDeque<(Duration, bool)>,
+    repeats: u32,
+}
+
+impl Sent {
+    fn forget(&mut self, now: Duration) {
+        while let Some((_, repeat)) = self.times.front().filter(|(at, _)| *at + BUDGET_SPAN <= now) {
+            self.repeats -= u32::from(*repeat);
+            self.times.pop_front();
+        }
+    }
+
+    fn count(&mut self, now: Duration, repeat: bool) {
+        self.forget(now);
+        self.times.push_back((now, repeat));
+        self.repeats += u32::from(repeat);
+    }
+}
+
 struct Plain {
     named: Named,
     of: Baselines,
@@ -159,7 +181,7 @@
     /// Told waits; each goes when it is over.
     waits: BTreeMap<DestinationId, Duration>,
     /// First tries and repeats of the budget's span.
-    firsts: BTreeMap<DestinationId, VecDeque<(Duration, bool)>>,
+    sent: BTreeMap<DestinationId, Sent>,
     calls: usize,
     /// To be answered at the next settling.
     over: Vec<NoticeId>,
@@ -190,13 +212,9 @@
 
     /// Whether the budget allows a repeat there.
     fn budget(&mut self, destination: DestinationId) -> bool {
-        let now = self.now;
-        let sent = self.firsts.entry(destination).or_default();
-        while sent.front().is_some_and(|(at, _)| *at + BUDGET_SPAN <= now) {
-            sent.pop_front();
-        }
-        let repeats = sent.iter().filter(|(_, repeat)| *repeat).count();
-        (repeats as f64) < self.of.share * (sent.len() - repeats) as f64
+        let sent = self.sent.entry(destination).or_default();
+        sent.forget(self.now);
+        f64::from(sent.repeats) < self.of.share * (sent.times.len() as f64 - f64::from(sent.repeats))
     }
 
     /// The endpoint for a notice: the one with the fewest calls out, by chance among equals; an oracle's has room.
@@ -383,7 +401,7 @@
             hands.send(id, &name, patience);
             self.calls += 1;
             if self.named == Named::Budget {
-                self.firsts.entry(destination).or_default().push_back((now, sends > 0));
+                self.sent.entry(destination).or_default().count(now, sends > 0);
             }
             let known = self.endpoints.get_mut(&name).expect("just chosen");
             known.out += 1;
--- a/crates/quillhub-lab/src/results.rs
+++ b/crates/quillhub-lab/src/results.rs
@@ -80,9 +80,11 @@
     let each = seconds.len().div_ceil(COURSE).max(1);
     let rows = seconds.chunks(each);
     let sum = |of: &dyn Fn(&quillhub_emulator::Second) -> f64| {
-        rows.clone().map(|row| round(row.iter().map(of).sum::<f64>() / row.len() as f64)).collect()
+        rows.clone()
+            .map(|row| round(row.iter().map(of).sum::<f64>() / row.len() as f64 / report.tally.row_s as f64))
+            .collect()
     };
-    let at = (0..rows.len()).map(|row| (row * each) as f64).collect();
+    let at = (0..rows.len()).map(|row| (row * each) as f64 * report.tally.row_s as f64).collect();
     [
         ("at s", at),
         ("asked", sum(&|s| f64::from(s.asked))),
@@ -90,7 +92,7 @@
         ("repeats", sum(&|s| f64::from(s.repeats))),
         ("handled", sum(&|s| f64::from(s.handled))),
         ("denied", sum(&|s| f64::from(s.denied + s.written_off))),
-        ("held", sum(&|s| s.held as f64)),
+        ("held", sum(&|s| s.held as f64 * report.tally.row_s as f64)),
     ]
     .map(|(name, row): (&str, Vec<f64>)| (name.into(), row))
     .into()
--- /dev/null
+++ b/crates/quillhub-stand-ins/src/configuration.rs
@@ -0,0 +1,63 @@
+//! The configuration of a courier for a day: the same figures as the emulator tells its deciders.
+
+use quillhub::Effect;
+use quillhub_emulator::{Day, RegisterForm};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+fn us(span: Duration) -> u64 {
+    span.as_micros() as u64
+}
+
+fn class(of: &quillhub_emulator::GradeOf) -> Value {
+    let grade = of.grade();
+    let (effect, memory, all) = match grade.effect {
+        Effect::Retriable => ("free", Duration::ZERO, true),
+        Effect::Fingerprinted { memory, one_zone } => ("guarded", memory, !one_zone),
+        Effect::Binding => ("single_shot", Duration::ZERO, true),
+    };
+    json!({"name": of.name, "effect": effect, "memorySpanUs": us(memory), "keyScope": if all { "all" } else { "group" },
+        "aimUs": us(grade.contract), "giveUpUs": us(grade.limit), "importance": grade.earnings,
+        "lateWorth": grade.late_share, "byArrival": grade.in_order})
+}
+
+/// For one courier of `day` that listens at `listen`, with register and platform at `discovery` and the list `known`;
+/// it may have `sockets` descriptors.
+pub fn courier(
+    day: &Day,
+    seed: u64,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    known: Value,
+    sockets: u64,
+) -> Value {
+    let (couriers, network, rules) = (&day.couriers, &day.network, &day.returns);
+    let watch = day.register.form == RegisterForm::Watch;
+    let halving = day.grades.iter().all(|grade| grade.halving);
+    let reports = day.destinations.iter().any(|kind| kind.reports);
+    let names: &[&str] = if reports { &["x0", "x1"] } else { &[] };
+    let kinds: Vec<_> = day.destinations.iter().map(|kind| &kind.kind).collect();
+    let apart: Vec<_> = day.destinations.iter().map(|kind| kind.routes_apart).collect();
+    let classes: Vec<_> = day.grades.iter().map(class).collect();
+    json!({
+        "listen": listen.to_string(),
+        "discovery": discovery.to_string(),
+        "seed": format!("{seed:x}"),
+        "limits": {"sockets": sockets, "disk_mb": 256},
+        "known": known,
+        "settings": {
+            "nInstances": couriers.count,
+            "zone": couriers.zones[0],
+            "familyInfo": {"maxCalls": couriers.slots, "losesWorth": if halving { "halving" } else { "evenly" },
+                "separateRoutes": apart},
+            "limits": {"mostTries": couriers.most_sends, "maxOpen": couriers.room, "retryAfter": true,
+                "maxRetryAfterUs": us(couriers.longest_wait), "idleCloseUs": us(network.idle_close),
+                "connectTimeoutUs": us(network.connecting)},
+            "rules": {"overloadFactor": rules.factor, "startCapacity": rules.start,
+                "warmUpUs": us(rules.warm_up), "keyRestUs": us(rules.key_rest)},
+            "membershipMode": if watch { "subscribe" } else { "push" },
+            "classes": classes, "skus": kinds, "failureDomains": couriers.zones, "report": {"names": names},
+        },
+    })
+}
--- /dev/null
+++ b/crates/quillhub-stand-ins/src/http.rs
@@ -0,0 +1,102 @@
+//! HTTP/1.1 as a server needs it: one request at a time from a connection.
+
+use std::io;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Bytes of a request, head and body: what a courier sends is far smaller.
+const MOST: usize = 256 * 1024;
+/// Headers of a request.
+const MOST_HEADERS: usize = 32;
+
+/// A connection, and what was read from it beyond the last request.
+pub struct Served {
+    stream: TcpStream,
+    read: Vec<u8>,
+}
+
+/// One request, with the few headers that a stand-in goes by.
+#[derive(Debug, Default)]
+pub struct Asked {
+    pub method: String,
+    pub path: String,
+    pub id: Option<String>,
+    pub mark: Option<String>,
+    pub body: Vec<u8>,
+}
+
+fn malformed(what: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, format!("expected a request, found {what}"))
+}
+
+impl Served {
+    pub fn new(stream: TcpStream) -> Self {
+        let _ = stream.set_nodelay(true);
+        Self { stream, read: Vec::new() }
+    }
+
+    /// The next request; nothing once the other side has closed.
+    pub async fn next(&mut self) -> io::Result<Option<Asked>> {
+        loop {
+            if let Some((asked, used)) = parse(&self.read)? {
+                self.read.drain(..used);
+                return Ok(Some(asked));
+            }
+            if self.read.len() > MOST {
+                return Err(malformed("one that does not end"));
+            }
+            if self.stream.read_buf(&mut self.read).await? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    pub async fn answer(&mut self, status: u16, headers: &str, body: &[u8]) -> io::Result<()> {
+        let mut octets =
+            format!("HTTP/1.1 {status} -\r\n{headers}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
+        octets.extend_from_slice(body);
+        self.stream.write_all(&octets).await
+    }
+
+    /// As it is, for answers that go on.
+    pub async fn write(&mut self, octets: &[u8]) -> io::Result<()> {
+        self.stream.write_all(octets).await
+    }
+
+    /// Ends with a reset instead of a close.
+    pub fn reset(self) {
+        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(std::time::Duration::ZERO));
+    }
+}
+
+fn parse(read: &[u8]) -> io::Result<Option<(Asked, usize)>> {
+    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    let head = match request.parse(read).map_err(|e| malformed(&e.to_string()))? {
+        httparse::Status::Complete(head) => head,
+        httparse::Status::Partial => return Ok(None),
+    };
+    let value = |name: &str| {
+        let found = request.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
+        found.map(|h| String::from_utf8_lossy(h.value).into_owned())
+    };
+    let length = match value("content-length") {
+        Some(text) => text.trim().parse().map_err(|_| malformed("a length that is none"))?,
+        None => 0,
+    };
+    let used = head + length;
+    if used > MOST {
+        return Err(malformed("one that is too long"));
+    }
+    if read.len() < used {
+        return Ok(None);
+    }
+    let asked = Asked {
+        method: request.method.unwrap_or_default().into(),
+        path: request.path.unwrap_or_default().into(),
+        id: value("x-request-id"),
+        mark: value("idempotency-key"),
+        body: read[head..used].to_vec(),
+    };
+    Ok(Some((asked, used)))
+}
--- /dev/null
+++ b/crates/quillhub-stand-ins/src/platform.rs
@@ -0,0 +1,149 @@
+//! Register and platform on one address: the list, a watch on its changes, and final answers.
+
+use crate::endpoints::Listed;
+use crate::http::Served;
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, timeout};
+
+/// A watch sends an empty line so often while nothing changes.
+const EMPTY_LINE: Duration = Duration::from_secs(2);
+
+/// A final answer, as the platform reads it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Finally {
+    pub id: String,
+    pub denied: bool,
+    pub wait: Option<Duration>,
+    pub at: Instant,
+}
+
+/// The list that the register tells; each change adds a version.
+pub struct Register {
+    pub members: Vec<(Listed, &'static str)>,
+    pub revision: u64,
+    changed: watch::Sender<u64>,
+    /// Rows of each version, as told.
+    changes: Vec<(u64, Value)>,
+}
+
+fn member(listed: &Listed, phase: &str) -> Value {
+    json!({"id": listed.id, "host_port": listed.at.to_string(), "locality": listed.zone, "flavor": listed.kind,
+        "cell": listed.destination, "phase": phase, "size": 1.0, "up_since_ms": 0})
+}
+
+impl Register {
+    pub fn new(all: &[Listed]) -> Rc<RefCell<Self>> {
+        let members = all.iter().map(|listed| (listed.clone(), "up")).collect();
+        let (changed, _) = watch::channel(1);
+        Rc::new(RefCell::new(Self { members, revision: 1, changed, changes: Vec::new() }))
+    }
+
+    /// The whole list.
+    pub fn list(&self) -> Value {
+        let live = self.members.iter().filter(|(_, phase)| *phase != "removed");
+        let members: Vec<_> = live.map(|(listed, phase)| member(listed, phase)).collect();
+        json!({"revision": self.revision, "complete": true, "members": members})
+    }
+
+    /// An endpoint is `up`, `draining` or `removed` from now on.
+    pub fn change(&mut self, id: &str, phase: &'static str) {
+        let Some((listed, was)) = self.members.iter_mut().find(|(listed, _)| listed.id == id) else { return };
+        *was = phase;
+        self.revision += 1;
+        self.changes.push((self.revision, member(listed, phase)));
+        self.changed.send_replace(self.revision);
+    }
+
+    fn after(&self, revision: u64) -> Value {
+        let rows: Vec<_> = self.changes.iter().filter(|(at, _)| *at > revision).map(|(_, row)| row).collect();
+        json!({"revision": self.revision, "complete": false, "members": rows})
+    }
+}
+
+/// Starts both on the current thread's local tasks.
+pub async fn start(
+    register: Rc<RefCell<Register>>,
+    tell: UnboundedSender<Finally>,
+) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let at = listener.local_addr()?;
+    spawn_local(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    spawn_local(serve(register.clone(), tell.clone(), Served::new(stream)));
+                }
+                Err(_) => sleep(Duration::from_millis(5)).await,
+            }
+        }
+    });
+    Ok(at)
+}
+
+async fn serve(
+    register: Rc<RefCell<Register>>,
+    tell: UnboundedSender<Finally>,
+    mut link: Served,
+) -> std::io::Result<()> {
+    while let Some(asked) = link.next().await? {
+        if asked.method == "POST" && asked.path == "/v2/finals" {
+            let read: Option<Vec<Finally>> =
+                asked.body.split(|b| *b == b'\n').filter(|l| !l.is_empty()).map(read).collect();
+            match read {
+                Some(all) => {
+                    all.into_iter().for_each(|one| {
+                        let _ = tell.send(one);
+                    });
+                    link.answer(204, "", b"").await?;
+                }
+                None => link.answer(400, "", b"").await?,
+            }
+        } else if let Some(query) = asked.path.strip_prefix("/registry/instances?") {
+            let after = query.split('&').find_map(|part| part.strip_prefix("after="));
+            let after = after.and_then(|text| text.parse().ok()).unwrap_or(0);
+            return watched(&register, link, after).await;
+        } else if asked.path == "/registry/instances" {
+            let list = register.borrow().list().to_string();
+            link.answer(200, "Content-Type: application/json\r\n", list.as_bytes()).await?;
+        } else {
+            link.answer(404, "", b"").await?;
+        }
+    }
+    Ok(())
+}
+
+fn read(line: &[u8]) -> Option<Finally> {
+    let line: Value = serde_json::from_slice(line).ok()?;
+    let denied = match line["result"].as_str()? {
+        "bounced" => true,
+        "dead" => false,
+        _ => return None,
+    };
+    let wait = line["wait_ms"].as_u64().map(Duration::from_millis);
+    Some(Finally { id: line["ref"].as_str()?.into(), denied, wait, at: Instant::now() })
+}
+
+/// One watch, until its connection ends.
+async fn watched(register: &RefCell<Register>, mut link: Served, mut after: u64) -> std::io::Result<()> {
+    link.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
+    let mut changed = register.borrow().changed.subscribe();
+    loop {
+        let (line, revision) = {
+            let register = register.borrow();
+            let news = register.revision > after;
+            (if news { register.after(after).to_string() } else { String::new() }, register.revision)
+        };
+        after = revision;
+        let line = format!("{line}\n");
+        link.write(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes()).await?;
+        let _ = timeout(EMPTY_LINE, changed.wait_for(|now| *now > after)).await;
+    }
+}
--- /dev/null
+++ b/crates/quillhub-stand-ins/src/scripted.rs
@@ -0,0 +1,39 @@
+//! A server that answers what it is told to, call by call.
+
+use std::net::SocketAddr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::task::spawn_local;
+
+pub const OK: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/// Whether all of a call is there, or nothing that tells its length.
+fn whole(call: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(call);
+    let Some((head, _)) = text.split_once("\r\n\r\n") else { return !text.starts_with("POST") };
+    let length = head.split_once("Content-Length: ").map(|(_, rest)| rest.lines().next().unwrap());
+    call.len() >= head.len() + 4 + length.map_or(0, |length| length.parse().unwrap())
+}
+
+/// Takes one call a connection: answers each with the next of `answers` and leaves the connection open, or
+/// closes it where that is empty. Hands out what was read.
+pub async fn answering(answers: Vec<&'static [u8]>) -> (SocketAddr, UnboundedReceiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (at, (tell, told)) = (listener.local_addr().unwrap(), unbounded_channel());
+    spawn_local(async move {
+        let mut open = Vec::new();
+        for answer in answers {
+            let mut stream = listener.accept().await.unwrap().0;
+            let mut read = Vec::new();
+            while stream.read_buf(&mut read).await.unwrap() > 0 && !whole(&read) {}
+            let _ = tell.send(String::from_utf8_lossy(&read).into_owned());
+            if !answer.is_empty() {
+                stream.write_all(answer).await.unwrap();
+                open.push(stream);
+            }
+        }
+        std::future::pending::<()>().await;
+    });
+    (at, told)
+}
