--- a/crates/quillhub-emulator/src/day.rs
+++ b/crates/quillhub-emulator/src/day.rs
@@ -586,6 +586,9 @@
             if let Some(name) = whom.zone.as_ref().filter(|n| !zones.contains(n)) {
                 return wrong(&place("whom.zone"), "a zone", name);
             }
+            if let Some(name) = fault.what.zones().into_iter().find(|name| !zones.contains(name)) {
+                return wrong(&place("what"), "a zone of couriers.zones", name);
+            }
             if let Some(value) = whom.share {
                 share(&place("whom.share"), value)?;
             }
--- a/crates/quillhub-emulator/src/faults/mod.rs
+++ b/crates/quillhub-emulator/src/faults/mod.rs
@@ -152,6 +152,16 @@
         self.kind().check()
     }
 
+    /// The zones that it names.
+    pub(crate) fn zones(&self) -> Vec<&String> {
+        let (from, to) = match self {
+            Self::Cut(Cut { from, to }) => (from, to),
+            Self::Loss(Loss { from, to, .. }) | Self::Delay(Delay { from, to, .. }) => (from, to),
+            _ => return Vec::new(),
+        };
+        from.iter().chain(to).collect()
+    }
+
     pub(crate) fn trouble(&self, planned: &Planned) -> Option<Trouble> {
         self.kind().trouble(planned)
     }
--- a/crates/quillhub-emulator/src/network.rs
+++ b/crates/quillhub-emulator/src/network.rs
@@ -5,6 +5,9 @@
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
 
+/// Share lost from which an oracle takes a way for bad.
+const BAD: f64 = 0.1;
+
 /// What is wrong with the way from one zone to another; absent means any zone.
 #[derive(Clone, Debug)]
 pub(crate) struct Spoilt {
@@ -14,6 +17,12 @@
     pub(crate) how: How,
 }
 
+impl Spoilt {
+    fn is_between(&self, from: usize, to: usize) -> bool {
+        self.from.is_none_or(|zone| zone == from) && self.to.is_none_or(|zone| zone == to)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum How {
     /// Nothing gets through, and nobody is told.
@@ -35,12 +44,17 @@
         Self { of, spoilt: Vec::new() }
     }
 
+    /// Whether a good part of what goes from zone to zone is lost.
+    pub(crate) fn is_bad(&self, from: usize, to: usize) -> bool {
+        let bad = |how: How| matches!(how, How::Cut) || matches!(how, How::Loses(share) if share > BAD);
+        self.spoilt.iter().any(|spoilt| spoilt.is_between(from, to) && bad(spoilt.how))
+    }
+
     /// The time that one thing takes from zone to zone; nothing if it does not arrive.
     pub(crate) fn pass(&self, rng: &mut Pcg64Mcg, from: usize, to: usize) -> Option<Duration> {
         let base = if from == to { self.of.within } else { self.of.between };
         let mut time = base.mul_f64(1.0 + self.of.jitter.max(0.0) * rng.random::<f64>());
-        let between = |s: &&Spoilt| s.from.is_none_or(|z| z == from) && s.to.is_none_or(|z| z == to);
-        for spoilt in self.spoilt.iter().filter(between) {
+        for spoilt in self.spoilt.iter().filter(|spoilt| spoilt.is_between(from, to)) {
             match spoilt.how {
                 How::Cut => return None,
                 How::Loses(share) => {
--- a/crates/quillhub-emulator/src/world.rs
+++ b/crates/quillhub-emulator/src/world.rs
@@ -498,7 +498,7 @@
         let told = tell(decider.as_mut());
         if decider.wants_truth() {
             let mut decider = std::mem::replace(decider, Box::new(Nobody));
-            decider.sees(&|name| self.true_room(name));
+            decider.sees(&|name| self.true_room(courier, name));
             self.couriers[courier].decider = decider;
         }
         self.couriers[courier].decider.settle(&mut asked);
@@ -885,9 +885,11 @@
     }
 
     /// What an oracle may know: calls that the endpoint can begin at once.
-    fn true_room(&self, name: &str) -> usize {
+    fn true_room(&self, courier: usize, name: &str) -> usize {
         let Some(entry) = self.names.get(name).map(|entry| &self.entries[*entry]) else { return 0 };
-        if entry.removed || entry.listing != Listing::Open {
+        let (here, there) = (self.couriers[courier].zone, self.site.servers[entry.server].zone);
+        let cut = self.ways.is_bad(here, there) || self.ways.is_bad(there, here);
+        if cut || entry.removed || entry.listing != Listing::Open {
             return 0;
         }
         self.site.room(entry.server, self.now)
--- a/crates/quillhub-lab/src/baselines.rs
+++ b/crates/quillhub-lab/src/baselines.rs
@@ -15,6 +15,10 @@
 const BUDGET_LOOK: Duration = Duration::from_secs(1);
 /// Before its limit a notice is answered, so that the answer is in time.
 const MARGIN: Duration = Duration::from_millis(20);
+/// What is looked at in one settling; the rest has its turn in the next.
+const MOST_TURNS: usize = 1_000;
+/// What an oracle takes a call for.
+const USUAL: Duration = Duration::from_millis(200);
 /// After which what found no endpoint looks again.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -243,6 +247,25 @@
         }
     }
 
+    /// What may go now, first what came due first; an oracle takes what its contract time still covers before what
+    /// it does not, and of each what is due sooner.
+    fn turns(&self) -> Vec<NoticeId> {
+        if self.calls >= self.slots {
+            return Vec::new();
+        }
+        let due = self.due.iter().take_while(|(at, _)| *at <= self.now).take(MOST_TURNS);
+        let mut due: Vec<_> = due.map(|(_, id)| *id).collect();
+        if self.named == Named::Oracle {
+            due.sort_by_key(|id| {
+                let held = &self.held[id];
+                let grade = &self.grades[held.grade].1;
+                let contract = (held.limit + grade.contract).saturating_sub(grade.limit);
+                (self.now + USUAL > contract, contract)
+            });
+        }
+        due
+    }
+
     fn put_off(&mut self, id: NoticeId, until: Duration) {
         let Some(held) = self.held.get_mut(&id) else { return };
         self.due.remove(&(held.due, id));
@@ -377,7 +400,7 @@
             self.answer(id, hands);
         }
         self.waits.retain(|_, until| *until > now);
-        while let Some((_, id)) = self.due.first().copied().filter(|(at, _)| *at <= now) {
+        for id in self.turns() {
             let held = &self.held[&id];
             let (destination, sends, limit) = (held.destination, held.sends, held.limit);
             let waits = self.waits.get(&destination).copied();
--- a/crates/quillhub-lab/src/chart.rs
+++ b/crates/quillhub-lab/src/chart.rs
@@ -60,6 +60,10 @@
     draw(title, lines, "s", &|at| format!("{at:.0}"), 10)
 }
 
+pub fn over_rate(title: &str, lines: &[Line]) -> Result<String, String> {
+    draw(title, lines, "notices offered a second", &|at| format!("{at:.0}"), 10)
+}
+
 /// Each name is one place across.
 pub fn over_names(title: &str, names: &[&str], lines: &[Line]) -> Result<String, String> {
     let label = |at: &f64| {
--- a/crates/quillhub-lab/src/command.rs
+++ b/crates/quillhub-lab/src/command.rs
@@ -2,7 +2,7 @@
 
 use crate::experiment::Planned;
 use crate::results::Kept;
-use crate::{compare, explain, report, results, sweep};
+use crate::{compare, cost, explain, load, report, results, sweep};
 use argh::FromArgs;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -22,6 +22,8 @@
     Compare(Compare),
     Report(Report),
     Explain(Explain),
+    Load(Load),
+    Cost(Cost),
 }
 
 /// Play an experiment over all cores; goes on where a stopped one ended.
@@ -90,6 +92,51 @@
     notice: u64,
 }
 
+/// Load a real courier on loopback, step by step, with the day of an experiment; not simulated.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "load")]
+struct Load {
+    /// experiment file; its first day is played, with one courier
+    #[argh(positional)]
+    experiment: PathBuf,
+    /// folder for results (default: found/ and the experiment's name)
+    #[argh(option)]
+    out: Option<PathBuf>,
+    /// notices a second of each step, set apart by commas (default: doubling up to the knee)
+    #[argh(option)]
+    rates: Option<String>,
+    /// clients' connections at most (default: 64)
+    #[argh(option, default = "64")]
+    connections: usize,
+    /// bytes of a notice's body (default: 200)
+    #[argh(option, default = "200")]
+    body: usize,
+    /// descriptors that the courier may use (default: 4096)
+    #[argh(option, default = "4096")]
+    sockets: u64,
+    /// the courier's program (default: quillhub beside this one)
+    #[argh(option)]
+    courier: Option<PathBuf>,
+}
+
+/// Measure what runs of an experiment's first seed cost in time and memory, one after the other.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "cost")]
+struct Cost {
+    /// experiment file
+    #[argh(positional)]
+    experiment: PathBuf,
+}
+
+/// Rates as written: numbers over 0.
+fn rates(text: &str) -> Result<Vec<f64>, String> {
+    let rate = |word: &str| {
+        let rate = word.trim().parse().ok().filter(|rate: &f64| *rate > 0.0 && rate.is_finite());
+        rate.ok_or(format!("--rates: expected numbers over 0 set apart by commas, found '{word}'"))
+    };
+    text.split(',').map(rate).collect()
+}
+
 /// The kept runs of a folder, and its experiment.
 fn kept(folder: &Path) -> Result<(Planned, Vec<Kept>), String> {
     let runs = results::read(folder)?;
@@ -150,6 +197,27 @@
             std::fs::write(&out, page).map_err(|e| format!("{}: {e}", out.display()))?;
             println!("{}", out.display());
         }
+        Command::Load(line) => {
+            let planned = Planned::read(&line.experiment)?;
+            let rates = line.rates.as_deref().map_or(Ok(Vec::new()), rates)?;
+            let beside = || std::env::current_exe().map(|own| own.with_file_name("quillhub"));
+            let program = line.courier.map_or_else(beside, Ok).map_err(|e| format!("--courier: {e}"))?;
+            if !program.is_file() {
+                return Err(format!("--courier: expected a program, found none at {}", program.display()));
+            }
+            let seed = planned.of.seeds[0];
+            let (connections, body, sockets) = (line.connections, line.body, line.sockets);
+            let made = load::Made { program: &program, connections, body, sockets, seed };
+            let folder = line.out.unwrap_or_else(|| Path::new("found").join(&planned.name));
+            load::run(&planned, &rates, &made, &folder)?;
+            println!("in {} (on sockets)", folder.display());
+        }
+        Command::Cost(line) => {
+            let planned = Planned::read(&line.experiment)?;
+            for run in planned.runs().iter().filter(|run| run.seed == planned.of.seeds[0]) {
+                println!("{}", cost::measure(&planned, run).line(run).trim_start());
+            }
+        }
         Command::Explain(line) => {
             let split = line.run.rsplit_once(':').and_then(|(f, n)| Some((f, n.parse::<usize>().ok()?)));
             let (folder, nth) = split.unwrap_or((&line.run, 1));
--- /dev/null
+++ b/crates/quillhub-lab/src/cost.rs
@@ -0,0 +1,145 @@
+//! What a run costs in time and memory: the deciders' own share, and the emulator's. Wall time of one thread, so it
+//! differs from run to run; ratios hold better.
+
+use crate::baselines;
+use crate::experiment::Planned;
+use crate::sweep::Run;
+use quillhub::{DestinationId, Hands, Listing, NoticeId, Outcome};
+use quillhub_emulator::{Decider, Report, Start, World};
+use std::cell::Cell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// The cost of one run.
+pub struct Cost {
+    pub report: Report,
+    pub whole: Duration,
+    pub deciders: Duration,
+    /// Most memory that this process has had by now, in MB; 0 where the system does not tell.
+    pub memory_mb: f64,
+}
+
+/// A decider whose time is counted.
+struct Timed {
+    inner: Box<dyn Decider>,
+    spent: Rc<Cell<Duration>>,
+}
+
+impl Timed {
+    fn time<T>(&mut self, work: impl FnOnce(&mut dyn Decider) -> T) -> T {
+        let from = Instant::now();
+        let done = work(self.inner.as_mut());
+        self.spent.set(self.spent.get() + from.elapsed());
+        done
+    }
+}
+
+impl Decider for Timed {
+    fn at(&mut self, now: Duration) {
+        self.inner.at(now);
+    }
+    fn listed(
+        &mut self,
+        name: &str,
+        zone: &str,
+        kind: &str,
+        of: DestinationId,
+        l: Listing,
+        rate: Option<f64>,
+    ) {
+        self.time(|inner| inner.listed(name, zone, kind, of, l, rate));
+    }
+    fn list_ends(&mut self, whole: Option<&BTreeSet<String>>, asked: bool) {
+        self.time(|inner| inner.list_ends(whole, asked));
+    }
+    fn list_failed(&mut self) {
+        self.inner.list_failed();
+    }
+    fn notice(
+        &mut self,
+        id: NoticeId,
+        grade: &str,
+        key: Option<u64>,
+        limit: Duration,
+        tenant: Option<&str>,
+        to: DestinationId,
+    ) -> bool {
+        self.time(|inner| inner.notice(id, grade, key, limit, tenant, to))
+    }
+    fn sent_before(&mut self, id: NoticeId, sends: u32, ran: Option<(Duration, &str)>) {
+        self.time(|inner| inner.sent_before(id, sends, ran));
+    }
+    fn may_go(&self, id: NoticeId, send: u32, now: Duration) -> bool {
+        let from = Instant::now();
+        let goes = self.inner.may_go(id, send, now);
+        self.spent.set(self.spent.get() + from.elapsed());
+        goes
+    }
+    fn outcome(
+        &mut self,
+        id: NoticeId,
+        send: u32,
+        outcome: Outcome,
+        took: Duration,
+        over: bool,
+        report: Option<(f64, f64)>,
+    ) {
+        self.time(|inner| inner.outcome(id, send, outcome, took, over, report));
+    }
+    fn told_by_courier(&mut self, octets: &[u8]) {
+        self.time(|inner| inner.told_by_courier(octets));
+    }
+    fn woken(&mut self) {
+        self.inner.woken();
+    }
+    fn settle(&mut self, hands: &mut dyn Hands) {
+        self.time(|inner| inner.settle(hands));
+    }
+    fn wants_truth(&self) -> bool {
+        self.inner.wants_truth()
+    }
+    fn sees(&mut self, room: &dyn Fn(&str) -> usize) {
+        self.inner.sees(room);
+    }
+}
+
+fn peak_mb() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kb = peak.and_then(|text| text.trim().trim_end_matches(" kB").trim().parse::<f64>().ok());
+    kb.unwrap_or(0.0) / 1024.0
+}
+
+/// Plays one run on this thread.
+pub fn measure(planned: &Planned, run: &Run) -> Cost {
+    let spent = Rc::new(Cell::new(Duration::ZERO));
+    let make = |start: &Start| {
+        let inner = baselines::make(run.decider, &planned.of.baselines, start);
+        Box::new(Timed { inner, spent: spent.clone() }) as Box<dyn Decider>
+    };
+    let from = Instant::now();
+    let report = World::run(&run.variant.day, run.seed, &make, |_, _| {});
+    Cost { report, whole: from.elapsed(), deciders: spent.get(), memory_mb: peak_mb() }
+}
+
+impl Cost {
+    /// One line for a terminal.
+    pub fn line(&self, run: &Run) -> String {
+        let (whole, deciders) = (self.whole.as_secs_f64(), self.deciders.as_secs_f64());
+        let notices = self.report.tally.asked.max(1) as f64;
+        format!(
+            "{} {}, seed {}: {notices} notices in {whole:.2} s, {:.0} a second; deciders {:.2} us each, the emulator \
+             {:.2} us each; {} events; at most {:.0} MB; breaches {}",
+            run.variant.name,
+            run.decider.word(),
+            run.seed,
+            notices / whole,
+            deciders * 1e6 / notices,
+            (whole - deciders) * 1e6 / notices,
+            self.report.events,
+            self.memory_mb,
+            self.report.breaches.len(),
+        )
+    }
+}
--- /dev/null
+++ b/crates/quillhub-net/tests/day.rs
@@ -0,0 +1,136 @@
+//! A short day on loopback with the stand-ins: whatever the timing, every notice ends once, and no mark runs twice.
+
+use quillhub_emulator::{Answered, Day, arrivals};
+use quillhub_stand_ins::clients::{self, Book, Due};
+use quillhub_stand_ins::endpoints::{self, What};
+use quillhub_stand_ins::platform::{self, Register};
+use quillhub_stand_ins::{configuration, scratch};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+
+const DAY: &str = "length = '2 s'
+[couriers]
+slots = 32
+room = 400
+[[grades]]
+name = 'order'
+effect = 'fingerprinted'
+memory = '1 min'
+contract = '1 s'
+limit = '6 s'
+[[grades]]
+name = 'status'
+effect = 'retriable'
+contract = '1 s'
+limit = '4 s'
+[[destinations]]
+kind = 'library'
+count = 4
+endpoints = 2
+workers = 4
+service = { mean = '10 ms' }
+reports = true
+[[destinations]]
+kind = 'school'
+workers = 2
+service = { mean = '10 ms' }
+limit = { per_s = 10.0, span = '1 s', tells = 0.5 }
+[[arrivals]]
+per_s = 60.0
+[[faults]]
+at = '500 ms'
+lasts = '700 ms'
+what = 'refuse'
+whom = { ids = [1] }
+[[faults]]
+at = '500 ms'
+lasts = '700 ms'
+what = { errors = { share = 0.5 } }
+whom = { ids = [2] }
+[[faults]]
+at = '800 ms'
+lasts = '500 ms'
+what = { mute = { share = 0.3 } }
+";
+
+fn day(text: &str) -> &'static Day {
+    let day: Day = toml::from_str(text).unwrap_or_else(|e| panic!("{e}"));
+    day.check().unwrap();
+    Box::leak(Box::new(day))
+}
+
+#[test]
+fn every_notice_of_a_short_day_has_one_end() {
+    let (day, folder) = (day(DAY), scratch::Folder::new());
+    endpoints::cannot_show(day).unwrap();
+    scratch::on_one_thread(async {
+        let started = Instant::now() + Duration::from_millis(200);
+        let ((tell_seen, mut seen), (tell_finals, mut finals)) = (unbounded_channel(), unbounded_channel());
+        let listed = endpoints::start(day, 7, started, tell_seen).await.unwrap();
+        let register = Register::new(&listed);
+        let at = platform::start(register.clone(), tell_finals).await.unwrap();
+        let listen = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let known = register.borrow().list();
+        let text = configuration::courier(day, 7, listen, at, known, 256).to_string();
+        quillhub_net::check(&text).unwrap();
+        let (stop, stopped) = oneshot::channel::<()>();
+        let path = folder.0.clone();
+        let courier = std::thread::spawn(move || {
+            scratch::on_one_thread(async {
+                let stop = async { drop(stopped.await) };
+                quillhub_net::serve(&text, &path, stop, std::future::pending).await
+            })
+        });
+        assert!(clients::ready(listen, Duration::from_secs(30)).await);
+        let book = Book::new(day, 7, started);
+        let dues: Vec<_> = arrivals(day, 7)
+            .into_iter()
+            .map(|a| Due { at: a.at, grade: a.grade, destination: a.destination })
+            .collect();
+        let count = dues.len();
+        let played = spawn_local(clients::play(book.clone(), listen, dues, 16, 50));
+        let mut ran = BTreeMap::<String, u32>::new();
+        while !(played.is_finished() && book.borrow().is_over()) {
+            tokio::select! {
+                Some(one) = seen.recv() => {
+                    let is_run = matches!(one.what, What::Handled | What::RanUnheard);
+                    if let Some(mark) = one.mark.filter(|_| is_run) {
+                        *ran.entry(mark).or_default() += 1;
+                    }
+                    if one.what == What::Handled {
+                        book.borrow_mut().ends(&one.id, one.at, Answered::Handled);
+                    }
+                }
+                Some(last) = finals.recv() => {
+                    let order = book.borrow().ids.get(&last.id).copied();
+                    match order.filter(|_| last.denied) {
+                        Some(order) => clients::denied_later(book.clone(), listen, order, last.wait, 50),
+                        None => drop(book.borrow_mut().ends(&last.id, last.at, Answered::WrittenOff)),
+                    }
+                }
+                () = tokio::time::sleep(Duration::from_millis(50)) => {}
+            }
+        }
+        let book = book.borrow();
+        let handled = book.orders.iter().filter(|o| matches!(o.end, Some((_, Answered::Handled)))).count();
+        assert!(book.orders.len() == count && handled * 2 > count, "{handled} of {count} handled");
+        drop(stop);
+        assert_eq!(courier.join().unwrap(), Ok(()));
+        // Repeats of a mark may come, as its destination drops them; of most there is none.
+        assert!(ran.values().filter(|runs| **runs > 1).count() * 10 < ran.len().max(10));
+    });
+}
+
+#[test]
+fn what_sockets_cannot_show_is_refused_in_one_line() {
+    let text = DAY.replace("what = 'refuse'", "what = { cut = {} }");
+    let told = endpoints::cannot_show(day(&text)).unwrap_err();
+    assert!(
+        told.starts_with("faults[0].what: expected a trouble of endpoints on sockets")
+            && !told.contains('\n')
+    );
+}
