Troubles say what they do as data, so that nothing in the emulator goes in a circle

Change: a kind of trouble gives what it does (Does), the world does and undoes it; the words for troubles are a file of their own.

--- a/crates/quillhub-emulator/src/audit.rs
+++ b/crates/quillhub-emulator/src/audit.rs
@@ -139,7 +139,7 @@
     /// An auditor by the figures of the rules of that day.
     pub fn new(day: &Day) -> Self {
         let rules = &day.returns;
-        let grade = |g: &crate::GradeOf| (g.name.clone(), g.effect, g.memory, g.one_zone, g.in_order);
+        let grade = |g: &crate::day::GradeOf| (g.name.clone(), g.effect, g.memory, g.one_zone, g.in_order);
         Self {
             grades: day.grades.iter().map(grade).collect(),
             grace: rules.grace,
--- a/crates/quillhub-emulator/src/day.rs
+++ b/crates/quillhub-emulator/src/day.rs
@@ -414,22 +414,6 @@
     }
 }
 
-/// Who is struck by a trouble; all that fit, where nothing is said.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Whom {
-    /// Destinations of this kind.
-    pub kind: Option<String>,
-    /// These destinations, or couriers, by number; they begin at 1.
-    pub ids: Vec<u64>,
-    /// Such a share of those that fit, by chance; one at least.
-    pub share: Option<f64>,
-    /// Only so many endpoints of each destination.
-    pub endpoints: Option<usize>,
-    /// Only endpoints, or couriers, of this zone.
-    pub zone: Option<String>,
-}
-
 fn one() -> f64 {
     1.0
 }
--- a/crates/quillhub-emulator/src/decider.rs
+++ b/crates/quillhub-emulator/src/decider.rs
@@ -131,7 +131,7 @@
     courier.idle_close(day.network.idle_close);
     courier.may_tell(day.couriers.notes);
     courier.key_rest(day.returns.key_rest);
-    courier.listing(day.register.form == crate::RegisterForm::Watch, day.register.rates.word());
+    courier.listing(day.register.form == crate::day::RegisterForm::Watch, day.register.rates.word());
     for grade in &day.grades {
         courier.grade(&grade.name, grade.grade());
     }
--- a/crates/quillhub-emulator/src/faults/crash.rs
+++ b/crates/quillhub-emulator/src/faults/crash.rs
@@ -1,7 +1,6 @@
 //! Couriers die at once and come back at the trouble's end, with their folder or without it.
 
-use super::{Planned, Strike};
-use crate::world::World;
+use super::{Does, Planned, Strike};
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -13,9 +12,7 @@
 }
 
 impl Strike for Crash {
-    fn begin(&self, number: usize, planned: &Planned, world: &mut World) {
-        for courier in world.couriers_struck(number, &planned.whom) {
-            world.kill(courier, self.folder_lost, planned.at + planned.lasts);
-        }
+    fn does(&self, _: &Planned) -> Does<'_> {
+        Does::Crash { folder_lost: self.folder_lost }
     }
 }
--- a/crates/quillhub-emulator/src/faults/crowd.rs
+++ b/crates/quillhub-emulator/src/faults/crowd.rs
@@ -1,7 +1,6 @@
 //! So many times as many notices come: a flash crowd, or a hot caller where it names one stream.
 
-use super::{Planned, Strike, Wrong, over_zero};
-use crate::world::World;
+use super::{Does, Planned, Strike, Wrong, over_zero};
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -18,11 +17,7 @@
         over_zero("what.crowd.factor", self.factor)
     }
 
-    fn begin(&self, number: usize, _: &Planned, world: &mut World) {
-        world.crowd(number, self.stream, self.factor);
-    }
-
-    fn end(&self, number: usize, world: &mut World) {
-        world.crowd_leaves(number);
+    fn does(&self, _: &Planned) -> Does<'_> {
+        Does::Crowd { stream: self.stream, factor: self.factor }
     }
 }
--- a/crates/quillhub-emulator/src/faults/cut.rs
+++ b/crates/quillhub-emulator/src/faults/cut.rs
@@ -1,8 +1,7 @@
 //! The way from one zone to another is cut, in that direction only: nothing arrives, and nobody is told.
 
-use super::{Planned, Strike};
-use crate::network::How;
-use crate::world::World;
+use super::{Does, Planned, Strike};
+use crate::trouble::How;
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -16,7 +15,7 @@
 }
 
 impl Strike for Cut {
-    fn begin(&self, number: usize, _: &Planned, world: &mut World) {
-        world.spoil(number, &self.from, &self.to, How::Cut);
+    fn does(&self, _: &Planned) -> Does<'_> {
+        Does::Spoil { from: &self.from, to: &self.to, how: How::Cut }
     }
 }
--- a/crates/quillhub-emulator/src/faults/delay.rs
+++ b/crates/quillhub-emulator/src/faults/delay.rs
@@ -1,8 +1,7 @@
 //! The way from one zone to another takes so much longer.
 
-use super::{Planned, Strike};
-use crate::network::How;
-use crate::world::World;
+use super::{Does, Planned, Strike};
+use crate::trouble::How;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -19,7 +18,7 @@
 }
 
 impl Strike for Delay {
-    fn begin(&self, number: usize, _: &Planned, world: &mut World) {
-        world.spoil(number, &self.from, &self.to, How::Slower(self.more));
+    fn does(&self, _: &Planned) -> Does<'_> {
+        Does::Spoil { from: &self.from, to: &self.to, how: How::Slower(self.more) }
     }
 }
--- a/crates/quillhub-emulator/src/faults/drain.rs
+++ b/crates/quillhub-emulator/src/faults/drain.rs
@@ -1,8 +1,7 @@
 //! Endpoints drain, one after the other over the trouble's time, and are gone a while after; each may be replaced by
 //! one with a new id, at an address of its own or at the old one.
 
-use super::{Planned, Strike};
-use crate::world::World;
+use super::{Does, Planned, Strike};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -29,7 +28,7 @@
 }
 
 impl Strike for Drain {
-    fn begin(&self, number: usize, planned: &Planned, world: &mut World) {
-        world.drain(number, planned, self);
+    fn does(&self, _: &Planned) -> Does<'_> {
+        Does::Drain(self)
     }
 }
--- a/crates/quillhub-emulator/src/faults/errors.rs
+++ b/crates/quillhub-emulator/src/faults/errors.rs
@@ -1,7 +1,7 @@
 //! Endpoints fail a share of the calls, quickly.
 
-use super::{Planned, Strike, Wrong, share};
-use crate::server::Trouble;
+use super::{Does, Planned, Strike, Wrong, share};
+use crate::trouble::Trouble;
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -15,7 +15,7 @@
         share("what.errors.share", self.share)
     }
 
-    fn trouble(&self, _: &Planned) -> Option<Trouble> {
-        Some(Trouble::Errs(self.share))
+    fn does(&self, _: &Planned) -> Does<'_> {
+        Does::Strike(Trouble::Errs(self.share))
     }
 }
--- a/crates/quillhub-emulator/src/faults/handshake.rs
+++ b/crates/quillhub-emulator/src/faults/handshake.rs
@@ -1,7 +1,7 @@
 //! Opening a connection takes so much longer.
 
-use super::{Planned, Strike};
-use crate::server::Trouble;
+use super::{Does, Planned, Strike};
+use crate::trouble::Trouble;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
 }
 
 impl Strike for Handshake {
-    fn trouble(&self, _: &Planned) -> Option<Trouble> {
-        Some(Trouble::Handshake(self.more))
+    fn does(&self, _: &Planned) -> Does<'_> {
+        Does::Strike(Trouble::Handshake(self.more))
     }
 }
--- a/crates/quillhub-emulator/src/faults/hang.rs
+++ b/crates/quillhub-emulator/src/faults/hang.rs
@@ -1,12 +1,12 @@
 //! Endpoints take calls and answer none; some of these run all the same.
 
-use super::{Planned, Strike};
-use crate::server::Trouble;
+use super::{Does, Planned, Strike};
+use crate::trouble::Trouble;
 
 pub(crate) struct Hang;
 
 impl Strike for Hang {
-    fn trouble(&self, _: &Planned) -> Option<Trouble> {
-        Some(Trouble::Hangs)
+    fn does(&self, _: &Planned) -> Does<'_> {
+        Does::Strike(Trouble::Hangs)
     }
 }
--- a/crates/quillhub-emulator/src/faults/hot.rs
+++ b/crates/quillhub-emulator/src/faults/hot.rs
@@ -1,7 +1,6 @@
 //! The destinations struck get so many times their share of all notices; how many come stays as it was.
 
-use super::{Planned, Strike, Wrong, over_zero};
-use crate::world::World;
+use super::{Does, Planned, Strike, Wrong, over_zero};
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -15,11 +14,7 @@
         over_zero("what.hot.factor", self.factor)
     }
 
-    fn begin(&self, number: usize, planned: &Planned, world: &mut World) {
-        world.heat(number, &planned.whom, self.factor);
-    }
-
-    fn end(&self, number: usize, world: &mut World) {
-        world.cool(number);
+    fn does(&self, _: &Planned) -> Does<'_> {
+        Does::Heat(self.factor)
     }
 }
--- a/crates/quillhub-emulator/src/faults/loss.rs
+++ b/crates/quillhub-emulator/src/faults/loss.rs
@@ -1,8 +1,7 @@
 //! A share of what goes from one zone to another does not arrive.
 
-use super::{Planned, Strike, Wrong, share};
-use crate::network::How;
-use crate::world::World;
+use super::{Does, Planned, Strike, Wrong, share};
+use crate::trouble::How;
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -21,7 +20,7 @@
         share("what.loss.share", self.share)
     }
 
-    fn begin(&self, number: usize, _: &Planned, world: &mut World) {
-        world.spoil(number, &self.from, &self.to, How::Loses(self.share));
+    fn does(&self, _: &Planned) -> Does<'_> {
+        Does::Spoil { from: &self.from, to: &self.to, how: How::Loses(self.share) }
     }
 }
--- a/crates/quillhub-emulator/src/faults/mod.rs
+++ b/crates/quillhub-emulator/src/faults/mod.rs
@@ -22,9 +22,7 @@
 mod stale;
 mod stall;
 
-use crate::day::Whom;
-use crate::server::Trouble;
-use crate::world::World;
+use crate::trouble::{How, Trouble};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -58,6 +56,22 @@
     pub whom: Whom,
 }
 
+/// Who is struck by a trouble; all that fit, where nothing is said.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Whom {
+    /// Destinations of this kind.
+    pub kind: Option<String>,
+    /// These destinations, or couriers, by number; they begin at 1.
+    pub ids: Vec<u64>,
+    /// Such a share of those that fit, by chance; one at least.
+    pub share: Option<f64>,
+    /// Only so many endpoints of each destination.
+    pub endpoints: Option<usize>,
+    /// Only endpoints, or couriers, of this zone.
+    pub zone: Option<String>,
+}
+
 /// The kinds of trouble; those with nothing more to say are written as a word, others as a table of one row.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -99,22 +113,42 @@
     if value > 0.0 && value.is_finite() { Ok(()) } else { wrong(field, "a number over 0", value) }
 }
 
-/// What a kind of trouble does; `number` names this one among the day's.
+/// What a trouble does to the world, from its begin to its end.
+pub(crate) enum Does<'a> {
+    /// To the endpoints struck.
+    Strike(Trouble),
+    /// To the ways from one zone to another; absent, any.
+    Spoil {
+        from: &'a Option<String>,
+        to: &'a Option<String>,
+        how: How,
+    },
+    /// The register is so much later, or out of reach.
+    Register(Option<Duration>),
+    /// A list without such a share of the endpoints struck is told, and the true one at the end.
+    Partial(f64),
+    Drain(&'a Drain),
+    Crash {
+        folder_lost: bool,
+    },
+    Stall,
+    Notes {
+        lost: f64,
+        late: Duration,
+    },
+    Crowd {
+        stream: Option<usize>,
+        factor: f64,
+    },
+    Heat(f64),
+}
+
+/// A kind of trouble.
 pub(crate) trait Strike {
     fn check(&self) -> Wrong {
         Ok(())
     }
-    /// What it does to an endpoint, where that is all.
-    fn trouble(&self, _: &Planned) -> Option<Trouble> {
-        None
-    }
-    fn begin(&self, number: usize, planned: &Planned, world: &mut World) {
-        if let Some(trouble) = self.trouble(planned) {
-            world.strike(number, &planned.whom, trouble);
-        }
-    }
-    /// Undoes what `begin` did, where [`World::relieve`] does not.
-    fn end(&self, _number: usize, _world: &mut World) {}
+    fn does(&self, planned: &Planned) -> Does<'_>;
 }
 
 impl Fault {
@@ -162,16 +196,7 @@
         from.iter().chain(to).collect()
     }
 
-    pub(crate) fn trouble(&self, planned: &Planned) -> Option<Trouble> {
-        self.kind().trouble(planned)
-    }
-
-    pub(crate) fn begin(&self, number: usize, planned: &Planned, world: &mut World) {
-        self.kind().begin(number, planned, world);
-    }
-
-    pub(crate) fn end(&self, number: usize, world: &mut World) {
-        self.kind().end(number, world);
-        world.relieve(number);
+    pub(crate) fn does(&self, planned: &Planned) -> Does<'_> {
+        self.kind().does(planned)
     }
 }
--- a/crates/quillhub-emulator/src/faults/mute.rs
+++ b/crates/quillhub-emulator/src/faults/mute.rs
@@ -1,7 +1,7 @@
 //! A share of the answers is lost once their calls have run.
 
-use super::{Planned, Strike, Wrong, share};
-use crate::server::Trouble;
+use super::{Does, Planned, Strike, Wrong, share};
+use crate::trouble::Trouble;
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -15,7 +15,7 @@
         share("what.mute.share", self.share)
     }
 
-    fn trouble(&self, _: &Planned) -> Option<Trouble> {
-        Some(Trouble::Mutes(self.share))
+    fn does(&self, _: &Planned) -> Does<'_> {
+        Does::Strike(Trouble::Mutes(self.share))
     }
 }
--- a/crates/quillhub-emulator/src/faults/notes.rs
+++ b/crates/quillhub-emulator/src/faults/notes.rs
@@ -1,7 +1,6 @@
 //! Notes between couriers are lost, or come so much later.
 
-use super::{Planned, Strike, Wrong, share};
-use crate::world::World;
+use super::{Does, Planned, Strike, Wrong, share};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -20,11 +19,7 @@
         share("what.notes.lost", self.lost)
     }
 
-    fn begin(&self, number: usize, _: &Planned, world: &mut World) {
-        world.notes_troubled(number, self.lost, self.late);
-    }
-
-    fn end(&self, number: usize, world: &mut World) {
-        world.notes_back(number);
+    fn does(&self, _: &Planned) -> Does<'_> {
+        Does::Notes { lost: self.lost, late: self.late }
     }
 }
--- a/crates/quillhub-emulator/src/faults/partial.rs
+++ b/crates/quillhub-emulator/src/faults/partial.rs
@@ -1,7 +1,6 @@
 //! The register tells a whole list in which a share of the endpoints is missing, and the true one at its end.
 
-use super::{Planned, Strike, Wrong, share};
-use crate::world::World;
+use super::{Does, Planned, Strike, Wrong, share};
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -16,11 +15,7 @@
         share("what.partial.share", self.share)
     }
 
-    fn begin(&self, number: usize, planned: &Planned, world: &mut World) {
-        world.tell_part(number, planned, self.share);
-    }
-
-    fn end(&self, _: usize, world: &mut World) {
-        world.tell_all();
+    fn does(&self, _: &Planned) -> Does<'_> {
+        Does::Partial(self.share)
     }
 }
--- a/crates/quillhub-emulator/src/faults/refuse.rs
+++ b/crates/quillhub-emulator/src/faults/refuse.rs
@@ -1,12 +1,12 @@
 //! Endpoints refuse connections; those that stood are reset, and what ran there is cut off.
 
-use super::{Planned, Strike};
-use crate::server::Trouble;
+use super::{Does, Planned, Strike};
+use crate::trouble::Trouble;
 
 pub(crate) struct Refuse;
 
 impl Strike for Refuse {
-    fn trouble(&self, _: &Planned) -> Option<Trouble> {
-        Some(Trouble::Refuses)
+    fn does(&self, _: &Planned) -> Does<'_> {
+        Does::Strike(Trouble::Refuses)
     }
 }
--- a/crates/quillhub-emulator/src/faults/register.rs
+++ b/crates/quillhub-emulator/src/faults/register.rs
@@ -1,7 +1,6 @@
 //! The register is out of reach, or so much later than usual; what changes then is told when it is back.
 
-use super::{Planned, Strike};
-use crate::world::World;
+use super::{Does, Planned, Strike};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -14,11 +13,7 @@
 }
 
 impl Strike for Register {
-    fn begin(&self, number: usize, _: &Planned, world: &mut World) {
-        world.register_troubled(number, self.late);
-    }
-
-    fn end(&self, number: usize, world: &mut World) {
-        world.register_back(number);
+    fn does(&self, _: &Planned) -> Does<'_> {
+        Does::Register(self.late)
     }
 }
--- a/crates/quillhub-emulator/src/faults/shut.rs
+++ b/crates/quillhub-emulator/src/faults/shut.rs
@@ -1,7 +1,7 @@
 //! Destinations are shut: every call is turned away unseen, with the wait told or without.
 
-use super::{Planned, Strike};
-use crate::server::Trouble;
+use super::{Does, Planned, Strike};
+use crate::trouble::Trouble;
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -13,7 +13,7 @@
 }
 
 impl Strike for Shut {
-    fn trouble(&self, planned: &Planned) -> Option<Trouble> {
-        Some(Trouble::Shut { until: self.tells.then(|| planned.at + planned.lasts) })
+    fn does(&self, planned: &Planned) -> Does<'_> {
+        Does::Strike(Trouble::Shut { until: self.tells.then(|| planned.at + planned.lasts) })
     }
 }
--- a/crates/quillhub-emulator/src/faults/slow.rs
+++ b/crates/quillhub-emulator/src/faults/slow.rs
@@ -1,7 +1,7 @@
 //! Calls take so many times as long at endpoints.
 
-use super::{Planned, Strike, Wrong, over_zero};
-use crate::server::Trouble;
+use super::{Does, Planned, Strike, Wrong, over_zero};
+use crate::trouble::Trouble;
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -15,7 +15,7 @@
         over_zero("what.slow.factor", self.factor)
     }
 
-    fn trouble(&self, _: &Planned) -> Option<Trouble> {
-        Some(Trouble::Slow(self.factor))
+    fn does(&self, _: &Planned) -> Does<'_> {
+        Does::Strike(Trouble::Slow(self.factor))
     }
 }
--- a/crates/quillhub-emulator/src/faults/stale.rs
+++ b/crates/quillhub-emulator/src/faults/stale.rs
@@ -1,7 +1,7 @@
 //! A share of the kept connections is dead, which shows only when one is used.
 
-use super::{Planned, Strike, Wrong, share};
-use crate::server::Trouble;
+use super::{Does, Planned, Strike, Wrong, share};
+use crate::trouble::Trouble;
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -15,7 +15,7 @@
         share("what.stale.share", self.share)
     }
 
-    fn trouble(&self, _: &Planned) -> Option<Trouble> {
-        Some(Trouble::Stale(self.share))
+    fn does(&self, _: &Planned) -> Does<'_> {
+        Does::Strike(Trouble::Stale(self.share))
     }
 }
--- a/crates/quillhub-emulator/src/lib.rs
+++ b/crates/quillhub-emulator/src/lib.rs
@@ -50,16 +50,18 @@
 mod server;
 mod site;
 mod tally;
+mod trouble;
 mod world;
 
 pub use audit::{Auditor, Breach, Rule};
 pub use clients::{Arrival, arrivals};
 pub use day::{
     Arrivals, Couriers, Day, Destinations, GradeOf, Law, LimitOf, Network, Pattern, Register, RegisterForm,
-    Returns, Service, Whom,
+    Returns, Service,
 };
 pub use decider::{Decider, Start, module};
 pub use fact::{Answered, Fact, line};
+pub use faults::Whom;
 pub use site::{Site, Taken};
 pub use tally::{Second, Tally};
 pub use world::{Report, World};
--- a/crates/quillhub-emulator/src/network.rs
+++ b/crates/quillhub-emulator/src/network.rs
@@ -1,6 +1,7 @@
 //! The network between couriers and endpoints: delays, and what goes wrong on the way between two zones.
 
 use crate::day::Network;
+use crate::trouble::How;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
@@ -23,16 +24,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum How {
-    /// Nothing gets through, and nobody is told.
-    Cut,
-    /// Such a share of what is sent does not arrive.
-    Loses(f64),
-    /// So much longer on the way.
-    Slower(Duration),
-}
-
 pub(crate) struct Ways {
     pub(crate) of: Network,
     /// What is wrong now; each goes with the end of its fault.
--- a/crates/quillhub-emulator/src/server.rs
+++ b/crates/quillhub-emulator/src/server.rs
@@ -3,43 +3,10 @@
 
 use crate::day::{Destinations, Returns};
 use crate::limit::Limit;
+use crate::trouble::Trouble;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-/// What is wrong with a server, by the fault that did it; several hold at once.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum Trouble {
-    /// Connections are refused, and those that stood are reset.
-    Refuses,
-    /// Calls are taken and none is answered; connections come up.
-    Hangs,
-    /// Nothing at all comes back, not even for a connection.
-    Silent,
-    /// Such a share of the calls fails at once.
-    Errs(f64),
-    /// All are turned away; told when it opens or not.
-    Shut { until: Option<Duration> },
-    /// Calls take so many times as long.
-    Slow(f64),
-    /// Such a share of the answers is lost after their calls ran.
-    Mutes(f64),
-    /// Such a share of the kept connections is dead when used.
-    Stale(f64),
-    /// Opening a connection takes so much longer.
-    Handshake(Duration),
-}
-
-impl Trouble {
-    /// Whether an endpoint struck by it counts as out: down, silent, hung, shut, or most calls failing.
-    fn is_outage(self) -> bool {
-        match self {
-            Self::Refuses | Self::Hangs | Self::Silent | Self::Shut { .. } => true,
-            Self::Errs(share) => share > 0.5,
-            _ => false,
-        }
-    }
-}
-
 /// What shares one limit and returns as one.
 pub(crate) struct Route {
     pub(crate) limit: Option<Limit>,
--- a/crates/quillhub-emulator/src/site.rs
+++ b/crates/quillhub-emulator/src/site.rs
@@ -1,9 +1,11 @@
 //! All destinations of a day as one thing: what is where, who is struck, and what an endpoint does with a call that
 //! came. No events and no couriers: the world drives it in virtual time, stand-ins drive it on sockets.
 
-use crate::day::{Day, Whom};
+use crate::day::Day;
+use crate::faults::{Does, Whom};
 use crate::limit::Limit;
-use crate::server::{Route, Server, Trouble, warmth};
+use crate::server::{Route, Server, warmth};
+use crate::trouble::Trouble;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -264,7 +266,7 @@
     /// A trouble of the day begins, as far as it strikes endpoints; nothing if it does not. The servers that it struck.
     pub fn begins_fault(&mut self, number: usize, now: Duration) -> Option<Vec<usize>> {
         let planned = &self.day.faults[number];
-        let trouble = planned.what.trouble(planned)?;
+        let Does::Strike(trouble) = planned.what.does(planned) else { return None };
         let struck = self.struck(number, &planned.whom, |_| true);
         for at in &struck {
             self.troubled(*at, number, trouble);
--- a/crates/quillhub-emulator/src/world.rs
+++ b/crates/quillhub-emulator/src/world.rs
@@ -2,14 +2,14 @@
 
 use crate::audit::{Auditor, Breach};
 use crate::clients::{Order, Shares, Stream, stream_chance};
-use crate::day::{Day, EffectOf, RegisterForm, Whom};
+use crate::day::{Day, EffectOf, RegisterForm};
 use crate::decider::{Decider, Start};
 use crate::fact::{Answered, Fact};
-use crate::faults::{self, Planned};
-use crate::network::{How, Spoilt, Ways};
-use crate::server::Trouble;
+use crate::faults::{Does, Drain, Planned, Whom};
+use crate::network::{Spoilt, Ways};
 use crate::site::{Site, Taken, Turn, chance};
 use crate::tally::Tally;
+use crate::trouble::{How, Trouble};
 use quillhub::{DestinationId, Hands, Listing, NoticeId, Outcome};
 use rand::RngExt;
 use rand::seq::SliceRandom;
@@ -83,11 +83,11 @@
     },
     Drains {
         entry: usize,
-        by: faults::Drain,
+        by: Drain,
     },
     Gone {
         entry: usize,
-        by: faults::Drain,
+        by: Drain,
     },
     Rises {
         courier: usize,
@@ -461,12 +461,11 @@
             }
             Event::Begins { fault } => {
                 self.fact(&Fact::Trouble { number: fault, begins: true });
-                let planned = &self.day.faults[fault];
-                planned.what.begin(fault, planned, self);
+                self.begins(fault);
             }
             Event::Passes { fault } => {
                 self.fact(&Fact::Trouble { number: fault, begins: false });
-                self.day.faults[fault].what.end(fault, self);
+                self.passes(fault);
             }
             Event::Drains { entry, by } => {
                 self.list_changes(entry, Listing::Draining);
@@ -895,7 +894,65 @@
         self.site.room(entry.server, self.now)
     }
 
-    // Troubles. What follows is called by the kinds in `faults`.
+    // Troubles.
+
+    fn begins(&mut self, number: usize) {
+        let planned = &self.day.faults[number];
+        let (whom, until) = (&planned.whom, planned.at + planned.lasts);
+        match planned.what.does(planned) {
+            Does::Strike(trouble) => {
+                for server in self.servers_struck(number, whom) {
+                    self.trouble(server, number, trouble);
+                }
+            }
+            Does::Spoil { from, to, how } => self.spoil(number, from, to, how),
+            Does::Register(late) => self.register_troubled(number, late),
+            Does::Partial(share) => self.tell_part(number, planned, share),
+            Does::Drain(by) => self.drain(number, planned, by),
+            Does::Crash { folder_lost } => {
+                for courier in self.couriers_struck(number, whom) {
+                    self.kill(courier, folder_lost, until);
+                }
+            }
+            Does::Stall => {
+                for courier in self.couriers_struck(number, whom) {
+                    self.stall(courier, until);
+                }
+            }
+            Does::Notes { lost, late } => self.note_faults.push((number, lost, late)),
+            Does::Crowd { stream, factor } => self.crowd(number, stream, factor),
+            Does::Heat(factor) => {
+                let struck = self.servers_struck(number, whom);
+                let struck = struck.into_iter().map(|at| self.site.servers[at].destination).collect();
+                self.heat.push((number, struck, factor));
+                self.weigh();
+            }
+        }
+    }
+
+    /// Undoes what a trouble did, as far as it does not end by itself.
+    fn passes(&mut self, number: usize) {
+        let planned = &self.day.faults[number];
+        match planned.what.does(planned) {
+            Does::Strike(_) => {
+                for at in self.site.relieved(number) {
+                    self.route_changes(self.site.servers[at].route);
+                }
+            }
+            Does::Spoil { .. } => self.ways.spoilt.retain(|spoilt| spoilt.fault != number),
+            Does::Register(_) => self.register_back(number),
+            Does::Partial(_) => self.tell_all(),
+            Does::Notes { .. } => self.note_faults.retain(|fault| fault.0 != number),
+            Does::Crowd { .. } => {
+                self.streams.iter_mut().for_each(|stream| stream.factors.retain(|f| f.0 != number));
+            }
+            Does::Heat(_) => {
+                self.heat.retain(|heat| heat.0 != number);
+                self.weigh();
+            }
+            Does::Drain(_) | Does::Crash { .. } | Does::Stall => {}
+        }
+    }
 
     /// The servers that are struck, of those behind an endpoint that is listed as open.
     fn servers_struck(&self, number: usize, whom: &Whom) -> Vec<usize> {
@@ -904,7 +961,7 @@
         self.site.struck(number, whom, |server| open.contains(&server))
     }
 
-    pub(crate) fn couriers_struck(&self, number: usize, whom: &Whom) -> Vec<usize> {
+    fn couriers_struck(&self, number: usize, whom: &Whom) -> Vec<usize> {
         let mut rng = chance(self.seed, 1 << 48 | number as u64);
         let zone = |at: &usize| &self.day.couriers.zones[self.couriers[*at].zone];
         let mut all: Vec<_> = (0..self.couriers.len())
@@ -918,12 +975,6 @@
         all
     }
 
-    pub(crate) fn strike(&mut self, number: usize, whom: &Whom, trouble: Trouble) {
-        for server in self.servers_struck(number, whom) {
-            self.trouble(server, number, trouble);
-        }
-    }
-
     fn trouble(&mut self, at: usize, number: usize, trouble: Trouble) {
         self.site.troubled(at, number, trouble);
         if trouble == Trouble::Refuses {
@@ -959,15 +1010,7 @@
         }
     }
 
-    /// Ends what a trouble did to endpoints and to the network.
-    pub(crate) fn relieve(&mut self, number: usize) {
-        self.ways.spoilt.retain(|spoilt| spoilt.fault != number);
-        for at in self.site.relieved(number) {
-            self.route_changes(self.site.servers[at].route);
-        }
-    }
-
-    pub(crate) fn spoil(&mut self, fault: usize, from: &Option<String>, to: &Option<String>, how: How) {
+    fn spoil(&mut self, fault: usize, from: &Option<String>, to: &Option<String>, how: How) {
         let zone = |name: &Option<String>| {
             name.as_ref().and_then(|name| self.day.couriers.zones.iter().position(|zone| zone == name))
         };
@@ -975,43 +1018,19 @@
         self.ways.spoilt.push(Spoilt { fault, from, to, how });
     }
 
-    pub(crate) fn notes_troubled(&mut self, number: usize, lost: f64, late: Duration) {
-        self.note_faults.push((number, lost, late));
-    }
-
-    pub(crate) fn notes_back(&mut self, number: usize) {
-        self.note_faults.retain(|fault| fault.0 != number);
-    }
-
-    pub(crate) fn crowd(&mut self, number: usize, stream: Option<usize>, factor: f64) {
+    fn crowd(&mut self, number: usize, stream: Option<usize>, factor: f64) {
         let all = self.streams.iter_mut().enumerate();
         let struck = all.filter(|(at, _)| stream.is_none_or(|one| one == *at));
         struck.for_each(|(_, stream)| stream.factors.push((number, factor)));
     }
 
-    pub(crate) fn crowd_leaves(&mut self, number: usize) {
-        self.streams.iter_mut().for_each(|stream| stream.factors.retain(|f| f.0 != number));
-    }
-
-    pub(crate) fn heat(&mut self, number: usize, whom: &Whom, factor: f64) {
-        let struck = self.servers_struck(number, whom);
-        let struck = struck.into_iter().map(|at| self.site.servers[at].destination).collect();
-        self.heat.push((number, struck, factor));
-        self.weigh();
-    }
-
-    pub(crate) fn cool(&mut self, number: usize) {
-        self.heat.retain(|heat| heat.0 != number);
-        self.weigh();
-    }
-
-    pub(crate) fn stall(&mut self, courier: usize, until: Duration) {
+    fn stall(&mut self, courier: usize, until: Duration) {
         let post = &mut self.couriers[courier];
         post.still = post.still.max(until);
         self.fact(&Fact::Still { courier, until });
     }
 
-    pub(crate) fn kill(&mut self, courier: usize, folder_lost: bool, until: Duration) {
+    fn kill(&mut self, courier: usize, folder_lost: bool, until: Duration) {
         let now = self.now;
         let post = &mut self.couriers[courier];
         if !post.alive {
@@ -1083,7 +1102,7 @@
 
     // The register.
 
-    pub(crate) fn register_troubled(&mut self, number: usize, late: Option<Duration>) {
+    fn register_troubled(&mut self, number: usize, late: Option<Duration>) {
         self.register_faults.push((number, late));
         if late.is_none() && self.day.register.form == RegisterForm::Watch {
             for courier in 0..self.couriers.len() {
@@ -1096,7 +1115,7 @@
         }
     }
 
-    pub(crate) fn register_back(&mut self, number: usize) {
+    fn register_back(&mut self, number: usize) {
         self.register_faults.retain(|fault| fault.0 != number);
         if self.day.register.form == RegisterForm::Push {
             self.tell_all();
@@ -1198,12 +1217,12 @@
     }
 
     /// The true list to all who hear.
-    pub(crate) fn tell_all(&mut self) {
+    fn tell_all(&mut self) {
         let rows = self.rows();
         self.tell_everybody(&rows);
     }
 
-    pub(crate) fn tell_part(&mut self, number: usize, planned: &Planned, share: f64) {
+    fn tell_part(&mut self, number: usize, planned: &Planned, share: f64) {
         let mut rng = chance(self.seed, 1 << 48 | number as u64);
         let struck: BTreeSet<_> = self.servers_struck(number, &planned.whom).into_iter().collect();
         let mut rows = self.rows();
@@ -1222,7 +1241,7 @@
         }
     }
 
-    pub(crate) fn drain(&mut self, number: usize, planned: &Planned, by: &faults::Drain) {
+    fn drain(&mut self, number: usize, planned: &Planned, by: &Drain) {
         let struck: BTreeSet<_> = self.servers_struck(number, &planned.whom).into_iter().collect();
         let live = self.entries.iter().enumerate();
         let live = live.filter(|(_, e)| e.listing == Listing::Open && struck.contains(&e.server));
