Register, drains and crowds on sockets too; arrivals are proved the same in both worlds

Need: load on sockets is to show the same schedule of troubles as the emulator, as far as loopback can. Change: a register out of reach, drains (with a new id at the old address or none) and crowds are played by the stand-ins; what cannot be shown is refused before anything starts.

--- a/crates/quillhub-emulator/src/clients.rs
+++ b/crates/quillhub-emulator/src/clients.rs
@@ -77,14 +77,18 @@
     pub destination: DestinationId,
 }
 
-/// All arrivals of a day, in order, as the world has them too; troubles of clients are left out.
+/// All arrivals of a day, in order, as the world has them too; crowds among its troubles are in them, hot
+/// destinations are not.
 pub fn arrivals(day: &Day, seed: u64) -> Vec<Arrival> {
     let shares = Shares::of(day, |_| 1.0);
     let mut all = Vec::new();
     for (nth, of) in day.arrivals.iter().enumerate() {
         let mut stream = Stream::new(stream_chance(seed, nth));
         let mut now = Duration::ZERO;
-        while let Some((at, many)) = stream.next(of, now, day) {
+        loop {
+            let on = day.faults.iter().enumerate().filter(|(_, f)| (f.at..f.at + f.lasts).contains(&now));
+            stream.factors = on.filter_map(|(number, f)| Some((number, f.crowds(nth)?))).collect();
+            let Some((at, many)) = stream.next(of, now, day) else { break };
             now = at;
             let destination = stream.destination(of, &shares);
             for _ in 0..many {
@@ -212,4 +216,28 @@
         let part = "{ law = 'part', every = '10 s', from = '5 s' }";
         assert_eq!((count(part, 0.0, 9.999), count(part, 0.0, 5.0)), (200, 0));
     }
+
+    #[test]
+    fn arrivals_are_those_that_the_world_has() {
+        let text = "length = '20 s'
+            couriers = {}
+            grades = [{ name = 'g', effect = 'retriable', contract = '1 s', limit = '5 s' },
+                { name = 'h', effect = 'retriable', contract = '1 s', limit = '5 s' }]
+            destinations = [{ kind = 'k', count = 5, skew = 1.0, service = { mean = '10 ms' } }]
+            arrivals = [{ per_s = 9.0, pattern = { law = 'bursts', of = 3.0 } }, { per_s = 5.0, keys = 4 }]
+            faults = [{ at = '5 s', lasts = '5 s', what = { crowd = { factor = 4.0 } } }]";
+        let day: Day = toml::from_str(text).unwrap();
+        day.check().unwrap();
+        let (mut orders, mut seen) = (std::collections::BTreeSet::new(), Vec::new());
+        crate::World::run(&day, 3, &crate::module, |at, fact| {
+            if let crate::Fact::Taken { order, grade, destination, .. } = fact
+                && orders.insert(*order)
+            {
+                seen.push((at, *destination, grade.to_string()));
+            }
+        });
+        let name = |a: &Arrival| (a.at, a.destination, day.grades[a.grade].name.clone());
+        let told: Vec<_> = arrivals(&day, 3).iter().map(name).collect();
+        assert!(told.len() > 400 && told == seen, "{} and {}", told.len(), seen.len());
+    }
 }
--- a/crates/quillhub-emulator/src/faults/mod.rs
+++ b/crates/quillhub-emulator/src/faults/mod.rs
@@ -72,6 +72,16 @@
     pub zone: Option<String>,
 }
 
+impl Planned {
+    /// How many times as much of a stream comes by it.
+    pub(crate) fn crowds(&self, nth: usize) -> Option<f64> {
+        match self.what.does(self) {
+            Does::Crowd { stream, factor } if stream.is_none_or(|one| one == nth) => Some(factor),
+            _ => None,
+        }
+    }
+}
+
 /// The kinds of trouble; those with nothing more to say are written as a word, others as a table of one row.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/quillhub-emulator/src/lib.rs
+++ b/crates/quillhub-emulator/src/lib.rs
@@ -62,6 +62,6 @@
 pub use decider::{Decider, Start, module};
 pub use fact::{Answered, Fact, line};
 pub use faults::Whom;
-pub use site::{Site, Taken};
+pub use site::{Shown, Site, Taken};
 pub use tally::{Second, Tally};
 pub use world::{Report, World};
--- a/crates/quillhub-emulator/src/site.rs
+++ b/crates/quillhub-emulator/src/site.rs
@@ -2,7 +2,7 @@
 //! came. No events and no couriers: the world drives it in virtual time, stand-ins drive it on sockets.
 
 use crate::day::Day;
-use crate::faults::{Does, Whom};
+use crate::faults::{Does, Drain, Whom};
 use crate::limit::Limit;
 use crate::server::{Route, Server, warmth};
 use crate::trouble::Trouble;
@@ -39,6 +39,21 @@
     Queues,
 }
 
+/// What stand-ins on sockets have to do for a trouble of a day.
+#[derive(Clone, Copy, Debug)]
+pub enum Shown<'a> {
+    /// Nothing but [`Site::begins_fault`].
+    ByEndpoints,
+    /// The register is out of reach.
+    ByRegister,
+    /// These servers drain, one after the other.
+    ByDrain(&'a Drain),
+    /// It is in [`crate::arrivals`] already.
+    ByArrivals,
+    /// It cannot be shown there.
+    Not,
+}
+
 /// What changed for a route by a trouble's begin or end.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Turn {
@@ -263,6 +278,18 @@
         struck
     }
 
+    /// What a trouble of the day is on sockets. A new endpoint at a new address is more than stand-ins do.
+    pub fn shown(&self, number: usize) -> Shown<'a> {
+        let planned = &self.day.faults[number];
+        match planned.what.does(planned) {
+            Does::Strike(_) => Shown::ByEndpoints,
+            Does::Register(None) => Shown::ByRegister,
+            Does::Drain(by) if by.same_address || !by.replaced => Shown::ByDrain(by),
+            Does::Crowd { .. } => Shown::ByArrivals,
+            _ => Shown::Not,
+        }
+    }
+
     /// A trouble of the day begins, as far as it strikes endpoints; nothing if it does not. The servers that it struck.
     pub fn begins_fault(&mut self, number: usize, now: Duration) -> Option<Vec<usize>> {
         let planned = &self.day.faults[number];
--- a/crates/quillhub-lab/src/load.rs
+++ b/crates/quillhub-lab/src/load.rs
@@ -79,7 +79,9 @@
         scratch::on_one_thread(async move {
             let made = async {
                 let listed = endpoints::start(day, seed, started, tell_seen).await?;
-                let at = platform::start(Register::new(&listed), tell_finals).await?;
+                let register = Register::new(&listed);
+                let at = platform::start(register.clone(), tell_finals).await?;
+                platform::troubles(day, seed, started, &register);
                 Ok::<_, std::io::Error>((listed, at))
             };
             let _ = tell.send(made.await.map_err(|e| format!("a stand-in cannot start: {e}")));
--- a/crates/quillhub-net/tests/day.rs
+++ b/crates/quillhub-net/tests/day.rs
@@ -55,6 +55,15 @@
 at = '800 ms'
 lasts = '500 ms'
 what = { mute = { share = 0.3 } }
+[[faults]]
+at = '900 ms'
+lasts = '500 ms'
+what = { drain = { gone_after = '300 ms', same_address = true } }
+whom = { ids = [3], endpoints = 1 }
+[[faults]]
+at = '300 ms'
+lasts = '300 ms'
+what = { crowd = { factor = 3.0 } }
 ";
 
 fn day(text: &str) -> &'static Day {
@@ -73,6 +82,7 @@
         let listed = endpoints::start(day, 7, started, tell_seen).await.unwrap();
         let register = Register::new(&listed);
         let at = platform::start(register.clone(), tell_finals).await.unwrap();
+        platform::troubles(day, 7, started, &register);
         let listen = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
         let known = register.borrow().list();
         let text = configuration::courier(day, 7, listen, at, known, 256).to_string();
@@ -130,7 +140,6 @@
     let text = DAY.replace("what = 'refuse'", "what = { cut = {} }");
     let told = endpoints::cannot_show(day(&text)).unwrap_err();
     assert!(
-        told.starts_with("faults[0].what: expected a trouble of endpoints on sockets")
-            && !told.contains('\n')
+        told.starts_with("faults[0].what: expected a trouble that sockets can show") && !told.contains('\n')
     );
 }
--- a/crates/quillhub-stand-ins/src/endpoints.rs
+++ b/crates/quillhub-stand-ins/src/endpoints.rs
@@ -2,7 +2,7 @@
 //! meets, and the day's faults at their instants.
 
 use crate::http::Served;
-use quillhub_emulator::{Day, Site, Taken};
+use quillhub_emulator::{Day, Shown, Site, Taken};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cell::RefCell;
@@ -62,13 +62,11 @@
 
 /// What of a day's faults sockets on loopback cannot show, in words.
 pub fn cannot_show(day: &Day) -> Result<(), String> {
-    let mut site = Site::new(day, 0);
+    let site = Site::new(day, 0);
     for (at, planned) in day.faults.iter().enumerate() {
-        if site.begins_fault(at, Duration::ZERO).is_none() {
+        if matches!(site.shown(at), Shown::Not) {
             let what = format!("{:?}", planned.what);
-            return Err(format!(
-                "faults[{at}].what: expected a trouble of endpoints on sockets, found {what}"
-            ));
+            return Err(format!("faults[{at}].what: expected a trouble that sockets can show, found {what}"));
         }
     }
     Ok(())
--- a/crates/quillhub-stand-ins/src/platform.rs
+++ b/crates/quillhub-stand-ins/src/platform.rs
@@ -2,6 +2,7 @@
 
 use crate::endpoints::Listed;
 use crate::http::Served;
+use quillhub_emulator::{Day, Shown, Site};
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -11,7 +12,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// A watch sends an empty line so often while nothing changes.
 const EMPTY_LINE: Duration = Duration::from_secs(2);
@@ -29,6 +30,8 @@
 pub struct Register {
     pub members: Vec<(Listed, &'static str)>,
     pub revision: u64,
+    /// Out of reach: it says nothing.
+    pub lost: bool,
     changed: watch::Sender<u64>,
     /// Rows of each version, as told.
     changes: Vec<(u64, Value)>,
@@ -43,7 +46,7 @@
     pub fn new(all: &[Listed]) -> Rc<RefCell<Self>> {
         let members = all.iter().map(|listed| (listed.clone(), "up")).collect();
         let (changed, _) = watch::channel(1);
-        Rc::new(RefCell::new(Self { members, revision: 1, changed, changes: Vec::new() }))
+        Rc::new(RefCell::new(Self { members, revision: 1, lost: false, changed, changes: Vec::new() }))
     }
 
     /// The whole list.
@@ -62,12 +65,57 @@
         self.changed.send_replace(self.revision);
     }
 
+    /// A new endpoint, at the address of `old`.
+    pub fn replace(&mut self, old: &str) {
+        let Some((listed, _)) = self.members.iter().find(|(listed, _)| listed.id == old) else { return };
+        let id = format!("e{}", self.members.len() + 1);
+        let new = Listed { id: id.clone(), ..listed.clone() };
+        self.members.push((new, "up"));
+        self.change(&id, "up");
+    }
+
     fn after(&self, revision: u64) -> Value {
         let rows: Vec<_> = self.changes.iter().filter(|(at, _)| *at > revision).map(|(_, row)| row).collect();
         json!({"revision": self.revision, "complete": false, "members": rows})
     }
 }
 
+/// Plays the day's troubles that the register shows: its own, and drains.
+pub fn troubles(day: &'static Day, seed: u64, started: Instant, register: &Rc<RefCell<Register>>) {
+    let site = Site::new(day, seed);
+    for (number, planned) in day.faults.iter().enumerate() {
+        let register = register.clone();
+        let (begin, end) = (started + planned.at, started + planned.at + planned.lasts);
+        match site.shown(number) {
+            Shown::ByRegister => {
+                spawn_local(async move {
+                    sleep_until(begin).await;
+                    register.borrow_mut().lost = true;
+                    sleep_until(end).await;
+                    register.borrow_mut().lost = false;
+                });
+            }
+            Shown::ByDrain(by) => {
+                let struck = site.struck(number, &planned.whom, |_| true);
+                let each = planned.lasts / struck.len().max(1) as u32;
+                for (nth, server) in struck.into_iter().enumerate() {
+                    let (register, id) = (register.clone(), format!("e{}", server + 1));
+                    spawn_local(async move {
+                        sleep_until(begin + each * nth as u32).await;
+                        register.borrow_mut().change(&id, "draining");
+                        if by.replaced {
+                            register.borrow_mut().replace(&id);
+                        }
+                        sleep(by.gone_after).await;
+                        register.borrow_mut().change(&id, "removed");
+                    });
+                }
+            }
+            Shown::ByEndpoints | Shown::ByArrivals | Shown::Not => {}
+        }
+    }
+}
+
 /// Starts both on the current thread's local tasks.
 pub async fn start(
     register: Rc<RefCell<Register>>,
@@ -106,6 +154,8 @@
                 }
                 None => link.answer(400, "", b"").await?,
             }
+        } else if register.borrow().lost {
+            std::future::pending::<()>().await;
         } else if let Some(query) = asked.path.strip_prefix("/registry/instances?") {
             let after = query.split('&').find_map(|part| part.strip_prefix("after="));
             let after = after.and_then(|text| text.parse().ok()).unwrap_or(0);
@@ -136,6 +186,9 @@
     link.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
     let mut changed = register.borrow().changed.subscribe();
     loop {
+        if register.borrow().lost {
+            std::future::pending::<()>().await;
+        }
         let (line, revision) = {
             let register = register.borrow();
             let news = register.revision > after;
