Stand-ins draw from their chance in place; counts no longer take a stream that none used

Need: a last reading of the change found chance swapped out and back round two calls, a list of servers that nobody read, and a parameter that was never used. Change: borrowed in place; begins_fault returns nothing; the parameter is gone. Behaviour as before.

--- a/crates/quillhub-emulator/src/site.rs
+++ b/crates/quillhub-emulator/src/site.rs
@@ -290,16 +290,14 @@
         }
     }
 
-    /// A trouble of the day begins, as far as it strikes endpoints; nothing if it does not. The servers that it struck.
-    pub fn begins_fault(&mut self, number: usize, now: Duration) -> Option<Vec<usize>> {
+    /// A trouble of the day begins, as far as it strikes endpoints.
+    pub fn begins_fault(&mut self, number: usize, now: Duration) {
         let planned = &self.day.faults[number];
-        let Does::Strike(trouble) = planned.what.does(planned) else { return None };
-        let struck = self.struck(number, &planned.whom, |_| true);
-        for at in &struck {
-            self.troubled(*at, number, trouble);
-            self.turns(self.servers[*at].route, now);
+        let Does::Strike(trouble) = planned.what.does(planned) else { return };
+        for at in self.struck(number, &planned.whom, |_| true) {
+            self.troubled(at, number, trouble);
+            self.turns(self.servers[at].route, now);
         }
-        Some(struck)
     }
 
     pub fn ends_fault(&mut self, number: usize, now: Duration) {
--- a/crates/quillhub-emulator/src/tally.rs
+++ b/crates/quillhub-emulator/src/tally.rs
@@ -107,7 +107,7 @@
         &mut self.seconds[nth]
     }
 
-    pub(crate) fn asked(&mut self, now: Duration, _stream: usize, grade: usize) {
+    pub(crate) fn asked(&mut self, now: Duration, grade: usize) {
         let worth = self.worth[grade];
         self.asked += 1;
         self.asked_worth += worth;
@@ -118,14 +118,7 @@
     }
 
     /// A notice is over for its client.
-    pub(crate) fn over(
-        &mut self,
-        now: Duration,
-        _stream: usize,
-        grade: usize,
-        born: Duration,
-        handled: bool,
-    ) {
+    pub(crate) fn over(&mut self, now: Duration, grade: usize, born: Duration, handled: bool) {
         if !handled {
             self.unserved += 1;
             return;
--- a/crates/quillhub-emulator/src/world.rs
+++ b/crates/quillhub-emulator/src/world.rs
@@ -554,7 +554,7 @@
             let (grade, key) = self.streams[stream].draw(stream, of, self.day);
             let (number, born) = (self.number(), self.now);
             self.orders.insert(number, Order { stream, grade, destination, key, born, denials: 0 });
-            self.tally.asked(self.now, stream, grade);
+            self.tally.asked(self.now, grade);
             self.hand_in(number);
         }
         self.next_arrival(stream);
@@ -600,7 +600,7 @@
 
     fn lost(&mut self, number: u64) {
         if let Some(order) = self.orders.remove(&number) {
-            self.tally.over(self.now, order.stream, order.grade, order.born, false);
+            self.tally.over(self.now, order.grade, order.born, false);
         }
     }
 
@@ -610,7 +610,7 @@
         match answer {
             Answered::Handled => {
                 if let Some(order) = self.orders.remove(&kept.order) {
-                    self.tally.over(self.now, order.stream, order.grade, order.born, true);
+                    self.tally.over(self.now, order.grade, order.born, true);
                 }
             }
             Answered::WrittenOff => self.lost(kept.order),
--- a/crates/quillhub-stand-ins/src/endpoints.rs
+++ b/crates/quillhub-stand-ins/src/endpoints.rs
@@ -126,7 +126,7 @@
 impl Place<'_> {
     fn begins(&mut self, number: usize) {
         let now = self.started.elapsed();
-        let _ = self.site.begins_fault(number, now);
+        self.site.begins_fault(number, now);
         // Whoever waits at one that refuses from now on is cut off when its turn is dropped.
         let waiting: Vec<_> = self.queued.keys().copied().collect();
         let still = self.site.queued();
@@ -171,11 +171,9 @@
         let (id, mark) = (&asked.id, &asked.mark);
         seen(place, id, mark, What::Came);
         let (taken, call, report) = {
-            let mut place = place.borrow_mut();
+            let place = &mut *place.borrow_mut();
             let now = place.started.elapsed();
-            let mut rng = std::mem::replace(&mut place.rng, Pcg64Mcg::seed_from_u64(0));
-            let (taken, _) = place.site.takes(server, now, &mut rng);
-            place.rng = rng;
+            let (taken, _) = place.site.takes(server, now, &mut place.rng);
             place.calls += 1;
             let report = place.site.report(server, now);
             let report = report
@@ -217,11 +215,9 @@
                     }
                 }
                 let (time, starts) = {
-                    let mut place = place.borrow_mut();
+                    let place = &mut *place.borrow_mut();
                     let now = place.started.elapsed();
-                    let mut rng = std::mem::replace(&mut place.rng, Pcg64Mcg::seed_from_u64(0));
-                    let time = place.site.begins(server, now, &mut rng);
-                    place.rng = rng;
+                    let time = place.site.begins(server, now, &mut place.rng);
                     (time, place.site.starts(server))
                 };
                 sleep(time).await;
