--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -231,6 +231,8 @@
         if let Some(answer) = self.turned_away.take() {
             return answer;
         }
+        let name = String::from_utf8_lossy(reference);
+        tracing::debug!(notice = id, %name, grade, destination, ?lasts, "taken on");
         self.references.insert(reference.into());
         if let Err(error) = self.file(id) {
             tracing::error!(%error, "a notice could not be taken on");
@@ -271,6 +273,7 @@
     /// A final answer of the courier: the client's, if it still waits for the first, or else the platform's.
     fn answer(&mut self, id: NoticeId, denied: bool, come_back: Option<Duration>) {
         let Some(notice) = self.notices.remove(&id) else { return };
+        tracing::debug!(notice = id, denied, ?come_back, sends = notice.sends, "given up");
         if notice.unfiled.is_some() {
             self.turned_away =
                 Some(if denied { Taken::Denied(come_back) } else { Taken::Failed("written off") });
@@ -337,6 +340,7 @@
         let link = self.endpoints.take(endpoint);
         let (me, name, connecting) = (self.me.clone(), endpoint.to_owned(), self.connecting);
         self.calls += 1;
+        tracing::debug!(notice = id, send, endpoint, ?patience, kept = link.is_some(), "call goes");
         spawn_local(async move {
             let asked = me.clone();
             let goes = move || asked.upgrade().is_some_and(|host| host.borrow().may_go(id, send));
--- a/crates/quillhub-net/src/register.rs
+++ b/crates/quillhub-net/src/register.rs
@@ -88,12 +88,14 @@
     let request = http::request("GET", path, &at.to_string(), &[], &[]);
     link.write(&request).await.map_err(Broken::Failed)?;
     let head = timeout(SILENCE, link.head()).await.map_err(|_| Broken::Ended)??;
+    tracing::debug!(path, status = head.status, "the register answers");
     if head.status == 200 { Ok((link, head.framing()?)) } else { Err(Broken::Malformed) }
 }
 
 /// Tells the courier what `text` lists, and keeps the number of that.
 fn take(host: &RefCell<Host>, text: &[u8], revision: &Cell<Option<u64>>) -> Result<(), Broken> {
     let value = serde_json::from_slice::<Value>(text).map_err(|_| Broken::Malformed)?;
+    tracing::debug!(bytes = text.len(), "the register tells");
     let told = tell(&mut host.borrow_mut(), &value, true);
     revision.set(Some(told.map_err(|trouble| {
         tracing::error!(trouble, "the register's list cannot be read");
