Rations begin by chance when many couriers are told of a return in one instant

Ruled out: gaps (first tries have none), pace (none was cut), trials (all held it for cold).

At fault: `told_by_courier` and the end of `judge` in src/policy.rs: a ration by time earns the same in all couriers and began at the same instant at nothing, so that all were ready in the same instant; and what by_notice had saved while it was out went at once with the note.

Now both begin at one point by chance, under one call.

Debug lines of calls' ends hold the report.

--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -288,7 +288,8 @@
         self.calls -= 1;
         let took = end.as_ref().map_or(took, |answer| answer.took);
         let (outcome, over) = endpoints::outcome(&end, self.reports);
-        tracing::debug!(notice = id, send, endpoint = name, ?outcome, ?took, "call ended");
+        let report = end.as_ref().ok().and_then(|answer| answer.report).filter(|_| self.reports);
+        tracing::debug!(notice = id, send, endpoint = name, ?outcome, ?took, ?report, "call ended");
         if self.notices.contains_key(&id) {
             if over {
                 log_failed("an end", self.wal.over(id));
@@ -298,7 +299,6 @@
                 log_failed("an outcome", self.wal.did_not_run(id, send));
             }
         }
-        let report = end.ok().and_then(|answer| answer.report).filter(|_| self.reports);
         self.event(|courier| courier.outcome(id, send, outcome, took, over, report));
     }
 
--- a/src/courier.rs
+++ b/src/courier.rs
@@ -3,7 +3,7 @@
 
 use crate::policy::{Credits, FORGET, Keep, Latency, Outage, Pace, Repeats};
 use crate::{DestinationId, Grade, ListedRate, Listing, NoticeId};
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -60,6 +60,12 @@
 }
 
 impl Ration {
+    /// Against a herd of all couriers that begin to earn it in one instant.
+    pub(crate) fn by_chance(rng: &mut Pcg64Mcg) -> Self {
+        let chance = rng.random();
+        Self { by_notice: chance, by_time: chance }
+    }
+
     pub(crate) fn ready(&self) -> bool {
         self.by_notice >= 1.0 || self.by_time >= 1.0
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -583,7 +583,7 @@
         let Some(name) = shut.then(|| endpoint.route.clone()) else { return };
         for e in destination.endpoints.values_mut().filter(|e| e.route == name) {
             e.outage.failed(self.now, 1.0);
-            e.outage.ration = Ration { by_notice: self.rng.random(), by_time: 0.0 };
+            e.outage.ration = Ration::by_chance(&mut self.rng);
         }
     }
 
@@ -595,6 +595,7 @@
         for e in destination.endpoints.values_mut().filter(|e| e.route == route) {
             if e.outage.health == Health::Out || repeats.doubtful() && e.outage.quiet(self.now, self.now) {
                 e.outage.returns(self.now);
+                e.outage.ration = Ration::by_chance(&mut self.rng);
             }
         }
         repeats.failures = 0;
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -709,6 +709,35 @@
 
 /// The fleet's calm day: 60 couriers sent a limit of 17 a second 20 to 40 calls, and as refused calls use it up too
 /// none was let in for 13 s.
+#[test]
+fn couriers_that_are_told_of_a_return_together_do_not_call_together() {
+    let waiting = |seed| {
+        let mut courier = courier(Effect::Retriable);
+        (courier.couriers, courier.rng) = (100, Pcg64Mcg::seed_from_u64(seed));
+        let destination = courier.destinations.get_mut(&9).unwrap();
+        destination.endpoints.values_mut().for_each(|e| e.outage = Outage::new(0.0));
+        destination.endpoints.values_mut().for_each(|e| e.outage.failed(ms(1), 1.0));
+        let route = destination.routes.get_mut("").unwrap();
+        (route.pace.sure, route.trial) = (Some(100.0), ms(60_000));
+        (0..5).for_each(|id| assert!(take(&mut courier, id, None).is_empty()));
+        courier.told_by_courier(&note::of_return(9, ""));
+        courier
+    };
+    let mut all: Vec<_> = (0..100).map(waiting).collect();
+    let calls: Vec<_> = (0..30)
+        .map(|tenth| {
+            let called = |courier: &mut Courier| {
+                courier.at(ms(100 * tenth + 1));
+                settled(courier).len()
+            };
+            all.iter_mut().map(called).sum::<usize>()
+        })
+        .collect();
+    // Cold, it may be sent three tenths of 100 a second.
+    let (most, sum) = (calls.iter().max().unwrap(), calls.iter().sum::<usize>());
+    assert!(*most <= 15 && sum > 60, "{calls:?}");
+}
+
 #[test]
 fn refusals_bring_the_sum_of_all_couriers_under_a_limit_that_refused_calls_use_up() {
     let (limit, couriers) = (17.0, 60);
