--- a/src/courier.rs
+++ b/src/courier.rs
@@ -239,6 +239,8 @@
     /// About the share of calls that got no answer while others at their endpoint did.
     pub(crate) strays: f64,
     pub(crate) beat: Option<Duration>,
+    /// When the rules may next have something to do, as found in going through them.
+    pub(crate) due: Duration,
     pub(crate) logged: Option<Duration>,
     pub(crate) lines: Vec<String>,
     pub(crate) may_tell: bool,
@@ -284,6 +286,7 @@
             calls: BTreeMap::new(),
             strays: 0.0,
             beat: None,
+            due: Duration::MAX,
             logged: None,
             lines: Vec::new(),
             may_tell: false,
