Wake-ups in whole steps, and a new one for one that is past: no notice without an end

Cause: the due time worked out from rates has parts of a microsecond; the wire's clock brings the wake-up at the whole one before, woken() takes it for none, and keep_beat asks for no other as one seems to be pending. The same could follow from the time connections are kept, which is multiplied too. Change: waits are whole milliseconds, and a beat that is past counts for none. It can't return, as a pending beat is always later than now. Test: a_wake_up_that_comes_a_little_early_is_followed_by_another.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -900,8 +900,10 @@
         let asks = asks.then(|| self.register.next.saturating_sub(self.now));
         let kept = || self.idle.iter().map(|(at, since)| self.kept(at.0, &at.1, *since)).min();
         let Some(wait) = waits.or_else(kept).into_iter().chain(asks).min() else { return };
-        let wait = wait.max(BEAT);
-        if self.beat.is_none_or(|at| at > self.now + wait) {
+        // Whole steps and a new one for one that is past: against a wake-up that a host's coarser clock brings
+        // a little early, which would be taken for none, and no other asked for. May ask for one too many.
+        let wait = ms(wait.max(BEAT).as_millis() as u64 + 1);
+        if self.beat.is_none_or(|at| at <= self.now || at > self.now + wait) {
             self.beat = Some(self.now + wait);
             hands.wake(wait);
         }
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -25,7 +25,9 @@
     fn tell(&mut self, note: &[u8]) {
         self.0.push(format!("tell {note:?}"));
     }
-    fn wake(&mut self, _: Duration) {}
+    fn wake(&mut self, wait: Duration) {
+        self.0.push(format!("wake {}", wait.as_micros()));
+    }
     fn watch(&mut self) {
         self.0.push("watch".into());
     }
@@ -52,9 +54,11 @@
     courier
 }
 
+/// What it asks for, but for wake-ups.
 fn settled(courier: &mut Courier) -> Vec<String> {
     let mut noted = Noted::default();
     courier.settle(&mut noted);
+    noted.0.retain(|act| !act.starts_with("wake"));
     noted.0
 }
 
@@ -67,6 +71,28 @@
     Pcg64Mcg::seed_from_u64(7)
 }
 
+/// tunis-lac, rough-2: a wake-up came at the microsecond, a part of one before its due time; no other was asked
+/// for, and notices got no final answer in their time.
+#[test]
+fn a_wake_up_that_comes_a_little_early_is_followed_by_another() {
+    let mut courier = courier(Effect::Retriable);
+    take(&mut courier, 1, None);
+    courier.outcome(1, 0, Outcome::Refused(None), ms(1), false, None);
+    let wakes = |courier: &mut Courier| {
+        let mut noted = Noted::default();
+        courier.settle(&mut noted);
+        noted.0.iter().find_map(|act| act.strip_prefix("wake ")?.parse().ok()).map(Duration::from_micros)
+    };
+    let wait = wakes(&mut courier).expect("a gap runs");
+    assert_eq!(wait.subsec_micros() % 1_000, 0);
+    courier.beat = courier.beat.map(|at| at + Duration::from_nanos(1));
+    courier.at(courier.now + wait);
+    courier.woken();
+    courier.held.get_mut(&1).unwrap().not_before += wait;
+    courier.at(courier.now + Duration::from_micros(1));
+    assert!(wakes(&mut courier).is_some());
+}
+
 #[test]
 fn gaps_grow_to_their_cap_and_vary_by_chance() {
     let mut rng = rng();
