Notices for one endpoint at one instant travel in one call where the settings let them

Change: a call that begins lets what else waits for the same endpoint in that instant go along: no slot, credit, pace, ration or repeat budget of its own, one judgement for all. Not on trials, whose fate may cost each notice.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -386,6 +386,7 @@
             credits: Credits { most: FIRST_CREDITS, spent: 0 },
             outage: Outage::new(self.rng.random()),
             used: None,
+            mates: (now, 0),
         });
         endpoint.listing = listing;
         self.left |= listing == Listing::Gone;
@@ -471,7 +472,9 @@
         report: Option<(f64, f64)>,
     ) {
         let Some(call) = self.calls.remove(&(id, send)) else { return };
-        self.judge(&call, outcome, took, report);
+        if !call.joined {
+            self.judge(&call, outcome, took, report);
+        }
         if let Some(turn) = call.key.and_then(|key| self.turns.get_mut(&key)) {
             turn.out.retain(|other| *other != id);
             if !outcome.never_ran() && !matches!(outcome, Outcome::Handled | Outcome::Error) {
@@ -689,7 +692,8 @@
                     || self.now.max(held.not_before).max(self.told(held.destination)) > self.last_start(held))
         });
         let Some((&id, _)) = lost else {
-            let ends = self.held.values().filter(|held| held.out == 0).map(|held| self.last_start(held)).min();
+            let ends =
+                self.held.values().filter(|held| held.out == 0).map(|held| self.last_start(held)).min();
             self.due = self.due.min(ends.unwrap_or(Duration::MAX));
             return false;
         };
@@ -709,10 +713,10 @@
 
     /// The calls out to each destination, and whether it is sick: slow, or all its endpoints are out.
     fn calls_out(&self) -> BTreeMap<DestinationId, (usize, bool)> {
-        let mut out = BTreeMap::new();
+        let (mut out, mut seen) = (BTreeMap::new(), BTreeSet::new());
         for call in self.calls.values() {
             let entry: &mut (usize, bool) = out.entry(call.destination).or_default();
-            entry.0 += 1;
+            entry.0 += usize::from(seen.insert((&call.endpoint, call.started)));
             entry.1 = entry.1 || self.slow(call);
         }
         for (id, entry) in &mut out {
@@ -727,9 +731,8 @@
         let (calls, slow) = out.get(&id).copied().unwrap_or_default();
         let sick_calls: usize = out.values().filter(|o| o.1).map(|o| o.0).sum();
         let sick = slow || destination.out();
-        if calls >= self.slots.part(SHARE) || sick && sick_calls >= self.slots.part(SICK_SHARE) {
-            return Vec::new();
-        }
+        let full = calls >= self.slots.part(SHARE) || sick && sick_calls >= self.slots.part(SICK_SHARE);
+        let full = full || out.values().map(|o| o.0).sum::<usize>() >= self.slots.most;
         let open = destination.endpoints.values().filter(|e| e.listing == Listing::Open).count();
         let mut ways = Vec::new();
         for (name, e) in destination.endpoints.iter_mut().filter(|(_, e)| e.listing == Listing::Open) {
@@ -746,7 +749,10 @@
             let opens = route.told.max(route.closed).max(self.now + route.pace.next());
             let opens = opens.max(if sound { self.now } else { self.now + earned });
             let opens = opens.max(if trial { route.trial } else { self.now });
-            if opens > self.now || e.credits.left() <= 0 {
+            // Where calls are what is limited: what waits for the same endpoint goes along, at no cost to it. May
+            // lose all in one call.
+            let joins = e.mates.0 == self.now && e.mates.1 > 0 && !trial && route.told <= self.now;
+            if !joins && (full || opens > self.now || e.credits.left() <= 0) {
                 self.due = if opens > self.now { self.due.min(opens) } else { self.due };
                 continue;
             }
@@ -754,8 +760,8 @@
             let idle = e.used.map_or(Duration::MAX, |at| self.now - at); // the last used has a connection
             let doubt = (e.outage.share * DOUBT) as i64;
             let load = i64::from(e.credits.spent) + AWAY * i64::from(e.zone != self.zone) + doubt;
-            let rank = (trial, toll, load, idle, e.place);
-            let repeats = route.repeats.allows(self.now);
+            let rank = (trial, toll, if joins { i64::MIN } else { load }, idle, e.place);
+            let repeats = joins || route.repeats.allows(self.now);
             let (at, zone) = ((id, name.clone()), e.zone.clone());
             let kept = self.idle.contains_key(&at);
             ways.push(Way { endpoint: at.1, zone, repeats, kept, rank });
@@ -781,14 +787,15 @@
     }
 
     fn send_what_earns_most(&mut self, hands: &mut dyn Hands) -> bool {
-        if self.calls.len() >= self.slots.most || self.held.is_empty() {
+        let out = self.calls_out();
+        let full = out.values().map(|o| o.0).sum::<usize>() >= self.slots.most;
+        if full && self.batches.is_empty() || self.held.is_empty() {
             return false;
         }
         let kept = |to| self.idle.range((to, String::new())..).next().is_some_and(|(at, _)| at.0 == to);
         let goes = |held: &Held| held.not_before <= self.now || held.crowded && kept(held.destination);
         let waiting = self.held.values().filter(|held| held.out == 0 && goes(held));
         let waiting: BTreeSet<_> = waiting.map(|held| held.destination).collect();
-        let out = self.calls_out();
         let doors: BTreeMap<_, _> = waiting.into_iter().map(|id| (id, self.doors(id, &out))).collect();
         let mut best: Option<(_, NoticeId, &Way)> = None;
         for (id, held) in &self.held {
@@ -823,23 +830,31 @@
         let Some(route) = destination.routes.get_mut(&endpoint.route) else { return };
         let latency = destination.latency.entry(held.grade).or_default();
         // Against lost answers that hold all slots. May give up one that turns slow in the midst of that.
-        let free = (1.0 - self.calls.len() as f64 / self.slots.most as f64).max(1.0 - self.strays / STRAYS);
+        let busy = self.calls.values().filter(|call| !call.joined).count().min(self.slots.most);
+        let free = (1.0 - busy as f64 / self.slots.most as f64).max(1.0 - self.strays / STRAYS);
+        let joined = endpoint.mates.0 == now && endpoint.mates.1 > 0;
         let patience = latency.patience(free).min(held.limit.saturating_sub(now));
         hands.send(id, name, patience);
-        route.repeats.count(now, held.sends > 0);
-        route.pace.saved -= 1.0;
+        if joined {
+            endpoint.mates.1 -= 1;
+        } else {
+            let most = self.batches.get(&endpoint.kind).copied().unwrap_or(1);
+            endpoint.mates = (now, most.saturating_sub(1));
+            route.repeats.count(now, held.sends > 0);
+            route.pace.saved -= 1.0;
+            endpoint.credits.spent += 1;
+        }
         if trial {
             route.trials += 1;
             route.trial = now + trial_gap(&mut self.rng, route.trials, TRIAL_GAP);
         }
         self.idle.remove(&(held.destination, name.to_owned()));
-        endpoint.credits.spent += 1;
-        if endpoint.outage.health != Health::Well || route.repeats.doubtful() {
+        if !joined && (endpoint.outage.health != Health::Well || route.repeats.doubtful()) {
             endpoint.outage.ration.spend();
         }
         endpoint.used = Some(now);
         let (destination, endpoint, grade, key) = (held.destination, name.into(), held.grade, held.key);
-        self.calls.insert((id, held.sends), Call { destination, endpoint, grade, key, started: now });
+        self.calls.insert((id, held.sends), Call { destination, endpoint, grade, key, started: now, joined });
         if let Some(turn) = held.key.and_then(|key| self.turns.get_mut(&key)) {
             turn.out.push(id);
         }
