The mutant that cuts waits short sends a millisecond before the wait's end again

Cause: the module no longer sends at the end of a told wait, as that ends by chance, so telling it a wait shorter by a millisecond hardly ever showed. The mutant now holds its sends until a millisecond before the end; the auditor catches that as before, with the same assertion.

--- a/crates/quillhub-emulator/tests/mutants.rs
+++ b/crates/quillhub-emulator/tests/mutants.rs
@@ -68,6 +68,9 @@
     numbers: BTreeMap<(NoticeId, u32), Option<u32>>,
     sent: BTreeMap<NoticeId, (u32, u32)>,
     late: Vec<(Duration, Act)>,
+    /// Each notice's destination, and a millisecond before the end of the wait that it told.
+    to: BTreeMap<NoticeId, DestinationId>,
+    waits: BTreeMap<DestinationId, Duration>,
     now: Duration,
 }
 
@@ -139,6 +142,7 @@
             self.binding.insert(id);
         }
         self.limits.insert(id, limit);
+        self.to.insert(id, destination);
         self.inner.notice(id, grade, key, limit, tenant, destination)
     }
     fn sent_before(&mut self, id: NoticeId, sends: u32, ran: Option<(Duration, &str)>) {
@@ -176,8 +180,12 @@
             (Flaw::SendsBindingAgain, Outcome::TimedOut | Outcome::Reset) if self.binding.contains(&id) => {
                 Outcome::Unconnected
             }
+            // What it then sends at the module's own time is held until just before the wait's end.
             (Flaw::CutsWaitsShort, Outcome::Refused(Some(wait))) => {
-                Outcome::Refused(Some(wait.saturating_sub(Duration::from_millis(1))))
+                let end = self.now + wait.saturating_sub(Duration::from_millis(1));
+                let until = self.waits.entry(self.to[&id]).or_default();
+                *until = end.max(*until);
+                Outcome::Refused(None)
             }
             (Flaw::SeesNoOutage, Outcome::TimedOut | Outcome::Reset | Outcome::Unconnected) => {
                 Outcome::Unsent
@@ -200,6 +208,15 @@
         let due: Vec<(Duration, Act)> = due;
         due.into_iter().for_each(|(_, act)| self.pass(act, hands));
         for act in acts.0 {
+            if let Act::Send(id, endpoint, patience) = &act
+                && let Some(end) = self.waits.get(&self.to[id]).filter(|end| **end > self.now)
+                && *patience > *end - self.now
+            {
+                let act = Act::Send(*id, endpoint.clone(), *patience - (*end - self.now));
+                hands.wake(*end - self.now);
+                self.late.push((*end, act));
+                continue;
+            }
             let (Act::Deny(id, _) | Act::WriteOff(id)) = act else {
                 self.pass(act, hands);
                 continue;
@@ -299,8 +316,8 @@
         let inner = module(&Start { seed: start.seed, zone: start.zone, day: told });
         let (binding, limits) = (BTreeSet::new(), BTreeMap::new());
         let (numbers, sent, late) = (BTreeMap::new(), BTreeMap::new(), Vec::new());
-        let now = Duration::ZERO;
-        let mutant = Mutant { inner, flaw, binding, limits, numbers, sent, late, now };
+        let (to, waits, now) = (BTreeMap::new(), BTreeMap::new(), Duration::ZERO);
+        let mutant = Mutant { inner, flaw, binding, limits, numbers, sent, late, to, waits, now };
         Box::new(mutant) as Box<dyn Decider>
     };
     World::run(day, 7, &make, |_, _| {}).breaches
