--- a/src/courier.rs
+++ b/src/courier.rs
@@ -220,6 +220,8 @@
     pub(crate) listed: ListedRate,
     pub(crate) register: Register,
     pub(crate) grades: Vec<(String, Grade)>,
+    /// The same as in a destination, over all of them; as many as there are grades.
+    pub(crate) latencies: BTreeMap<usize, Latency>,
     pub(crate) apart: BTreeSet<String>,
     pub(crate) tolls: BTreeMap<String, f64>,
     pub(crate) quotas: BTreeMap<String, Quota>,
@@ -271,6 +273,7 @@
                 next: Duration::ZERO,
             },
             grades: Vec::new(),
+            latencies: BTreeMap::new(),
             apart: BTreeSet::new(),
             tolls: BTreeMap::new(),
             quotas: BTreeMap::new(),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -160,10 +160,13 @@
         self.median.filter(|_| recent).unwrap_or(UNKNOWN_CALL)
     }
 
-    /// Longer after each time-out in a row, so that a slow one gets to answer; `floor` is the least part.
-    fn patience(&self, floor: f64) -> Duration {
-        let longest = self.taken.iter().map(|s| s.1).max().unwrap_or(UNKNOWN_CALL);
-        let calm = longest.mul_f64(PATIENCE).max(LEAST_PATIENCE.mul_f64(floor));
+    fn longest(&self) -> Duration {
+        self.taken.iter().map(|s| s.1).max().unwrap_or(UNKNOWN_CALL)
+    }
+
+    /// Longer after each time-out in a row, so that a slow one gets to answer; `least` is for one yet unknown.
+    fn patience(&self, least: Duration) -> Duration {
+        let calm = self.longest().mul_f64(PATIENCE).max(least);
         calm * 2u32.pow(self.timed_out.min(MOST_DOUBLINGS))
     }
 }
@@ -511,6 +514,7 @@
             Outcome::Handled => {
                 keep.handled(self.idle_close);
                 latency.handled(self.now, took);
+                self.latencies.entry(call.grade).or_default().handled(self.now, took);
                 self.strays *= 1.0 - STRAYS;
                 endpoint.outage.handled(self.now);
                 (route.refusals, route.rounds) = (0, 0);
@@ -824,7 +828,8 @@
         let latency = destination.latency.entry(held.grade).or_default();
         // Against lost answers that hold all slots. May give up one that turns slow in the midst of that.
         let free = (1.0 - self.calls.len() as f64 / self.slots.most as f64).max(1.0 - self.strays / STRAYS);
-        let patience = latency.patience(free).min(held.limit.saturating_sub(now));
+        let others = self.latencies.get(&held.grade).map_or(LEAST_PATIENCE, |l| l.longest().mul_f64(PATIENCE));
+        let patience = latency.patience(others.max(LEAST_PATIENCE).mul_f64(free)).min(held.limit.saturating_sub(now));
         hands.send(id, name, patience);
         route.repeats.count(now, held.sends > 0);
         route.pace.saved -= 1.0;
