--- a/src/policy.rs
+++ b/src/policy.rs
@@ -160,13 +160,10 @@
         self.median.filter(|_| recent).unwrap_or(UNKNOWN_CALL)
     }
 
-    fn longest(&self) -> Duration {
-        self.taken.iter().map(|s| s.1).max().unwrap_or(UNKNOWN_CALL)
-    }
-
-    /// Longer after each time-out in a row, so that a slow one gets to answer; `least` is for one yet unknown.
-    fn patience(&self, least: Duration) -> Duration {
-        let calm = self.longest().mul_f64(PATIENCE).max(least);
+    /// Longer after each time-out in a row, so that a slow one gets to answer; `floor` is the least part.
+    fn patience(&self, floor: f64) -> Duration {
+        let longest = self.taken.iter().map(|s| s.1).max().unwrap_or(UNKNOWN_CALL);
+        let calm = longest.mul_f64(PATIENCE).max(LEAST_PATIENCE.mul_f64(floor));
         calm * 2u32.pow(self.timed_out.min(MOST_DOUBLINGS))
     }
 }
@@ -517,7 +514,6 @@
             Outcome::Handled => {
                 keep.handled(self.idle_close);
                 latency.handled(self.now, took);
-                self.latencies.entry(call.grade).or_default().handled(self.now, took);
                 self.strays *= 1.0 - STRAYS;
                 endpoint.outage.handled(self.now);
                 (route.refusals, route.rounds) = (0, 0);
@@ -539,7 +535,10 @@
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
                     route.pace.refused(route.repeats.rate(self.now), self.couriers);
-                    route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, BASE, CAP));
+                    let part = route.pace.known.map_or(0.0, |known| f64::from(self.couriers) / known);
+                    let (base, cap) = (ms((part * 300.000000) as u64), ms((part * 1000.000000) as u64).min(ms(12_000)));
+                    let (base, cap) = (base.max(BASE).min(CAP), cap.max(CAP));
+                    route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, base, cap));
                 }
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
                 shut = route.told > self.now + SHUT;
