--- a/src/policy.rs
+++ b/src/policy.rs
@@ -126,10 +126,10 @@
         f64::from(firsts + repeats) / (now.as_secs() - since + 1) as f64
     }
 
-    fn allows(&self, now: Duration) -> bool {
+    fn allows(&self, now: Duration, couriers: u32) -> bool {
         let (_, firsts, repeats) = self.live(now);
         // Against the sum of many couriers' repeats at one that returns. May hold back a notice lost twice.
-        let besides = if self.failures > 0 { REPEATS_UNANSWERED } else { REPEATS_PER_S * SPAN.as_secs_f64() };
+        let besides = if self.failures > 0 { REPEATS_UNANSWERED } else { REPEATS_PER_S * SPAN.as_secs_f64() / f64::from(couriers) };
         f64::from(repeats) < REPEAT_SHARE * f64::from(firsts) + besides
     }
 }
@@ -535,10 +535,7 @@
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
                     route.pace.refused(route.repeats.rate(self.now), self.couriers);
-                    let part = route.pace.known.map_or(0.0, |known| f64::from(self.couriers) / known);
-                    let (base, cap) = (ms((part * 300.000000) as u64), ms((part * 1000.000000) as u64).min(ms(12_000)));
-                    let (base, cap) = (base.max(BASE).min(CAP), cap.max(CAP));
-                    route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, base, cap));
+                    route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, BASE, CAP));
                 }
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
                 shut = route.told > self.now + SHUT;
@@ -764,7 +761,7 @@
             let doubt = (e.outage.share * DOUBT) as i64;
             let load = i64::from(e.credits.spent) + AWAY * i64::from(e.zone != self.zone) + doubt;
             let rank = (trial, toll, if joins { i64::MIN } else { load }, idle, e.place);
-            let repeats = joins || route.repeats.allows(self.now);
+            let repeats = joins || route.repeats.allows(self.now, self.couriers);
             let (at, zone) = ((id, name.clone()), e.zone.clone());
             let kept = self.idle.contains_key(&at);
             ways.push(Way { endpoint: at.1, zone, repeats, kept, rank });
