--- a/src/policy.rs
+++ b/src/policy.rs
@@ -416,8 +416,10 @@
     ) -> bool {
         let Some(grade) = self.grades.iter().position(|g| g.0 == grade) else { return false };
         let mut worth = self.grades[grade].1.earnings;
+        let all: f64 = self.quotas.values().map(|quota| quota.rate).sum();
+        self.quotas.values_mut().for_each(|quota| quota.handed_in(self.now, quota.rate / all));
         if let Some(quota) = tenant.and_then(|name| self.quotas.get_mut(name)) {
-            worth *= if quota.covers(self.now) { 1.0 } else { self.over_share };
+            worth *= if quota.covers() { 1.0 } else { self.over_share };
         }
         let key = key.filter(|_| self.grades[grade].1.in_order);
         if let Some(key) = key {
