--- a/src/policy.rs
+++ b/src/policy.rs
@@ -491,7 +491,11 @@
         held.out -= 1;
         held.failures += u32::from(outcome != Outcome::Unsent);
         held.crowded = outcome == Outcome::Crowded;
-        held.not_before = self.now + gap(&mut self.rng, held.failures, BASE, CAP);
+        let grade = &self.grades[held.grade].1;
+        let cap = (grade.limit / self.most_sends.max(1) * 2).max(CAP);
+        let refused = matches!(outcome, Outcome::Refused(_) | Outcome::Unproven(_));
+        let base = if refused { grade.contract.mul_f64(0.000000).max(BASE) } else { BASE };
+        held.not_before = self.now + gap(&mut self.rng, held.failures, base, cap);
         if !outcome.never_ran() && held.may_have_run.as_ref().is_none_or(|first| first.0 > call.started) {
             held.may_have_run = Some((call.started, zone));
         }
