--- a/src/policy.rs
+++ b/src/policy.rs
@@ -97,6 +97,7 @@
 pub(crate) struct Repeats {
     seconds: VecDeque<(u64, u32, u32)>,
     failures: u32,
+    chance: f64,
 }
 
 impl Repeats {
@@ -130,8 +131,9 @@
     fn allows(&self, now: Duration, couriers: u32) -> bool {
         let (_, firsts, repeats) = self.live(now);
         // Against the sum of many couriers' repeats at one that returns. May hold back a notice lost twice.
-        let besides = if self.failures > 0 { REPEATS_UNANSWERED } else { REPEATS_PER_S * SPAN.as_secs_f64() / f64::from(couriers) };
-        f64::from(repeats) < REPEAT_SHARE * f64::from(firsts) + besides
+        let besides = if self.failures > 0 { REPEATS_UNANSWERED } else { REPEATS_PER_S * SPAN.as_secs_f64() };
+        let besides = besides / f64::from(couriers);
+        f64::from(repeats) + self.chance < REPEAT_SHARE * f64::from(firsts) + besides
     }
 }
 
@@ -849,6 +851,9 @@
         } else {
             let most = self.batches.get(&endpoint.kind).copied().unwrap_or(1);
             endpoint.mates = (now, most.saturating_sub(1));
+            if held.sends > 0 || route.repeats.chance == 0.0 {
+                route.repeats.chance = self.rng.random();
+            }
             route.repeats.count(now, held.sends > 0);
             route.pace.saved -= 1.0;
             endpoint.credits.spent += 1;
