--- a/src/policy.rs
+++ b/src/policy.rs
@@ -294,8 +294,6 @@
         self.told = now;
         if self.share > OUT_SHARE {
             self.health = Health::Out;
-        } else if let Health::Cold { since } = &mut self.health {
-            *since = now;
         }
     }
 
@@ -523,7 +521,7 @@
             Outcome::Handled => {
                 keep.handled(self.idle_close);
                 latency.handled(self.now, took);
-                self.again = (self.again + 0.250000).min(10.0);
+                self.again = (self.again + 0.200000).min(10.0);
                 self.latencies.entry(call.grade).or_default().handled(self.now, took);
                 self.strays *= 1.0 - STRAYS;
                 endpoint.outage.handled(self.now);
@@ -543,7 +541,7 @@
                     route.refused = self.now;
                 }
                 route.refusals += 1;
-                self.again = (self.again - 0.250000).max(0.0);
+                self.again = (self.again - 0.200000).max(0.0);
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
                     route.pace.refused(route.repeats.rate(self.now), self.couriers);
@@ -857,7 +855,7 @@
             endpoint.mates = (now, most.saturating_sub(1));
             route.repeats.count(now, held.sends > 0);
             if held.sends == 0 {
-                self.again = (self.again + 0.000000).min(10.0);
+                self.again = (self.again + 0.100000).min(10.0);
             } else if held.refused {
                 self.again -= 1.0;
             }
