--- a/src/policy.rs
+++ b/src/policy.rs
@@ -531,7 +531,6 @@
                 route.refusals += 1;
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
-                    route.pace.refused(route.repeats.rate(self.now), self.couriers);
                     route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, BASE, CAP));
                 }
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
