--- a/src/policy.rs
+++ b/src/policy.rs
@@ -534,7 +534,11 @@
                 route.refusals += 1;
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
-                    route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, BASE, CAP));
+                    route.pace.refused(route.repeats.rate(self.now), self.couriers);
+                    let part = route.pace.known.map_or(0.0, |known| f64::from(self.couriers) / known);
+                    let (base, cap) = (ms((part * 1000.000000) as u64), ms((part * 3000.000000) as u64).min(ms(12_000)));
+                    let (base, cap) = (base.max(BASE).min(CAP), cap.max(CAP));
+                    route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, base, cap));
                 }
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
                 shut = route.told > self.now + SHUT;
