--- a/src/policy.rs
+++ b/src/policy.rs
@@ -126,10 +126,10 @@
         f64::from(firsts + repeats) / (now.as_secs() - since + 1) as f64
     }
 
-    fn allows(&self, now: Duration) -> bool {
+    fn allows(&self, now: Duration, couriers: u32) -> bool {
         let (_, firsts, repeats) = self.live(now);
         // Against the sum of many couriers' repeats at one that returns. May hold back a notice lost twice.
-        let besides = if self.failures > 0 { REPEATS_UNANSWERED } else { REPEATS_PER_S * SPAN.as_secs_f64() };
+        let besides = if self.failures > 0 { REPEATS_UNANSWERED } else { REPEATS_PER_S * SPAN.as_secs_f64() / f64::from(couriers) };
         f64::from(repeats) < REPEAT_SHARE * f64::from(firsts) + besides
     }
 }
@@ -764,7 +764,7 @@
             let doubt = (e.outage.share * DOUBT) as i64;
             let load = i64::from(e.credits.spent) + AWAY * i64::from(e.zone != self.zone) + doubt;
             let rank = (trial, toll, if joins { i64::MIN } else { load }, idle, e.place);
-            let repeats = joins || route.repeats.allows(self.now);
+            let repeats = joins || route.repeats.allows(self.now, self.couriers);
             let (at, zone) = ((id, name.clone()), e.zone.clone());
             let kept = self.idle.contains_key(&at);
             ways.push(Way { endpoint: at.1, zone, repeats, kept, rank });
