--- a/src/policy.rs
+++ b/src/policy.rs
@@ -97,6 +97,7 @@
 pub(crate) struct Repeats {
     seconds: VecDeque<(u64, u32, u32)>,
     failures: u32,
+    chance: f64,
 }
 
 impl Repeats {
@@ -130,8 +131,9 @@
     fn allows(&self, now: Duration, couriers: u32) -> bool {
         let (_, firsts, repeats) = self.live(now);
         // Against the sum of many couriers' repeats at one that returns. May hold back a notice lost twice.
-        let besides = if self.failures > 0 { REPEATS_UNANSWERED } else { REPEATS_PER_S * SPAN.as_secs_f64() / f64::from(couriers) };
-        f64::from(repeats) < REPEAT_SHARE * f64::from(firsts) + besides
+        let besides = if self.failures > 0 { REPEATS_UNANSWERED } else { REPEATS_PER_S * SPAN.as_secs_f64() };
+        let besides = besides / f64::from(couriers);
+        f64::from(repeats) + self.chance < REPEAT_SHARE * f64::from(firsts) + besides
     }
 }
 
@@ -546,6 +548,8 @@
                     route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, BASE, CAP));
                 }
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
+                let spread = wait.unwrap_or_default().mul_f64(1.000000 * self.rng.random::<f64>());
+                route.closed = route.closed.max(route.told + spread);
                 shut = route.told > self.now + SHUT;
                 if self.now > route.refused + SHUT {
                     weight = SILENT_WEIGHT;
@@ -849,6 +853,9 @@
         } else {
             let most = self.batches.get(&endpoint.kind).copied().unwrap_or(1);
             endpoint.mates = (now, most.saturating_sub(1));
+            if held.sends > 0 || route.repeats.chance == 0.0 {
+                route.repeats.chance = self.rng.random();
+            }
             route.repeats.count(now, held.sends > 0);
             route.pace.saved -= 1.0;
             endpoint.credits.spent += 1;
