--- a/src/policy.rs
+++ b/src/policy.rs
@@ -845,10 +845,14 @@
         let latency = destination.latency.entry(held.grade).or_default();
         // Against lost answers that hold all slots. May give up one that turns slow in the midst of that.
         let busy = self.calls.values().filter(|call| !call.joined).count().min(self.slots.most);
-        let free = (1.0 - busy as f64 / self.slots.most as f64).max(1.0 - self.strays / STRAYS);
+        let free = (1.0 - busy as f64 / self.slots.most as f64).max(1.0 - self.strays / STRAYS).max(0.0);
         let joined = endpoint.mates.0 == now && endpoint.mates.1 > 0;
         let others = self.latencies.get(&held.grade).map_or(LEAST_PATIENCE, |l| l.longest().mul_f64(PATIENCE));
         let patience = latency.patience(others.max(LEAST_PATIENCE).mul_f64(free)).min(held.limit.saturating_sub(now));
+        let patience = match self.grades[held.grade].1.effect {
+            Effect::Binding => patience.max(held.limit.saturating_sub(now).mul_f64(free)),
+            _ => patience,
+        };
         hands.send(id, name, patience);
         if joined {
             endpoint.mates.1 -= 1;
