--- a/src/policy.rs
+++ b/src/policy.rs
@@ -546,7 +546,9 @@
                 self.again = (self.again - 0.200000).max(0.0);
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
-                    route.pace.refused(route.repeats.rate(self.now), self.couriers);
+                    if self.refusal_price > 0.0 {
+                        route.pace.refused(route.repeats.rate(self.now), self.couriers);
+                    }
                     route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, BASE, CAP));
                 }
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
@@ -797,7 +799,7 @@
         // What found no room for a connection needs none of its own. Against tables that all couriers fill.
         ways.iter()
             .filter(|w| due || w.kept)
-            .find(|w| (held.sends == 0 || w.repeats && (!held.refused || w.free || self.again >= 1.0) || w.rank.0) && zone.is_none_or(|zone| *zone == w.zone))
+            .find(|w| (held.sends == 0 || w.repeats && (!held.refused || w.free || self.again >= 1.0 || self.refusal_price <= 0.0) || w.rank.0) && zone.is_none_or(|zone| *zone == w.zone))
     }
 
     fn send_what_earns_most(&mut self, hands: &mut dyn Hands) -> bool {
