--- a/src/policy.rs
+++ b/src/policy.rs
@@ -538,7 +538,7 @@
                 route.repeats.failures = 0;
             }
             Outcome::Refused(wait) | Outcome::Unproven(wait) => {
-                route.pace.saved = 0.0;
+                route.pace.saved = route.pace.saved.min(0.0);
                 if route.refusals == 0 {
                     route.refused = self.now;
                 }
@@ -547,6 +547,7 @@
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
                     route.pace.refused(route.repeats.rate(self.now), self.couriers);
+                    route.pace.saved = 1.0 - 4.000000 * self.rng.random::<f64>();
                     route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, BASE, CAP));
                 }
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
