Chance after refusals only where answers tell nothing of the limit, over the fall's time

Change: where a route's answers have told its limit, a refusal empties the pace as before and waits end when told; elsewhere sends of late are counted over the time in which a cold destination falls (rules.tipAfterUs, read now) instead of a fixed 2.5 s.

--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -491,6 +491,7 @@
         let goes = |seed| {
             let mut courier = courier(Effect::Retriable);
             courier.rng = Pcg64Mcg::seed_from_u64(seed);
+            courier.falls_after(ms(2_000));
             courier.listed("b", "y", "k", 9, Listing::Draining, None);
             take(&mut courier, 1, None);
             courier.outcome(1, 0, Outcome::Refused(told), ms(1), false, None);
@@ -941,7 +942,7 @@
 
 #[test]
 fn refusals_bring_the_sum_of_all_couriers_under_a_limit_that_refused_calls_use_up() {
-    let (limit, couriers, mut rng) = (17.0, 60, rng());
+    let (limit, couriers) = (17.0, 60);
     let fresh = || Pace { known: Some(limit), sure: None, own: None, saved: 1.0, filled: Duration::ZERO };
     let mut paces: Vec<Pace> = (0..couriers).map(|_| fresh()).collect();
     let (mut allowance, mut let_in) = (limit, [0, 0]);
@@ -958,7 +959,7 @@
                     pace.handled(Some(allowance / limit));
                     let_in[usize::from(at > 150)] += 1;
                 } else {
-                    pace.refused(0.67, couriers, &mut rng);
+                    pace.refused(0.67, couriers);
                 }
             }
         }
