--- a/src/policy.rs
+++ b/src/policy.rs
@@ -706,20 +706,10 @@
         self.over(id);
     }
 
-    /// Late, turned away, and with no repeat earned for it: what is given up hears at once, with a time to come
-    /// back, and its client's next try is a first one. May end one that a repeat would have saved.
-    fn hopeless(&self, held: &Held) -> bool {
-        let grade = &self.grades[held.grade].1;
-        let late = self.now + grade.limit > held.limit + grade.contract;
-        let due = held.not_before <= self.now;
-        self.refusal_price > 0.0 && held.refused && due && late && self.again < 1.0 && self.may_deny(held)
-    }
-
     fn end_what_cannot_be_delivered(&mut self, hands: &mut dyn Hands) -> bool {
         let lost = self.held.iter().find(|(_, held)| {
             held.out == 0
                 && (held.sends >= self.most_sends
-                    || self.hopeless(held)
                     || self.now.max(held.not_before).max(self.told(held.destination)) > self.last_start(held))
         });
         let Some((&id, _)) = lost else {
