--- a/src/policy.rs
+++ b/src/policy.rs
@@ -122,7 +122,7 @@
         live.fold((since, 0, 0), |sum, s| (sum.0, sum.1 + s.1, sum.2 + s.2))
     }
 
-    /// Sends a second of late, over `span` at least: one call is no rate of one a second.
+    /// Sends a second of late, over `span` at least.
     fn rate(&self, now: Duration, span: Duration) -> f64 {
         let (since, firsts, repeats) = self.live(now);
         f64::from(firsts + repeats) / ((now.as_secs() - since + 1) as f64).max(span.as_secs_f64())
@@ -552,7 +552,9 @@
                 self.again = (self.again - AGAIN).max(0.0);
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
-                    let sent = route.repeats.rate(self.now, self.falls_after);
+                    // Answers that tell what is left of a limit pace it; else one call is no rate of one a second.
+                    let span = if route.reported { Duration::ZERO } else { self.falls_after };
+                    let sent = route.repeats.rate(self.now, span);
                     route.pace.refused(sent, self.couriers, &mut self.rng);
                     route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, BASE, CAP));
                 }
