--- a/src/policy.rs
+++ b/src/policy.rs
@@ -62,6 +62,7 @@
 const BACK_SHARE: f64 = 0.4; // failing share of one just back: another failure or two and it is out again
 const SHUT: Duration = ms(2_500); // refusing for longer than a limit's span, a second or two, is being shut
 const TRIAL_GAP: Duration = ms(1_000); // longest gap between trials that cannot have run
+const DEAR_TRIAL_GAP: Duration = ms(1_500); // and between those that may: each can cost its notice
 const BY_NOTICE: f64 = 0.9; // of the ramp, for each notice handed in: more may be asked for than it takes
 const TRIALS_PER_S: f64 = 1.0; // of all couriers together at one that is out: the page's one a second
 const FIRST_COLD_RATE: f64 = 1.0; // calls/s that a destination of unknown rate is taken for when cold: little
@@ -608,7 +609,8 @@
         let after = endpoint.outage.health;
         if after == Health::Out && outcome != Outcome::Handled {
             route.trials += 1;
-            route.trial = route.trial.max(self.now + trial_gap(&mut self.rng, route.trials, TRIAL_GAP));
+            let cap = if outcome.never_ran() { TRIAL_GAP } else { DEAR_TRIAL_GAP };
+            route.trial = route.trial.max(self.now + trial_gap(&mut self.rng, route.trials, cap));
         }
         if std::mem::discriminant(&before) != std::mem::discriminant(&after) {
             let (name, owner) = (&call.endpoint, call.destination);
