--- a/src/policy.rs
+++ b/src/policy.rs
@@ -125,7 +125,7 @@
     /// Sends a second of late, over a limit's span at least: one call is no rate of one a second.
     fn rate(&self, now: Duration) -> f64 {
         let (since, firsts, repeats) = self.live(now);
-        f64::from(firsts + repeats) / ((now.as_secs() - since + 1) as f64).max(SHUT.as_secs_f64())
+        f64::from(firsts + repeats) / (now.as_secs() - since + 1).max(2) as f64
     }
 
     fn allows(&self, now: Duration) -> bool {
