--- a/src/policy.rs
+++ b/src/policy.rs
@@ -122,7 +122,7 @@
         live.fold((since, 0, 0), |sum, s| (sum.0, sum.1 + s.1, sum.2 + s.2))
     }
 
-    /// Sends a second of late, over `span` at least: one call is no rate of one a second.
+    /// Sends a second of late, over `span` at least.
     fn rate(&self, now: Duration, span: Duration) -> f64 {
         let (since, firsts, repeats) = self.live(now);
         f64::from(firsts + repeats) / ((now.as_secs() - since + 1) as f64).max(span.as_secs_f64())
@@ -552,13 +552,16 @@
                 self.again = (self.again - AGAIN).max(0.0);
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
-                    let sent = route.repeats.rate(self.now, self.falls_after);
+                    // Answers that tell what is left of a limit pace it; else one call is no rate of one a second.
+                    let span = if route.reported { Duration::ZERO } else { self.falls_after };
+                    let sent = route.repeats.rate(self.now, span);
                     route.pace.refused(sent, self.couriers, &mut self.rng);
+                    route.pace.saved = if route.reported { 0.0 } else { route.pace.saved };
                     route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, BASE, CAP));
                 }
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
                 // Against a herd at the end of a wait that many were told: it ends by chance, up to as long again.
-                let later = wait.unwrap_or_default().mul_f64(self.rng.random());
+                let later = wait.filter(|_| !route.reported).unwrap_or_default().mul_f64(self.rng.random());
                 route.closed = route.closed.max(route.told + later);
                 shut = route.told > self.now + SHUT;
                 if self.now > route.refused + SHUT {
