--- a/src/policy.rs
+++ b/src/policy.rs
@@ -20,7 +20,7 @@
 const SPAN: Duration = ms(10_000); // over which first tries and repeats are compared: the design page's
 const REPEAT_SHARE: f64 = 0.1; // repeats for each first try: the design page's
 const REPEATS_PER_S: f64 = 1.0; // and so many a second besides: the design page's
-const AGAIN: f64 = 0.25; // repeats after refusals that a handled call earns and a refused one costs: none at half
+const AGAIN: f64 = 0.25; // repeats after refusals that a handled call earns, a refused costs: none at half
 const REPEATS_UNANSWERED: f64 = 1.0; // but so many in all while nothing is answered there: the article
 // Latency.
 const UNKNOWN_CALL: Duration = ms(500); // a usual call where nothing recent is known: the design page's
@@ -167,8 +167,9 @@
         self.taken.iter().map(|s| s.1).max().unwrap_or(UNKNOWN_CALL).mul_f64(PATIENCE)
     }
 
-    /// Longer after each time-out in a row, so that a slow one gets to answer. `least`, what others of its grade
-    /// took, counts while little is known; `floor` is the part of the least patience that slots leave room for.
+    /// Longer after each time-out in a row, so that a slow one gets to answer. `least`, what others of its
+    /// grade took, counts while little is known; `floor` is the part of the least patience that slots leave
+    /// room for.
     fn patience(&self, least: Duration, floor: f64) -> Duration {
         let least = if self.taken.len() < FEW { least.max(LEAST_PATIENCE) } else { LEAST_PATIENCE };
         let calm = self.calm().max(least.mul_f64(floor));
@@ -329,8 +330,8 @@
         ramp.share(Duration::ZERO)
     }
 
-    /// `part` calls/s are this courier's part of what the endpoint takes when warm, `trials` of its trials; the
-    /// time until the ration is ready.
+    /// `part` calls/s are this courier's part of what the endpoint takes when warm, `trials` of its trials;
+    /// the time until the ration is ready.
     fn fill(&mut self, now: Duration, ramp: Return, part: f64, trials: f64) -> Duration {
         let share = self.allowed((now + self.filled) / 2, ramp); // the ramp is straight
         let trials = if matches!(self.health, Health::Cold { .. }) { 0.0 } else { trials };
@@ -541,9 +542,9 @@
                 route.repeats.failures = 0;
             }
             Outcome::Refused(wait) | Outcome::Unproven(wait) => {
-                // Against a herd of all that were refused or told to wait together, where no answer tells of the
-                // sum: a wait ends by chance up to as long again, the pace's next call is due within twice its
-                // gap. May leave room unused after a wait.
+                // Against a herd of all that were refused or told to wait together, where no answer tells of
+                // the sum: a wait ends by chance up to as long again, the pace's next call is due within
+                // twice its gap. May leave room unused after a wait.
                 let chance = if route.reported { 1.0 } else { 2.0 * self.rng.random::<f64>() };
                 route.pace.saved = route.pace.saved.min(0.0);
                 if route.refusals == 0 {
@@ -553,7 +554,8 @@
                 self.again = (self.again - AGAIN).max(0.0);
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
-                    // Answers that tell what is left of a limit pace it; else one call is no rate of one a second.
+                    // Answers that tell what is left of a limit pace it; else one call is no rate of one a
+                    // second.
                     let span = if route.reported { Duration::ZERO } else { self.falls_after };
                     route.pace.refused(route.repeats.rate(self.now, span), self.couriers);
                     route.pace.saved = 1.0 - chance;
@@ -773,8 +775,8 @@
             let opens = route.told.max(route.closed).max(self.now + route.pace.next());
             let opens = opens.max(if sound { self.now } else { self.now + earned });
             let opens = opens.max(if trial { route.trial } else { self.now });
-            // Where calls are what is limited: what waits for the same endpoint goes along, at no cost to it. May
-            // lose all in one call.
+            // Where calls are what is limited: what waits for the same endpoint goes along, at no cost to it.
+            // May lose all in one call.
             let joins = e.mates.0 == self.now && e.mates.1 > 0 && !trial && route.told <= self.now;
             if !joins && (full || opens > self.now || e.credits.left() <= 0) {
                 self.due = if opens > self.now { self.due.min(opens) } else { self.due };
@@ -804,8 +806,8 @@
         let one_zone =
             matches!(self.grades[held.grade].1.effect, Effect::Fingerprinted { one_zone: true, .. });
         let zone = held.may_have_run.as_ref().filter(|_| one_zone).map(|first| &first.1);
-        // Against limits that refused calls use up, where each is priced: the sum of all couriers' repeats takes
-        // the room of first tries. May end a notice that a repeat would have saved.
+        // Against limits that refused calls use up, where each is priced: the sum of all couriers' repeats
+        // takes the room of first tries. May end a notice that a repeat would have saved.
         let again = |w: &Way| !held.refused || w.joins || self.refusal_price <= 0.0 || self.again >= 1.0;
         // What found no room for a connection needs none of its own. Against tables that all couriers fill.
         ways.iter().filter(|w| due || w.kept).find(|w| {
@@ -948,8 +950,9 @@
         let asks = asks.then(|| self.register.next.saturating_sub(self.now));
         let kept = || self.idle.iter().map(|(at, since)| self.kept(at.0, &at.1, *since)).min();
         let Some(wait) = waits.or_else(kept).into_iter().chain(asks).min() else { return };
-        // Whole steps and a new one for one that is past: against a wake-up that a host's coarser clock brings
-        // a little early, which would be taken for none, and no other asked for. May ask for one too many.
+        // Whole steps and a new one for one that is past: against a wake-up that a host's coarser clock
+        // brings a little early, which would be taken for none, and no other asked for. May ask for one too
+        // many.
         let wait = ms(wait.max(BEAT).as_millis() as u64 + 1);
         if self.beat.is_none_or(|at| at <= self.now || at > self.now + wait) {
             self.beat = Some(self.now + wait);
