--- a/src/policy.rs
+++ b/src/policy.rs
@@ -536,9 +536,7 @@
                 }
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
                 shut = route.told > self.now + SHUT;
-                if self.now > route.refused + SHUT {
-                    weight = SILENT_WEIGHT;
-                } else if call.started >= endpoint.outage.told {
+                if call.started >= endpoint.outage.told {
                     weight = LOST_WEIGHT;
                 }
                 // Where answers tell of no limit, or so many came in a row, it is shut or its queue full.
