--- a/src/courier.rs
+++ b/src/courier.rs
@@ -76,21 +76,30 @@
     }
 }
 
-/// A tenant's share of the pool that falls to this courier, as a bucket of one second.
+/// A tenant's share of the pool that falls to this courier, as buckets of one second: by time, an equal part of
+/// its rate; by notice, its part of whatever this courier is handed in. The fuller one counts, as some couriers
+/// are handed in far more than others.
 pub(crate) struct Quota {
     pub(crate) rate: f64,
-    pub(crate) saved: f64,
+    pub(crate) by_time: f64,
+    pub(crate) by_notice: f64,
     pub(crate) filled: Duration,
 }
 
 impl Quota {
-    /// Whether one more notice is within the share; if so, it is counted.
-    pub(crate) fn covers(&mut self, now: Duration) -> bool {
-        let more = self.rate * (now - self.filled).as_secs_f64();
-        self.saved = (self.saved + more).min(self.rate.max(1.0));
+    /// One notice of any tenant was handed in, of which `part` is this one's.
+    pub(crate) fn handed_in(&mut self, now: Duration, part: f64) {
+        let (most, more) = (self.rate.max(1.0), self.rate * (now - self.filled).as_secs_f64());
+        self.by_time = (self.by_time + more).min(most);
+        self.by_notice = (self.by_notice + part).min(most);
         self.filled = now;
-        let covers = self.saved >= 1.0;
-        self.saved -= f64::from(u8::from(covers));
+    }
+
+    /// Whether one more notice is within the share; if so, it is counted.
+    pub(crate) fn covers(&mut self) -> bool {
+        let covers = self.by_time.max(self.by_notice) >= 1.0;
+        let spent = f64::from(u8::from(covers));
+        (self.by_time, self.by_notice) = ((self.by_time - spent).max(0.0), (self.by_notice - spent).max(0.0));
         covers
     }
 }
@@ -368,7 +377,7 @@
     /// A tenant's rate for the whole pool; what comes over it earns only `over_share`.
     pub fn tenant(&mut self, name: &str, rate: f64, over_share: f64) {
         let rate = rate / f64::from(self.couriers);
-        self.quotas.insert(name.into(), Quota { rate, saved: rate, filled: Duration::ZERO });
+        self.quotas.insert(name.into(), Quota { rate, by_time: rate, by_notice: 0.0, filled: Duration::ZERO });
         self.over_share = over_share;
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -126,10 +126,10 @@
         f64::from(firsts + repeats) / (now.as_secs() - since + 1) as f64
     }
 
-    fn allows(&self, now: Duration) -> bool {
+    fn allows(&self, now: Duration, couriers: u32) -> bool {
         let (_, firsts, repeats) = self.live(now);
         // Against the sum of many couriers' repeats at one that returns. May hold back a notice lost twice.
-        let besides = if self.failures > 0 { REPEATS_UNANSWERED } else { REPEATS_PER_S * SPAN.as_secs_f64() };
+        let besides = if self.failures > 0 { REPEATS_UNANSWERED } else { REPEATS_PER_S * SPAN.as_secs_f64() / f64::from(couriers) };
         f64::from(repeats) < REPEAT_SHARE * f64::from(firsts) + besides
     }
 }
@@ -353,6 +353,7 @@
     zone: String,
     repeats: bool,
     kept: bool,                            // whether an idle connection to it is open
+    chance: f64,                           // that it takes a call, by its refusals in a row
     rank: (bool, i64, i64, Duration, u32), // first, whether it is a trial
 }
 
@@ -416,8 +417,10 @@
     ) -> bool {
         let Some(grade) = self.grades.iter().position(|g| g.0 == grade) else { return false };
         let mut worth = self.grades[grade].1.earnings;
+        let all: f64 = self.quotas.values().map(|quota| quota.rate).sum();
+        self.quotas.values_mut().for_each(|quota| quota.handed_in(self.now, quota.rate / all));
         if let Some(quota) = tenant.and_then(|name| self.quotas.get_mut(name)) {
-            worth *= if quota.covers(self.now) { 1.0 } else { self.over_share };
+            worth *= if quota.covers() { 1.0 } else { self.over_share };
         }
         let key = key.filter(|_| self.grades[grade].1.in_order);
         if let Some(key) = key {
@@ -761,10 +764,11 @@
             let doubt = (e.outage.share * DOUBT) as i64;
             let load = i64::from(e.credits.spent) + AWAY * i64::from(e.zone != self.zone) + doubt;
             let rank = (trial, toll, if joins { i64::MIN } else { load }, idle, e.place);
-            let repeats = joins || route.repeats.allows(self.now);
+            let repeats = joins || route.repeats.allows(self.now, self.couriers);
             let (at, zone) = ((id, name.clone()), e.zone.clone());
             let kept = self.idle.contains_key(&at);
-            ways.push(Way { endpoint: at.1, zone, repeats, kept, rank });
+            let chance = 1.0 / f64::from(1 + if joins { 0 } else { route.refusals });
+            ways.push(Way { endpoint: at.1, zone, repeats, kept, chance, rank });
         }
         ways.sort_by_key(|way| way.rank);
         ways
@@ -807,7 +811,7 @@
             let again = u8::from(grade.effect == Effect::Retriable);
             let safe = if !way.rank.0 { 3 } else { held.may_have_run.as_ref().map_or(again, |_| 2) };
             let due = (held.limit + grade.contract).saturating_sub(grade.limit);
-            let rank = (safe, (earns * 1e6 / usual.as_secs_f64().max(LEAST_CALL)) as i64, Reverse(due));
+            let rank = (safe, (earns * way.chance * 1e6 / usual.as_secs_f64().max(LEAST_CALL)) as i64, Reverse(due));
             if best.as_ref().is_none_or(|(top, ..)| rank > *top) {
                 best = Some((rank, *id, way));
             }
