--- a/src/policy.rs
+++ b/src/policy.rs
@@ -353,7 +353,6 @@
     zone: String,
     repeats: bool,
     kept: bool,                            // whether an idle connection to it is open
-    chance: f64,                           // that it takes a call, by its refusals in a row
     rank: (bool, i64, i64, Duration, u32), // first, whether it is a trial
 }
 
@@ -492,7 +491,11 @@
         held.out -= 1;
         held.failures += u32::from(outcome != Outcome::Unsent);
         held.crowded = outcome == Outcome::Crowded;
-        held.not_before = self.now + gap(&mut self.rng, held.failures, BASE, CAP);
+        let grade = &self.grades[held.grade].1;
+        let cap = (grade.limit / self.most_sends.max(1) * 2).max(CAP);
+        let refused = matches!(outcome, Outcome::Refused(_) | Outcome::Unproven(_));
+        let base = if refused { grade.contract.mul_f64(0.750000).max(BASE) } else { BASE };
+        held.not_before = self.now + gap(&mut self.rng, held.failures, base, cap);
         if !outcome.never_ran() && held.may_have_run.as_ref().is_none_or(|first| first.0 > call.started) {
             held.may_have_run = Some((call.started, zone));
         }
@@ -767,8 +770,7 @@
             let repeats = joins || route.repeats.allows(self.now, self.couriers);
             let (at, zone) = ((id, name.clone()), e.zone.clone());
             let kept = self.idle.contains_key(&at);
-            let chance = 1.0 / f64::from(1 + if joins { 0 } else { route.refusals });
-            ways.push(Way { endpoint: at.1, zone, repeats, kept, chance, rank });
+            ways.push(Way { endpoint: at.1, zone, repeats, kept, rank });
         }
         ways.sort_by_key(|way| way.rank);
         ways
@@ -811,7 +813,7 @@
             let again = u8::from(grade.effect == Effect::Retriable);
             let safe = if !way.rank.0 { 3 } else { held.may_have_run.as_ref().map_or(again, |_| 2) };
             let due = (held.limit + grade.contract).saturating_sub(grade.limit);
-            let rank = (safe, (earns * way.chance * 1e6 / usual.as_secs_f64().max(LEAST_CALL)) as i64, Reverse(due));
+            let rank = (safe, (earns * 1e6 / usual.as_secs_f64().max(LEAST_CALL)) as i64, Reverse(due));
             if best.as_ref().is_none_or(|(top, ..)| rank > *top) {
                 best = Some((rank, *id, way));
             }
@@ -880,14 +882,8 @@
             return false;
         }
         let waiting = self.held.iter().filter(|(_, held)| held.out == 0 && self.may_deny(held));
-        let mut lines: BTreeMap<DestinationId, f64> = BTreeMap::new();
-        for held in self.held.values().filter(|held| held.out == 0) {
-            *lines.entry(held.destination).or_default() += 1.0;
-        }
         let least = waiting.min_by(|a, b| {
-            let earns = |held: &Held| {
-                self.earns(held, self.now + self.usual(held.destination, held.grade)) / lines[&held.destination]
-            };
+            let earns = |held: &Held| self.earns(held, self.now + self.usual(held.destination, held.grade));
             earns(a.1).total_cmp(&earns(b.1)).then(b.0.cmp(a.0))
         });
         let Some(id) = least.map(|(id, _)| *id) else { return false };
