--- a/src/courier.rs
+++ b/src/courier.rs
@@ -233,6 +233,8 @@
     pub(crate) listed: ListedRate,
     pub(crate) register: Register,
     pub(crate) grades: Vec<(String, Grade)>,
+    /// The same as in a destination, over all of them; as many as there are grades.
+    pub(crate) latencies: BTreeMap<usize, Latency>,
     pub(crate) apart: BTreeSet<String>,
     /// Kinds of destination that take several notices in one call, and how many at most.
     pub(crate) batches: BTreeMap<String, u32>,
@@ -286,6 +288,7 @@
                 next: Duration::ZERO,
             },
             grades: Vec::new(),
+            latencies: BTreeMap::new(),
             apart: BTreeSet::new(),
             batches: BTreeMap::new(),
             tolls: BTreeMap::new(),
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -27,6 +27,7 @@
 const RECENT: Duration = ms(40_000); // older samples say nothing of now
 const PATIENCE: f64 = 2.0; // x the longest recent call: the tail of a healthy destination ends before it
 const LEAST_PATIENCE: Duration = ms(2_000); // room for a handshake and a queue, while slots are free
+const FEW: usize = 3; // samples under which others' count too
 const STRAYS: f64 = 0.05; // of calls lost one by one: much; the least patience then goes by the free slots
 const MOST_DOUBLINGS: u32 = 3; // of patience after time-outs in a row, so that a slow one gets through
 const LEAST_CALL: f64 = 0.05; // s of a slot that any call counts for, so that none is taken for free
@@ -160,10 +161,14 @@
         self.median.filter(|_| recent).unwrap_or(UNKNOWN_CALL)
     }
 
-    /// Longer after each time-out in a row, so that a slow one gets to answer; `floor` is the least part.
-    fn patience(&self, floor: f64) -> Duration {
-        let longest = self.taken.iter().map(|s| s.1).max().unwrap_or(UNKNOWN_CALL);
-        let calm = longest.mul_f64(PATIENCE).max(LEAST_PATIENCE.mul_f64(floor));
+    fn longest(&self) -> Duration {
+        self.taken.iter().map(|s| s.1).max().unwrap_or(UNKNOWN_CALL)
+    }
+
+    /// Longer after each time-out in a row, so that a slow one gets to answer; `least` is for one yet unknown.
+    fn patience(&self, least: Duration) -> Duration {
+        let least = if self.taken.len() < FEW { least } else { least.min(LEAST_PATIENCE) };
+        let calm = self.longest().mul_f64(PATIENCE).max(least);
         calm * 2u32.pow(self.timed_out.min(MOST_DOUBLINGS))
     }
 }
@@ -491,11 +496,7 @@
         held.out -= 1;
         held.failures += u32::from(outcome != Outcome::Unsent);
         held.crowded = outcome == Outcome::Crowded;
-        let grade = &self.grades[held.grade].1;
-        let cap = (grade.limit / self.most_sends.max(1) * 2).max(CAP);
-        let refused = matches!(outcome, Outcome::Refused(_) | Outcome::Unproven(_));
-        let base = if refused { grade.contract.mul_f64(0.750000).max(BASE) } else { BASE };
-        held.not_before = self.now + gap(&mut self.rng, held.failures, base, cap);
+        held.not_before = self.now + gap(&mut self.rng, held.failures, BASE, CAP);
         if !outcome.never_ran() && held.may_have_run.as_ref().is_none_or(|first| first.0 > call.started) {
             held.may_have_run = Some((call.started, zone));
         }
@@ -520,6 +521,7 @@
             Outcome::Handled => {
                 keep.handled(self.idle_close);
                 latency.handled(self.now, took);
+                self.latencies.entry(call.grade).or_default().handled(self.now, took);
                 self.strays *= 1.0 - STRAYS;
                 endpoint.outage.handled(self.now);
                 (route.refusals, route.rounds) = (0, 0);
@@ -839,7 +841,8 @@
         let busy = self.calls.values().filter(|call| !call.joined).count().min(self.slots.most);
         let free = (1.0 - busy as f64 / self.slots.most as f64).max(1.0 - self.strays / STRAYS);
         let joined = endpoint.mates.0 == now && endpoint.mates.1 > 0;
-        let patience = latency.patience(free).min(held.limit.saturating_sub(now));
+        let others = self.latencies.get(&held.grade).map_or(LEAST_PATIENCE, |l| l.longest().mul_f64(PATIENCE));
+        let patience = latency.patience(others.max(LEAST_PATIENCE).mul_f64(free)).min(held.limit.saturating_sub(now));
         hands.send(id, name, patience);
         if joined {
             endpoint.mates.1 -= 1;
