--- a/src/policy.rs
+++ b/src/policy.rs
@@ -546,6 +546,8 @@
                     route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, BASE, CAP));
                 }
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
+                let spread = wait.unwrap_or_default().mul_f64(2.000000 * self.rng.random::<f64>());
+                route.closed = route.closed.max(route.told + spread);
                 shut = route.told > self.now + SHUT;
                 if self.now > route.refused + SHUT {
                     weight = SILENT_WEIGHT;
