--- a/src/courier.rs
+++ b/src/courier.rs
@@ -179,6 +179,7 @@
     pub(crate) not_before: Duration,
     /// Whether its last send found no room for its connection.
     pub(crate) crowded: bool,
+    pub(crate) refused: bool,
     pub(crate) may_have_run: Option<(Duration, String)>,
 }
 
@@ -201,6 +202,7 @@
             out: 0,
             not_before: Duration::ZERO,
             crowded: false,
+            refused: false,
             may_have_run: None,
         }
     }
@@ -255,6 +257,7 @@
     pub(crate) calls: BTreeMap<(NoticeId, u32), Call>,
     /// About the share of calls that got no answer while others at their endpoint did.
     pub(crate) strays: f64,
+    pub(crate) again: f64,
     pub(crate) beat: Option<Duration>,
     /// When the rules may next have something to do, as found in going through them.
     pub(crate) due: Duration,
@@ -304,6 +307,7 @@
             held: BTreeMap::new(),
             calls: BTreeMap::new(),
             strays: 0.0,
+            again: 1.0,
             beat: None,
             due: Duration::MAX,
             logged: None,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -357,6 +357,7 @@
     endpoint: String,
     zone: String,
     repeats: bool,
+    free: bool,
     kept: bool,                            // whether an idle connection to it is open
     rank: (bool, i64, i64, Duration, u32), // first, whether it is a trial
 }
@@ -496,6 +497,7 @@
         held.out -= 1;
         held.failures += u32::from(outcome != Outcome::Unsent);
         held.crowded = outcome == Outcome::Crowded;
+        held.refused = matches!(outcome, Outcome::Refused(_) | Outcome::Unproven(_));
         held.not_before = self.now + gap(&mut self.rng, held.failures, BASE, CAP);
         if !outcome.never_ran() && held.may_have_run.as_ref().is_none_or(|first| first.0 > call.started) {
             held.may_have_run = Some((call.started, zone));
@@ -521,6 +523,7 @@
             Outcome::Handled => {
                 keep.handled(self.idle_close);
                 latency.handled(self.now, took);
+                self.again = (self.again + 0.500000).min(10.0);
                 self.latencies.entry(call.grade).or_default().handled(self.now, took);
                 self.strays *= 1.0 - STRAYS;
                 endpoint.outage.handled(self.now);
@@ -540,13 +543,14 @@
                     route.refused = self.now;
                 }
                 route.refusals += 1;
+                self.again = (self.again - 0.500000).max(0.0);
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
                     route.pace.refused(route.repeats.rate(self.now), self.couriers);
                     route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, BASE, CAP));
                 }
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
-                let spread = wait.unwrap_or_default().mul_f64(2.000000 * self.rng.random::<f64>());
+                let spread = wait.unwrap_or_default().mul_f64(1.000000 * self.rng.random::<f64>());
                 route.closed = route.closed.max(route.told + spread);
                 shut = route.told > self.now + SHUT;
                 if self.now > route.refused + SHUT {
@@ -774,7 +778,7 @@
             let repeats = joins || route.repeats.allows(self.now, self.couriers);
             let (at, zone) = ((id, name.clone()), e.zone.clone());
             let kept = self.idle.contains_key(&at);
-            ways.push(Way { endpoint: at.1, zone, repeats, kept, rank });
+            ways.push(Way { endpoint: at.1, zone, repeats, free: joins, kept, rank });
         }
         ways.sort_by_key(|way| way.rank);
         ways
@@ -793,7 +797,7 @@
         // What found no room for a connection needs none of its own. Against tables that all couriers fill.
         ways.iter()
             .filter(|w| due || w.kept)
-            .find(|w| (held.sends == 0 || w.repeats || w.rank.0) && zone.is_none_or(|zone| *zone == w.zone))
+            .find(|w| (held.sends == 0 || w.repeats && (!held.refused || w.free || self.again >= 1.0) || w.rank.0) && zone.is_none_or(|zone| *zone == w.zone))
     }
 
     fn send_what_earns_most(&mut self, hands: &mut dyn Hands) -> bool {
@@ -852,6 +856,11 @@
             let most = self.batches.get(&endpoint.kind).copied().unwrap_or(1);
             endpoint.mates = (now, most.saturating_sub(1));
             route.repeats.count(now, held.sends > 0);
+            if held.sends == 0 {
+                self.again = (self.again + -0.100000).min(10.0);
+            } else if held.refused {
+                self.again -= 1.0;
+            }
             route.pace.saved -= 1.0;
             endpoint.credits.spent += 1;
         }
