--- a/src/policy.rs
+++ b/src/policy.rs
@@ -294,8 +294,6 @@
         self.told = now;
         if self.share > OUT_SHARE {
             self.health = Health::Out;
-        } else if let Health::Cold { since } = &mut self.health {
-            *since = now;
         }
     }
 
@@ -358,6 +356,7 @@
     zone: String,
     repeats: bool,
     free: bool,
+    sound: bool,
     kept: bool,                            // whether an idle connection to it is open
     rank: (bool, i64, i64, Duration, u32), // first, whether it is a trial
 }
@@ -523,7 +522,7 @@
             Outcome::Handled => {
                 keep.handled(self.idle_close);
                 latency.handled(self.now, took);
-                self.again = (self.again + 0.500000).min(10.0);
+                self.again = (self.again + 0.200000).min(10.0);
                 self.latencies.entry(call.grade).or_default().handled(self.now, took);
                 self.strays *= 1.0 - STRAYS;
                 endpoint.outage.handled(self.now);
@@ -543,7 +542,7 @@
                     route.refused = self.now;
                 }
                 route.refusals += 1;
-                self.again = (self.again - 0.500000).max(0.0);
+                self.again = (self.again - 0.200000).max(0.0);
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
                     route.pace.refused(route.repeats.rate(self.now), self.couriers);
@@ -778,7 +777,7 @@
             let repeats = joins || route.repeats.allows(self.now, self.couriers);
             let (at, zone) = ((id, name.clone()), e.zone.clone());
             let kept = self.idle.contains_key(&at);
-            ways.push(Way { endpoint: at.1, zone, repeats, free: joins, kept, rank });
+            ways.push(Way { endpoint: at.1, zone, repeats, free: joins, sound: e.outage.share < 0.2 && !trial, kept, rank });
         }
         ways.sort_by_key(|way| way.rank);
         ways
@@ -791,12 +790,13 @@
         if !ready || !held.key.is_none_or(has_turn) || self.last_start(held) < self.now {
             return None;
         }
+        let binding = self.grades[held.grade].1.effect == Effect::Binding;
         let one_zone =
             matches!(self.grades[held.grade].1.effect, Effect::Fingerprinted { one_zone: true, .. });
         let zone = held.may_have_run.as_ref().filter(|_| one_zone).map(|first| &first.1);
         // What found no room for a connection needs none of its own. Against tables that all couriers fill.
         ways.iter()
-            .filter(|w| due || w.kept)
+            .filter(|w| (due || w.kept) && (!binding || w.sound))
             .find(|w| (held.sends == 0 || w.repeats && (!held.refused || w.free || self.again >= 1.0) || w.rank.0) && zone.is_none_or(|zone| *zone == w.zone))
     }
 
@@ -845,10 +845,14 @@
         let latency = destination.latency.entry(held.grade).or_default();
         // Against lost answers that hold all slots. May give up one that turns slow in the midst of that.
         let busy = self.calls.values().filter(|call| !call.joined).count().min(self.slots.most);
-        let free = (1.0 - busy as f64 / self.slots.most as f64).max(1.0 - self.strays / STRAYS);
+        let free = (1.0 - busy as f64 / self.slots.most as f64).max(1.0 - self.strays / STRAYS).max(0.0);
         let joined = endpoint.mates.0 == now && endpoint.mates.1 > 0;
         let others = self.latencies.get(&held.grade).map_or(LEAST_PATIENCE, |l| l.longest().mul_f64(PATIENCE));
         let patience = latency.patience(others.max(LEAST_PATIENCE).mul_f64(free)).min(held.limit.saturating_sub(now));
+        let patience = match self.grades[held.grade].1.effect {
+            Effect::Binding => patience.max(held.limit.saturating_sub(now).mul_f64(free)),
+            _ => patience,
+        };
         hands.send(id, name, patience);
         if joined {
             endpoint.mates.1 -= 1;
@@ -857,7 +861,7 @@
             endpoint.mates = (now, most.saturating_sub(1));
             route.repeats.count(now, held.sends > 0);
             if held.sends == 0 {
-                self.again = (self.again + -0.100000).min(10.0);
+                self.again = (self.again + 0.100000).min(10.0);
             } else if held.refused {
                 self.again -= 1.0;
             }
