--- a/src/courier.rs
+++ b/src/courier.rs
@@ -257,6 +257,7 @@
     pub(crate) calls: BTreeMap<(NoticeId, u32), Call>,
     /// About the share of calls that got no answer while others at their endpoint did.
     pub(crate) strays: f64,
+    pub(crate) refusal_price: f64,
     pub(crate) again: f64,
     pub(crate) beat: Option<Duration>,
     /// When the rules may next have something to do, as found in going through them.
@@ -307,6 +308,7 @@
             held: BTreeMap::new(),
             calls: BTreeMap::new(),
             strays: 0.0,
+            refusal_price: 0.0,
             again: 1.0,
             beat: None,
             due: Duration::MAX,
@@ -377,6 +379,11 @@
         self.batches.clear();
     }
 
+    /// What a refused call costs, in points for one with each first try; 0 if nothing.
+    pub fn refusal_price(&mut self, points: f64) {
+        self.refusal_price = points;
+    }
+
     pub fn toll(&mut self, zone: &str, points: f64) {
         self.tolls.insert(zone.into(), points);
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -62,7 +62,7 @@
 const SHUT: Duration = ms(2_500); // refusing for longer than a limit's span, a second or two, is being shut
 const TRIAL_GAP: Duration = ms(1_000); // longest gap between trials that cannot have run
 const DEAR_TRIAL_GAP: Duration = ms(1_500); // and between those that may: each can cost its notice
-const BY_NOTICE: f64 = 0.9; // of the ramp, for each notice handed in: more may be asked for than it takes
+const BY_NOTICE: f64 = 1.3; // of the ramp, for each notice handed in: more may be asked for than it takes
 const TRIALS_PER_S: f64 = 1.0; // of all couriers together at one that is out: the page's one a second
 const FIRST_COLD_RATE: f64 = 1.0; // calls/s that a destination of unknown rate is taken for when cold: little
 const RAMP_FACTOR: f64 = 0.75; // of the allowed multiple: the rest is for trials and for the others' parts
@@ -294,6 +294,8 @@
         self.told = now;
         if self.share > OUT_SHARE {
             self.health = Health::Out;
+        } else if let Health::Cold { since } = &mut self.health {
+            *since = now;
         }
     }
 
@@ -356,7 +358,6 @@
     zone: String,
     repeats: bool,
     free: bool,
-    sound: bool,
     kept: bool,                            // whether an idle connection to it is open
     rank: (bool, i64, i64, Duration, u32), // first, whether it is a trial
 }
@@ -545,7 +546,9 @@
                 self.again = (self.again - 0.200000).max(0.0);
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
-                    route.pace.refused(route.repeats.rate(self.now), self.couriers);
+                    if self.refusal_price > 0.0 {
+                        route.pace.refused(route.repeats.rate(self.now), self.couriers);
+                    }
                     route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, BASE, CAP));
                 }
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
@@ -777,7 +780,7 @@
             let repeats = joins || route.repeats.allows(self.now, self.couriers);
             let (at, zone) = ((id, name.clone()), e.zone.clone());
             let kept = self.idle.contains_key(&at);
-            ways.push(Way { endpoint: at.1, zone, repeats, free: joins, sound: e.outage.share < 0.2 && !trial, kept, rank });
+            ways.push(Way { endpoint: at.1, zone, repeats, free: joins, kept, rank });
         }
         ways.sort_by_key(|way| way.rank);
         ways
@@ -790,14 +793,13 @@
         if !ready || !held.key.is_none_or(has_turn) || self.last_start(held) < self.now {
             return None;
         }
-        let binding = self.grades[held.grade].1.effect == Effect::Binding;
         let one_zone =
             matches!(self.grades[held.grade].1.effect, Effect::Fingerprinted { one_zone: true, .. });
         let zone = held.may_have_run.as_ref().filter(|_| one_zone).map(|first| &first.1);
         // What found no room for a connection needs none of its own. Against tables that all couriers fill.
         ways.iter()
-            .filter(|w| (due || w.kept) && (!binding || w.sound))
-            .find(|w| (held.sends == 0 || w.repeats && (!held.refused || w.free || self.again >= 1.0) || w.rank.0) && zone.is_none_or(|zone| *zone == w.zone))
+            .filter(|w| due || w.kept)
+            .find(|w| (held.sends == 0 || w.repeats && (!held.refused || w.free || self.again >= 1.0 || self.refusal_price <= 0.0) || w.rank.0) && zone.is_none_or(|zone| *zone == w.zone))
     }
 
     fn send_what_earns_most(&mut self, hands: &mut dyn Hands) -> bool {
