--- a/src/policy.rs
+++ b/src/policy.rs
@@ -62,7 +62,7 @@
 const SHUT: Duration = ms(2_500); // refusing for longer than a limit's span, a second or two, is being shut
 const TRIAL_GAP: Duration = ms(1_000); // longest gap between trials that cannot have run
 const DEAR_TRIAL_GAP: Duration = ms(1_500); // and between those that may: each can cost its notice
-const BY_NOTICE: f64 = 1.3; // of the ramp, for each notice handed in: more may be asked for than it takes
+const BY_NOTICE: f64 = 0.9; // of the ramp, for each notice handed in: more may be asked for than it takes
 const TRIALS_PER_S: f64 = 1.0; // of all couriers together at one that is out: the page's one a second
 const FIRST_COLD_RATE: f64 = 1.0; // calls/s that a destination of unknown rate is taken for when cold: little
 const RAMP_FACTOR: f64 = 0.75; // of the allowed multiple: the rest is for trials and for the others' parts
@@ -523,7 +523,7 @@
             Outcome::Handled => {
                 keep.handled(self.idle_close);
                 latency.handled(self.now, took);
-                self.again = (self.again + 0.200000).min(10.0);
+                self.again = (self.again + 0.250000).min(10.0);
                 self.latencies.entry(call.grade).or_default().handled(self.now, took);
                 self.strays *= 1.0 - STRAYS;
                 endpoint.outage.handled(self.now);
@@ -543,12 +543,10 @@
                     route.refused = self.now;
                 }
                 route.refusals += 1;
-                self.again = (self.again - 0.200000).max(0.0);
+                self.again = (self.again - 0.250000).max(0.0);
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
-                    if self.refusal_price > 0.0 {
-                        route.pace.refused(route.repeats.rate(self.now), self.couriers);
-                    }
+                    route.pace.refused(route.repeats.rate(self.now), self.couriers);
                     route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, BASE, CAP));
                 }
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
@@ -863,7 +861,7 @@
             endpoint.mates = (now, most.saturating_sub(1));
             route.repeats.count(now, held.sends > 0);
             if held.sends == 0 {
-                self.again = (self.again + 0.100000).min(10.0);
+                self.again = (self.again + 0.000000).min(10.0);
             } else if held.refused {
                 self.again -= 1.0;
             }
