--- a/crates/quillhub-settings/src/lib.rs
+++ b/crates/quillhub-settings/src/lib.rs
@@ -166,20 +166,11 @@
             courier.routes_apart(kind);
         }
     }
-    let batches = family.get("batchByKind").map_or(Ok(Vec::new()), |v| v.rows())?;
-    for (kind, most) in kinds.iter().zip(batches) {
-        match u32::try_from(most.whole()?) {
-            Ok(0) | Err(_) => return most.wrong("a whole number from 1 on"),
-            Ok(1) => {}
-            Ok(several) => courier.batch(kind, several),
-        }
-    }
     let zones = top.get("failureDomains").map_or(Ok(Vec::new()), |v| v.words())?;
     let tolls = family.get("toll").map_or(Ok(Vec::new()), |v| v.rows())?;
     for (zone, toll) in zones.iter().zip(tolls) {
         courier.toll(zone, toll.number()?);
     }
-    courier.refusal_price(family.get("refusedPrice").map_or(Ok(0.0), |v| v.number())?);
     let over_share = top.get("overShareWorth").map_or(Ok(1.0), |v| v.number())?;
     for tenant in top.get("parties").map_or(Ok(Vec::new()), |v| v.rows())? {
         if let Some(quota) = tenant.get("quotaPerS") {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -27,7 +27,6 @@
 const RECENT: Duration = ms(40_000); // older samples say nothing of now
 const PATIENCE: f64 = 2.0; // x the longest recent call: the tail of a healthy destination ends before it
 const LEAST_PATIENCE: Duration = ms(2_000); // room for a handshake and a queue, while slots are free
-const FEW: usize = 3; // samples under which others' count too
 const STRAYS: f64 = 0.05; // of calls lost one by one: much; the least patience then goes by the free slots
 const MOST_DOUBLINGS: u32 = 3; // of patience after time-outs in a row, so that a slow one gets through
 const LEAST_CALL: f64 = 0.05; // s of a slot that any call counts for, so that none is taken for free
@@ -72,8 +71,7 @@
 pub(crate) const FORGET: Duration = ms(600_000); // until a destination without endpoints does not exist
 // Holding room, and time.
 const SPARE_ROOM: f64 = 0.05; // of the room kept free, so that this courier chooses who is denied
-const BEAT: Duration = ms(20); // shortest time between two looks at what waits
-const LOOK: Duration = ms(500); // and the longest: a ramp opens sooner than its rate of now tells
+const BEAT: Duration = ms(20); // while a notice waits, the rules are gone through so often
 const LOG_GAP: Duration = ms(5_000); // between two lines on short room
 
 /// The wait before the next try after failure `k` (from 1): even chance from zero to a growing end.
@@ -87,11 +85,6 @@
     cap / 2 + gap(rng, k, BASE, cap) / 2
 }
 
-/// The time in which `rate` a second adds up to `wanted`; a bit at least, an hour at most.
-fn until(wanted: f64, rate: f64) -> Duration {
-    Duration::from_secs_f64((wanted / rate).clamp(0.001, 3_600.0))
-}
-
 /// Repeats and first tries of the last SPAN, in seconds; old seconds leave with each count.
 #[derive(Default)]
 pub(crate) struct Repeats {
@@ -127,10 +120,10 @@
         f64::from(firsts + repeats) / (now.as_secs() - since + 1) as f64
     }
 
-    fn allows(&self, now: Duration, couriers: u32) -> bool {
+    fn allows(&self, now: Duration) -> bool {
         let (_, firsts, repeats) = self.live(now);
         // Against the sum of many couriers' repeats at one that returns. May hold back a notice lost twice.
-        let besides = if self.failures > 0 { REPEATS_UNANSWERED } else { REPEATS_PER_S * SPAN.as_secs_f64() / f64::from(couriers) };
+        let besides = if self.failures > 0 { REPEATS_UNANSWERED } else { REPEATS_PER_S * SPAN.as_secs_f64() };
         f64::from(repeats) < REPEAT_SHARE * f64::from(firsts) + besides
     }
 }
@@ -161,14 +154,10 @@
         self.median.filter(|_| recent).unwrap_or(UNKNOWN_CALL)
     }
 
-    fn longest(&self) -> Duration {
-        self.taken.iter().map(|s| s.1).max().unwrap_or(UNKNOWN_CALL)
-    }
-
-    /// Longer after each time-out in a row, so that a slow one gets to answer; `least` is for one yet unknown.
-    fn patience(&self, least: Duration) -> Duration {
-        let least = if self.taken.len() < FEW { least } else { least.min(LEAST_PATIENCE) };
-        let calm = self.longest().mul_f64(PATIENCE).max(least);
+    /// Longer after each time-out in a row, so that a slow one gets to answer; `floor` is the least part.
+    fn patience(&self, floor: f64) -> Duration {
+        let longest = self.taken.iter().map(|s| s.1).max().unwrap_or(UNKNOWN_CALL);
+        let calm = longest.mul_f64(PATIENCE).max(LEAST_PATIENCE.mul_f64(floor));
         calm * 2u32.pow(self.timed_out.min(MOST_DOUBLINGS))
     }
 }
@@ -250,11 +239,6 @@
         }
         self.filled = now;
     }
-
-    /// The time until the next call may go.
-    fn next(&self) -> Duration {
-        self.rate().filter(|_| self.saved < 1.0).map_or(Duration::ZERO, |rate| until(1.0 - self.saved, rate))
-    }
 }
 
 impl Return {
@@ -326,15 +310,13 @@
         ramp.share(Duration::ZERO)
     }
 
-    /// `part` calls/s are this courier's part of what the endpoint takes when warm, `trials` of its trials; the
-    /// time until the ration is ready.
-    fn fill(&mut self, now: Duration, ramp: Return, part: f64, trials: f64) -> Duration {
+    /// `part` calls/s are this courier's part of what the endpoint takes when warm, `trials` of its trials.
+    fn fill(&mut self, now: Duration, ramp: Return, part: f64, trials: f64) {
         let share = self.allowed((now + self.filled) / 2, ramp); // the ramp is straight
         let trials = if matches!(self.health, Health::Cold { .. }) { 0.0 } else { trials };
         let rate = (share * part).max(trials);
         self.ration.by_time = (self.ration.by_time + rate * (now - self.filled).as_secs_f64()).min(1.0);
         self.filled = now;
-        if self.ration.ready() { Duration::ZERO } else { until(1.0 - self.ration.by_time, rate) }
     }
 
     /// One notice for its destination, of which `part` falls to this endpoint.
@@ -357,7 +339,6 @@
     endpoint: String,
     zone: String,
     repeats: bool,
-    free: bool,
     kept: bool,                            // whether an idle connection to it is open
     rank: (bool, i64, i64, Duration, u32), // first, whether it is a trial
 }
@@ -392,7 +373,6 @@
             credits: Credits { most: FIRST_CREDITS, spent: 0 },
             outage: Outage::new(self.rng.random()),
             used: None,
-            mates: (now, 0),
         });
         endpoint.listing = listing;
         self.left |= listing == Listing::Gone;
@@ -422,10 +402,8 @@
     ) -> bool {
         let Some(grade) = self.grades.iter().position(|g| g.0 == grade) else { return false };
         let mut worth = self.grades[grade].1.earnings;
-        let all: f64 = self.quotas.values().map(|quota| quota.rate).sum();
-        self.quotas.values_mut().for_each(|quota| quota.handed_in(self.now, quota.rate / all));
         if let Some(quota) = tenant.and_then(|name| self.quotas.get_mut(name)) {
-            worth *= if quota.covers() { 1.0 } else { self.over_share };
+            worth *= if quota.covers(self.now) { 1.0 } else { self.over_share };
         }
         let key = key.filter(|_| self.grades[grade].1.in_order);
         if let Some(key) = key {
@@ -480,9 +458,7 @@
         report: Option<(f64, f64)>,
     ) {
         let Some(call) = self.calls.remove(&(id, send)) else { return };
-        if !call.joined {
-            self.judge(&call, outcome, took, report);
-        }
+        self.judge(&call, outcome, took, report);
         if let Some(turn) = call.key.and_then(|key| self.turns.get_mut(&key)) {
             turn.out.retain(|other| *other != id);
             if !outcome.never_ran() && !matches!(outcome, Outcome::Handled | Outcome::Error) {
@@ -497,7 +473,6 @@
         held.out -= 1;
         held.failures += u32::from(outcome != Outcome::Unsent);
         held.crowded = outcome == Outcome::Crowded;
-        held.refused = matches!(outcome, Outcome::Refused(_) | Outcome::Unproven(_));
         held.not_before = self.now + gap(&mut self.rng, held.failures, BASE, CAP);
         if !outcome.never_ran() && held.may_have_run.as_ref().is_none_or(|first| first.0 > call.started) {
             held.may_have_run = Some((call.started, zone));
@@ -523,8 +498,6 @@
             Outcome::Handled => {
                 keep.handled(self.idle_close);
                 latency.handled(self.now, took);
-                self.again = (self.again + 0.250000).min(10.0);
-                self.latencies.entry(call.grade).or_default().handled(self.now, took);
                 self.strays *= 1.0 - STRAYS;
                 endpoint.outage.handled(self.now);
                 (route.refusals, route.rounds) = (0, 0);
@@ -543,15 +516,12 @@
                     route.refused = self.now;
                 }
                 route.refusals += 1;
-                self.again = (self.again - 0.250000).max(0.0);
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
                     route.pace.refused(route.repeats.rate(self.now), self.couriers);
                     route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, BASE, CAP));
                 }
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
-                let spread = wait.unwrap_or_default().mul_f64(1.000000 * self.rng.random::<f64>());
-                route.closed = route.closed.max(route.told + spread);
                 shut = route.told > self.now + SHUT;
                 if self.now > route.refused + SHUT {
                     weight = SILENT_WEIGHT;
@@ -634,16 +604,14 @@
     pub fn settle(&mut self, hands: &mut dyn Hands) {
         self.lines.drain(..).for_each(|line| hands.log(&line));
         self.news.drain(..).for_each(|(to, route)| hands.tell(&note::of_return(to, &route)));
-        while {
-            self.due = Duration::MAX;
-            self.ask_register(hands)
-                || self.keep_folder(hands)
-                || self.end_what_cannot_be_delivered(hands)
-                || self.send_what_earns_most(hands)
-                || self.keep_room(hands)
-                || self.close_idle(hands)
-        } {}
-        self.keep_beat(hands);
+        while self.ask_register(hands)
+            || self.keep_folder(hands)
+            || self.end_what_cannot_be_delivered(hands)
+            || self.send_what_earns_most(hands)
+            || self.keep_room(hands)
+            || self.close_idle(hands)
+            || self.keep_beat(hands)
+        {}
     }
 
     pub fn woken(&mut self) {
@@ -705,12 +673,7 @@
                 && (held.sends >= self.most_sends
                     || self.now.max(held.not_before).max(self.told(held.destination)) > self.last_start(held))
         });
-        let Some((&id, _)) = lost else {
-            let ends =
-                self.held.values().filter(|held| held.out == 0).map(|held| self.last_start(held)).min();
-            self.due = self.due.min(ends.unwrap_or(Duration::MAX));
-            return false;
-        };
+        let Some((&id, _)) = lost else { return false };
         self.answer(id, hands);
         true
     }
@@ -727,10 +690,10 @@
 
     /// The calls out to each destination, and whether it is sick: slow, or all its endpoints are out.
     fn calls_out(&self) -> BTreeMap<DestinationId, (usize, bool)> {
-        let (mut out, mut seen) = (BTreeMap::new(), BTreeSet::new());
+        let mut out = BTreeMap::new();
         for call in self.calls.values() {
             let entry: &mut (usize, bool) = out.entry(call.destination).or_default();
-            entry.0 += usize::from(seen.insert((&call.endpoint, call.started)));
+            entry.0 += 1;
             entry.1 = entry.1 || self.slow(call);
         }
         for (id, entry) in &mut out {
@@ -745,8 +708,9 @@
         let (calls, slow) = out.get(&id).copied().unwrap_or_default();
         let sick_calls: usize = out.values().filter(|o| o.1).map(|o| o.0).sum();
         let sick = slow || destination.out();
-        let full = calls >= self.slots.part(SHARE) || sick && sick_calls >= self.slots.part(SICK_SHARE);
-        let full = full || out.values().map(|o| o.0).sum::<usize>() >= self.slots.most;
+        if calls >= self.slots.part(SHARE) || sick && sick_calls >= self.slots.part(SICK_SHARE) {
+            return Vec::new();
+        }
         let open = destination.endpoints.values().filter(|e| e.listing == Listing::Open).count();
         let mut ways = Vec::new();
         for (name, e) in destination.endpoints.iter_mut().filter(|(_, e)| e.listing == Listing::Open) {
@@ -755,30 +719,26 @@
             let part = route.pace.sure.unwrap_or(FIRST_COLD_RATE) / f64::from(self.couriers);
             let trials = TRIALS_PER_S / f64::from(self.couriers);
             e.outage.filled = e.outage.filled.max(route.told.min(self.now)); // a wait earns nothing
-            let earned = e.outage.fill(self.now, self.ramp, part / open as f64, trials / open as f64);
+            e.outage.fill(self.now, self.ramp, part / open as f64, trials / open as f64);
             let trial = e.outage.health == Health::Out;
+            let paced = route.pace.rate().is_none() || route.pace.saved >= 1.0;
+            let open = route.told <= self.now && route.closed <= self.now && paced;
             // Against many couriers that each see too little for a verdict. May slow one that loses some.
             let doubtful = route.repeats.doubtful();
             let sound = e.outage.health == Health::Well && !doubtful;
-            let opens = route.told.max(route.closed).max(self.now + route.pace.next());
-            let opens = opens.max(if sound { self.now } else { self.now + earned });
-            let opens = opens.max(if trial { route.trial } else { self.now });
-            // Where calls are what is limited: what waits for the same endpoint goes along, at no cost to it. May
-            // lose all in one call.
-            let joins = e.mates.0 == self.now && e.mates.1 > 0 && !trial && route.told <= self.now;
-            if !joins && (full || opens > self.now || e.credits.left() <= 0) {
-                self.due = if opens > self.now { self.due.min(opens) } else { self.due };
+            let willing = (sound || e.outage.ration.ready()) && (!trial || route.trial <= self.now);
+            if !open || !willing || e.credits.left() <= 0 {
                 continue;
             }
             let toll = (self.tolls.get(&e.zone).unwrap_or(&0.0) * 1e6) as i64;
             let idle = e.used.map_or(Duration::MAX, |at| self.now - at); // the last used has a connection
             let doubt = (e.outage.share * DOUBT) as i64;
             let load = i64::from(e.credits.spent) + AWAY * i64::from(e.zone != self.zone) + doubt;
-            let rank = (trial, toll, if joins { i64::MIN } else { load }, idle, e.place);
-            let repeats = joins || route.repeats.allows(self.now, self.couriers);
+            let rank = (trial, toll, load, idle, e.place);
+            let repeats = route.repeats.allows(self.now);
             let (at, zone) = ((id, name.clone()), e.zone.clone());
             let kept = self.idle.contains_key(&at);
-            ways.push(Way { endpoint: at.1, zone, repeats, free: joins, kept, rank });
+            ways.push(Way { endpoint: at.1, zone, repeats, kept, rank });
         }
         ways.sort_by_key(|way| way.rank);
         ways
@@ -797,19 +757,18 @@
         // What found no room for a connection needs none of its own. Against tables that all couriers fill.
         ways.iter()
             .filter(|w| due || w.kept)
-            .find(|w| (held.sends == 0 || w.repeats && (!held.refused || w.free || self.again >= 1.0 || self.refusal_price <= 0.0) || w.rank.0) && zone.is_none_or(|zone| *zone == w.zone))
+            .find(|w| (held.sends == 0 || w.repeats || w.rank.0) && zone.is_none_or(|zone| *zone == w.zone))
     }
 
     fn send_what_earns_most(&mut self, hands: &mut dyn Hands) -> bool {
-        let out = self.calls_out();
-        let full = out.values().map(|o| o.0).sum::<usize>() >= self.slots.most;
-        if full && self.batches.is_empty() || self.held.is_empty() {
+        if self.calls.len() >= self.slots.most || self.held.is_empty() {
             return false;
         }
         let kept = |to| self.idle.range((to, String::new())..).next().is_some_and(|(at, _)| at.0 == to);
         let goes = |held: &Held| held.not_before <= self.now || held.crowded && kept(held.destination);
         let waiting = self.held.values().filter(|held| held.out == 0 && goes(held));
         let waiting: BTreeSet<_> = waiting.map(|held| held.destination).collect();
+        let out = self.calls_out();
         let doors: BTreeMap<_, _> = waiting.into_iter().map(|id| (id, self.doors(id, &out))).collect();
         let mut best: Option<(_, NoticeId, &Way)> = None;
         for (id, held) in &self.held {
@@ -826,12 +785,7 @@
                 best = Some((rank, *id, way));
             }
         }
-        let Some((_, id, way)) = best else {
-            let later = self.held.values().map(|held| held.not_before).filter(|at| *at > self.now);
-            let rests = self.turns.values().map(|turn| turn.rest).filter(|at| *at > self.now);
-            self.due = later.chain(rests).min().map_or(self.due, |at| at.min(self.due));
-            return false;
-        };
+        let Some((_, id, way)) = best else { return false };
         self.send(id, &way.endpoint.clone(), way.rank.0, hands);
         true
     }
@@ -844,41 +798,23 @@
         let Some(route) = destination.routes.get_mut(&endpoint.route) else { return };
         let latency = destination.latency.entry(held.grade).or_default();
         // Against lost answers that hold all slots. May give up one that turns slow in the midst of that.
-        let busy = self.calls.values().filter(|call| !call.joined).count().min(self.slots.most);
-        let free = (1.0 - busy as f64 / self.slots.most as f64).max(1.0 - self.strays / STRAYS).max(0.0);
-        let joined = endpoint.mates.0 == now && endpoint.mates.1 > 0;
-        let others = self.latencies.get(&held.grade).map_or(LEAST_PATIENCE, |l| l.longest().mul_f64(PATIENCE));
-        let patience = latency.patience(others.max(LEAST_PATIENCE).mul_f64(free)).min(held.limit.saturating_sub(now));
-        let patience = match self.grades[held.grade].1.effect {
-            Effect::Binding => patience.max(held.limit.saturating_sub(now).mul_f64(free)),
-            _ => patience,
-        };
+        let free = (1.0 - self.calls.len() as f64 / self.slots.most as f64).max(1.0 - self.strays / STRAYS);
+        let patience = latency.patience(free).min(held.limit.saturating_sub(now));
         hands.send(id, name, patience);
-        if joined {
-            endpoint.mates.1 -= 1;
-        } else {
-            let most = self.batches.get(&endpoint.kind).copied().unwrap_or(1);
-            endpoint.mates = (now, most.saturating_sub(1));
-            route.repeats.count(now, held.sends > 0);
-            if held.sends == 0 {
-                self.again = (self.again + 0.000000).min(10.0);
-            } else if held.refused {
-                self.again -= 1.0;
-            }
-            route.pace.saved -= 1.0;
-            endpoint.credits.spent += 1;
-        }
+        route.repeats.count(now, held.sends > 0);
+        route.pace.saved -= 1.0;
         if trial {
             route.trials += 1;
             route.trial = now + trial_gap(&mut self.rng, route.trials, TRIAL_GAP);
         }
         self.idle.remove(&(held.destination, name.to_owned()));
-        if !joined && (endpoint.outage.health != Health::Well || route.repeats.doubtful()) {
+        endpoint.credits.spent += 1;
+        if endpoint.outage.health != Health::Well || route.repeats.doubtful() {
             endpoint.outage.ration.spend();
         }
         endpoint.used = Some(now);
         let (destination, endpoint, grade, key) = (held.destination, name.into(), held.grade, held.key);
-        self.calls.insert((id, held.sends), Call { destination, endpoint, grade, key, started: now, joined });
+        self.calls.insert((id, held.sends), Call { destination, endpoint, grade, key, started: now });
         if let Some(turn) = held.key.and_then(|key| self.turns.get_mut(&key)) {
             turn.out.push(id);
         }
@@ -919,10 +855,8 @@
     }
 
     fn close_idle(&mut self, hands: &mut dyn Hands) -> bool {
-        let Some(least) = self.keeps.values().map(|keep| keep.time).min() else { return false };
-        let over = |(at, since): &(&(DestinationId, String), &Duration)| {
-            **since + least <= self.now && self.kept(at.0, &at.1, **since).is_zero()
-        };
+        let over =
+            |(at, since): &(&(DestinationId, String), &Duration)| self.kept(at.0, &at.1, **since).is_zero();
         let Some(at) = self.idle.iter().find(over).map(|(at, _)| at.clone()) else { return false };
         self.idle.remove(&at);
         if let Some(endpoint) = self.destinations.get_mut(&at.0).and_then(|d| d.endpoints.get_mut(&at.1)) {
@@ -932,20 +866,19 @@
         true
     }
 
-    fn keep_beat(&mut self, hands: &mut dyn Hands) {
+    fn keep_beat(&mut self, hands: &mut dyn Hands) -> bool {
         let waits = self.held.values().any(|held| held.out == 0);
-        let waits = waits.then(|| self.due.saturating_sub(self.now).min(LOOK));
         let asks = self.register.must_ask && !self.register.asked;
         let asks = asks.then(|| self.register.next.saturating_sub(self.now));
-        let kept = || self.idle.iter().map(|(at, since)| self.kept(at.0, &at.1, *since)).min();
-        let Some(wait) = waits.or_else(kept).into_iter().chain(asks).min() else { return };
-        // Whole steps and a new one for one that is past: against a wake-up that a host's coarser clock brings
-        // a little early, which would be taken for none, and no other asked for. May ask for one too many.
-        let wait = ms(wait.max(BEAT).as_millis() as u64 + 1);
-        if self.beat.is_none_or(|at| at <= self.now || at > self.now + wait) {
-            self.beat = Some(self.now + wait);
-            hands.wake(wait);
+        let idle = self.idle.iter().map(|(at, since)| self.kept(at.0, &at.1, *since)).min();
+        let next = idle.into_iter().chain(asks).min().map(|wait| wait.max(BEAT));
+        let Some(wait) = next.filter(|_| !waits).or(waits.then_some(BEAT)) else { return false };
+        if self.beat.is_some_and(|at| at <= self.now + wait) {
+            return false;
         }
+        self.beat = Some(self.now + wait);
+        hands.wake(wait);
+        true
     }
 }
 
