--- a/crates/quillhub-settings/src/lib.rs
+++ b/crates/quillhub-settings/src/lib.rs
@@ -179,6 +179,7 @@
     for (zone, toll) in zones.iter().zip(tolls) {
         courier.toll(zone, toll.number()?);
     }
+    courier.refusal_price(family.get("refusedPrice").map_or(Ok(0.0), |v| v.number())?);
     let over_share = top.get("overShareWorth").map_or(Ok(1.0), |v| v.number())?;
     for tenant in top.get("parties").map_or(Ok(Vec::new()), |v| v.rows())? {
         if let Some(quota) = tenant.get("quotaPerS") {
--- a/src/courier.rs
+++ b/src/courier.rs
@@ -76,21 +76,30 @@
     }
 }
 
-/// A tenant's share of the pool that falls to this courier, as a bucket of one second.
+/// A tenant's share of the pool that falls to this courier, as buckets of one second: by time, an equal part of
+/// its rate; by notice, its part of whatever this courier is handed in. The fuller one counts, as some couriers
+/// are handed in far more than others.
 pub(crate) struct Quota {
     pub(crate) rate: f64,
-    pub(crate) saved: f64,
+    pub(crate) by_time: f64,
+    pub(crate) by_notice: f64,
     pub(crate) filled: Duration,
 }
 
 impl Quota {
-    /// Whether one more notice is within the share; if so, it is counted.
-    pub(crate) fn covers(&mut self, now: Duration) -> bool {
-        let more = self.rate * (now - self.filled).as_secs_f64();
-        self.saved = (self.saved + more).min(self.rate.max(1.0));
+    /// One notice of any tenant was handed in, of which `part` is this one's.
+    pub(crate) fn handed_in(&mut self, now: Duration, part: f64) {
+        let (most, more) = (self.rate.max(1.0), self.rate * (now - self.filled).as_secs_f64());
+        self.by_time = (self.by_time + more).min(most);
+        self.by_notice = (self.by_notice + part).min(most);
         self.filled = now;
-        let covers = self.saved >= 1.0;
-        self.saved -= f64::from(u8::from(covers));
+    }
+
+    /// Whether one more notice is within the share; if so, it is counted.
+    pub(crate) fn covers(&mut self) -> bool {
+        let covers = self.by_time.max(self.by_notice) >= 1.0;
+        let spent = f64::from(u8::from(covers));
+        (self.by_time, self.by_notice) = ((self.by_time - spent).max(0.0), (self.by_notice - spent).max(0.0));
         covers
     }
 }
@@ -170,6 +179,7 @@
     pub(crate) not_before: Duration,
     /// Whether its last send found no room for its connection.
     pub(crate) crowded: bool,
+    pub(crate) refused: bool,
     pub(crate) may_have_run: Option<(Duration, String)>,
 }
 
@@ -192,6 +202,7 @@
             out: 0,
             not_before: Duration::ZERO,
             crowded: false,
+            refused: false,
             may_have_run: None,
         }
     }
@@ -224,6 +235,8 @@
     pub(crate) listed: ListedRate,
     pub(crate) register: Register,
     pub(crate) grades: Vec<(String, Grade)>,
+    /// The same as in a destination, over all of them; as many as there are grades.
+    pub(crate) latencies: BTreeMap<usize, Latency>,
     pub(crate) apart: BTreeSet<String>,
     /// Kinds of destination that take several notices in one call, and how many at most.
     pub(crate) batches: BTreeMap<String, u32>,
@@ -244,6 +257,8 @@
     pub(crate) calls: BTreeMap<(NoticeId, u32), Call>,
     /// About the share of calls that got no answer while others at their endpoint did.
     pub(crate) strays: f64,
+    pub(crate) refusal_price: f64,
+    pub(crate) again: f64,
     pub(crate) beat: Option<Duration>,
     /// When the rules may next have something to do, as found in going through them.
     pub(crate) due: Duration,
@@ -277,6 +292,7 @@
                 next: Duration::ZERO,
             },
             grades: Vec::new(),
+            latencies: BTreeMap::new(),
             apart: BTreeSet::new(),
             batches: BTreeMap::new(),
             tolls: BTreeMap::new(),
@@ -292,6 +308,8 @@
             held: BTreeMap::new(),
             calls: BTreeMap::new(),
             strays: 0.0,
+            refusal_price: 0.0,
+            again: 1.0,
             beat: None,
             due: Duration::MAX,
             logged: None,
@@ -361,6 +379,11 @@
         self.batches.clear();
     }
 
+    /// What a refused call costs, in points for one with each first try; 0 if nothing.
+    pub fn refusal_price(&mut self, points: f64) {
+        self.refusal_price = points;
+    }
+
     pub fn toll(&mut self, zone: &str, points: f64) {
         self.tolls.insert(zone.into(), points);
     }
@@ -368,7 +391,7 @@
     /// A tenant's rate for the whole pool; what comes over it earns only `over_share`.
     pub fn tenant(&mut self, name: &str, rate: f64, over_share: f64) {
         let rate = rate / f64::from(self.couriers);
-        self.quotas.insert(name.into(), Quota { rate, saved: rate, filled: Duration::ZERO });
+        self.quotas.insert(name.into(), Quota { rate, by_time: rate, by_notice: 0.0, filled: Duration::ZERO });
         self.over_share = over_share;
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -27,6 +27,7 @@
 const RECENT: Duration = ms(40_000); // older samples say nothing of now
 const PATIENCE: f64 = 2.0; // x the longest recent call: the tail of a healthy destination ends before it
 const LEAST_PATIENCE: Duration = ms(2_000); // room for a handshake and a queue, while slots are free
+const FEW: usize = 3; // samples under which others' count too
 const STRAYS: f64 = 0.05; // of calls lost one by one: much; the least patience then goes by the free slots
 const MOST_DOUBLINGS: u32 = 3; // of patience after time-outs in a row, so that a slow one gets through
 const LEAST_CALL: f64 = 0.05; // s of a slot that any call counts for, so that none is taken for free
@@ -160,10 +161,14 @@
         self.median.filter(|_| recent).unwrap_or(UNKNOWN_CALL)
     }
 
-    /// Longer after each time-out in a row, so that a slow one gets to answer; `floor` is the least part.
-    fn patience(&self, floor: f64) -> Duration {
-        let longest = self.taken.iter().map(|s| s.1).max().unwrap_or(UNKNOWN_CALL);
-        let calm = longest.mul_f64(PATIENCE).max(LEAST_PATIENCE.mul_f64(floor));
+    fn longest(&self) -> Duration {
+        self.taken.iter().map(|s| s.1).max().unwrap_or(UNKNOWN_CALL)
+    }
+
+    /// Longer after each time-out in a row, so that a slow one gets to answer; `least` is for one yet unknown.
+    fn patience(&self, least: Duration) -> Duration {
+        let least = if self.taken.len() < FEW { least } else { least.min(LEAST_PATIENCE) };
+        let calm = self.longest().mul_f64(PATIENCE).max(least);
         calm * 2u32.pow(self.timed_out.min(MOST_DOUBLINGS))
     }
 }
@@ -352,6 +357,7 @@
     endpoint: String,
     zone: String,
     repeats: bool,
+    free: bool,
     kept: bool,                            // whether an idle connection to it is open
     rank: (bool, i64, i64, Duration, u32), // first, whether it is a trial
 }
@@ -416,8 +422,10 @@
     ) -> bool {
         let Some(grade) = self.grades.iter().position(|g| g.0 == grade) else { return false };
         let mut worth = self.grades[grade].1.earnings;
+        let all: f64 = self.quotas.values().map(|quota| quota.rate).sum();
+        self.quotas.values_mut().for_each(|quota| quota.handed_in(self.now, quota.rate / all));
         if let Some(quota) = tenant.and_then(|name| self.quotas.get_mut(name)) {
-            worth *= if quota.covers(self.now) { 1.0 } else { self.over_share };
+            worth *= if quota.covers() { 1.0 } else { self.over_share };
         }
         let key = key.filter(|_| self.grades[grade].1.in_order);
         if let Some(key) = key {
@@ -489,6 +497,7 @@
         held.out -= 1;
         held.failures += u32::from(outcome != Outcome::Unsent);
         held.crowded = outcome == Outcome::Crowded;
+        held.refused = matches!(outcome, Outcome::Refused(_) | Outcome::Unproven(_));
         held.not_before = self.now + gap(&mut self.rng, held.failures, BASE, CAP);
         if !outcome.never_ran() && held.may_have_run.as_ref().is_none_or(|first| first.0 > call.started) {
             held.may_have_run = Some((call.started, zone));
@@ -514,6 +523,8 @@
             Outcome::Handled => {
                 keep.handled(self.idle_close);
                 latency.handled(self.now, took);
+                self.again = (self.again + 0.250000).min(10.0);
+                self.latencies.entry(call.grade).or_default().handled(self.now, took);
                 self.strays *= 1.0 - STRAYS;
                 endpoint.outage.handled(self.now);
                 (route.refusals, route.rounds) = (0, 0);
@@ -532,6 +543,7 @@
                     route.refused = self.now;
                 }
                 route.refusals += 1;
+                self.again = (self.again - 0.250000).max(0.0);
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
                     route.pace.refused(route.repeats.rate(self.now), self.couriers);
@@ -764,7 +776,7 @@
             let repeats = joins || route.repeats.allows(self.now);
             let (at, zone) = ((id, name.clone()), e.zone.clone());
             let kept = self.idle.contains_key(&at);
-            ways.push(Way { endpoint: at.1, zone, repeats, kept, rank });
+            ways.push(Way { endpoint: at.1, zone, repeats, free: joins, kept, rank });
         }
         ways.sort_by_key(|way| way.rank);
         ways
@@ -783,7 +795,7 @@
         // What found no room for a connection needs none of its own. Against tables that all couriers fill.
         ways.iter()
             .filter(|w| due || w.kept)
-            .find(|w| (held.sends == 0 || w.repeats || w.rank.0) && zone.is_none_or(|zone| *zone == w.zone))
+            .find(|w| (held.sends == 0 || w.repeats && (!held.refused || w.free || self.again >= 1.0 || self.refusal_price <= 0.0) || w.rank.0) && zone.is_none_or(|zone| *zone == w.zone))
     }
 
     fn send_what_earns_most(&mut self, hands: &mut dyn Hands) -> bool {
@@ -831,9 +843,14 @@
         let latency = destination.latency.entry(held.grade).or_default();
         // Against lost answers that hold all slots. May give up one that turns slow in the midst of that.
         let busy = self.calls.values().filter(|call| !call.joined).count().min(self.slots.most);
-        let free = (1.0 - busy as f64 / self.slots.most as f64).max(1.0 - self.strays / STRAYS);
+        let free = (1.0 - busy as f64 / self.slots.most as f64).max(1.0 - self.strays / STRAYS).max(0.0);
         let joined = endpoint.mates.0 == now && endpoint.mates.1 > 0;
-        let patience = latency.patience(free).min(held.limit.saturating_sub(now));
+        let others = self.latencies.get(&held.grade).map_or(LEAST_PATIENCE, |l| l.longest().mul_f64(PATIENCE));
+        let patience = latency.patience(others.max(LEAST_PATIENCE).mul_f64(free)).min(held.limit.saturating_sub(now));
+        let patience = match self.grades[held.grade].1.effect {
+            Effect::Binding => patience.max(held.limit.saturating_sub(now).mul_f64(free)),
+            _ => patience,
+        };
         hands.send(id, name, patience);
         if joined {
             endpoint.mates.1 -= 1;
@@ -841,6 +858,11 @@
             let most = self.batches.get(&endpoint.kind).copied().unwrap_or(1);
             endpoint.mates = (now, most.saturating_sub(1));
             route.repeats.count(now, held.sends > 0);
+            if held.sends == 0 {
+                self.again = (self.again + 0.000000).min(10.0);
+            } else if held.refused {
+                self.again -= 1.0;
+            }
             route.pace.saved -= 1.0;
             endpoint.credits.spent += 1;
         }
