--- a/src/policy.rs
+++ b/src/policy.rs
@@ -53,7 +53,7 @@
 const LISTED_SLACK: f64 = 1.5; // a rough rate may be so far off, either way; credits do the rest
 // Outage of an endpoint.
 const DOUBTFUL: u32 = 2; // failures in a row that put a destination on rations: a call and its repeat
-const STREAK: u32 = 3; // refusals in a row from which each counts as a failure: seldom a limit
+const STREAK: u32 = 2; // refusals in a row from which each counts as a failure: seldom a limit
 const FAIL_WEIGHT: f64 = 0.2; // of an answered failure in the failing share: four are a verdict
 const SILENT_WEIGHT: f64 = 0.35; // of a failed connection or a time-out: two are a verdict
 const LOST_WEIGHT: f64 = 0.1; // of a refusal, a reset, or one lost while others were answered: seven are one
@@ -538,7 +538,7 @@
                 route.repeats.failures = 0;
             }
             Outcome::Refused(wait) | Outcome::Unproven(wait) => {
-                route.pace.saved = 0.0;
+                route.pace.saved = route.pace.saved.min(0.0);
                 if route.refusals == 0 {
                     route.refused = self.now;
                 }
@@ -547,9 +547,12 @@
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
                     route.pace.refused(route.repeats.rate(self.now), self.couriers);
+                    route.pace.saved = 1.0 - 2.000000 * self.rng.random::<f64>();
                     route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, BASE, CAP));
                 }
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
+                let spread = wait.unwrap_or_default().mul_f64(1.000000 * self.rng.random::<f64>());
+                route.closed = route.closed.max(route.told + spread);
                 shut = route.told > self.now + SHUT;
                 if self.now > route.refused + SHUT {
                     weight = SILENT_WEIGHT;
