--- a/src/courier.rs
+++ b/src/courier.rs
@@ -179,6 +179,7 @@
     pub(crate) not_before: Duration,
     /// Whether its last send found no room for its connection.
     pub(crate) crowded: bool,
+    /// Whether its last send was turned away.
     pub(crate) refused: bool,
     pub(crate) may_have_run: Option<(Duration, String)>,
 }
@@ -235,7 +236,7 @@
     pub(crate) listed: ListedRate,
     pub(crate) register: Register,
     pub(crate) grades: Vec<(String, Grade)>,
-    /// The same as in a destination, over all of them; as many as there are grades.
+    /// Recent times of each grade over all destinations; as many as there are grades.
     pub(crate) latencies: BTreeMap<usize, Latency>,
     pub(crate) apart: BTreeSet<String>,
     /// Kinds of destination that take several notices in one call, and how many at most.
@@ -257,8 +258,9 @@
     pub(crate) calls: BTreeMap<(NoticeId, u32), Call>,
     /// About the share of calls that got no answer while others at their endpoint did.
     pub(crate) strays: f64,
-    pub(crate) refusal_price: f64,
+    /// Repeats after refusals that may be sent, over all destinations.
     pub(crate) again: f64,
+    pub(crate) refusal_price: f64,
     pub(crate) beat: Option<Duration>,
     /// When the rules may next have something to do, as found in going through them.
     pub(crate) due: Duration,
@@ -308,8 +310,8 @@
             held: BTreeMap::new(),
             calls: BTreeMap::new(),
             strays: 0.0,
-            refusal_price: 0.0,
             again: 1.0,
+            refusal_price: 0.0,
             beat: None,
             due: Duration::MAX,
             logged: None,
@@ -379,7 +381,7 @@
         self.batches.clear();
     }
 
-    /// What a refused call costs, in points for one with each first try; 0 if nothing.
+    /// What refused calls cost, in points of the result if there were one for each first try; 0 if nothing.
     pub fn refusal_price(&mut self, points: f64) {
         self.refusal_price = points;
     }
@@ -391,7 +393,8 @@
     /// A tenant's rate for the whole pool; what comes over it earns only `over_share`.
     pub fn tenant(&mut self, name: &str, rate: f64, over_share: f64) {
         let rate = rate / f64::from(self.couriers);
-        self.quotas.insert(name.into(), Quota { rate, by_time: rate, by_notice: 0.0, filled: Duration::ZERO });
+        self.quotas
+            .insert(name.into(), Quota { rate, by_time: rate, by_notice: 0.0, filled: Duration::ZERO });
         self.over_share = over_share;
     }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -20,6 +20,7 @@
 const SPAN: Duration = ms(10_000); // over which first tries and repeats are compared: the design page's
 const REPEAT_SHARE: f64 = 0.1; // repeats for each first try: the design page's
 const REPEATS_PER_S: f64 = 1.0; // and so many a second besides: the design page's
+const AGAIN: f64 = 0.25; // repeats after refusals that a handled call earns and a refused one costs: none at half
 const REPEATS_UNANSWERED: f64 = 1.0; // but so many in all while nothing is answered there: the article
 // Latency.
 const UNKNOWN_CALL: Duration = ms(500); // a usual call where nothing recent is known: the design page's
@@ -27,7 +28,7 @@
 const RECENT: Duration = ms(40_000); // older samples say nothing of now
 const PATIENCE: f64 = 2.0; // x the longest recent call: the tail of a healthy destination ends before it
 const LEAST_PATIENCE: Duration = ms(2_000); // room for a handshake and a queue, while slots are free
-const FEW: usize = 3; // samples under which others' count too
+const FEW: usize = 3; // samples under which a destination is little known: no median before
 const STRAYS: f64 = 0.05; // of calls lost one by one: much; the least patience then goes by the free slots
 const MOST_DOUBLINGS: u32 = 3; // of patience after time-outs in a row, so that a slow one gets through
 const LEAST_CALL: f64 = 0.05; // s of a slot that any call counts for, so that none is taken for free
@@ -53,7 +54,7 @@
 const LISTED_SLACK: f64 = 1.5; // a rough rate may be so far off, either way; credits do the rest
 // Outage of an endpoint.
 const DOUBTFUL: u32 = 2; // failures in a row that put a destination on rations: a call and its repeat
-const STREAK: u32 = 2; // refusals in a row from which each counts as a failure: seldom a limit
+const STREAK: u32 = 3; // refusals in a row from which each counts as a failure: seldom a limit
 const FAIL_WEIGHT: f64 = 0.2; // of an answered failure in the failing share: four are a verdict
 const SILENT_WEIGHT: f64 = 0.35; // of a failed connection or a time-out: two are a verdict
 const LOST_WEIGHT: f64 = 0.1; // of a refusal, a reset, or one lost while others were answered: seven are one
@@ -161,14 +162,16 @@
         self.median.filter(|_| recent).unwrap_or(UNKNOWN_CALL)
     }
 
-    fn longest(&self) -> Duration {
-        self.taken.iter().map(|s| s.1).max().unwrap_or(UNKNOWN_CALL)
+    /// After how long a call of this kind is past its usual time.
+    fn calm(&self) -> Duration {
+        self.taken.iter().map(|s| s.1).max().unwrap_or(UNKNOWN_CALL).mul_f64(PATIENCE)
     }
 
-    /// Longer after each time-out in a row, so that a slow one gets to answer; `least` is for one yet unknown.
-    fn patience(&self, least: Duration) -> Duration {
-        let least = if self.taken.len() < FEW { least } else { least.min(LEAST_PATIENCE) };
-        let calm = self.longest().mul_f64(PATIENCE).max(least);
+    /// Longer after each time-out in a row, so that a slow one gets to answer. `least`, what others of its grade
+    /// took, counts while little is known; `floor` is the part of the least patience that slots leave room for.
+    fn patience(&self, least: Duration, floor: f64) -> Duration {
+        let least = if self.taken.len() < FEW { least.max(LEAST_PATIENCE) } else { LEAST_PATIENCE };
+        let calm = self.calm().max(least.mul_f64(floor));
         calm * 2u32.pow(self.timed_out.min(MOST_DOUBLINGS))
     }
 }
@@ -232,9 +235,12 @@
     }
 
     /// Against limits that refused calls use up too: `sent` a second by this courier was too much.
-    fn refused(&mut self, sent: f64, couriers: u32) {
+    /// The next call is due by chance within twice its gap: against a herd of all that were refused together, one
+    /// sure gap later.
+    fn refused(&mut self, sent: f64, couriers: u32, rng: &mut Pcg64Mcg) {
         let least = self.known.unwrap_or(TRIALS_PER_S) * OWN_LEAST / f64::from(couriers);
         self.own = Some((self.own.map_or(sent, |own| own.min(sent)) * OWN_CUT).max(least));
+        self.saved = 1.0 - 2.0 * rng.random::<f64>();
     }
 
     /// `left` is the share of the limit that the answer tells to be left.
@@ -357,8 +363,8 @@
     endpoint: String,
     zone: String,
     repeats: bool,
-    free: bool,
     kept: bool,                            // whether an idle connection to it is open
+    joins: bool,                           // whether a call that begins just now has room for more notices
     rank: (bool, i64, i64, Duration, u32), // first, whether it is a trial
 }
 
@@ -523,8 +529,8 @@
             Outcome::Handled => {
                 keep.handled(self.idle_close);
                 latency.handled(self.now, took);
-                self.again = (self.again + 0.250000).min(10.0);
                 self.latencies.entry(call.grade).or_default().handled(self.now, took);
+                self.again = (self.again + AGAIN).min(REPEATS_PER_S * SPAN.as_secs_f64());
                 self.strays *= 1.0 - STRAYS;
                 endpoint.outage.handled(self.now);
                 (route.refusals, route.rounds) = (0, 0);
@@ -543,16 +549,16 @@
                     route.refused = self.now;
                 }
                 route.refusals += 1;
-                self.again = (self.again - 0.250000).max(0.0);
+                self.again = (self.again - AGAIN).max(0.0);
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
-                    route.pace.refused(route.repeats.rate(self.now), self.couriers);
-                    route.pace.saved = 1.0 - 2.000000 * self.rng.random::<f64>();
+                    route.pace.refused(route.repeats.rate(self.now), self.couriers, &mut self.rng);
                     route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, BASE, CAP));
                 }
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
-                let spread = wait.unwrap_or_default().mul_f64(1.000000 * self.rng.random::<f64>());
-                route.closed = route.closed.max(route.told + spread);
+                // Against a herd at the end of a wait that many were told: it ends by chance, up to as long again.
+                let later = wait.unwrap_or_default().mul_f64(self.rng.random());
+                route.closed = route.closed.max(route.told + later);
                 shut = route.told > self.now + SHUT;
                 if self.now > route.refused + SHUT {
                     weight = SILENT_WEIGHT;
@@ -779,7 +785,7 @@
             let repeats = joins || route.repeats.allows(self.now);
             let (at, zone) = ((id, name.clone()), e.zone.clone());
             let kept = self.idle.contains_key(&at);
-            ways.push(Way { endpoint: at.1, zone, repeats, free: joins, kept, rank });
+            ways.push(Way { endpoint: at.1, zone, repeats, kept, joins, rank });
         }
         ways.sort_by_key(|way| way.rank);
         ways
@@ -795,10 +801,13 @@
         let one_zone =
             matches!(self.grades[held.grade].1.effect, Effect::Fingerprinted { one_zone: true, .. });
         let zone = held.may_have_run.as_ref().filter(|_| one_zone).map(|first| &first.1);
+        // Against limits that refused calls use up, where each is priced: the sum of all couriers' repeats takes
+        // the room of first tries. May end a notice that a repeat would have saved.
+        let again = |w: &Way| !held.refused || w.joins || self.refusal_price <= 0.0 || self.again >= 1.0;
         // What found no room for a connection needs none of its own. Against tables that all couriers fill.
-        ways.iter()
-            .filter(|w| due || w.kept)
-            .find(|w| (held.sends == 0 || w.repeats && (!held.refused || w.free || self.again >= 1.0 || self.refusal_price <= 0.0) || w.rank.0) && zone.is_none_or(|zone| *zone == w.zone))
+        ways.iter().filter(|w| due || w.kept).find(|w| {
+            (held.sends == 0 || w.repeats && again(w) || w.rank.0) && zone.is_none_or(|zone| *zone == w.zone)
+        })
     }
 
     fn send_what_earns_most(&mut self, hands: &mut dyn Hands) -> bool {
@@ -846,14 +855,14 @@
         let latency = destination.latency.entry(held.grade).or_default();
         // Against lost answers that hold all slots. May give up one that turns slow in the midst of that.
         let busy = self.calls.values().filter(|call| !call.joined).count().min(self.slots.most);
-        let free = (1.0 - busy as f64 / self.slots.most as f64).max(1.0 - self.strays / STRAYS).max(0.0);
+        let free = (1.0 - busy as f64 / self.slots.most as f64).max(1.0 - self.strays / STRAYS);
+        let left = held.limit.saturating_sub(now);
+        let binding = self.grades[held.grade].1.effect == Effect::Binding;
         let joined = endpoint.mates.0 == now && endpoint.mates.1 > 0;
-        let others = self.latencies.get(&held.grade).map_or(LEAST_PATIENCE, |l| l.longest().mul_f64(PATIENCE));
-        let patience = latency.patience(others.max(LEAST_PATIENCE).mul_f64(free)).min(held.limit.saturating_sub(now));
-        let patience = match self.grades[held.grade].1.effect {
-            Effect::Binding => patience.max(held.limit.saturating_sub(now).mul_f64(free)),
-            _ => patience,
-        };
+        let others = self.latencies.get(&held.grade).map_or(Duration::ZERO, Latency::calm);
+        // A binding notice that is given up is lost: it waits for its answer while slots are free.
+        let least = if binding { others.max(left) } else { others };
+        let patience = latency.patience(least, free).min(left);
         hands.send(id, name, patience);
         if joined {
             endpoint.mates.1 -= 1;
@@ -861,11 +870,7 @@
             let most = self.batches.get(&endpoint.kind).copied().unwrap_or(1);
             endpoint.mates = (now, most.saturating_sub(1));
             route.repeats.count(now, held.sends > 0);
-            if held.sends == 0 {
-                self.again = (self.again + 0.000000).min(10.0);
-            } else if held.refused {
-                self.again -= 1.0;
-            }
+            self.again -= if held.refused { self.again.min(1.0) } else { 0.0 };
             route.pace.saved -= 1.0;
             endpoint.credits.spent += 1;
         }
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -168,12 +168,12 @@
     assert_eq!(latency.usual(ms(5)), UNKNOWN_CALL);
     [300, 9_000, 400].iter().for_each(|took| latency.handled(ms(10), ms(*took)));
     assert_eq!(latency.usual(ms(20)), ms(400));
-    assert_eq!(latency.patience(1.0), ms(18_000));
+    assert_eq!(latency.patience(ms(0), 1.0), ms(18_000));
     latency.timed_out = 1;
-    assert_eq!(latency.patience(1.0), ms(36_000));
+    assert_eq!(latency.patience(ms(0), 1.0), ms(36_000));
     assert_eq!(latency.usual(ms(10) + RECENT), UNKNOWN_CALL);
     let quick = Latency::default();
-    assert_eq!([1.0, 0.75, 0.1].map(|free| quick.patience(free)), [ms(2_000), ms(1_500), ms(1_000)]);
+    assert_eq!([1.0, 0.75, 0.1].map(|free| quick.patience(ms(0), free)), [ms(2_000), ms(1_500), ms(1_000)]);
 }
 
 #[test]
@@ -846,7 +846,7 @@
 
 #[test]
 fn refusals_bring_the_sum_of_all_couriers_under_a_limit_that_refused_calls_use_up() {
-    let (limit, couriers) = (17.0, 60);
+    let (limit, couriers, mut rng) = (17.0, 60, rng());
     let fresh = || Pace { known: Some(limit), sure: None, own: None, saved: 1.0, filled: Duration::ZERO };
     let mut paces: Vec<Pace> = (0..couriers).map(|_| fresh()).collect();
     let (mut allowance, mut let_in) = (limit, [0, 0]);
@@ -863,7 +863,7 @@
                     pace.handled(Some(allowance / limit));
                     let_in[usize::from(at > 150)] += 1;
                 } else {
-                    pace.refused(0.67, couriers);
+                    pace.refused(0.67, couriers, &mut rng);
                 }
             }
         }
