--- a/crates/quillhub-emulator/src/decider.rs
+++ b/crates/quillhub-emulator/src/decider.rs
@@ -128,6 +128,7 @@
     courier.room(Some(day.couriers.slots), Some(day.couriers.room), Some(day.couriers.most_sends));
     courier.come_back(Some(day.couriers.longest_wait));
     courier.returning(day.returns.factor, day.returns.start, day.returns.warm_up);
+    courier.falls_after(day.returns.push);
     courier.idle_close(day.network.idle_close);
     courier.may_tell(day.couriers.notes);
     courier.key_rest(day.returns.key_rest);
--- a/crates/quillhub-settings/src/lib.rs
+++ b/crates/quillhub-settings/src/lib.rs
@@ -120,6 +120,7 @@
         let start = rules.get("startCapacity").map_or(Ok(0.0), |v| v.number())?;
         courier.returning(factor.number()?, start, span(&rules, "warmUpUs")?.unwrap_or_default());
     }
+    courier.falls_after(span(&rules, "tipAfterUs")?.unwrap_or_default());
     if let Some(after) = span(&limits, "idleCloseUs")? {
         courier.idle_close(after);
     }
--- a/src/courier.rs
+++ b/src/courier.rs
@@ -232,6 +232,7 @@
     pub(crate) most_sends: u32,
     pub(crate) longest_wait: Duration,
     pub(crate) ramp: Return,
+    pub(crate) falls_after: Duration,
     pub(crate) key_rest: Duration,
     pub(crate) listed: ListedRate,
     pub(crate) register: Register,
@@ -284,6 +285,7 @@
             most_sends: u32::MAX,
             longest_wait: Duration::ZERO,
             ramp: Return { factor: 1.0, start: 0.0, warm_up: Duration::ZERO },
+            falls_after: Duration::ZERO,
             key_rest: Duration::ZERO,
             listed: ListedRate::Absent,
             register: Register {
@@ -337,6 +339,11 @@
         self.ramp = Return { factor, start, warm_up };
     }
 
+    /// For how long one that returns bears too much before it falls; zero, as at first, if that is not known.
+    pub fn falls_after(&mut self, span: Duration) {
+        self.falls_after = span;
+    }
+
     /// How long a connection may idle before it closes by itself; zero, as at first, if that is not known.
     pub fn idle_close(&mut self, after: Duration) {
         self.idle_close = after;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -122,10 +122,10 @@
         live.fold((since, 0, 0), |sum, s| (sum.0, sum.1 + s.1, sum.2 + s.2))
     }
 
-    /// Sends a second of late, over a limit's span at least: one call is no rate of one a second.
-    fn rate(&self, now: Duration) -> f64 {
+    /// Sends a second of late, over `span` at least: one call is no rate of one a second.
+    fn rate(&self, now: Duration, span: Duration) -> f64 {
         let (since, firsts, repeats) = self.live(now);
-        f64::from(firsts + repeats) / ((now.as_secs() - since + 1) as f64).max(SHUT.as_secs_f64())
+        f64::from(firsts + repeats) / ((now.as_secs() - since + 1) as f64).max(span.as_secs_f64())
     }
 
     fn allows(&self, now: Duration) -> bool {
@@ -552,7 +552,8 @@
                 self.again = (self.again - AGAIN).max(0.0);
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
-                    route.pace.refused(route.repeats.rate(self.now), self.couriers, &mut self.rng);
+                    let sent = route.repeats.rate(self.now, self.falls_after);
+                    route.pace.refused(sent, self.couriers, &mut self.rng);
                     route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, BASE, CAP));
                 }
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -491,6 +491,7 @@
         let goes = |seed| {
             let mut courier = courier(Effect::Retriable);
             courier.rng = Pcg64Mcg::seed_from_u64(seed);
+            courier.falls_after(ms(2_000));
             courier.listed("b", "y", "k", 9, Listing::Draining, None);
             take(&mut courier, 1, None);
             courier.outcome(1, 0, Outcome::Refused(told), ms(1), false, None);
