--- a/src/policy.rs
+++ b/src/policy.rs
@@ -122,7 +122,7 @@
         live.fold((since, 0, 0), |sum, s| (sum.0, sum.1 + s.1, sum.2 + s.2))
     }
 
-    /// Sends a second of late, over `span` at least: one call is no rate of one a second.
+    /// Sends a second of late, over `span` at least.
     fn rate(&self, now: Duration, span: Duration) -> f64 {
         let (since, firsts, repeats) = self.live(now);
         f64::from(firsts + repeats) / ((now.as_secs() - since + 1) as f64).max(span.as_secs_f64())
@@ -235,12 +235,9 @@
     }
 
     /// Against limits that refused calls use up too: `sent` a second by this courier was too much.
-    /// The next call is due by chance within twice its gap: against a herd of all that were refused together, one
-    /// sure gap later.
-    fn refused(&mut self, sent: f64, couriers: u32, rng: &mut Pcg64Mcg) {
+    fn refused(&mut self, sent: f64, couriers: u32) {
         let least = self.known.unwrap_or(TRIALS_PER_S) * OWN_LEAST / f64::from(couriers);
         self.own = Some((self.own.map_or(sent, |own| own.min(sent)) * OWN_CUT).max(least));
-        self.saved = 1.0 - 2.0 * rng.random::<f64>();
     }
 
     /// `left` is the share of the limit that the answer tells to be left.
@@ -544,6 +541,10 @@
                 route.repeats.failures = 0;
             }
             Outcome::Refused(wait) | Outcome::Unproven(wait) => {
+                // Against a herd of all that were refused or told to wait together, where no answer tells of the
+                // sum: a wait ends by chance up to as long again, the pace's next call is due within twice its
+                // gap. May leave room unused after a wait.
+                let chance = if route.reported { 1.0 } else { 2.0 * self.rng.random::<f64>() };
                 route.pace.saved = route.pace.saved.min(0.0);
                 if route.refusals == 0 {
                     route.refused = self.now;
@@ -552,14 +553,15 @@
                 self.again = (self.again - AGAIN).max(0.0);
                 if call.started >= route.rested {
                     (route.rounds, route.rested) = (route.rounds + 1, self.now); // those out together are one
-                    let sent = route.repeats.rate(self.now, self.falls_after);
-                    route.pace.refused(sent, self.couriers, &mut self.rng);
+                    // Answers that tell what is left of a limit pace it; else one call is no rate of one a second.
+                    let span = if route.reported { Duration::ZERO } else { self.falls_after };
+                    route.pace.refused(route.repeats.rate(self.now, span), self.couriers);
+                    route.pace.saved = 1.0 - chance;
                     route.closed = route.closed.max(self.now + gap(&mut self.rng, route.rounds, BASE, CAP));
                 }
                 route.told = route.told.max(self.now + wait.unwrap_or_default());
-                // Against a herd at the end of a wait that many were told: it ends by chance, up to as long again.
-                let later = wait.unwrap_or_default().mul_f64(self.rng.random());
-                route.closed = route.closed.max(route.told + later);
+                let later = if route.reported { 0.0 } else { chance / 2.0 };
+                route.closed = route.closed.max(route.told + wait.unwrap_or_default().mul_f64(later));
                 shut = route.told > self.now + SHUT;
                 if self.now > route.refused + SHUT {
                     weight = SILENT_WEIGHT;
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -942,7 +942,7 @@
 
 #[test]
 fn refusals_bring_the_sum_of_all_couriers_under_a_limit_that_refused_calls_use_up() {
-    let (limit, couriers, mut rng) = (17.0, 60, rng());
+    let (limit, couriers) = (17.0, 60);
     let fresh = || Pace { known: Some(limit), sure: None, own: None, saved: 1.0, filled: Duration::ZERO };
     let mut paces: Vec<Pace> = (0..couriers).map(|_| fresh()).collect();
     let (mut allowance, mut let_in) = (limit, [0, 0]);
@@ -959,7 +959,7 @@
                     pace.handled(Some(allowance / limit));
                     let_in[usize::from(at > 150)] += 1;
                 } else {
-                    pace.refused(0.67, couriers, &mut rng);
+                    pace.refused(0.67, couriers);
                 }
             }
         }
