Slots taken are counted in one place, and only once something waits

Found on reading the change: the sum of calls out was taken anew for each destination, and every pass listed all calls, also with nothing held or all slots taken, where it used to end at once. Change: busy() counts the slots, once a pass; calls are listed only when something may be sent; call_to() in the tests.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -737,6 +737,15 @@
         long(self.now - call.started) && (!answers() || last().is_some_and(|last| long(last.1)))
     }
 
+    /// Slots taken: notices that travel in one call take one together.
+    fn busy(&self) -> usize {
+        if self.batches.is_empty() {
+            return self.calls.len();
+        }
+        let calls: BTreeSet<_> = self.calls.values().map(|call| (&call.endpoint, call.started)).collect();
+        calls.len()
+    }
+
     /// The calls out to each destination, and whether it is sick: slow, or all its endpoints are out.
     fn calls_out(&self) -> BTreeMap<DestinationId, (usize, bool)> {
         let (mut out, mut seen) = (BTreeMap::new(), BTreeSet::new());
@@ -752,13 +761,18 @@
     }
 
     /// The endpoints of a destination that may be sent to now, best first.
-    fn doors(&mut self, id: DestinationId, out: &BTreeMap<DestinationId, (usize, bool)>) -> Vec<Way> {
+    fn doors(
+        &mut self,
+        id: DestinationId,
+        out: &BTreeMap<DestinationId, (usize, bool)>,
+        slots_out: bool,
+    ) -> Vec<Way> {
         let Some(destination) = self.destinations.get_mut(&id) else { return Vec::new() };
         let (calls, slow) = out.get(&id).copied().unwrap_or_default();
         let sick_calls: usize = out.values().filter(|o| o.1).map(|o| o.0).sum();
         let sick = slow || destination.out();
-        let full = calls >= self.slots.part(SHARE) || sick && sick_calls >= self.slots.part(SICK_SHARE);
-        let full = full || out.values().map(|o| o.0).sum::<usize>() >= self.slots.most;
+        let share_out = calls >= self.slots.part(SHARE) || sick && sick_calls >= self.slots.part(SICK_SHARE);
+        let full = slots_out || share_out;
         let open = destination.endpoints.values().filter(|e| e.listing == Listing::Open).count();
         let mut ways = Vec::new();
         for (name, e) in destination.endpoints.iter_mut().filter(|(_, e)| e.listing == Listing::Open) {
@@ -816,16 +830,17 @@
     }
 
     fn send_what_earns_most(&mut self, hands: &mut dyn Hands) -> bool {
-        let out = self.calls_out();
-        let full = out.values().map(|o| o.0).sum::<usize>() >= self.slots.most;
-        if full && self.batches.is_empty() || self.held.is_empty() {
+        let slots_out = self.busy() >= self.slots.most;
+        if slots_out && self.batches.is_empty() || self.held.is_empty() {
             return false;
         }
         let kept = |to| self.idle.range((to, String::new())..).next().is_some_and(|(at, _)| at.0 == to);
         let goes = |held: &Held| held.not_before <= self.now || held.crowded && kept(held.destination);
         let waiting = self.held.values().filter(|held| held.out == 0 && goes(held));
         let waiting: BTreeSet<_> = waiting.map(|held| held.destination).collect();
-        let doors: BTreeMap<_, _> = waiting.into_iter().map(|id| (id, self.doors(id, &out))).collect();
+        let out = self.calls_out();
+        let doors = waiting.into_iter().map(|id| (id, self.doors(id, &out, slots_out)));
+        let doors: BTreeMap<_, _> = doors.collect();
         let mut best: Option<(_, NoticeId, &Way)> = None;
         for (id, held) in &self.held {
             let Some(ways) = doors.get(&held.destination) else { continue };
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -71,6 +71,11 @@
     courier
 }
 
+/// A call to an endpoint of destination 9.
+fn call_to(name: &str, started: Duration) -> Call {
+    Call { destination: 9, endpoint: name.into(), grade: 0, key: None, started, joined: false }
+}
+
 /// What it asks for, but for wake-ups.
 fn settled(courier: &mut Courier) -> Vec<String> {
     let mut noted = Noted::default();
@@ -160,21 +165,13 @@
 fn one_quick_repeat_while_nothing_is_answered() {
     let mut courier = courier(Effect::Retriable);
     for (at, outcome, allowed) in [(1, Outcome::Unconnected, true), (2, Outcome::Unconnected, false)] {
-        let call = Call {
-            destination: 9,
-            endpoint: "a".into(),
-            grade: 0,
-            key: None,
-            started: ms(at),
-            joined: false,
-        };
+        let call = call_to("a", ms(at));
         courier.judge(&call, outcome, ms(1), None);
         let repeats = &mut courier.destinations.get_mut(&9).unwrap().routes.get_mut("").unwrap().repeats;
         assert_eq!(repeats.allows(ms(at)), allowed);
         repeats.count(ms(at), true);
     }
-    let call =
-        Call { destination: 9, endpoint: "b".into(), grade: 0, key: None, started: ms(3), joined: false };
+    let call = call_to("b", ms(3));
     courier.judge(&call, Outcome::Handled, ms(1), None);
     assert!(courier.destinations[&9].routes[""].repeats.allows(ms(4)));
 }
@@ -477,8 +474,7 @@
     assert_eq!([sent(0.05, 0.9), sent(0.05, 1.5), sent(0.0, 0.9)], [(0, 0.9), (1, 0.5), (1, 0.0)]);
     let mut courier = courier(Effect::Retriable);
     for (outcome, again) in [(Outcome::Handled, 1.25), (Outcome::Refused(None), 1.0), (Outcome::Error, 1.0)] {
-        let call =
-            Call { destination: 9, endpoint: "a".into(), grade: 0, key: None, started: ms(1), joined: false };
+        let call = call_to("a", ms(1));
         courier.judge(&call, outcome, ms(1), None);
         assert_eq!(courier.again, again);
     }
@@ -569,28 +565,14 @@
     let mut courier = courier(Effect::Retriable);
     courier.destinations.get_mut(&9).unwrap().endpoints.get_mut("a").unwrap().outage.answered = ms(50);
     for id in 1..=4 {
-        let call = Call {
-            destination: 9,
-            endpoint: "a".into(),
-            grade: 0,
-            key: None,
-            started: ms(id),
-            joined: false,
-        };
+        let call = call_to("a", ms(id));
         courier.judge(&call, Outcome::TimedOut, ms(9), None);
     }
     assert_eq!(courier.destinations[&9].endpoints["a"].outage.health, Health::Well);
     for (now, health) in [(80, Health::Well), (2_100, Health::Out)] {
         courier.at(ms(now));
         for id in 60..=61 {
-            let call = Call {
-                destination: 9,
-                endpoint: "a".into(),
-                grade: 0,
-                key: None,
-                started: ms(id),
-                joined: false,
-            };
+            let call = call_to("a", ms(id));
             courier.judge(&call, Outcome::TimedOut, ms(9), None);
         }
         assert_eq!(courier.destinations[&9].endpoints["a"].outage.health, health, "at {now}");
@@ -605,14 +587,7 @@
         let to = courier.destinations.get_mut(&9).unwrap();
         [300, 300, took].iter().for_each(|took| to.latency.entry(0).or_default().handled(ms(5), ms(*took)));
         to.endpoints.get_mut("a").unwrap().outage.answered = ms(answered);
-        let call = Call {
-            destination: 9,
-            endpoint: "a".into(),
-            grade: 0,
-            key: None,
-            started: ms(10),
-            joined: false,
-        };
+        let call = call_to("a", ms(10));
         courier.at(ms(20));
         assert!(!courier.slow(&call), "not out for long");
         courier.at(ms(1_300));
@@ -625,14 +600,7 @@
 fn a_few_refusals_in_turn_are_a_limit_and_no_outage() {
     let mut courier = courier(Effect::Retriable);
     for id in 1..=5 {
-        let call = Call {
-            destination: 9,
-            endpoint: "a".into(),
-            grade: 0,
-            key: None,
-            started: ms(id * 100),
-            joined: false,
-        };
+        let call = call_to("a", ms(id * 100));
         courier.at(ms(id * 100));
         courier.judge(&call, Outcome::Refused(None), ms(9), None);
     }
@@ -660,14 +628,7 @@
 fn resets_between_handled_calls_are_no_outage_and_failed_connections_are_one() {
     let mut courier = courier(Effect::Retriable);
     let mut tell = |at, outcome| {
-        let call = Call {
-            destination: 9,
-            endpoint: "a".into(),
-            grade: 0,
-            key: None,
-            started: ms(at),
-            joined: false,
-        };
+        let call = call_to("a", ms(at));
         courier.at(ms(at + 9));
         courier.judge(&call, outcome, ms(9), None);
         courier.destinations[&9].endpoints["a"].outage.health
@@ -685,8 +646,7 @@
 fn refusals_without_a_limit_put_a_destination_on_rations_and_those_above_a_limit_do_not() {
     for (report, rationed) in [(Some((0.0, 0.0)), true), (Some((0.0, 4.0)), false), (None, false)] {
         let mut courier = courier(Effect::Retriable);
-        let call =
-            Call { destination: 9, endpoint: "a".into(), grade: 0, key: None, started: ms(1), joined: false };
+        let call = call_to("a", ms(1));
         (0..2).for_each(|_| courier.judge(&call, Outcome::Refused(None), ms(9), report));
         let destination = &courier.destinations[&9];
         let doubtful = destination.routes[""].repeats.doubtful();
@@ -721,8 +681,7 @@
     assert_eq!(courier.destinations[&9].endpoints["b"].outage.health, Health::Cold { since: ms(1) });
     courier.may_tell(true);
     out(&mut courier);
-    let call =
-        Call { destination: 9, endpoint: "a".into(), grade: 0, key: None, started: ms(1), joined: false };
+    let call = call_to("a", ms(1));
     courier.judge(&call, Outcome::Handled, ms(9), None);
     assert!(settled(&mut courier).contains(&format!("tell {told:?}")));
 }
@@ -821,14 +780,7 @@
 #[test]
 fn refusals_of_calls_that_were_out_together_make_one_pause() {
     let mut courier = courier(Effect::Retriable);
-    let call = |at| Call {
-        destination: 9,
-        endpoint: "a".into(),
-        grade: 0,
-        key: None,
-        started: ms(at),
-        joined: false,
-    };
+    let call = |at| call_to("a", ms(at));
     courier.at(ms(100));
     (0..12).for_each(|at| courier.judge(&call(at), Outcome::Refused(None), ms(9), None));
     let route = &courier.destinations[&9].routes[""];
@@ -860,8 +812,7 @@
     courier.at(ms(2_000));
     let to = courier.destinations.get_mut(&9).unwrap();
     to.endpoints.get_mut("a").unwrap().outage.answered = ms(1_900);
-    let call =
-        Call { destination: 9, endpoint: "a".into(), grade: 0, key: None, started: ms(50), joined: false };
+    let call = call_to("a", ms(50));
     (0..2).for_each(|_| courier.judge(&call, Outcome::TimedOut, ms(9), None));
     assert!(courier.strays >= STRAYS, "the least patience goes by the free slots");
     (0..60).for_each(|_| courier.judge(&call, Outcome::Handled, ms(9), None));
@@ -875,14 +826,7 @@
     courier.idle_close(ms(5_000));
     for at in 1..=20 {
         courier.at(ms(at * 200));
-        let call = Call {
-            destination: 9,
-            endpoint: "a".into(),
-            grade: 0,
-            key: None,
-            started: courier.now,
-            joined: false,
-        };
+        let call = call_to("a", courier.now);
         courier.judge(&call, Outcome::Crowded, ms(1), None);
     }
     let route = &courier.destinations[&9].routes[""];
