An answer read after the time that a call was told to wait is none

Ruled out: slow or silent final answers (no such line in any log), and restarts (its courier was told to end 4 s later).

At fault: endpoints.rs, `timeout(left(), link.begin())` polls the socket before the timer, which goes by whole milliseconds, so bytes that come up to 1 ms after the end are taken; and `timeout(REST, ...)` for the status, the interim heads and the rest lets an answer that has begun hold its call 250 ms and more past that end, without end if interim answers keep coming. The wait was also told rounded, so up to 0.5 ms longer than it was.

Change: what is told is what is waited, in whole milliseconds; a first line read later is a time-out; the rest of an answer has no longer than that either. The call goes by tokio's clock, so that tests can stop it.

Without the change both new tests fail (shown by taking it out).

--- a/crates/quillhub-net/src/endpoints.rs
+++ b/crates/quillhub-net/src/endpoints.rs
@@ -6,8 +6,8 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
-use tokio::time::timeout;
+use std::time::Duration;
+use tokio::time::{Instant, timeout};
 
 /// Bytes of an answer's body: it means nothing, and is only read so that the connection can be kept.
 const MOST_BODY: usize = 64 * 1024;
@@ -94,6 +94,11 @@
 
 /// One call: on `link` if there is one that still stands, otherwise on a new connection, for `patience` at most.
 /// `goes` is asked last, before the first byte. The link comes back if another call may use it.
+///
+/// An answer whose first line is read after `patience` is none: the endpoint was told how long the call waits, and
+/// may have given it up. Against answers in the moment before the timer goes off, which counts whole milliseconds,
+/// and against ones that begin in time and go on. May time out a call that was answered while this process stood
+/// still.
 pub async fn call(
     link: Option<Link>,
     at: SocketAddr,
@@ -125,18 +130,20 @@
         }
     };
     // Interim answers may come long before the one that counts.
+    let rest = || REST.min(left());
     let status = loop {
         match timeout(left(), link.begin()).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) => return (Err(Failed::Broken), None),
             Err(_) => return (Err(Failed::Silent), None),
         }
-        match timeout(REST, link.status()).await {
+        match timeout(rest(), link.status()).await {
+            _ if left().is_zero() => return (Err(Failed::Silent), None),
             Ok(Ok(100..200)) => {}
             Ok(Ok(status)) => break status,
             _ => return (Err(Failed::Broken), None),
         }
-        if !matches!(timeout(REST, link.any_head()).await, Ok(Ok(_))) {
+        if !matches!(timeout(rest(), link.any_head()).await, Ok(Ok(_))) {
             return (Err(Failed::Broken), None);
         }
     };
@@ -150,13 +157,13 @@
         fresh,
         report: None,
     };
-    let kept = timeout(REST, rest(&mut link, &mut answer)).await.unwrap_or(false);
+    let kept = timeout(rest(), remainder(&mut link, &mut answer)).await.unwrap_or(false);
     (Ok(answer), kept.then_some(link))
 }
 
 /// Reads an answer behind its first line, and whether its connection may be used again. What has been learned
 /// of it stays in `answer` if it never ends.
-async fn rest(link: &mut Link, answer: &mut Answer) -> bool {
+async fn remainder(link: &mut Link, answer: &mut Answer) -> bool {
     let Ok(head) = link.head().await else { return false };
     let wait = head.header("x-backoff-ms").and_then(|ms| ms.trim().parse::<f64>().ok());
     let wait = wait.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok());
--- a/crates/quillhub-net/src/endpoints_tests.rs
+++ b/crates/quillhub-net/src/endpoints_tests.rs
@@ -200,3 +200,57 @@
         }
     });
 }
+
+/// How a call with a patience of 100 ms ends, and when, on a clock that moves only in steps: once its last byte
+/// has come, its endpoint writes each of `pieces` and lets the clock go on by `step`.
+fn on_a_stepped_clock(pieces: &[&[u8]], step: Duration) -> (Result<Answer, Failed>, Duration) {
+    on_one_thread(async {
+        tokio::time::pause();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let at = listener.local_addr().unwrap();
+        let pieces: Vec<Vec<u8>> = pieces.iter().map(|piece| piece.to_vec()).collect();
+        spawn_local(async move {
+            let mut stream = listener.accept().await.unwrap().0;
+            stream.read_exact(&mut [0; 3]).await.unwrap();
+            for piece in pieces {
+                // Both in one turn: the caller finds the bytes and the time at once.
+                stream.try_write(&piece).unwrap();
+                tokio::time::advance(step).await;
+            }
+            std::future::pending::<()>().await;
+        });
+        let started = tokio::time::Instant::now();
+        let patience = Duration::from_millis(100);
+        let (end, link) = call(None, at, LONG, patience, b"xyz", || true).await;
+        assert!(link.is_none());
+        (end, started.elapsed())
+    })
+}
+
+/// ostend-quay, roll+brink: `call ended ... outcome=Handled took=2.488018365s` for `patience=2.487269528s`, and
+/// the notice was lost, as its endpoint had given the call up by then.
+#[test]
+fn an_answer_that_is_read_after_the_time_that_was_told_is_none() {
+    let whole = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    let (end, _) = on_a_stepped_clock(&[whole], Duration::from_millis(101));
+    assert!(matches!(end, Err(Failed::Silent)), "{end:?}");
+    let (end, _) = on_a_stepped_clock(&[b"HTTP/1.1 ", b"200 OK\r\n\r\n"], Duration::from_millis(40));
+    assert!(matches!(end, Ok(Answer { status: 200, .. })), "{end:?}");
+}
+
+#[test]
+fn an_answer_that_begins_in_time_and_does_not_end_holds_its_call_no_longer_than_was_told() {
+    let patience = Duration::from_millis(100);
+    let interim = b"HTTP/1.1 100 x\r\n\r\n";
+    let (begun, endless): (&[&[u8]], _) = (&[b"HTTP/1.1 2"], vec![&interim[..]; 400]);
+    for (pieces, step) in
+        [(begun, 1), (&[&interim[..]], 1), (&[&b"HTTP/1.1 100 x\r\nA: "[..]], 1), (&endless, 1)]
+    {
+        let (end, took) = on_a_stepped_clock(pieces, Duration::from_millis(step));
+        assert!(matches!(end, Err(Failed::Silent | Failed::Broken)), "{end:?}");
+        assert!(took <= patience + Duration::from_millis(2), "{took:?}");
+    }
+    let (end, took) = on_a_stepped_clock(&[b"HTTP/1.1 503 x\r\nA: "], Duration::from_millis(1));
+    assert!(matches!(end, Ok(Answer { status: 503, whole: false, .. })), "{end:?}");
+    assert!(took <= patience + Duration::from_millis(2), "{took:?}");
+}
--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -327,7 +327,9 @@
         let send = notice.sends;
         notice.sends += 1;
         let body = notice.body.clone();
-        let lasts = format!("{:.3}", patience.as_secs_f64().max(0.001));
+        // What the endpoint is told is what this call waits.
+        let patience = Duration::from_millis((patience.as_millis() as u64).max(1));
+        let lasts = format!("{:.3}", patience.as_secs_f64());
         let mut headers = vec![("X-Request-Id", &notice.reference[..])];
         headers.extend(notice.mark.as_deref().map(|mark| ("Idempotency-Key", mark)));
         headers.push(("X-Deadline", lasts.as_bytes()));
