--- a/crates/quillhub-net/src/endpoints_tests.rs
+++ b/crates/quillhub-net/src/endpoints_tests.rs
@@ -172,6 +172,29 @@
     });
 }
 
+/// The runtime learns only at its next wait of what came; the system has it at once.
+#[test]
+fn a_kept_connection_that_ended_or_brought_something_since_the_last_wait_is_not_used() {
+    on_one_thread(async {
+        for stray in [&b""[..], b"HTTP/1.1 40"] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let at = listener.local_addr().unwrap();
+            let mut endpoints = Endpoints::new(LONG, 2);
+            endpoints.listed("e", at);
+            endpoints.put("e", Link::open(at).await.unwrap());
+            let mut peer = listener.accept().await.unwrap().0.into_std().unwrap();
+            // From here on nothing waits.
+            std::io::Write::write_all(&mut peer, stray).unwrap();
+            let peer = Some(peer).filter(|_| !stray.is_empty());
+            assert!(
+                endpoints.take("e").is_none(),
+                "{}",
+                if peer.is_some() { "half a line" } else { "its end" }
+            );
+        }
+    });
+}
+
 #[test]
 fn a_kept_connection_that_is_dead_or_brings_a_late_copy_costs_no_call() {
     on_one_thread(async {
--- a/crates/quillhub-net/src/link.rs
+++ b/crates/quillhub-net/src/link.rs
@@ -1,8 +1,10 @@
 //! One HTTP connection of ours: a socket and what was read from it and not yet used.
 
 use crate::http::{self, Framing, Head};
+use socket2::SockRef;
 use std::fmt;
 use std::io::{self, ErrorKind};
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -165,9 +167,11 @@
         Ok(body)
     }
 
-    /// Whether the connection is still open with nothing read or to read, so that a call may use it.
+    /// Whether the connection is still open with nothing read or to read, so that a call may use it. The system is
+    /// asked: the runtime does not know yet of what came since it last waited.
     pub fn quiet(&self) -> bool {
         let blocks = |e: io::Error| e.kind() == ErrorKind::WouldBlock;
-        self.buffer.is_empty() && self.stream.try_read(&mut [0]).is_err_and(blocks)
+        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        self.buffer.is_empty() && peeked.is_err_and(blocks)
     }
 }
