Connections close by halves: what crosses is read away, what was whole is answered first

At fault: clients.rs, serve() returned for phase, leave and time without a last look, and accept() dropped the socket; only dismiss() closed by halves. Ruled out: answers held back by the system (no-delay is set before the first command). Change: one last read before our side closes; then shutdown, and what still comes is read away, not obeyed, until the client closes, for 1 s at most, 10 ms where the place is wanted.

--- a/crates/quillhub-net/src/clients.rs
+++ b/crates/quillhub-net/src/clients.rs
@@ -4,7 +4,7 @@
 use crate::resp;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io::ErrorKind;
+use std::io::{ErrorKind, Read};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -26,7 +26,8 @@
 /// How long the rest of a command may take to come: clients themselves wait less than a second. A new connection
 /// has as long for its first, counted from its coming, so that one that says nothing is told soon.
 const COMMAND: Duration = Duration::from_millis(2_500);
-/// How long what still comes is read away after an error, so that the client gets to read it.
+/// How long what still comes is read away once our side is closed: the client gets to read our last answer and the
+/// end, instead of a reset.
 const LINGER: Duration = Duration::from_secs(1);
 /// Pause before an error. Against clients that come again as soon as they are turned away: they would take the
 /// time of all others. Costs the usual ones nothing, as they get none.
@@ -115,6 +116,8 @@
     proven: bool,
     /// Whether part of a command was read.
     begun: bool,
+    /// Whether our side is closed, so that only the client's close is waited for.
+    half_closed: bool,
     large: bool,
     leave: Rc<Notify>,
 }
@@ -139,8 +142,9 @@
     fn seat(&self) -> (u64, Rc<Notify>) {
         let (number, leave) = (self.next.get(), Rc::new(Notify::new()));
         self.next.set(number + 1);
-        let (since, proven, begun, large) = (Instant::now(), false, false, false);
-        self.seats.borrow_mut().insert(number, Seat { since, proven, begun, large, leave: leave.clone() });
+        let (since, proven, begun, half_closed, large) = (Instant::now(), false, false, false, false);
+        let seat = Seat { since, proven, begun, half_closed, large, leave: leave.clone() };
+        self.seats.borrow_mut().insert(number, seat);
         (number, leave)
     }
 
@@ -150,14 +154,15 @@
         }
     }
 
-    /// Tells one connection to leave, of those that hold much if `large`: first the oldest that never asked
-    /// anything whole, then the one longest idle, then any.
+    /// Tells one connection to leave, of those that hold much if `large`: first one whose client only has to
+    /// close, then the oldest that never asked anything whole, then the one longest idle, then any.
     fn make_room(&self, large: bool) {
         let now = Instant::now();
         let rank = |seat: &Seat| match seat {
-            Seat { proven: false, since, .. } if now >= *since + YOUNG => 0,
-            Seat { proven: true, begun: false, .. } => 1,
-            _ => 2,
+            Seat { half_closed: true, .. } => 0,
+            Seat { proven: false, since, .. } if now >= *since + YOUNG => 1,
+            Seat { proven: true, begun: false, .. } => 2,
+            _ => 3,
         };
         let mut seats = self.seats.borrow_mut();
         let first = seats.iter().filter(|(_, seat)| seat.large || !large);
@@ -198,39 +203,70 @@
     }
 }
 
-/// Tells a client what is wrong and ends the connection, so that it gets to read that.
-async fn dismiss(stream: &mut TcpStream, why: &str, leave: &Notify) -> std::io::Result<()> {
+/// How a connection came to its end.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Ended {
+    /// The client closed its side, or has gone.
+    ByClient,
+    /// This side ends it.
+    Here,
+    /// This side ends it soon: its place is wanted.
+    ToMakeRoom,
+}
+
+/// Tells a client what is wrong.
+async fn dismiss(stream: &mut TcpStream, why: &str) -> std::io::Result<Ended> {
     sleep(ERROR_PAUSE).await;
     timeout(WRITING, stream.write_all(&resp::error(why))).await??;
+    Ok(Ended::Here)
+}
+
+/// Closes our side, then reads away what still comes until the client closes its own. None of that is obeyed: the
+/// client hands it in again. Against a close over unread bytes, which resets the connection and may take an answer
+/// with it that the client has not read. A client that never closes keeps its place a while.
+async fn half_close(stream: &mut TcpStream, ended: Ended, leave: &Notify) -> std::io::Result<()> {
+    if ended == Ended::ByClient {
+        return Ok(());
+    }
     stream.shutdown().await?;
     let rest = async { while matches!(read(stream, |_| ()).await, Ok(1..)) {} };
+    let most = if ended == Ended::ToMakeRoom { LEAVES / 2 } else { LINGER };
     tokio::select! {
-        _ = timeout(LINGER, rest) => {}
+        _ = timeout(most, rest) => {}
         () = leave.notified() => {}
     }
     Ok(())
 }
 
-/// Serves one connection until it ends. `Err` is only for reads and writes that failed.
+/// Takes what has come by now and was not noticed yet; whether there was any. A command that is whole before our side
+/// is closed is owed an answer.
+fn last_look(stream: &TcpStream, buffer: &mut Vec<u8>) -> bool {
+    let mut octets = [0; SMALL];
+    let Ok(length @ 1..) = (&*socket2::SockRef::from(stream)).read(&mut octets) else { return false };
+    buffer.extend_from_slice(&octets[..length]);
+    true
+}
+
+/// Serves one connection until it is to end. `Err` is only for reads and writes that failed.
 async fn serve(
     host: &RefCell<Host>,
     stream: &mut TcpStream,
     doors: &Doors,
     number: u64,
     leave: &Notify,
-) -> std::io::Result<()> {
+) -> std::io::Result<Ended> {
     let mut phase = doors.phase.clone();
     // A connection that comes late brings a command: it is served before it closes.
     let mut last = if *phase.borrow() == Phase::Serving { Phase::Stopping } else { Phase::Closing };
     let (mut buffer, mut permit) = (Vec::new(), None);
-    let (mut proven, mut errors) = (false, 0);
+    let (mut proven, mut errors, mut leaving) = (false, 0, false);
     let mut began = Instant::now(); // the command that is being read
     loop {
         let next = match resp::command(&buffer, MOST_PART) {
             Ok(Some((parts, used))) => {
                 // A client that closed its side has stopped waiting, and hands its notice in elsewhere.
                 if hung_up(stream) {
-                    return Ok(());
+                    return Ok(Ended::ByClient);
                 }
                 let next = obey(host, &parts);
                 buffer.drain(..used);
@@ -244,6 +280,7 @@
             }
             Ok(None) if buffer.len() > MOST_COMMAND => Next::ErrorAndClose("too long"),
             Err(resp::Malformed) => Next::ErrorAndClose("not a command, or too long"),
+            Ok(None) if leaving => return Ok(Ended::ToMakeRoom),
             Ok(None) => {
                 let idle = buffer.is_empty();
                 let input = async {
@@ -253,18 +290,24 @@
                     }
                     read(stream, |octets| buffer.extend_from_slice(octets)).await
                 };
-                let came = tokio::select! {
+                let ends = tokio::select! {
                     biased;
-                    came = input => came?,
+                    came = input => match came? {
+                        0 => return Ok(Ended::ByClient),
+                        _ => None,
+                    },
                     () = sleep_until(began + COMMAND), if !idle => {
-                        return dismiss(stream, "the rest did not come", leave).await;
+                        return dismiss(stream, "the rest did not come").await;
                     }
-                    () = sleep_until(began + COMMAND), if !proven => return Ok(()),
-                    _ = phase.wait_for(|phase| *phase >= last), if idle => return Ok(()),
-                    () = leave.notified() => return Ok(()),
+                    () = sleep_until(began + COMMAND), if !proven => Some(Ended::Here),
+                    _ = phase.wait_for(|phase| *phase >= last), if idle => Some(Ended::Here),
+                    () = leave.notified() => Some(Ended::ToMakeRoom),
                 };
-                if came == 0 {
-                    return Ok(());
+                leaving = ends == Some(Ended::ToMakeRoom);
+                if let Some(ends) = ends
+                    && !last_look(stream, &mut buffer)
+                {
+                    return Ok(ends);
                 }
                 if idle && proven {
                     began = Instant::now();
@@ -283,14 +326,14 @@
                 error = resp::error(why);
                 (&error[..], None)
             }
-            Next::Error(why) | Next::ErrorAndClose(why) => return dismiss(stream, why, leave).await,
+            Next::Error(why) | Next::ErrorAndClose(why) => return dismiss(stream, why).await,
         };
         let written = timeout(WRITING, stream.write_all(octets)).await;
         if !matches!(written, Ok(Ok(()))) {
             if let Some(id) = id {
                 host.borrow_mut().gone(id);
             }
-            return written.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
+            return written.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into())).map(|()| Ended::ByClient);
         }
         if !matches!(next, Next::Error(_)) {
             (proven, errors) = (true, 0);
@@ -335,10 +378,13 @@
         let (host, doors) = (host.clone(), doors.clone());
         spawn_local(async move {
             let (_place, (number, leave)) = (place, doors.seat());
-            let served = match stream.set_nodelay(true) {
-                Ok(()) => serve(&host, &mut stream, &doors, number, &leave).await,
-                Err(error) => Err(error),
+            let served = async {
+                stream.set_nodelay(true)?;
+                let ended = serve(&host, &mut stream, &doors, number, &leave).await?;
+                doors.note(number, |seat| seat.half_closed = true);
+                half_close(&mut stream, ended, &leave).await
             };
+            let served = served.await;
             doors.seats.borrow_mut().remove(&number);
             if let Err(error) = served {
                 tracing::debug!(%from, %error, "a client's connection ended");
--- a/crates/quillhub-net/src/clients_tests.rs
+++ b/crates/quillhub-net/src/clients_tests.rs
@@ -161,3 +161,86 @@
     }
     assert_eq!(gone, [3, 2, 4, 0, 1, 5]);
 }
+
+/// A connection of a client that was answered once, and what ends it; `at_once` is done by the client in the very
+/// moment in which `end` tells the connection to end, with no wait between. What the client reads until the courier's
+/// end, whether it can write `late` after that, and whether a notice is taken on from it.
+fn crossing(end: End, at_once: &[u8], late: &[u8]) -> (String, std::io::Result<()>, bool) {
+    let folder = Folder::new();
+    on_one_thread(async {
+        tokio::time::pause();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let at = listener.local_addr().unwrap();
+        let (phase, seen) = watch::channel(Phase::Serving);
+        let places = Arc::new(Semaphore::new(1));
+        let doors = Doors::new(seen, places.clone());
+        let host = host(&folder, at);
+        spawn_local(accept(host.clone(), Rc::new(listener), doors.clone()));
+        let mut client = TcpStream::connect(at).await.unwrap();
+        if end != End::NeverAsked {
+            client.write_all(PING).await.unwrap();
+            client.read_exact(&mut [0; 7]).await.unwrap();
+        }
+        while places.available_permits() > 0 {
+            tokio::task::yield_now().await;
+        }
+        for _ in 0..10 {
+            tokio::task::yield_now().await; // until the connection's task waits
+        }
+        // From here on nothing waits, so that the connection's task finds both at once.
+        let mut client = client.into_std().unwrap();
+        std::io::Write::write_all(&mut client, if end == End::Error { b"noise\r\n" } else { at_once })
+            .unwrap();
+        match end {
+            End::Stop => drop(phase.send_replace(Phase::Stopping)),
+            End::MakeRoom => doors.make_room(false),
+            End::NeverAsked => tokio::time::advance(COMMAND + LEAVES).await,
+            End::Error => {}
+        }
+        let mut client = TcpStream::from_std(client).unwrap();
+        let mut read = String::new();
+        client.read_to_string(&mut read).await.unwrap();
+        // Of a connection that was closed whole the first half brings a reset, which the second finds.
+        let (begin, rest) = late.split_at(late.len() / 2);
+        client.write_all(begin).await.unwrap();
+        let after = client.write_all(rest).await;
+        drop(client);
+        while places.available_permits() == 0 {
+            tokio::task::yield_now().await;
+        }
+        let taken = !host.borrow().at_rest();
+        (read, after, taken)
+    })
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum End {
+    Stop,
+    MakeRoom,
+    NeverAsked,
+    Error,
+}
+
+/// Whatever ends a connection: an answer that was written is read, no reset destroys it, and what comes after the
+/// half-close is not obeyed, as its client hands it in again.
+#[test]
+fn what_comes_after_a_half_close_is_read_away_and_not_obeyed() {
+    let late = submit("c=free,d=8000,dest=9", 9);
+    for (end, told) in [
+        (End::Stop, ""),
+        (End::MakeRoom, ""),
+        (End::NeverAsked, ""),
+        (End::Error, "-ERR not a command, or too long\r\n"),
+    ] {
+        let (read, after, taken) = crossing(end, b"", &late);
+        assert_eq!((&read[..], after.is_ok(), taken), (told, true, false), "{end:?}");
+    }
+}
+
+/// A request whose last byte came before the close is owed an answer.
+#[test]
+fn a_command_that_is_whole_in_the_moment_of_the_close_is_answered_first() {
+    for end in [End::Stop, End::MakeRoom] {
+        assert_eq!(crossing(end, PING, b"").0, "+PONG\r\n", "{end:?}");
+    }
+}
