A platform that says nothing is told again after 100 ms, then after doubling gaps

Seen by reading: one call to the platform waited a second. Over a kept connection that a cut has made silent the answers of a whole second came over 300 ms after their notices' time, which counts as lost. At fault: finals.rs, PATIENCE of 1 s for each call. Change: 100 ms, doubled with each call in a row that gets none, up to the former second; each on a new connection. The new test fails without it (1001 ms, not 100).

--- a/crates/quillhub-net/src/finals.rs
+++ b/crates/quillhub-net/src/finals.rs
@@ -13,8 +13,11 @@
 const PATH: &str = "/v2/finals";
 /// Answers in one call: some kilobytes.
 const MOST: usize = 64;
-/// The platform answers at once; a call without an answer for so long is given up and made again.
-const PATIENCE: Duration = Duration::from_secs(1);
+/// The platform answers at once; a call without an answer for so long is given up and made again, on a new
+/// connection: an answer has to be there 300 ms after its notice's time, also over a connection that has fallen silent.
+const PATIENCE: Duration = Duration::from_millis(100);
+/// Up to which that doubles with each call in a row that gets none, for a platform that has become slow.
+const MOST_PATIENCE: Duration = Duration::from_secs(1);
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(50);
 /// Bytes of the answer's body.
@@ -51,6 +54,7 @@
 pub async fn flush(host: Rc<RefCell<Host>>, mut platform: watch::Receiver<SocketAddr>) {
     let waits = host.borrow().finals_wait.clone();
     let (mut link, mut most, mut to) = (None, MOST, *platform.borrow());
+    let mut patience = PATIENCE;
     loop {
         let (count, body) = {
             let host = host.borrow();
@@ -63,13 +67,14 @@
         }
         let at = *platform.borrow_and_update();
         let ended = tokio::select! {
-            ended = timeout(PATIENCE, post(link.take().filter(|_| at == to), at, body.as_bytes())) => ended,
+            ended = timeout(patience, post(link.take().filter(|_| at == to), at, body.as_bytes())) => ended,
             Ok(()) = platform.changed() => {
                 most = MOST;
                 continue;
             }
         };
         to = at;
+        patience = if ended.is_ok() { PATIENCE } else { (patience * 2).min(MOST_PATIENCE) };
         match ended {
             Ok(Ok((204, kept))) => {
                 host.borrow_mut().confirmed(count);
--- a/crates/quillhub-net/src/finals_tests.rs
+++ b/crates/quillhub-net/src/finals_tests.rs
@@ -60,3 +60,38 @@
         }
     });
 }
+
+/// An answer has to be there 300 ms after its notice's time, also where the connection kept has fallen silent.
+#[test]
+fn a_platform_that_says_nothing_is_told_again_soon_on_a_new_connection_and_then_less_often() {
+    let folder = Folder::new();
+    on_one_thread(async {
+        tokio::time::pause();
+        let silence = &b"HTTP/1.1 100 Continue\r\n\r\n"[..];
+        let confirmed = b"HTTP/1.1 204 x\r\nConnection: close\r\n\r\n";
+        let answers = [vec![silence; 6], vec![confirmed], vec![silence; 2]].concat();
+        let (at, mut told) = answering(answers).await;
+        let host = host(&folder, at);
+        host.borrow_mut().finals.push_back(end(1, "a", false, None));
+        let (_platform, seen) = watch::channel(at);
+        spawn_local(flush(host.clone(), seen));
+        let mut last = tokio::time::Instant::now();
+        let mut gap = async || {
+            told.recv().await.unwrap();
+            let now = tokio::time::Instant::now();
+            (now - std::mem::replace(&mut last, now)).as_millis()
+        };
+        gap().await;
+        for wanted in [100, 200, 400, 800, 1_000, 1_000] {
+            let gap = gap().await;
+            assert!((wanted..wanted + 5).contains(&gap), "{gap} ms, not {wanted}");
+        }
+        while !host.borrow().finals.is_empty() {
+            tokio::task::yield_now().await;
+        }
+        host.borrow_mut().finals.push_back(end(2, "b", false, None));
+        host.borrow().finals_wait.notify_one();
+        gap().await;
+        assert!((100..105).contains(&gap().await), "once one is confirmed it is soon again");
+    });
+}
