No call begins once the process ends, and a clock that was set back forgets marks

Two faults found by reading, both on what a restart may still do. First: after the time to decide a call whose connection had been opening still sent its bytes, was cut off with the process, and had then to count as one that may have run: a binding notice was written off at the next start. At fault: host.rs, may_go() did not ask whether the process ends. Held back there, the next process tries it. Second: a send whose instant lies ahead of the wall clock counted as made just now, so its mark as remembered for the whole span from the restart on. At fault: host.rs, take_back(), unwrap_or_default(). Now it counts as long ago. Both new tests fail without the change (a call came; 1 call, not 0).

--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -54,6 +54,9 @@
 /// that is still held, does so soon.
 const KNOWN: Duration = Duration::from_secs(5);
 
+/// Longer than any destination remembers a mark.
+const LONG_AGO: Duration = Duration::from_secs(30 * 24 * 3_600);
+
 pub struct Host {
     me: Weak<RefCell<Host>>,
     /// Out of its place only while it is told something.
@@ -145,7 +148,9 @@
     /// Takes back what was owed when the last process ended; what is answered goes to the platform first.
     pub fn take_back(&mut self, all: BTreeMap<NoticeId, Owed>) {
         let wall = SystemTime::now();
-        let ago = |at: &SystemTime| wall.duration_since(*at).unwrap_or_default();
+        // Against a clock that was set back meanwhile: how long ago that was is not known, so that no memory of it
+        // is counted on. May write off what a repeat would have saved.
+        let ago = |at: &SystemTime| wall.duration_since(*at).unwrap_or(LONG_AGO);
         let runs = all.values().flat_map(|owed| owed.sends.values().flatten()).map(|(at, _)| ago(at));
         self.before = runs.max().unwrap_or_default();
         let now = self.now();
@@ -302,10 +307,11 @@
         self.event(|courier| courier.outcome(id, send, outcome, took, over, report));
     }
 
-    /// Asked before a call's first byte: whether the courier still wants it to go.
+    /// Asked before a call's first byte: whether the courier still wants it to go. None begins once the process is
+    /// about to end: it would be cut off, and may have run; held back, it is tried by the next one.
     fn may_go(&self, id: NoticeId, send: u32) -> bool {
         let now = self.now();
-        self.courier.as_ref().is_some_and(|courier| courier.may_go(id, send, now))
+        !self.closing && self.courier.as_ref().is_some_and(|courier| courier.may_go(id, send, now))
     }
 
     /// Whether nothing is out and nothing is owed.
@@ -313,7 +319,7 @@
         self.calls == 0 && self.notices.is_empty() && self.finals.is_empty()
     }
 
-    /// From now on nothing new is decided; what ends is still noted.
+    /// From now on nothing new is decided and no call begins; what ends is still noted.
     pub fn close(&mut self) {
         self.closing = true;
     }
--- a/crates/quillhub-net/src/host_tests.rs
+++ b/crates/quillhub-net/src/host_tests.rs
@@ -181,6 +181,53 @@
     assert_eq!(Wal::open(&folder.0, 1 << 20).unwrap().1.len(), 1);
 }
 
+/// The clock was set back by an hour: nobody knows how long ago the send was, so its mark may be forgotten.
+#[test]
+fn a_marked_notice_whose_send_lies_ahead_of_the_clock_is_not_sent_again() {
+    for (ahead, calls) in [(false, 1), (true, 0)] {
+        let folder = Folder::new();
+        let (mut wal, _) = Wal::open(&folder.0, 1 << 20).unwrap();
+        let now = SystemTime::now();
+        let owed = Owed {
+            grade: "marked".into(),
+            destination: 9,
+            limit: Some(now + LASTS),
+            reference: b"ab".to_vec(),
+            ..Owed::default()
+        };
+        wal.taken(1, &wal::taken(&owed)).unwrap();
+        let hour = Duration::from_secs(3_600);
+        wal.may_have_run(1, 0, if ahead { now + hour } else { now }, "e").unwrap();
+        on_one_thread(async {
+            let (at, _listener) = silent().await;
+            let host = host(&folder, at);
+            host.borrow_mut().event(|_| ());
+            assert_eq!((host.borrow().calls, host.borrow().finals.len()), (calls, 1 - calls));
+        });
+    }
+}
+
+/// A call that begins while the process ends is cut off, and may have run.
+#[test]
+fn a_call_that_has_not_begun_when_the_process_ends_is_left_to_the_next_one() {
+    let folder = Folder::new();
+    on_one_thread(async {
+        let (at, mut told) = answering(vec![OK, OK]).await;
+        let first = host(&folder, at);
+        assert_eq!((take(&first, "once"), first.borrow().calls), (Taken::On(1), 1));
+        first.borrow_mut().close(); // before the call's task has run
+        while first.borrow().calls > 0 {
+            tokio::task::yield_now().await;
+        }
+        assert!(first.borrow().finals.is_empty() && told.try_recv().is_err());
+        drop(first);
+        let second = host(&folder, at);
+        second.borrow_mut().event(|_| ());
+        let calls = [told.recv().await.unwrap(), told.recv().await.unwrap()];
+        assert!(calls[0].is_empty() && calls[1].ends_with("body"), "tried by the next one only: {calls:?}");
+    });
+}
+
 #[test]
 fn an_id_that_is_held_is_not_taken_on_again_and_what_is_held_stays_as_it_is() {
     let folder = Folder::new();
--- a/crates/quillhub-net/src/stand_in.rs
+++ b/crates/quillhub-net/src/stand_in.rs
@@ -20,7 +20,8 @@
         "limits": {"sockets": 256, "disk_mb": 1},
         "settings": {"familyInfo": {"maxCalls": 4}, "limits": {"mostTries": 5, "maxOpen": 9}, "classes": [
             {"name": "free", "effect": "free", "aimUs": 1000000, "giveUpUs": 9000000},
-            {"name": "once", "effect": "single_shot", "aimUs": 1000000, "giveUpUs": 9000000}]}})
+            {"name": "once", "effect": "single_shot", "aimUs": 1000000, "giveUpUs": 9000000},
+            {"name": "marked", "effect": "guarded", "memorySpanUs": 3000000, "aimUs": 1000000, "giveUpUs": 9000000}]}})
 }
 
 /// A host on `folder` with destination 9 at `at`, which has taken back what the folder held.
