The register is asked before what is owed is sent; indented lists; silent watches

A new process sent what it owed by the list that the last one had, though what the agent has counts as told from the first moment: lib.rs, take_back() ran before the watch was opened. Now the start waits for the register's first word, 200 ms at most; the new test saw the call go to an endpoint that drains. A list written over many lines was taken for broken, as each line was read as a list: register.rs, one_watch(). Now whole values are read, wherever they are cut; half of one at the end of a watch still tells nothing. Now the pause counts from the opening, so that only a watch that ends at once waits. Each has a test that fails without it, but for the cut list, which guards the new reader.

--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -78,6 +78,8 @@
     connecting: Duration,
     peers: Option<Rc<Peers>>,
     pub watch_wanted: Rc<Notify>,
+    /// Told whenever the register has said something.
+    pub register_heard: Rc<Notify>,
     reports: bool,
     /// Calls that are out.
     pub calls: usize,
@@ -118,6 +120,7 @@
                 connecting,
                 peers,
                 watch_wanted: Rc::new(Notify::new()),
+                register_heard: Rc::new(Notify::new()),
                 reports,
                 calls: 0,
                 closing: false,
--- a/crates/quillhub-net/src/lib.rs
+++ b/crates/quillhub-net/src/lib.rs
@@ -35,7 +35,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use wal::Wal;
 
 /// Descriptors for all that is neither a client's connection nor one to an endpoint.
@@ -51,6 +51,8 @@
 const DECIDES: Duration = Duration::from_millis(2_000); // and so long what is held is still worked on
 const CALLS: Duration = Duration::from_millis(3_000); // calls that are out may take until then
 const FLUSHES: Duration = Duration::from_millis(3_300); // and final answers on their way
+/// How long a start waits for the register's first word: it answers at once, unless it is down.
+const FIRST_WORD: Duration = Duration::from_millis(200);
 /// Pause after a panic in a job that lasts.
 const AFTER_PANIC: Duration = Duration::from_millis(50);
 /// How often the end of all that is looked for.
@@ -145,11 +147,16 @@
         Some(known) => Some(register::tell(&mut host.borrow_mut(), known.value, false)?),
         None => None,
     };
-    host.borrow_mut().take_back(owed);
     let (at, platform) = (host.clone(), discovery.clone());
     lasting(move || finals::flush(at.clone(), platform.clone()));
     let (at, revision) = (host.clone(), Rc::new(Cell::new(revision)));
+    let heard = host.borrow().register_heard.clone();
     lasting(move || register::follow(at.clone(), discovery.clone(), revision.clone(), must_be_asked));
+    // Against calls by the list that the last process had: what the register has now counts as told from the first
+    // moment on, and what is owed goes at once. Delays a start while the register is silent.
+    host.borrow_mut().event(|_| ());
+    let _ = timeout(FIRST_WORD, heard.notified()).await;
+    host.borrow_mut().take_back(owed);
     if let Some(peers) = peers {
         let at = host.clone();
         lasting(move || peers.clone().hear(at.clone()));
--- a/crates/quillhub-net/src/lib_tests.rs
+++ b/crates/quillhub-net/src/lib_tests.rs
@@ -1,7 +1,9 @@
 use super::*;
-use crate::stand_in::{Folder, on_one_thread, plan};
+use crate::stand_in::{Folder, OK, answering, on_one_thread, plan};
+use crate::wal::Owed;
 use serde_json::{Value, json};
 use std::future::pending;
+use std::time::SystemTime;
 
 #[test]
 fn a_configuration_that_cannot_be_used_is_told_in_one_line() {
@@ -61,3 +63,34 @@
         }
     });
 }
+
+/// What the register has counts as told from the first moment of a new process on.
+#[test]
+fn what_is_owed_goes_by_the_list_that_the_register_has_when_the_process_starts() {
+    let folder = Folder::new();
+    let (mut wal, _) = Wal::open(&folder.0, 1 << 20).unwrap();
+    let limit = Some(SystemTime::now() + Duration::from_secs(9));
+    let owed = Owed { grade: "once".into(), destination: 9, limit, ..Owed::default() };
+    wal.taken(1, &wal::taken(&owed)).unwrap();
+    drop(wal);
+    on_one_thread(async {
+        tokio::time::pause();
+        let (old, mut told_old) = answering(vec![OK]).await;
+        let (new, mut told_new) = answering(vec![OK]).await;
+        let member = |id: &str, at: SocketAddr, phase: &str| json!({"id": id, "host_port": at.to_string(), "cell": 9, "phase": phase});
+        let rows = [member("e", old, "draining"), member("f", new, "up")];
+        let list = format!("{}\n", json!({"revision": 2, "complete": false, "members": rows}));
+        let told =
+            format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{list}\r\n", list.len());
+        let (register, _asked) = answering(vec![told.leak().as_bytes()]).await;
+        let mut plan = plan();
+        plan["discovery"] = json!(register.to_string());
+        plan["known"] = json!({"revision": 1, "complete": true, "members": [member("e", old, "up")]});
+        let text = plan.to_string();
+        tokio::select! {
+            ran = serve(&text, &folder.0, pending(), pending) => panic!("{ran:?}"),
+            _ = told_old.recv() => panic!("sent to the endpoint that drains"),
+            call = told_new.recv() => assert!(call.is_some()),
+        }
+    });
+}
--- a/crates/quillhub-net/src/register.rs
+++ b/crates/quillhub-net/src/register.rs
@@ -14,12 +14,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 
 const PATH: &str = "/registry/instances";
 /// A watch sends a line every 2 s; one silent for so long has ended, whatever its connection says.
 const SILENCE: Duration = Duration::from_millis(2_500);
-/// Pause before a watch that ended is opened again, where the register tells changes unasked.
+/// Shortest time from one watch's opening to the next, where the register tells changes unasked: one that lasted longer
+/// is opened again at once.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Bytes of a line: the whole list of a large deployment.
 const MOST_LINE: usize = 4 * 1024 * 1024;
@@ -92,11 +93,10 @@
     if head.status == 200 { Ok((link, head.framing()?)) } else { Err(Broken::Malformed) }
 }
 
-/// Tells the courier what `text` lists, and keeps the number of that.
-fn take(host: &RefCell<Host>, text: &[u8], revision: &Cell<Option<u64>>) -> Result<(), Broken> {
-    let value = serde_json::from_slice::<Value>(text).map_err(|_| Broken::Malformed)?;
-    tracing::debug!(bytes = text.len(), "the register tells");
-    let told = tell(&mut host.borrow_mut(), &value, true);
+/// Tells the courier a list, and keeps the number of that.
+fn take(host: &RefCell<Host>, list: &Value, revision: &Cell<Option<u64>>) -> Result<(), Broken> {
+    let told = tell(&mut host.borrow_mut(), list, true);
+    tracing::debug!(revision = ?told, "the register tells");
     revision.set(Some(told.map_err(|trouble| {
         tracing::error!(trouble, "the register's list cannot be read");
         Broken::Malformed
@@ -107,12 +107,14 @@
 /// One watch, from `revision` on, until it ends. Where there is none, the whole list is taken first: another
 /// register may number its changes otherwise.
 async fn one_watch(host: &RefCell<Host>, at: SocketAddr, revision: &Cell<Option<u64>>) -> Result<(), Broken> {
+    let heard = host.borrow().register_heard.clone();
     let after = match revision.get() {
         Some(revision) => revision,
         None => {
             let (mut link, framing) = ask(at, PATH).await?;
             let body = timeout(SILENCE, link.body(framing, MOST_LINE)).await.map_err(|_| Broken::Ended)??;
-            take(host, &body, revision)?;
+            take(host, &serde_json::from_slice(&body).map_err(|_| Broken::Malformed)?, revision)?;
+            heard.notify_one();
             revision.get().unwrap_or_default()
         }
     };
@@ -120,17 +122,38 @@
     if framing != Framing::Chunked {
         return Err(Broken::Malformed);
     }
-    let mut line = Vec::new();
+    let mut text = Vec::new();
     loop {
         let chunk = timeout(SILENCE, link.chunk(MOST_LINE)).await.map_err(|_| Broken::Ended)??;
-        if chunk.is_empty() || line.len() > MOST_LINE {
+        if chunk.is_empty() || text.len() > MOST_LINE {
             return Err(Broken::Ended);
         }
-        line.extend_from_slice(&chunk);
-        while let Some(end) = line.iter().position(|byte| *byte == b'\n') {
-            let text: Vec<u8> = line.drain(..=end).collect();
-            if !text.trim_ascii().is_empty() {
-                take(host, &text, revision)?;
+        text.extend_from_slice(&chunk);
+        if chunk.contains(&b'\n') {
+            for list in whole_values(&mut text)? {
+                take(host, &list, revision)?;
+            }
+        }
+        heard.notify_one();
+    }
+}
+
+/// Takes the whole JSON values from the start of `text`, which may be written over several lines each; empty lines
+/// are none.
+fn whole_values(text: &mut Vec<u8>) -> Result<Vec<Value>, Broken> {
+    let (mut found, mut used) = (Vec::new(), 0);
+    let mut values = serde_json::Deserializer::from_slice(text).into_iter();
+    loop {
+        match values.next() {
+            Some(Ok(value)) => {
+                found.push(value);
+                used = values.byte_offset();
+            }
+            Some(Err(error)) if !error.is_eof() => return Err(Broken::Malformed),
+            ended => {
+                used = if ended.is_none() { text.len() } else { used };
+                text.drain(..used);
+                return Ok(found);
             }
         }
     }
@@ -154,6 +177,7 @@
             }
         }
         let at = *register.borrow_and_update();
+        let opened = Instant::now();
         let ended = tokio::select! {
             ended = one_watch(&host, at, &revision) => ended,
             Ok(()) = register.changed() => {
@@ -168,7 +192,7 @@
         }
         host.borrow_mut().event(|courier| courier.list_failed());
         if !must_be_asked {
-            sleep(PAUSE).await;
+            sleep_until(opened + PAUSE).await;
         }
     }
 }
--- a/crates/quillhub-net/src/register_tests.rs
+++ b/crates/quillhub-net/src/register_tests.rs
@@ -91,3 +91,66 @@
         assert_eq!(known, [false, true]);
     });
 }
+
+/// What a watch from number 6 on tells that writes `chunks` and then `ends`: its end, the number, and whether `e` and `f` are known.
+fn watched(chunks: &[&str], ends: bool) -> (Result<(), Broken>, Option<u64>, [bool; 2]) {
+    let folder = Folder::new();
+    on_one_thread(async {
+        tokio::time::pause();
+        let mut answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_owned();
+        for chunk in chunks {
+            answer += &format!("{:x}\r\n{chunk}\r\n", chunk.len());
+        }
+        answer += if ends { "0\r\n\r\n" } else { "" };
+        let (at, _told) = answering(vec![answer.leak().as_bytes()]).await;
+        let host = host(&folder, at);
+        let revision = Cell::new(Some(6));
+        let ended = one_watch(&host, at, &revision).await;
+        let known = ["e", "f"].map(|name| host.borrow().endpoints.address(name).is_some());
+        (ended, revision.get(), known)
+    })
+}
+
+#[test]
+fn an_indented_list_is_read_wherever_it_is_cut_and_the_next_behind_it() {
+    let text = serde_json::to_string_pretty(&list(true, &[member("f", 2, "up")])).unwrap();
+    let next = "\n\n{\"revision\":42,\n\"members\":[]}\n";
+    for cut in 0..=text.len() {
+        let (begin, end) = text.split_at(cut);
+        let told = watched(&[&format!("\n{begin}"), &format!("{end}{next}")], true);
+        assert!(matches!(told, (Err(Broken::Ended), Some(42), [false, true])), "cut at {cut}: {told:?}");
+    }
+}
+
+#[test]
+fn a_list_that_is_cut_in_the_middle_or_no_list_tells_nothing() {
+    let text = list(true, &[member("f", 2, "up")]).to_string();
+    for (told, ends) in [(&text[..text.len() - 1], true), (&text[..40], false), ("noise", true), ("41", true)]
+    {
+        let told = watched(&[told, "\n"], ends);
+        assert!(matches!(told, (Err(_), Some(6), [true, false])), "{told:?}");
+    }
+}
+
+/// What a silent watch misses counts as told 6 s after it fell silent: there must be time for two in a row.
+#[test]
+fn a_watch_that_falls_silent_is_opened_again_at_once_and_one_that_ends_at_once_after_a_pause() {
+    let silent = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
+    let headless = b"HTTP/1.1 100 x\r\n\r\n";
+    for (answer, gap) in [(&silent[..], 2_500), (headless, 2_500), (b"", 250)] {
+        let folder = Folder::new();
+        on_one_thread(async {
+            tokio::time::pause();
+            let (at, mut told) = answering(vec![answer; 4]).await;
+            let (_at, seen) = watch::channel(at);
+            spawn_local(follow(host(&folder, at), seen, Rc::new(Cell::new(Some(6))), false));
+            told.recv().await.unwrap();
+            let first = Instant::now();
+            for nth in 1..4 {
+                told.recv().await.unwrap();
+                let after = first.elapsed().as_millis();
+                assert!((gap * nth..gap * nth + 20).contains(&after), "{after} ms, not {nth} times {gap}");
+            }
+        });
+    }
+}
