A send is on file as one that may have run only once its first byte is about to go

Seen by reading: Host::send wrote that a notice may have run before its connection was opened, which may take over a second. A process killed in that time left notices that were never tried: the next one wrote off the binding ones with no call, and counted a try and a running memory of the mark for the others. At fault: host.rs, send(), may_have_run() ahead of endpoints::call. Checked: the record's instant may be later than the send's, never later than the first byte, so repeats still end within the mark's memory. Change: the record is written in the last question before the first byte; if it cannot be written the call does not go.

--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -310,11 +310,18 @@
         self.event(|courier| courier.outcome(id, send, outcome, took, over, report));
     }
 
-    /// Asked before a call's first byte: whether the courier still wants it to go. None begins once the process is
-    /// about to end: it would be cut off, and may have run; held back, it is tried by the next one.
-    fn may_go(&self, id: NoticeId, send: u32) -> bool {
+    /// Asked before a call's first byte: whether the courier still wants it to go; if so, it is on file from now on that
+    /// it may have run. None begins once the process is about to end: it would be cut off, and may have run; held
+    /// back, it is tried by the next one.
+    fn begins(&mut self, id: NoticeId, send: u32, endpoint: &str) -> bool {
         let now = self.now();
-        !self.closing && self.courier.as_ref().is_some_and(|courier| courier.may_go(id, send, now))
+        if self.closing || !self.courier.as_ref().is_some_and(|courier| courier.may_go(id, send, now)) {
+            return false;
+        }
+        let filed = self.wal.may_have_run(id, send, SystemTime::now(), endpoint);
+        let safe = filed.is_ok();
+        log_failed("a send", filed);
+        safe
     }
 
     /// Whether nothing is out and nothing is owed.
@@ -345,18 +352,17 @@
         let address = self.endpoints.address(endpoint);
         let host = address.map(|at| at.to_string()).unwrap_or_default();
         let request = http::request("POST", "/events", &host, &headers, &body);
-        let filed = filed.and_then(|()| self.wal.may_have_run(id, send, SystemTime::now(), endpoint));
-        let safe = filed.is_ok();
-        log_failed("a send", filed);
+        let on_file = filed.is_ok();
+        log_failed("a notice", filed);
         let link = self.endpoints.take(endpoint);
         let (me, name, connecting) = (self.me.clone(), endpoint.to_owned(), self.connecting);
         self.calls += 1;
         tracing::debug!(notice = id, send, endpoint, ?patience, kept = link.is_some(), "call goes");
         spawn_local(async move {
-            let asked = me.clone();
-            let goes = move || asked.upgrade().is_some_and(|host| host.borrow().may_go(id, send));
+            let (asked, to) = (me.clone(), name.clone());
+            let goes = move || asked.upgrade().is_some_and(|host| host.borrow_mut().begins(id, send, &to));
             let call = spawn_local(async move {
-                match address.filter(|_| safe) {
+                match address.filter(|_| on_file) {
                     Some(at) => endpoints::call(link, at, connecting, patience, &request, goes).await,
                     None => (Err(Failed::Here), None),
                 }
