--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -173,6 +173,7 @@
             held.push((id, grade, turn, now + lasts, destination, notice.sends, first));
             self.notices.insert(id, notice);
         }
+        self.finals_wait.notify_one();
         let unknown = self.event(|courier| {
             held.retain(|(id, grade, turn, limit, destination, sends, first)| {
                 let known = courier.notice(*id, grade, *turn, *limit, None, *destination);
