What a restart found untried goes first and is given up last, until it is sent once

At fault: policy.rs, send_what_earns_most() and keep_room(): what the restart made late earns least, so it goes last and is denied first. Change: until its first send it ranks before the rest, and is the last that room is taken from. The new test fails without it (send 3 a).

--- a/src/courier.rs
+++ b/src/courier.rs
@@ -182,6 +182,8 @@
     /// Whether its last send was turned away.
     pub(crate) refused: bool,
     pub(crate) may_have_run: Option<(Duration, String)>,
+    /// Whether it was owed, and untried, when the courier started.
+    pub(crate) left_over: bool,
 }
 
 impl Held {
@@ -205,6 +207,7 @@
             crowded: false,
             refused: false,
             may_have_run: None,
+            left_over: false,
         }
     }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -454,7 +454,7 @@
         let Some(destination) = self.held.get(&id).map(|held| held.destination) else { return };
         let ran = ran.map(|(at, name)| (at, self.zone_of(destination, name)));
         let Some(held) = self.held.get_mut(&id) else { return };
-        (held.sends, held.may_have_run) = (sends, ran);
+        (held.sends, held.may_have_run, held.left_over) = (sends, ran, sends == 0);
         let key = held.key.filter(|_| held.may_have_run.is_some());
         if let Some(turn) = key.and_then(|key| self.turns.get_mut(&key)) {
             (turn.rest, turn.rests_for) = (self.now + self.key_rest, Some(id));
@@ -856,7 +856,11 @@
             let again = u8::from(grade.effect == Effect::Retriable);
             let safe = if !way.rank.0 { 3 } else { held.may_have_run.as_ref().map_or(again, |_| 2) };
             let due = (held.limit + grade.contract).saturating_sub(grade.limit);
-            let rank = (safe, (earns * 1e6 / usual.as_secs_f64().max(LEAST_CALL)) as i64, Reverse(due));
+            // Against what a restart left over, late by then and of little earnings, waiting untried behind
+            // all that is new until its time is over. May delay what earns more, by one call each.
+            let first = held.left_over && held.sends == 0;
+            let earns = (earns * 1e6 / usual.as_secs_f64().max(LEAST_CALL)) as i64;
+            let rank = (safe, first, earns, Reverse(due));
             if best.as_ref().is_none_or(|(top, ..)| rank > *top) {
                 best = Some((rank, *id, way));
             }
@@ -933,7 +937,8 @@
         let waiting = self.held.iter().filter(|(_, held)| held.out == 0 && self.may_deny(held));
         let least = waiting.min_by(|a, b| {
             let earns = |held: &Held| self.earns(held, self.now + self.usual(held.destination, held.grade));
-            earns(a.1).total_cmp(&earns(b.1)).then(b.0.cmp(a.0))
+            let left = |held: &Held| held.left_over && held.sends == 0; // those go last
+            left(a.1).cmp(&left(b.1)).then(earns(a.1).total_cmp(&earns(b.1))).then(b.0.cmp(a.0))
         });
         let Some(id) = least.map(|(id, _)| *id) else { return false };
         self.answer(id, hands);
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -713,6 +713,23 @@
     }
 }
 
+/// lublin-ledger, roll+term: 65 of 133 that a restart found untried with half their time left were given up untried.
+#[test]
+fn what_a_restart_found_untried_goes_first_and_is_given_up_last() {
+    for (sends, first) in [(0, "send 1 a"), (1, "send 3 a")] {
+        let mut courier = courier(Effect::Retriable);
+        courier.room(Some(1), Some(3), Some(5));
+        courier.at(ms(8_000));
+        assert!(courier.notice(1, "g", None, ms(11_000), None, 9)); // late, and of little earnings
+        courier.sent_before(1, sends, None);
+        for id in [2, 3] {
+            assert!(courier.notice(id, if id == 2 { "g" } else { "dear" }, None, ms(18_000), None, 9));
+        }
+        let denied = if sends == 0 { "deny 2 false" } else { "deny 1 false" };
+        assert_eq!(settled(&mut courier), [first, denied], "after {sends} sends");
+    }
+}
+
 #[test]
 fn a_call_does_not_go_once_its_destination_told_a_wait_or_its_endpoint_drains() {
     let mut courier = courier(MARKED);
