An endpoint is told how long its call still waits when its first byte goes

Seen by reading (connections that come up late): X-Deadline was worked out when the send was asked for. On a connection that took 1.5 s to come up, or on the second after one that broke, the endpoint was told up to that much more than the call still waited, and could work for nobody; a binding notice that ran then was written off. At fault: host.rs, send() built the request before the connection was there. Change: the request is built once the connection stands, with what is left in whole milliseconds, and that is waited. The new test (first connection broken after 2 ms of 100) fails without it, as the request could not know.

--- a/crates/quillhub-net/src/endpoints.rs
+++ b/crates/quillhub-net/src/endpoints.rs
@@ -93,7 +93,8 @@
 }
 
 /// One call: on `link` if there is one that still stands, otherwise on a new connection, for `patience` at most.
-/// `goes` is asked last, before the first byte. The link comes back if another call may use it.
+/// `goes` is asked last, before the first byte; then `request` is told how long the call will still wait, in whole
+/// milliseconds. The link comes back if another call may use it.
 ///
 /// An answer whose first line is read after `patience` is none: the endpoint was told how long the call waits, and
 /// may have given it up. Against answers in the moment before the timer goes off, which counts whole milliseconds,
@@ -104,32 +105,37 @@
     at: SocketAddr,
     connecting: Duration,
     patience: Duration,
-    request: &[u8],
+    request: impl Fn(Duration) -> Vec<u8>,
     goes: impl Fn() -> bool,
 ) -> (Result<Answer, Failed>, Option<Link>) {
     let started = Instant::now();
-    let left = || patience.saturating_sub(started.elapsed());
+    let mut waits = patience;
+    let left = |waits: Duration| waits.saturating_sub(started.elapsed());
     let (mut kept, mut cut) = (link, 0);
     let (mut link, fresh) = loop {
         let fresh = kept.is_none();
         let mut link = match kept.take() {
             Some(link) => link,
-            None => match timeout(connecting.min(left()), Link::open(at)).await {
+            None => match timeout(connecting.min(left(waits)), Link::open(at)).await {
                 Ok(Ok(link)) => link,
                 Ok(Err(error)) => return (Err(failed_to_open(&error)), None),
                 Err(_) => return (Err(Failed::Unready), None),
             },
         };
-        if !goes() {
+        // Against an endpoint that works for longer than the call waits, as its connection came up late.
+        let told = Duration::from_millis(left(waits).as_millis() as u64);
+        if told.is_zero() || !goes() {
             return (Err(Failed::Here), Some(link));
         }
-        match timeout(left(), link.offer(request)).await {
+        waits = started.elapsed() + told;
+        match timeout(left(waits), link.offer(&request(told))).await {
             Ok(Ok(())) => break (link, fresh),
             Ok(Err(_)) if cut < CUT => cut += 1, // nothing has run, so this call may have a new connection
             _ => return (Err(Failed::Unready), None),
         }
     };
     // Interim answers may come long before the one that counts.
+    let left = || left(waits);
     let rest = || REST.min(left());
     let status = loop {
         match timeout(left(), link.begin()).await {
--- a/crates/quillhub-net/src/endpoints_tests.rs
+++ b/crates/quillhub-net/src/endpoints_tests.rs
@@ -8,7 +8,7 @@
 fn end(answer: &'static [u8]) -> (Outcome, bool, bool) {
     on_one_thread(async {
         let (at, _told) = answering(vec![answer]).await;
-        let (end, link) = call(None, at, LONG, LONG, b"x", || true).await;
+        let (end, link) = call(None, at, LONG, LONG, |_| b"x".to_vec(), || true).await;
         let (outcome, over) = outcome(&end, false);
         (outcome, over, link.is_some())
     })
@@ -58,7 +58,7 @@
         on_one_thread(async {
             let (at, _told) = answering(vec![answer]).await;
             let link = if fresh { None } else { Link::open(at).await.ok() };
-            let (end, _) = call(link, at, LONG, LONG, b"x", || true).await;
+            let (end, _) = call(link, at, LONG, LONG, |_| b"x".to_vec(), || true).await;
             assert_eq!(outcome(&end, reports), (meant, false));
         });
     }
@@ -107,21 +107,24 @@
     on_one_thread(async {
         let short = Duration::from_millis(20);
         let closed = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
-        assert!(matches!(call(None, closed, LONG, LONG, b"x", || true).await.0, Err(Failed::Unready)));
+        assert!(matches!(
+            call(None, closed, LONG, LONG, |_| b"x".to_vec(), || true).await.0,
+            Err(Failed::Unready)
+        ));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let silent = listener.local_addr().unwrap();
         let open = async || Some(Link::open(silent).await.unwrap());
         assert!(matches!(
-            call(open().await, silent, LONG, short, b"x", || true).await.0,
+            call(open().await, silent, LONG, short, |_| b"x".to_vec(), || true).await.0,
             Err(Failed::Silent)
         ));
         // More than the buffers between hold: the last byte is never out.
         let endless = vec![b'x'; 64 << 20];
         assert!(matches!(
-            call(open().await, silent, LONG, short, &endless, || true).await.0,
+            call(open().await, silent, LONG, short, |_| endless.clone(), || true).await.0,
             Err(Failed::Unready)
         ));
-        let (end, link) = call(None, silent, LONG, LONG, b"x", || false).await;
+        let (end, link) = call(None, silent, LONG, LONG, |_| b"x".to_vec(), || false).await;
         assert!(matches!(end, Err(Failed::Here)) && link.is_some());
         let ends = [Failed::Here, Failed::Unready, Failed::Broken, Failed::Silent]
             .map(|end| outcome(&Err(end), true).0);
@@ -216,7 +219,7 @@
                 }
                 rest
             });
-            let (end, link) = call(Some(kept), at, LONG, LONG, b"xyz", || true).await;
+            let (end, link) = call(Some(kept), at, LONG, LONG, |_| b"xyz".to_vec(), || true).await;
             // The new connection is refused, as nobody listens any more: so nothing has run.
             assert!(matches!(end, Err(Failed::Unready)) && link.is_none());
             assert!(!peer.await.unwrap().ends_with(b"z"), "the last byte never came");
@@ -244,7 +247,7 @@
         });
         let started = tokio::time::Instant::now();
         let patience = Duration::from_millis(100);
-        let (end, link) = call(None, at, LONG, patience, b"xyz", || true).await;
+        let (end, link) = call(None, at, LONG, patience, |_| b"xyz".to_vec(), || true).await;
         assert!(link.is_none());
         (end, started.elapsed())
     })
@@ -277,3 +280,28 @@
     assert!(matches!(end, Ok(Answer { status: 503, whole: false, .. })), "{end:?}");
     assert!(took <= patience + Duration::from_millis(2), "{took:?}");
 }
+
+/// A connection may take longer to come up than its call then has left.
+#[test]
+fn an_endpoint_is_told_how_long_its_call_still_waits_when_it_goes() {
+    on_one_thread(async {
+        tokio::time::pause();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let at = listener.local_addr().unwrap();
+        let kept = Link::open(at).await.unwrap();
+        let mut dying = listener.accept().await.unwrap().0;
+        let peer = spawn_local(async move {
+            dying.read_exact(&mut [0; 1]).await.unwrap();
+            tokio::time::advance(Duration::from_millis(2)).await;
+            drop(dying); // before the call's last byte
+            let mut read = Vec::new();
+            listener.accept().await.unwrap().0.read_to_end(&mut read).await.unwrap();
+            String::from_utf8(read).unwrap()
+        });
+        let request = |told: Duration| format!("told {}", told.as_millis()).into_bytes();
+        let (end, _) = call(Some(kept), at, LONG, Duration::from_millis(100), request, || true).await;
+        assert!(matches!(end, Err(Failed::Silent)), "{end:?}");
+        let told: u64 = peer.await.unwrap()["told ".len()..].parse().unwrap();
+        assert!((95..=98).contains(&told), "{told} ms");
+    });
+}
--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -343,16 +343,16 @@
         let Some(notice) = self.notices.get_mut(&id) else { return };
         let send = notice.sends;
         notice.sends += 1;
-        let body = notice.body.clone();
-        // What the endpoint is told is what this call waits.
-        let patience = Duration::from_millis((patience.as_millis() as u64).max(1));
-        let lasts = format!("{:.3}", patience.as_secs_f64());
-        let mut headers = vec![("X-Request-Id", &notice.reference[..])];
-        headers.extend(notice.mark.as_deref().map(|mark| ("Idempotency-Key", mark)));
-        headers.push(("X-Deadline", lasts.as_bytes()));
+        let (reference, mark, body) = (notice.reference.clone(), notice.mark.clone(), notice.body.clone());
         let address = self.endpoints.address(endpoint);
         let host = address.map(|at| at.to_string()).unwrap_or_default();
-        let request = http::request("POST", "/events", &host, &headers, &body);
+        let request = move |waits: Duration| {
+            let waits = format!("{:.3}", waits.as_secs_f64());
+            let mut headers = vec![("X-Request-Id", &reference[..])];
+            headers.extend(mark.as_deref().map(|mark| ("Idempotency-Key", mark)));
+            headers.push(("X-Deadline", waits.as_bytes()));
+            http::request("POST", "/events", &host, &headers, &body)
+        };
         let on_file = filed.is_ok();
         log_failed("a notice", filed);
         let link = self.endpoints.take(endpoint);
@@ -364,7 +364,7 @@
             let goes = move || asked.upgrade().is_some_and(|host| host.borrow_mut().begins(id, send, &to));
             let call = spawn_local(async move {
                 match address.filter(|_| on_file) {
-                    Some(at) => endpoints::call(link, at, connecting, patience, &request, goes).await,
+                    Some(at) => endpoints::call(link, at, connecting, patience, request, goes).await,
                     None => (Err(Failed::Here), None),
                 }
             });
