What changes between the decision and a call's first byte: forced on sockets

A lead of the hardening: a client that leaves, a drain, an endpoint that goes and a told wait while the connection opens. No change of behaviour.

--- a/crates/quillhub-net/src/host_tests.rs
+++ b/crates/quillhub-net/src/host_tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::stand_in::{Folder, OK, answering, host, on_one_thread};
+use quillhub::{Listing, Outcome};
 use socket2::{Domain, Socket, Type};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -232,6 +233,42 @@
     });
 }
 
+/// Each comes between the decision and the call's first byte, while its connection opens.
+#[test]
+fn nothing_is_sent_of_a_call_whose_client_left_or_whose_endpoint_drained_or_told_a_wait_meanwhile() {
+    let listed = |listing| move |host: &mut Host| host.event(|c| c.listed("e", "", "", 9, listing, None));
+    let meanwhile: [(&str, Box<dyn Fn(&mut Host)>); 5] = [
+        ("left", Box::new(|host| host.gone(1))),
+        ("drains", Box::new(listed(Listing::Draining))),
+        ("is gone", Box::new(listed(Listing::Gone))),
+        (
+            "told a wait",
+            Box::new(|host| {
+                host.event(|courier| {
+                    courier.outcome(2, 0, Outcome::Refused(Some(LASTS)), LASTS, false, None)
+                });
+            }),
+        ),
+        ("nothing", Box::new(|_| ())),
+    ];
+    for (what, change) in meanwhile {
+        let folder = Folder::new();
+        on_one_thread(async {
+            let (at, mut told) = answering(vec![OK; 9]).await;
+            let host = host(&folder, at);
+            assert_eq!((take(&host, "once"), take(&host, "once")), (Taken::On(1), Taken::On(2)));
+            assert_eq!(host.borrow().calls, 2);
+            host.borrow_mut().event(|courier| courier.over(2));
+            change(&mut host.borrow_mut());
+            while host.borrow().calls > 0 {
+                tokio::task::yield_now().await;
+            }
+            let sent = std::iter::from_fn(|| told.try_recv().ok()).any(|call| call.ends_with("body"));
+            assert_eq!(sent, what == "nothing", "{what}");
+        });
+    }
+}
+
 /// Connections to an endpoint may take more than a second to come up; until then no call has begun on them.
 #[test]
 fn a_notice_whose_connection_was_still_opening_when_the_process_died_is_untried() {
