Lists without rows and numbers that go back: what the watch makes of them, as tests

Two leads of the hardening, found harmless by reading: the whole list is obeyed, as what the agent has counts as told, and the number told last is asked from. No change of behaviour.

--- a/crates/quillhub-net/src/register_tests.rs
+++ b/crates/quillhub-net/src/register_tests.rs
@@ -132,6 +132,23 @@
     }
 }
 
+/// What the agent has counts as told, whatever it is: also no rows, or numbers that stand still or go back.
+#[test]
+fn a_whole_list_without_rows_is_obeyed_and_a_number_may_stand_still_or_go_back() {
+    let list = |revision: u64, rows: &str| {
+        format!("{{\"revision\":{revision},\"complete\":true,\"members\":[{rows}]}}\n")
+    };
+    let f = member("f", 2, "up").to_string();
+    for (told, revision, known) in [
+        (vec![list(7, "")], 7, [false, false]),
+        (vec![list(7, ""), list(7, &f)], 7, [false, true]),
+        (vec![list(7, &f), list(3, "")], 3, [false, false]),
+    ] {
+        let told = watched(&told.iter().map(|list| &list[..]).collect::<Vec<_>>(), true);
+        assert!(told.1 == Some(revision) && told.2 == known, "{told:?}");
+    }
+}
+
 /// What a silent watch misses counts as told 6 s after it fell silent: there must be time for two in a row.
 #[test]
 fn a_watch_that_falls_silent_is_opened_again_at_once_and_one_that_ends_at_once_after_a_pause() {
