--- a/crates/quillhub-net/src/clients.rs
+++ b/crates/quillhub-net/src/clients.rs
@@ -42,7 +42,7 @@
 /// first command comes with it.
 const YOUNG: Duration = Duration::from_millis(500);
 /// How long a connection that has to go may take before the next is told to.
-const LEAVES: Duration = Duration::from_millis(20);
+const EVICTION: Duration = Duration::from_millis(20);
 /// Pause after a failure to accept, such as having no descriptor left: calls that end free some.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -109,7 +109,7 @@
 }
 
 /// A connection, as one of those of which some must go when places are short.
-struct Seat {
+struct Connection {
     /// Since its last answer, or its coming.
     since: Instant,
     /// Whether it has been answered a command.
@@ -119,56 +119,58 @@
     /// Whether our side is closed, so that only the client's close is waited for.
     half_closed: bool,
     large: bool,
-    leave: Rc<Notify>,
+    evicted: Rc<Notify>,
 }
 
 /// What the connections need to know of the rest: when to close between commands, and who has a place.
-pub struct Doors {
+pub struct Admission {
     phase: watch::Receiver<Phase>,
     places: Arc<Semaphore>,
     large: Arc<Semaphore>,
     /// By number; an entry goes with its connection, or when it is told to leave.
-    seats: RefCell<BTreeMap<u64, Seat>>,
+    connections: RefCell<BTreeMap<u64, Connection>>,
     next: Cell<u64>,
 }
 
-impl Doors {
+impl Admission {
     /// `places` has a permit for each connection that may be open.
     pub fn new(phase: watch::Receiver<Phase>, places: Arc<Semaphore>) -> Rc<Self> {
-        let (large, seats, next) = (Arc::new(Semaphore::new(LARGE)), RefCell::default(), Cell::new(0));
-        Rc::new(Self { phase, places, large, seats, next })
+        let (large, connections, next) = (Arc::new(Semaphore::new(LARGE)), RefCell::default(), Cell::new(0));
+        Rc::new(Self { phase, places, large, connections, next })
     }
 
-    fn seat(&self) -> (u64, Rc<Notify>) {
-        let (number, leave) = (self.next.get(), Rc::new(Notify::new()));
+    fn admit(&self) -> (u64, Rc<Notify>) {
+        let (number, evicted) = (self.next.get(), Rc::new(Notify::new()));
         self.next.set(number + 1);
         let (since, proven, begun, half_closed, large) = (Instant::now(), false, false, false, false);
-        let seat = Seat { since, proven, begun, half_closed, large, leave: leave.clone() };
-        self.seats.borrow_mut().insert(number, seat);
-        (number, leave)
+        let connection = Connection { since, proven, begun, half_closed, large, evicted: evicted.clone() };
+        self.connections.borrow_mut().insert(number, connection);
+        (number, evicted)
     }
 
-    fn note(&self, number: u64, note: impl FnOnce(&mut Seat)) {
-        if let Some(seat) = self.seats.borrow_mut().get_mut(&number) {
-            note(seat);
+    fn note(&self, number: u64, note: impl FnOnce(&mut Connection)) {
+        if let Some(connection) = self.connections.borrow_mut().get_mut(&number) {
+            note(connection);
         }
     }
 
     /// Tells one connection to leave, of those that hold much if `large`: first one whose client only has to
     /// close, then the oldest that never asked anything whole, then the one longest idle, then any.
-    fn make_room(&self, large: bool) {
+    fn evict_one(&self, large: bool) {
         let now = Instant::now();
-        let rank = |seat: &Seat| match seat {
-            Seat { half_closed: true, .. } => 0,
-            Seat { proven: false, since, .. } if now >= *since + YOUNG => 1,
-            Seat { proven: true, begun: false, .. } => 2,
+        let rank = |connection: &Connection| match connection {
+            Connection { half_closed: true, .. } => 0,
+            Connection { proven: false, since, .. } if now >= *since + YOUNG => 1,
+            Connection { proven: true, begun: false, .. } => 2,
             _ => 3,
         };
-        let mut seats = self.seats.borrow_mut();
-        let first = seats.iter().filter(|(_, seat)| seat.large || !large);
-        let first = first.min_by_key(|(_, seat)| (rank(seat), seat.since)).map(|(number, _)| *number);
-        if let Some(seat) = first.and_then(|number| seats.remove(&number)) {
-            seat.leave.notify_one();
+        let mut connections = self.connections.borrow_mut();
+        let first = connections.iter().filter(|(_, connection)| connection.large || !large);
+        let first = first
+            .min_by_key(|(_, connection)| (rank(connection), connection.since))
+            .map(|(number, _)| *number);
+        if let Some(connection) = first.and_then(|number| connections.remove(&number)) {
+            connection.evicted.notify_one();
         }
     }
 
@@ -179,8 +181,8 @@
             if let Ok(permit) = from.clone().try_acquire_owned() {
                 return Some(permit);
             }
-            self.make_room(large);
-            if let Ok(permit) = timeout(LEAVES, from.clone().acquire_owned()).await {
+            self.evict_one(large);
+            if let Ok(permit) = timeout(EVICTION, from.clone().acquire_owned()).await {
                 return permit.ok();
             }
         }
@@ -211,7 +213,7 @@
     /// This side ends it.
     Here,
     /// This side ends it soon: its place is wanted.
-    ToMakeRoom,
+    Evicted,
 }
 
 /// Tells a client what is wrong.
@@ -224,16 +226,16 @@
 /// Closes our side, then reads away what still comes until the client closes its own. None of that is obeyed: the
 /// client hands it in again. Against a close over unread bytes, which resets the connection and may take an answer
 /// with it that the client has not read. A client that never closes keeps its place a while.
-async fn half_close(stream: &mut TcpStream, ended: Ended, leave: &Notify) -> std::io::Result<()> {
+async fn half_close(stream: &mut TcpStream, ended: Ended, evicted: &Notify) -> std::io::Result<()> {
     if ended == Ended::ByClient {
         return Ok(());
     }
     stream.shutdown().await?;
     let rest = async { while matches!(read(stream, |_| ()).await, Ok(1..)) {} };
-    let most = if ended == Ended::ToMakeRoom { LEAVES / 2 } else { LINGER };
+    let most = if ended == Ended::Evicted { EVICTION / 2 } else { LINGER };
     tokio::select! {
         _ = timeout(most, rest) => {}
-        () = leave.notified() => {}
+        () = evicted.notified() => {}
     }
     Ok(())
 }
@@ -251,15 +253,15 @@
 async fn serve(
     host: &RefCell<Host>,
     stream: &mut TcpStream,
-    doors: &Doors,
+    admission: &Admission,
     number: u64,
-    leave: &Notify,
+    evicted: &Notify,
 ) -> std::io::Result<Ended> {
-    let mut phase = doors.phase.clone();
+    let mut phase = admission.phase.clone();
     // A connection that comes late brings a command: it is served before it closes.
     let mut last = if *phase.borrow() == Phase::Serving { Phase::Stopping } else { Phase::Closing };
     let (mut buffer, mut permit) = (Vec::new(), None);
-    let (mut proven, mut errors, mut leaving) = (false, 0, false);
+    let (mut proven, mut errors, mut evicting) = (false, 0, false);
     let mut began = Instant::now(); // the command that is being read
     loop {
         let next = match resp::command(&buffer, MOST_PART) {
@@ -280,13 +282,13 @@
             }
             Ok(None) if buffer.len() > MOST_COMMAND => Next::ErrorAndClose("too long"),
             Err(resp::Malformed) => Next::ErrorAndClose("not a command, or too long"),
-            Ok(None) if leaving => return Ok(Ended::ToMakeRoom),
+            Ok(None) if evicting => return Ok(Ended::Evicted),
             Ok(None) => {
                 let idle = buffer.is_empty();
                 let input = async {
                     if buffer.len() >= SMALL && permit.is_none() {
-                        permit = doors.permit(true).await;
-                        doors.note(number, |seat| seat.large = true);
+                        permit = admission.permit(true).await;
+                        admission.note(number, |connection| connection.large = true);
                     }
                     read(stream, |octets| buffer.extend_from_slice(octets)).await
                 };
@@ -301,9 +303,9 @@
                     }
                     () = sleep_until(began + COMMAND), if !proven => Some(Ended::Here),
                     _ = phase.wait_for(|phase| *phase >= last), if idle => Some(Ended::Here),
-                    () = leave.notified() => Some(Ended::ToMakeRoom),
+                    () = evicted.notified() => Some(Ended::Evicted),
                 };
-                leaving = ends == Some(Ended::ToMakeRoom);
+                evicting = ends == Some(Ended::Evicted);
                 if let Some(ends) = ends
                     && !last_look(stream, &mut buffer)
                 {
@@ -311,7 +313,7 @@
                 }
                 if idle && proven {
                     began = Instant::now();
-                    doors.note(number, |seat| seat.begun = true);
+                    admission.note(number, |connection| connection.begun = true);
                 }
                 continue;
             }
@@ -340,8 +342,9 @@
         }
         (last, began) = (Phase::Stopping, Instant::now());
         let (begun, large) = (!buffer.is_empty(), permit.is_some());
-        doors.note(number, |seat| {
-            (seat.since, seat.proven, seat.begun, seat.large) = (Instant::now(), proven, begun, large);
+        admission.note(number, |connection| {
+            (connection.since, connection.proven, connection.begun, connection.large) =
+                (Instant::now(), proven, begun, large);
         });
         // One that hands in many commands at once takes turns with the others.
         if begun {
@@ -358,8 +361,8 @@
 
 /// Accepts connections until the courier closes, those that came before that included. Each is served by a
 /// task of its own.
-pub async fn accept(host: Rc<RefCell<Host>>, listener: Rc<TcpListener>, doors: Rc<Doors>) {
-    let mut phase = doors.phase.clone();
+pub async fn accept(host: Rc<RefCell<Host>>, listener: Rc<TcpListener>, admission: Rc<Admission>) {
+    let mut phase = admission.phase.clone();
     loop {
         let accepted = tokio::select! {
             biased;
@@ -374,18 +377,19 @@
                 continue;
             }
         };
-        let Some(place) = doors.permit(false).await else { return };
-        let (host, doors) = (host.clone(), doors.clone());
+        let Some(place) = admission.permit(false).await else { return };
+        let (host, admission) = (host.clone(), admission.clone());
         spawn_local(async move {
-            let (_place, (number, leave)) = (place, doors.seat());
+            let (_place, (number, evicted)) = (place, admission.admit());
             let served = async {
                 stream.set_nodelay(true)?;
-                let ended = serve(&host, &mut stream, &doors, number, &leave).await?;
-                doors.note(number, |seat| (seat.half_closed, seat.large) = (true, false));
-                half_close(&mut stream, ended, &leave).await
+                let ended = serve(&host, &mut stream, &admission, number, &evicted).await?;
+                admission
+                    .note(number, |connection| (connection.half_closed, connection.large) = (true, false));
+                half_close(&mut stream, ended, &evicted).await
             };
             let served = served.await;
-            doors.seats.borrow_mut().remove(&number);
+            admission.connections.borrow_mut().remove(&number);
             if let Err(error) = served {
                 tracing::debug!(%from, %error, "a client's connection ended");
             }
--- a/crates/quillhub-net/src/clients_tests.rs
+++ b/crates/quillhub-net/src/clients_tests.rs
@@ -21,7 +21,7 @@
         let at = listener.local_addr().unwrap();
         let (phase, seen) = watch::channel(came);
         let places = Arc::new(Semaphore::new(2));
-        spawn_local(accept(host(&folder, at), Rc::new(listener), Doors::new(seen, places.clone())));
+        spawn_local(accept(host(&folder, at), Rc::new(listener), Admission::new(seen, places.clone())));
         let mut client = TcpStream::connect(at).await.unwrap();
         client.write_all(input).await.unwrap();
         if leave {
@@ -97,8 +97,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let at = listener.local_addr().unwrap();
         let (_phase, seen) = watch::channel(Phase::Serving);
-        let doors = Doors::new(seen, Arc::new(Semaphore::new(1)));
-        spawn_local(accept(host(&folder, at), Rc::new(listener), doors));
+        let admission = Admission::new(seen, Arc::new(Semaphore::new(1)));
+        spawn_local(accept(host(&folder, at), Rc::new(listener), admission));
         let mut answer = [0; 7];
         let mut first = TcpStream::connect(at).await.unwrap();
         first.write_all(PING).await.unwrap();
@@ -137,7 +137,7 @@
 
 #[test]
 fn of_crowded_connections_the_oldest_that_never_asked_goes_first_and_then_the_one_longest_idle() {
-    let doors = Doors::new(watch::channel(Phase::Serving).1, Arc::new(Semaphore::new(9)));
+    let admission = Admission::new(watch::channel(Phase::Serving).1, Arc::new(Semaphore::new(9)));
     let now = Instant::now();
     for (seconds, proven, begun, large) in [
         (9, true, false, false),
@@ -147,17 +147,18 @@
         (1, false, false, false),
         (0, false, false, false),
     ] {
-        let number = doors.seat().0;
+        let number = admission.admit().0;
         let since = now - Duration::from_secs(seconds);
-        doors.note(number, |seat| {
-            (seat.since, seat.proven, seat.begun, seat.large) = (since, proven, begun, large);
+        admission.note(number, |connection| {
+            (connection.since, connection.proven, connection.begun, connection.large) =
+                (since, proven, begun, large);
         });
     }
     let mut gone = Vec::new();
     for large in [true, true, true, false, false, false, false] {
-        let before: Vec<_> = doors.seats.borrow().keys().copied().collect();
-        doors.make_room(large);
-        gone.extend(before.into_iter().find(|number| !doors.seats.borrow().contains_key(number)));
+        let before: Vec<_> = admission.connections.borrow().keys().copied().collect();
+        admission.evict_one(large);
+        gone.extend(before.into_iter().find(|number| !admission.connections.borrow().contains_key(number)));
     }
     assert_eq!(gone, [3, 2, 4, 0, 1, 5]);
 }
@@ -173,9 +174,9 @@
         let at = listener.local_addr().unwrap();
         let (phase, seen) = watch::channel(Phase::Serving);
         let places = Arc::new(Semaphore::new(1));
-        let doors = Doors::new(seen, places.clone());
+        let admission = Admission::new(seen, places.clone());
         let host = host(&folder, at);
-        spawn_local(accept(host.clone(), Rc::new(listener), doors.clone()));
+        spawn_local(accept(host.clone(), Rc::new(listener), admission.clone()));
         let mut client = TcpStream::connect(at).await.unwrap();
         if end != End::NeverAsked {
             client.write_all(PING).await.unwrap();
@@ -193,8 +194,8 @@
             .unwrap();
         match end {
             End::Stop => drop(phase.send_replace(Phase::Stopping)),
-            End::MakeRoom => doors.make_room(false),
-            End::NeverAsked => tokio::time::advance(COMMAND + LEAVES).await,
+            End::Evict => admission.evict_one(false),
+            End::NeverAsked => tokio::time::advance(COMMAND + EVICTION).await,
             End::Error => {}
         }
         let mut client = TcpStream::from_std(client).unwrap();
@@ -216,7 +217,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum End {
     Stop,
-    MakeRoom,
+    Evict,
     NeverAsked,
     Error,
 }
@@ -228,7 +229,7 @@
     let late = submit("c=free,d=8000,dest=9", 9);
     for (end, told) in [
         (End::Stop, ""),
-        (End::MakeRoom, ""),
+        (End::Evict, ""),
         (End::NeverAsked, ""),
         (End::Error, "-ERR not a command, or too long\r\n"),
     ] {
@@ -240,17 +241,19 @@
 /// A request whose last byte came before the close is owed an answer.
 #[test]
 fn a_command_that_is_whole_in_the_moment_of_the_close_is_answered_first() {
-    for end in [End::Stop, End::MakeRoom] {
+    for end in [End::Stop, End::Evict] {
         assert_eq!(crossing(end, PING, b"").0, "+PONG\r\n", "{end:?}");
     }
 }
 
 #[test]
 fn a_connection_that_only_its_client_has_to_close_goes_before_all_others() {
-    let doors = Doors::new(watch::channel(Phase::Serving).1, Arc::new(Semaphore::new(9)));
-    let numbers = [doors.seat().0, doors.seat().0];
-    doors.note(numbers[0], |seat| (seat.since, seat.proven) = (seat.since - COMMAND, true));
-    doors.note(numbers[1], |seat| (seat.half_closed, seat.proven) = (true, true));
-    doors.make_room(false);
-    assert_eq!(doors.seats.borrow().keys().copied().collect::<Vec<_>>(), numbers[..1]);
+    let admission = Admission::new(watch::channel(Phase::Serving).1, Arc::new(Semaphore::new(9)));
+    let numbers = [admission.admit().0, admission.admit().0];
+    admission.note(numbers[0], |connection| {
+        (connection.since, connection.proven) = (connection.since - COMMAND, true)
+    });
+    admission.note(numbers[1], |connection| (connection.half_closed, connection.proven) = (true, true));
+    admission.evict_one(false);
+    assert_eq!(admission.connections.borrow().keys().copied().collect::<Vec<_>>(), numbers[..1]);
 }
--- a/crates/quillhub-net/src/lib.rs
+++ b/crates/quillhub-net/src/lib.rs
@@ -169,9 +169,9 @@
     let (phase, seen) = watch::channel(Phase::Serving);
     let connections = (free / CLIENTS).max(1);
     let places = Arc::new(Semaphore::new(connections));
-    let doors = clients::Doors::new(seen, places.clone());
+    let admission = clients::Admission::new(seen, places.clone());
     let (at, listener) = (host.clone(), Rc::new(listener));
-    lasting(move || clients::accept(at.clone(), listener.clone(), doors.clone()));
+    lasting(move || clients::accept(at.clone(), listener.clone(), admission.clone()));
     stop.await;
     tracing::info!("stopping");
     let sign = Instant::now();
