What a restart left over is marked until its first send, in one place

Found on reading the change: two rules each worked out from the mark and the number of sends whether a notice was still untried. Change: send() takes the mark away with the first send, the only place that raises that number, so the mark alone says it. No change of behaviour; all tests of the module as before.

--- a/src/courier.rs
+++ b/src/courier.rs
@@ -182,7 +182,7 @@
     /// Whether its last send was turned away.
     pub(crate) refused: bool,
     pub(crate) may_have_run: Option<(Duration, String)>,
-    /// Whether it was owed, and untried, when the courier started.
+    /// Whether it was owed when the courier started, and is untried.
     pub(crate) left_over: bool,
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -858,9 +858,8 @@
             let due = (held.limit + grade.contract).saturating_sub(grade.limit);
             // Against what a restart left over, late by then and of little earnings, waiting untried behind
             // all that is new until its time is over. May delay what earns more, by one call each.
-            let first = held.left_over && held.sends == 0;
             let earns = (earns * 1e6 / usual.as_secs_f64().max(LEAST_CALL)) as i64;
-            let rank = (safe, first, earns, Reverse(due));
+            let rank = (safe, held.left_over, earns, Reverse(due));
             if best.as_ref().is_none_or(|(top, ..)| rank > *top) {
                 best = Some((rank, *id, way));
             }
@@ -919,6 +918,7 @@
         }
         held.sends += 1;
         held.out += 1;
+        held.left_over = false;
     }
 
     /// The lasting folder is short: what was handed in just now is not taken on.
@@ -937,8 +937,8 @@
         let waiting = self.held.iter().filter(|(_, held)| held.out == 0 && self.may_deny(held));
         let least = waiting.min_by(|a, b| {
             let earns = |held: &Held| self.earns(held, self.now + self.usual(held.destination, held.grade));
-            let left = |held: &Held| held.left_over && held.sends == 0; // those go last
-            left(a.1).cmp(&left(b.1)).then(earns(a.1).total_cmp(&earns(b.1))).then(b.0.cmp(a.0))
+            let order = a.1.left_over.cmp(&b.1.left_over); // what a restart left over goes last
+            order.then(earns(a.1).total_cmp(&earns(b.1))).then(b.0.cmp(a.0))
         });
         let Some(id) = least.map(|(id, _)| *id) else { return false };
         self.answer(id, hands);
