Tests of processes use the stand-ins' server, process, command and full queue

Found on reading the change: crossings.rs read HTTP, started processes and wrote commands by its own code beside the stand-ins' (Served, process::Courier, clients); a full queue stood twice, the form of a command four times; configurations were left in the temporary folder. Change: those pieces serve all (Courier gets signal and end, clients give command and ask, scripted gives full); configuration and log lie in a folder that goes. Assertions as they were.

--- a/crates/quillhub-net/src/clients_tests.rs
+++ b/crates/quillhub-net/src/clients_tests.rs
@@ -1,14 +1,14 @@
 use super::*;
 use crate::stand_in::{Folder, host, on_one_thread};
+use quillhub_stand_ins::clients::command;
 use tokio::io::AsyncReadExt;
 
 const PING: &[u8] = b"*1\r\n$4\r\nping\r\n";
 
 fn submit(list: &str, body: usize) -> Vec<u8> {
     let id = format!("ab{}", list.len()); // lists differ in length
-    let parts = ["SUBMIT", "0", &id, list, &"x".repeat(body)];
-    let part = |part: &str| format!("${}\r\n{part}\r\n", part.len());
-    format!("*5\r\n{}", parts.map(part).concat()).into_bytes()
+    let body = "x".repeat(body);
+    command(&["SUBMIT", "0", &id, list, &body].map(str::as_bytes))
 }
 
 /// What a connection that came in phase `came` is answered until it closes. Once it has been accepted and
--- a/crates/quillhub-net/src/host_tests.rs
+++ b/crates/quillhub-net/src/host_tests.rs
@@ -1,7 +1,6 @@
 use super::*;
-use crate::stand_in::{Folder, OK, answering, host, on_one_thread};
+use crate::stand_in::{Folder, OK, answering, full, host, on_one_thread};
 use quillhub::{Listing, Outcome};
-use socket2::{Domain, Socket, Type};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use tokio::net::TcpListener;
@@ -275,12 +274,7 @@
 fn a_notice_whose_connection_was_still_opening_when_the_process_died_is_untried() {
     let folder = Folder::new();
     on_one_thread(async {
-        // With its queue full and nobody who accepts, no further connection comes up.
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
-        socket.listen(0).unwrap();
-        let full = socket.local_addr().unwrap().as_socket().unwrap();
-        let queue = std::net::TcpStream::connect(full).unwrap();
+        let (full, _queue) = full();
         let first = host(&folder, full);
         assert_eq!((take(&first, "once"), first.borrow().calls), (Taken::On(1), 1));
         for _ in 0..10 {
@@ -292,7 +286,6 @@
         second.borrow_mut().event(|_| ());
         assert!(second.borrow().finals.is_empty(), "not given up");
         assert!(told.recv().await.unwrap().ends_with("body"));
-        drop(queue);
     });
 }
 
--- a/crates/quillhub-net/src/lib_tests.rs
+++ b/crates/quillhub-net/src/lib_tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::stand_in::{Folder, OK, answering, on_one_thread, plan};
 use crate::wal::Owed;
+use quillhub_stand_ins::clients::command;
 use serde_json::{Value, json};
 use std::future::pending;
 use std::time::SystemTime;
@@ -117,14 +118,14 @@
                 Err(_) => sleep(LOOK).await,
             }
         };
-        let list = "c=once,d=8000,dest=9";
-        let input = format!("*5\r\n$6\r\nSUBMIT\r\n$1\r\n0\r\n$2\r\nab\r\n$20\r\n{list}\r\n$4\r\nbody\r\n");
+        let parts = ["SUBMIT", "0", "ab", "c=once,d=8000,dest=9", "body"];
+        let input = command(&parts.map(str::as_bytes));
         let (begin, rest) = input.split_at(9);
-        client.write_all(begin.as_bytes()).await.unwrap();
+        client.write_all(begin).await.unwrap();
         sleep(LOOK).await;
         stop.send(()).unwrap();
         sleep(Duration::from_millis(2_400)).await; // nothing is decided any more
-        client.write_all(rest.as_bytes()).await.unwrap();
+        client.write_all(rest).await.unwrap();
         let mut answer = String::new();
         client.read_to_string(&mut answer).await.unwrap();
         assert_eq!(answer, "+OK\r\n");
--- a/crates/quillhub-net/src/stand_in.rs
+++ b/crates/quillhub-net/src/stand_in.rs
@@ -5,7 +5,7 @@
 use crate::wal::Wal;
 use quillhub::Listing;
 pub use quillhub_stand_ins::scratch::{Folder, on_one_thread};
-pub use quillhub_stand_ins::scripted::{OK, answering};
+pub use quillhub_stand_ins::scripted::{OK, answering, full};
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::net::SocketAddr;
--- a/crates/quillhub-net/tests/crossings.rs
+++ b/crates/quillhub-net/tests/crossings.rs
@@ -1,21 +1,22 @@
 //! A real courier's process, told to stop or killed at each step of a notice's life, and started again on its folder.
 //! The signal follows an event that the endpoint, the platform or the client has seen; nothing is left to the clock.
 
-use quillhub_stand_ins::clients::ready;
+use quillhub_stand_ins::clients::{ask, command, ready};
+use quillhub_stand_ins::http::Served;
+use quillhub_stand_ins::process::Courier;
 use quillhub_stand_ins::scratch::{Folder, on_one_thread};
+use quillhub_stand_ins::scripted::full;
 use serde_json::{Value, json};
-use socket2::{Domain, Socket, Type};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::path::Path;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, timeout};
 
 const MEMORY: Duration = Duration::from_secs(6);
 /// What the page allows on each time limit.
@@ -52,32 +53,13 @@
     list: RefCell<Value>,
 }
 
-/// Reads one request whole; nothing at the connection's end.
-async fn request(stream: &mut TcpStream) -> Option<String> {
-    let mut read = Vec::new();
-    loop {
-        let text = String::from_utf8_lossy(&read).into_owned();
-        if let Some((head, body)) = text.split_once("\r\n\r\n") {
-            let length = head.split_once("Content-Length: ").map(|(_, rest)| rest.lines().next().unwrap());
-            if body.len() >= length.map_or(0, |length| length.parse().unwrap()) {
-                return Some(text);
-            }
-        }
-        if stream.read_buf(&mut read).await.ok()? == 0 {
-            return None;
-        }
-    }
-}
-
 impl World {
-    async fn endpoint(self: Rc<Self>, mut stream: TcpStream) {
-        loop {
-            if self.step == Step::Begun && matches!(stream.peek(&mut [0; 1]).await, Ok(1)) {
-                self.seen.notify_one();
-            }
-            if request(&mut stream).await.is_none() {
-                return;
-            }
+    async fn endpoint(self: Rc<Self>, stream: TcpStream) {
+        if self.step == Step::Begun && matches!(stream.peek(&mut [0; 1]).await, Ok(1)) {
+            self.seen.notify_one();
+        }
+        let mut stream = Served::new(stream);
+        while let Ok(Some(_)) = stream.next().await {
             let second = self.second.get();
             self.calls.borrow_mut().push((Instant::now(), second));
             let answer = match self.step {
@@ -86,18 +68,19 @@
                 Step::FinalAnswer => "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n",
                 _ => "",
             };
-            let _ = stream.write_all(answer.as_bytes()).await;
+            let _ = stream.write(answer.as_bytes()).await;
             if self.step != Step::FinalAnswer {
                 self.seen.notify_one();
             }
         }
     }
 
-    async fn register_and_platform(self: Rc<Self>, mut stream: TcpStream) {
-        while let Some(asked) = request(&mut stream).await {
-            let answer = if asked.starts_with("POST /v2/finals") {
-                let lines = asked.split_once("\r\n\r\n").unwrap().1.lines();
-                self.finals.borrow_mut().extend(lines.map(str::to_owned));
+    async fn register_and_platform(self: Rc<Self>, stream: TcpStream) {
+        let mut stream = Served::new(stream);
+        while let Ok(Some(asked)) = stream.next().await {
+            let answer = if asked.path == "/v2/finals" {
+                let lines = String::from_utf8(asked.body).unwrap();
+                self.finals.borrow_mut().extend(lines.lines().map(str::to_owned));
                 self.seen.notify_one();
                 if self.step == Step::FinalAnswer && !self.second.get() {
                     continue;
@@ -108,7 +91,7 @@
                 let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
                 format!("{head}{:x}\r\n{line}\r\n", line.len())
             };
-            let _ = stream.write_all(answer.as_bytes()).await;
+            let _ = stream.write(answer.as_bytes()).await;
         }
     }
 
@@ -134,38 +117,11 @@
     json!({"revision": revision, "complete": true, "members": rows})
 }
 
-/// One courier's process; it is ended with its owner.
-struct Process(Child);
-
-impl Process {
-    fn start(folder: &Folder, configuration: &Value) -> Self {
-        let path = folder.0.with_extension("json");
-        std::fs::write(&path, configuration.to_string()).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_quillhub"));
-        command.arg("serve").arg("--config").arg(&path).arg("--state").arg(&folder.0);
-        Self(command.stdin(Stdio::null()).stderr(Stdio::null()).spawn().unwrap())
-    }
-
-    fn signal(&self, name: &str) {
-        let told = Command::new("sh").args(["-c", &format!("kill -{name} {}", self.0.id())]).status();
-        assert!(told.unwrap().success());
-    }
-
-    async fn end(&mut self) -> ExitStatus {
-        loop {
-            if let Some(status) = self.0.try_wait().unwrap() {
-                return status;
-            }
-            sleep(Duration::from_millis(5)).await;
-        }
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
+/// A process of a courier that keeps what it has in `folder`, with configuration and log in another.
+fn start(folder: &Folder, beside: &Folder, configuration: &Value) -> Courier {
+    let [config, log] = ["config", "log"].map(|name| beside.0.join(name));
+    std::fs::write(&config, configuration.to_string()).unwrap();
+    Courier::start(Path::new(env!("CARGO_BIN_EXE_quillhub")), &config, &folder.0, &log).unwrap()
 }
 
 fn configuration(listen: SocketAddr, discovery: SocketAddr, known: Value) -> Value {
@@ -187,25 +143,17 @@
 }
 
 async fn hand_in(listen: SocketAddr, grade: &str) {
-    let parts = ["SUBMIT", "0", "ab", &format!("c={grade},d=12000,k=5c,dest=9"), "body"];
-    let parts: String = parts.iter().map(|part| format!("${}\r\n{part}\r\n", part.len())).collect();
+    let list = format!("c={grade},d=12000,k=5c,dest=9");
     let mut client = TcpStream::connect(listen).await.unwrap();
-    client.write_all(format!("*5\r\n{parts}").as_bytes()).await.unwrap();
-    let mut answer = [0; 5];
-    client.read_exact(&mut answer).await.unwrap();
-    assert_eq!(&answer, b"+OK\r\n");
+    let submit = command(&["SUBMIT", "0", "ab", &list, "body"].map(str::as_bytes));
+    assert_eq!(ask(&mut client, &submit).await.unwrap(), "+OK");
 }
 
 /// Plays one notice's life across two processes, and checks that it had one end and no effect twice.
 async fn life(step: Step, grade: &str, signal: &str) {
     let what = format!("{step:?}, {grade}, {signal}");
-    let folder = Folder::new();
-    // With its queue full and nobody who accepts, no further connection comes up there.
-    let full = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-    full.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
-    full.listen(0).unwrap();
-    let full_at = full.local_addr().unwrap().as_socket().unwrap();
-    let _queue = std::net::TcpStream::connect(full_at).unwrap();
+    let (folder, beside) = (Folder::new(), Folder::new());
+    let (full, _queue) = full();
     let world = Rc::new(World {
         step,
         second: Cell::new(false),
@@ -218,26 +166,26 @@
     let discovery = world.listen(World::register_and_platform).await;
     let first_list = match step {
         Step::Taken => list(1, None),
-        Step::Opening => list(1, Some(full_at)),
+        Step::Opening => list(1, Some(full)),
         _ => list(1, Some(endpoint)),
     };
     world.list.replace(first_list.clone());
     let listen = own_address();
-    let mut first = Process::start(&folder, &configuration(listen, discovery, first_list));
+    let mut first = start(&folder, &beside, &configuration(listen, discovery, first_list));
     assert!(ready(listen, LONG).await, "{what}");
     hand_in(listen, grade).await;
     if !matches!(step, Step::Taken | Step::Opening) {
         world.seen.notified().await;
     }
-    first.signal(signal);
-    let status = first.end().await;
+    assert!(first.signal(signal).unwrap());
+    let status = first.end().await.unwrap();
     assert!(signal == "KILL" || status.success(), "{what}: {status}");
 
     world.second.set(true);
     let finals_before = world.finals.borrow().len();
     world.list.replace(list(2, Some(endpoint)));
     let listen = own_address();
-    let mut second = Process::start(&folder, &configuration(listen, discovery, list(2, Some(endpoint))));
+    let mut second = start(&folder, &beside, &configuration(listen, discovery, list(2, Some(endpoint))));
     assert!(ready(listen, LONG).await, "{what}");
     let handled = || world.calls.borrow().iter().any(|(_, second)| *second);
     let told =
@@ -245,8 +193,8 @@
     while !handled() && !told() {
         world.seen.notified().await;
     }
-    second.signal("TERM"); // it ends once nothing is owed
-    assert!(second.end().await.success(), "{what}");
+    assert!(second.signal("TERM").unwrap()); // it ends once nothing is owed
+    assert!(second.end().await.unwrap().success(), "{what}");
 
     let (calls, finals) = (world.calls.borrow(), world.finals.borrow());
     let before = calls.iter().filter(|(_, second)| !second).count();
@@ -290,22 +238,22 @@
 #[test]
 fn signals_that_cross_a_start_or_a_stop_end_the_process_as_one_does() {
     let whole = async {
-        let folder = Folder::new();
+        let (folder, beside) = (Folder::new(), Folder::new());
         let (listen, silent) = (own_address(), TcpListener::bind("127.0.0.1:0").await.unwrap());
         let plan = configuration(listen, silent.local_addr().unwrap(), list(1, None));
         // Before it is ready, perhaps before it can catch any.
-        let mut early = Process::start(&folder, &plan);
-        early.signal("TERM");
-        let ended = early.end().await;
+        let mut early = start(&folder, &beside, &plan);
+        assert!(early.signal("TERM").unwrap());
+        let ended = early.end().await.unwrap();
         assert!(ended.success() || ended.code().is_none(), "{ended}");
         // With a notice held, so that the stop lasts.
-        let mut courier = Process::start(&folder, &plan);
+        let mut courier = start(&folder, &beside, &plan);
         assert!(ready(listen, LONG).await);
         hand_in(listen, "free").await;
         for signal in ["TERM", "HUP", "INT", "HUP", "TERM"] {
-            courier.signal(signal);
+            assert!(courier.signal(signal).unwrap());
         }
-        assert!(courier.end().await.success());
+        assert!(courier.end().await.unwrap().success());
     };
     on_one_thread(async { timeout(LONG, whole).await.expect("it does not end") });
 }
--- a/crates/quillhub-stand-ins/src/clients.rs
+++ b/crates/quillhub-stand-ins/src/clients.rs
@@ -149,12 +149,7 @@
             (id, meta)
         };
         let parts: [&[u8]; 5] = [b"SUBMIT", b"0000000000000000", id.as_bytes(), line.as_bytes(), &body];
-        let mut command = format!("*{}\r\n", parts.len()).into_bytes();
-        for part in parts {
-            command.extend_from_slice(format!("${}\r\n", part.len()).as_bytes());
-            command.extend_from_slice(part);
-            command.extend_from_slice(b"\r\n");
-        }
+        let command = command(&parts);
         let Ok(place) = pool.places.acquire().await else { return };
         let begun = Instant::now();
         let word =
@@ -188,6 +183,17 @@
     }
 }
 
+/// A command of these parts, as it is written.
+pub fn command(parts: &[&[u8]]) -> Vec<u8> {
+    let mut command = format!("*{}\r\n", parts.len()).into_bytes();
+    for part in parts {
+        command.extend_from_slice(format!("${}\r\n", part.len()).as_bytes());
+        command.extend_from_slice(part);
+        command.extend_from_slice(b"\r\n");
+    }
+    command
+}
+
 /// Writes one command on a kept or a new connection and reads one line.
 async fn say(pool: &Pool, command: &[u8]) -> std::io::Result<String> {
     let kept = pool.idle.borrow_mut().pop();
@@ -213,7 +219,8 @@
     Ok(stream)
 }
 
-async fn ask(stream: &mut TcpStream, command: &[u8]) -> std::io::Result<String> {
+/// Writes one command and reads one line.
+pub async fn ask(stream: &mut TcpStream, command: &[u8]) -> std::io::Result<String> {
     stream.write_all(command).await?;
     let mut read = Vec::new();
     while !read.ends_with(b"\n") {
--- a/crates/quillhub-stand-ins/src/process.rs
+++ b/crates/quillhub-stand-ins/src/process.rs
@@ -2,11 +2,14 @@
 
 use std::io;
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
+use tokio::time::sleep;
 
 /// Clock ticks a second in /proc: what every Linux reports to user space.
 const TICKS: f64 = 100.0;
+/// How often its end is looked for.
+const LOOK: Duration = Duration::from_millis(5);
 
 pub struct Courier(Child);
 
@@ -26,6 +29,22 @@
         Ok(Self(command.spawn()?))
     }
 
+    /// Sends a signal, by its name without `SIG`.
+    pub fn signal(&self, name: &str) -> io::Result<bool> {
+        let told = Command::new("sh").args(["-c", &format!("kill -{name} {}", self.0.id())]).status();
+        told.map(|status| status.success())
+    }
+
+    /// How it ended; waits for that.
+    pub async fn end(&mut self) -> io::Result<ExitStatus> {
+        loop {
+            if let Some(status) = self.0.try_wait()? {
+                return Ok(status);
+            }
+            sleep(LOOK).await;
+        }
+    }
+
     /// Nothing if it has ended.
     pub fn used(&self) -> Option<Used> {
         let id = self.0.id();
--- a/crates/quillhub-stand-ins/src/scripted.rs
+++ b/crates/quillhub-stand-ins/src/scripted.rs
@@ -1,5 +1,6 @@
 //! A server that answers what it is told to, call by call.
 
+use socket2::{Domain, Socket, Type};
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -37,3 +38,13 @@
     });
     (at, told)
 }
+
+/// An address where no connection comes up, as long as what is given with it is kept: its queue is full, and nobody
+/// accepts.
+pub fn full() -> (SocketAddr, (Socket, std::net::TcpStream)) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    socket.listen(0).unwrap();
+    let at = socket.local_addr().unwrap().as_socket().unwrap();
+    (at, (socket, std::net::TcpStream::connect(at).unwrap()))
+}
