--- a/src/courier.rs
+++ b/src/courier.rs
@@ -144,6 +144,8 @@
     pub(crate) closed: Duration,
     pub(crate) trials: u32,
     pub(crate) trial: Duration,
+    /// When a call there was handled last.
+    pub(crate) answered: Duration,
 }
 
 impl Route {
@@ -162,6 +164,7 @@
             closed: zero,
             trials: 0,
             trial: zero,
+            answered: zero,
         }
     }
 }
@@ -431,7 +434,7 @@
                     !gone || busy.contains(name)
                 });
                 let live: BTreeSet<_> = destination.endpoints.values().map(|e| &e.route).collect();
-                destination.routes.retain(|name, route| live.contains(name) || route.told > now);
+                destination.routes.retain(|name, route| live.contains(name) || route.told > now || route.repeats.doubtful());
                 !destination.routes.is_empty()
             });
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -111,7 +111,7 @@
         *(if repeat { &mut last.2 } else { &mut last.1 }) += 1;
     }
 
-    fn doubtful(&self) -> bool {
+    pub(crate) fn doubtful(&self) -> bool {
         self.failures >= DOUBTFUL
     }
 
@@ -270,11 +270,11 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Health {
     Well,
-    Out,
     Cold { since: Duration },
+    Out,
 }
 
 pub(crate) struct Outage {
@@ -288,9 +288,9 @@
 
 impl Outage {
     /// The ration begins by chance under one: of many couriers with little work each, some send at once.
-    fn new(chance: f64) -> Self {
+    fn new(health: Health, chance: f64, now: Duration) -> Self {
         let (zero, ration) = (Duration::ZERO, Ration { by_notice: chance, by_time: 0.0 });
-        Self { health: Health::Well, share: 0.0, told: zero, answered: zero, ration, filled: zero }
+        Self { health, share: 0.0, told: zero, answered: zero, ration, filled: now }
     }
 
     fn failed(&mut self, now: Duration, weight: f64) {
@@ -311,6 +311,11 @@
         }
     }
 
+    /// Against rations saved up while all was well: of many couriers each would send one in the same instant.
+    fn begins(&mut self, now: Duration, rng: &mut Pcg64Mcg) {
+        (self.ration, self.filled) = (Ration::by_chance(rng), now);
+    }
+
     fn quiet(&self, now: Duration, began: Duration) -> bool {
         self.answered <= began && self.answered + LEAST_PATIENCE <= now
     }
@@ -387,6 +392,9 @@
         if !entry.reported {
             (entry.pace.known, entry.pace.sure) = (known, sure);
         }
+        // Against taking a new endpoint of a destination that is out or cold for a way around that.
+        let siblings = destination.endpoints.values().filter(|e| e.route == route);
+        let health = siblings.map(|e| e.outage.health).min().unwrap_or(Health::Well);
         let endpoint = destination.endpoints.entry(name.into()).or_insert_with(|| Endpoint {
             zone: zone.into(),
             kind: kind.into(),
@@ -394,7 +402,7 @@
             route: route.into(),
             listing,
             credits: Credits { most: FIRST_CREDITS, spent: 0 },
-            outage: Outage::new(self.rng.random()),
+            outage: Outage::new(health, self.rng.random(), now),
             used: None,
             mates: (now, 0),
         });
@@ -518,9 +526,9 @@
         if let Some((_, rate)) = report.filter(|r| r.1 > 0.0) {
             (route.pace.known, route.pace.sure, route.reported) = (Some(rate), Some(rate), true);
         }
-        let before = endpoint.outage.health;
+        let (before, doubted) = (endpoint.outage.health, route.repeats.doubtful());
         // Whether the call got no answer, and how much it says of an outage.
-        let (mut lost, mut shut, mut weight) = (false, false, 0.0);
+        let (mut lost, mut shut, mut back, mut weight) = (false, false, false, 0.0);
         let keep = || Keep::new(self.idle_close, self.couriers);
         let keep = self.keeps.entry(endpoint.kind.clone()).or_insert_with(keep);
         match outcome {
@@ -536,10 +544,11 @@
                 if before == Health::Out {
                     (route.trials, route.trial) = (0, self.now); // its siblings may be back too
                 }
-                if self.may_tell && (before == Health::Out || route.repeats.doubtful()) {
+                if self.may_tell && (before == Health::Out || doubted) {
                     self.news.push((call.destination, endpoint.route.clone()));
                 }
-                route.repeats.failures = 0;
+                back = doubted && route.answered + LEAST_PATIENCE <= self.now;
+                (route.repeats.failures, route.answered) = (0, self.now);
             }
             Outcome::Refused(wait) | Outcome::Unproven(wait) => {
                 // Against a herd of all that were refused or told to wait together, where no answer tells of
@@ -565,6 +574,7 @@
                 let later = if route.reported { 0.0 } else { chance / 2.0 };
                 route.closed = route.closed.max(route.told + wait.unwrap_or_default().mul_f64(later));
                 shut = route.told > self.now + SHUT;
+                route.repeats.failures = route.repeats.failures.max(if shut { DOUBTFUL } else { 0 });
                 if self.now > route.refused + SHUT {
                     weight = SILENT_WEIGHT;
                 } else if call.started >= endpoint.outage.told {
@@ -621,11 +631,26 @@
             let (name, owner) = (&call.endpoint, call.destination);
             self.lines.push(format!("{name} of destination {owner}: {before:?} -> {after:?}"));
         }
-        // Against a herd at a told shutting's end: all endpoints return cold, their rations begin by chance.
-        let Some(name) = shut.then(|| endpoint.route.clone()) else { return };
+        let begins = shut || !doubted && route.repeats.doubtful();
+        if begins || before == Health::Well && after == Health::Out {
+            endpoint.outage.begins(self.now, &mut self.rng);
+        }
+        if !begins && !back {
+            return;
+        }
+        let name = endpoint.route.clone();
         for e in destination.endpoints.values_mut().filter(|e| e.route == name) {
-            e.outage.failed(self.now, 1.0);
-            e.outage.ration = Ration::by_chance(&mut self.rng);
+            // Against a herd at a told shutting's end: all endpoints return cold.
+            if shut {
+                e.outage.failed(self.now, 1.0);
+            }
+            // Against the sum of many couriers that each saw two failures, none a verdict: they return cold too.
+            if back && e.outage.health == Health::Well {
+                e.outage.returns(self.now);
+            }
+            if begins {
+                e.outage.begins(self.now, &mut self.rng);
+            }
         }
     }
 
