--- a/src/courier.rs
+++ b/src/courier.rs
@@ -138,7 +138,8 @@
     pub(crate) reported: bool,
     pub(crate) repeats: Repeats,
     pub(crate) refusals: u32,
-    pub(crate) refused: Duration,
+    /// When the first call failed or was refused since the last that was handled.
+    pub(crate) failing: Option<Duration>,
     pub(crate) rounds: u32,
     pub(crate) rested: Duration,
     pub(crate) closed: Duration,
@@ -158,7 +159,7 @@
             reported,
             repeats,
             refusals: 0,
-            refused: zero,
+            failing: None,
             rounds: 0,
             rested: zero,
             closed: zero,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -548,7 +548,7 @@
                     self.news.push((call.destination, endpoint.route.clone()));
                 }
                 back = doubted && route.answered + LEAST_PATIENCE <= self.now;
-                (route.repeats.failures, route.answered) = (0, self.now);
+                (route.repeats.failures, route.answered, route.failing) = (0, self.now, None);
             }
             Outcome::Refused(wait) | Outcome::Unproven(wait) => {
                 // Against a herd of all that were refused or told to wait together, where no answer tells of
@@ -556,9 +556,6 @@
                 // twice its gap. May leave room unused after a wait.
                 let chance = if route.reported { 1.0 } else { 2.0 * self.rng.random::<f64>() };
                 route.pace.saved = route.pace.saved.min(0.0);
-                if route.refusals == 0 {
-                    route.refused = self.now;
-                }
                 route.refusals += 1;
                 self.again = (self.again - AGAIN).max(0.0);
                 if call.started >= route.rested {
@@ -575,7 +572,7 @@
                 route.closed = route.closed.max(route.told + wait.unwrap_or_default().mul_f64(later));
                 shut = route.told > self.now + SHUT;
                 route.repeats.failures = route.repeats.failures.max(if shut { DOUBTFUL } else { 0 });
-                if self.now > route.refused + SHUT {
+                if self.now > route.failing.unwrap_or(self.now) + SHUT {
                     weight = SILENT_WEIGHT;
                 } else if call.started >= endpoint.outage.told {
                     weight = LOST_WEIGHT;
@@ -611,6 +608,10 @@
             }
             Outcome::CalledOff | Outcome::Unsent => {}
         }
+        let bad = !matches!(outcome, Outcome::Handled | Outcome::CalledOff | Outcome::Unsent | Outcome::Crowded);
+        if bad && self.now > *route.failing.get_or_insert(self.now) + SHUT {
+            route.repeats.failures = route.repeats.failures.max(DOUBTFUL);
+        }
         endpoint.credits.earned(lost);
         if endpoint.credits.spent == 0
             && !matches!(outcome, Outcome::Unconnected | Outcome::Crowded)
