--- a/src/courier.rs
+++ b/src/courier.rs
@@ -138,8 +138,6 @@
     pub(crate) reported: bool,
     pub(crate) repeats: Repeats,
     pub(crate) refusals: u32,
-    /// When the first call failed or was refused since the last that was handled.
-    pub(crate) failing: Option<Duration>,
     pub(crate) rounds: u32,
     pub(crate) rested: Duration,
     pub(crate) closed: Duration,
@@ -159,7 +157,6 @@
             reported,
             repeats,
             refusals: 0,
-            failing: None,
             rounds: 0,
             rested: zero,
             closed: zero,
@@ -435,7 +432,7 @@
                     !gone || busy.contains(name)
                 });
                 let live: BTreeSet<_> = destination.endpoints.values().map(|e| &e.route).collect();
-                destination.routes.retain(|name, route| live.contains(name) || route.told > now || route.repeats.doubtful());
+                destination.routes.retain(|name, route| live.contains(name) || route.told > now || route.repeats.doubtful(now));
                 !destination.routes.is_empty()
             });
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -98,6 +98,7 @@
 pub(crate) struct Repeats {
     seconds: VecDeque<(u64, u32, u32)>,
     failures: u32,
+    failing: Option<Duration>, // since when, with nothing handled between
 }
 
 impl Repeats {
@@ -111,8 +112,8 @@
         *(if repeat { &mut last.2 } else { &mut last.1 }) += 1;
     }
 
-    pub(crate) fn doubtful(&self) -> bool {
-        self.failures >= DOUBTFUL
+    pub(crate) fn doubtful(&self, now: Duration) -> bool {
+        self.failures >= DOUBTFUL || self.failing.is_some_and(|since| since + SHUT < now)
     }
 
     /// Since when what is counted goes back, and the first tries and repeats since then.
@@ -526,7 +527,7 @@
         if let Some((_, rate)) = report.filter(|r| r.1 > 0.0) {
             (route.pace.known, route.pace.sure, route.reported) = (Some(rate), Some(rate), true);
         }
-        let (before, doubted) = (endpoint.outage.health, route.repeats.doubtful());
+        let (before, doubted) = (endpoint.outage.health, route.repeats.doubtful(self.now));
         // Whether the call got no answer, and how much it says of an outage.
         let (mut lost, mut shut, mut back, mut weight) = (false, false, false, 0.0);
         let keep = || Keep::new(self.idle_close, self.couriers);
@@ -548,7 +549,7 @@
                     self.news.push((call.destination, endpoint.route.clone()));
                 }
                 back = doubted && route.answered + LEAST_PATIENCE <= self.now;
-                (route.repeats.failures, route.answered, route.failing) = (0, self.now, None);
+                (route.repeats.failures, route.repeats.failing, route.answered) = (0, None, self.now);
             }
             Outcome::Refused(wait) | Outcome::Unproven(wait) => {
                 // Against a herd of all that were refused or told to wait together, where no answer tells of
@@ -572,7 +573,7 @@
                 route.closed = route.closed.max(route.told + wait.unwrap_or_default().mul_f64(later));
                 shut = route.told > self.now + SHUT;
                 route.repeats.failures = route.repeats.failures.max(if shut { DOUBTFUL } else { 0 });
-                if self.now > route.failing.unwrap_or(self.now) + SHUT {
+                if self.now > route.repeats.failing.unwrap_or(self.now) + SHUT {
                     weight = SILENT_WEIGHT;
                 } else if call.started >= endpoint.outage.told {
                     weight = LOST_WEIGHT;
@@ -609,9 +610,8 @@
             Outcome::CalledOff | Outcome::Unsent => {}
         }
         let bad = !matches!(outcome, Outcome::Handled | Outcome::CalledOff | Outcome::Unsent | Outcome::Crowded);
-        if bad && self.now > *route.failing.get_or_insert(self.now) + SHUT {
-            route.repeats.failures = route.repeats.failures.max(DOUBTFUL);
-        }
+        let first = bad && route.repeats.failing.is_none();
+        route.repeats.failing = route.repeats.failing.or(bad.then_some(self.now));
         endpoint.credits.earned(lost);
         if endpoint.credits.spent == 0
             && !matches!(outcome, Outcome::Unconnected | Outcome::Crowded)
@@ -632,7 +632,7 @@
             let (name, owner) = (&call.endpoint, call.destination);
             self.lines.push(format!("{name} of destination {owner}: {before:?} -> {after:?}"));
         }
-        let begins = shut || !doubted && route.repeats.doubtful();
+        let begins = shut || first;
         if begins || before == Health::Well && after == Health::Out {
             endpoint.outage.begins(self.now, &mut self.rng);
         }
@@ -661,12 +661,12 @@
         let Some(destination) = self.destinations.get_mut(&destination) else { return };
         let Some(repeats) = destination.routes.get_mut(route).map(|r| &mut r.repeats) else { return };
         for e in destination.endpoints.values_mut().filter(|e| e.route == route) {
-            if e.outage.health == Health::Out || repeats.doubtful() && e.outage.quiet(self.now, self.now) {
+            if e.outage.health == Health::Out || repeats.doubtful(self.now) && e.outage.quiet(self.now, self.now) {
                 e.outage.returns(self.now);
                 e.outage.ration = Ration::by_chance(&mut self.rng);
             }
         }
-        repeats.failures = 0;
+        (repeats.failures, repeats.failing) = (0, None);
     }
 
     pub fn settle(&mut self, hands: &mut dyn Hands) {
@@ -815,7 +815,7 @@
             let earned = e.outage.fill(self.now, self.ramp, part / open as f64, trials / open as f64);
             let trial = e.outage.health == Health::Out;
             // Against many couriers that each see too little for a verdict. May slow one that loses some.
-            let doubtful = route.repeats.doubtful();
+            let doubtful = route.repeats.doubtful(self.now);
             let sound = e.outage.health == Health::Well && !doubtful;
             let opens = route.told.max(route.closed).max(self.now + route.pace.next());
             let opens = opens.max(if sound { self.now } else { self.now + earned });
@@ -933,7 +933,7 @@
             route.trial = now + trial_gap(&mut self.rng, route.trials, TRIAL_GAP);
         }
         self.idle.remove(&(held.destination, name.to_owned()));
-        if !joined && (endpoint.outage.health != Health::Well || route.repeats.doubtful()) {
+        if !joined && (endpoint.outage.health != Health::Well || route.repeats.doubtful(self.now)) {
             endpoint.outage.ration.spend();
         }
         endpoint.used = Some(now);
