--- a/src/policy.rs
+++ b/src/policy.rs
@@ -557,6 +557,9 @@
                 // twice its gap. May leave room unused after a wait.
                 let chance = if route.reported { 1.0 } else { 2.0 * self.rng.random::<f64>() };
                 route.pace.saved = route.pace.saved.min(0.0);
+                if route.refusals == 0 {
+                    route.refused = self.now;
+                }
                 route.refusals += 1;
                 self.again = (self.again - AGAIN).max(0.0);
                 if call.started >= route.rested {
@@ -573,7 +576,7 @@
                 route.closed = route.closed.max(route.told + wait.unwrap_or_default().mul_f64(later));
                 shut = route.told > self.now + SHUT;
                 route.repeats.failures = route.repeats.failures.max(if shut { DOUBTFUL } else { 0 });
-                if self.now > route.repeats.failing.unwrap_or(self.now) + SHUT {
+                if self.now > route.refused + SHUT {
                     weight = SILENT_WEIGHT;
                 } else if call.started >= endpoint.outage.told {
                     weight = LOST_WEIGHT;
@@ -609,9 +612,9 @@
             }
             Outcome::CalledOff | Outcome::Unsent => {}
         }
-        let bad = !matches!(outcome, Outcome::Handled | Outcome::CalledOff | Outcome::Unsent | Outcome::Crowded);
-        let first = bad && route.repeats.failing.is_none();
-        route.repeats.failing = route.repeats.failing.or(bad.then_some(self.now));
+        let untold = matches!(outcome, Outcome::Refused(_) | Outcome::Unproven(_)) && !route.reported;
+        let first = untold && route.repeats.failing.is_none();
+        route.repeats.failing = route.repeats.failing.or(untold.then_some(self.now));
         endpoint.credits.earned(lost);
         if endpoint.credits.spent == 0
             && !matches!(outcome, Outcome::Unconnected | Outcome::Crowded)
@@ -632,7 +635,7 @@
             let (name, owner) = (&call.endpoint, call.destination);
             self.lines.push(format!("{name} of destination {owner}: {before:?} -> {after:?}"));
         }
-        let begins = shut || first;
+        let begins = shut || first || !doubted && route.repeats.doubtful(self.now);
         if begins || before == Health::Well && after == Health::Out {
             endpoint.outage.begins(self.now, &mut self.rng);
         }
