--- a/src/policy.rs
+++ b/src/policy.rs
@@ -548,7 +548,7 @@
                 if self.may_tell && (before == Health::Out || doubted) {
                     self.news.push((call.destination, endpoint.route.clone()));
                 }
-                back = doubted && route.answered + LEAST_PATIENCE <= self.now;
+                back = false;
                 (route.repeats.failures, route.repeats.failing, route.answered) = (0, None, self.now);
             }
             Outcome::Refused(wait) | Outcome::Unproven(wait) => {
