Emulator: world.rs cut along clock, couriers, clients, calls, servers and discovery

Servers and couriers struck by a fault are picked by one function, Whom::choose, and the chance by which a fault picks stands once (chance_of_fault); it stood twice, as did the choice.

--- a/crates/quillhub-emulator/src/faults/mod.rs
+++ b/crates/quillhub-emulator/src/faults/mod.rs
@@ -21,6 +21,7 @@
 mod slow;
 mod stale;
 mod stall;
+mod whom;
 
 use crate::trouble::{How, Trouble};
 use serde::{Deserialize, Serialize};
@@ -42,6 +43,8 @@
 pub use shut::Shut;
 pub use slow::Slow;
 pub use stale::Stale;
+pub use whom::Whom;
+pub(crate) use whom::chance_of_fault;
 
 /// A trouble, when it begins and how long it lasts.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -56,22 +59,6 @@
     pub whom: Whom,
 }
 
-/// Who is struck by a trouble; all that fit, where nothing is said.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Whom {
-    /// Destinations of this kind.
-    pub kind: Option<String>,
-    /// These destinations, or couriers, by number; they begin at 1.
-    pub ids: Vec<u64>,
-    /// Such a share of those that fit, by chance; one at least.
-    pub share: Option<f64>,
-    /// Only so many endpoints of each destination.
-    pub endpoints: Option<usize>,
-    /// Only endpoints, or couriers, of this zone.
-    pub zone: Option<String>,
-}
-
 impl Planned {
     /// How many times as much of a stream comes by it.
     pub(crate) fn crowds(&self, nth: usize) -> Option<f64> {
--- a/crates/quillhub-emulator/src/site.rs
+++ b/crates/quillhub-emulator/src/site.rs
@@ -2,11 +2,10 @@
 //! came. No events and no couriers: the world drives it in virtual time, stand-ins drive it on sockets.
 
 use crate::day::Day;
-use crate::faults::{Does, Drain, Whom};
+use crate::faults::{Does, Drain, Whom, chance_of_fault};
 use crate::limit::Limit;
 use crate::server::{Route, Server, warmth};
 use crate::trouble::Trouble;
-use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeSet, VecDeque};
@@ -256,19 +255,13 @@
     /// The servers that a trouble strikes; `open` says which may be struck. The choice is the same whatever was
     /// decided before.
     pub fn struck(&self, number: usize, whom: &Whom, open: impl Fn(usize) -> bool) -> Vec<usize> {
-        let mut rng = chance(self.seed, 1 << 48 | number as u64);
         let kind = |at: usize| &self.day.destinations[self.servers[at].kind].kind;
         let zone = |at: usize| &self.day.couriers.zones[self.servers[at].zone];
-        let fits = |id: &usize| {
-            let of_kind = |at: &usize| whom.kind.as_ref().is_none_or(|wanted| wanted == kind(*at));
-            (whom.ids.is_empty() || whom.ids.contains(&(*id as u64 + 1)))
-                && self.of_destination[*id].first().is_some_and(of_kind)
+        let of_kind = |id: usize| {
+            let first = self.of_destination[id].first();
+            first.is_some_and(|at| whom.kind.as_ref().is_none_or(|wanted| wanted == kind(*at)))
         };
-        let mut ids: Vec<_> = (0..self.of_destination.len()).filter(fits).collect();
-        if let Some(share) = whom.share {
-            ids.shuffle(&mut rng);
-            ids.truncate(((ids.len() as f64 * share).round() as usize).max(1));
-        }
+        let ids = whom.choose(self.of_destination.len(), of_kind, &mut chance_of_fault(self.seed, number));
         let mut struck = Vec::new();
         for id in ids {
             let open = self.of_destination[id].iter().copied().filter(|at| open(*at));
--- /dev/null
+++ b/crates/quillhub-emulator/src/world/clock.rs
@@ -0,0 +1,85 @@
+//! The clock of a run: virtual time, and the queue of the events that are scheduled. Events come by instant, and those
+//! of one instant in the order in which they were scheduled.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+/// An event in the queue: its instant, its number in the order of scheduling, and the slot that holds it.
+type Scheduled = Reverse<(Duration, u64, usize)>;
+
+/// Virtual time since the start of the run, and what is scheduled.
+pub(super) struct Clock<E> {
+    now: Duration,
+    queue: BinaryHeap<Scheduled>,
+    /// Scheduled events; a slot is used again once its event has come.
+    slots: Vec<Option<E>>,
+    free_slots: Vec<usize>,
+    scheduled: u64,
+}
+
+impl<E> Clock<E> {
+    pub(super) fn new() -> Self {
+        Self {
+            now: Duration::ZERO,
+            queue: BinaryHeap::new(),
+            slots: Vec::new(),
+            free_slots: Vec::new(),
+            scheduled: 0,
+        }
+    }
+
+    pub(super) fn now(&self) -> Duration {
+        self.now
+    }
+
+    /// The instant of the next event, if one is scheduled.
+    pub(super) fn next_at(&self) -> Option<Duration> {
+        self.queue.peek().map(|Reverse((at, ..))| *at)
+    }
+
+    /// Schedules an event for an instant.
+    pub(super) fn at(&mut self, at: Duration, event: E) {
+        let slot = self.free_slots.pop().unwrap_or_else(|| {
+            self.slots.push(None);
+            self.slots.len() - 1
+        });
+        self.slots[slot] = Some(event);
+        self.scheduled += 1;
+        self.queue.push(Reverse((at, self.scheduled, slot)));
+    }
+
+    /// Moves on to the next event and takes it out.
+    pub(super) fn advance(&mut self) -> Option<E> {
+        let Reverse((at, _, slot)) = self.queue.pop()?;
+        self.now = at;
+        self.free_slots.push(slot);
+        self.slots[slot].take()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn events_come_by_instant_and_then_in_the_order_of_scheduling() {
+        let mut clock = Clock::new();
+        let second = Duration::from_secs(1);
+        for (at, event) in [(second * 2, 'c'), (second, 'a'), (second * 2, 'd'), (second, 'b')] {
+            clock.at(at, event);
+        }
+        let events: Vec<_> = std::iter::from_fn(|| clock.advance()).collect();
+        assert_eq!((events, clock.now()), (vec!['a', 'b', 'c', 'd'], second * 2));
+    }
+
+    #[test]
+    fn slots_are_used_again() {
+        let mut clock = Clock::new();
+        for event in 0..100 {
+            clock.at(Duration::from_secs(event), event);
+            assert_eq!(clock.advance(), Some(event));
+        }
+        assert_eq!((clock.slots.len(), clock.next_at()), (1, None));
+    }
+}
--- /dev/null
+++ b/crates/quillhub-emulator/src/world/discovery.rs
@@ -0,0 +1,303 @@
+//! Service discovery: the endpoint list, and when couriers hear of it.
+
+use super::World;
+use super::event::{DiscoveryFault, EndpointUpdate, Entries, Event};
+use crate::day::{Rates, RegisterForm};
+use crate::fact::Fact;
+use crate::faults::{Drain, Planned, chance_of_fault};
+use quillhub::{DestinationId, Listing};
+use rand::RngExt;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// How long a call to service discovery takes to fail when that is out of reach.
+const CALL_FAILS_AFTER: Duration = Duration::from_millis(500);
+
+/// One entry of the endpoint list.
+pub(super) struct Entry {
+    pub(super) name: String,
+    pub(super) server: usize,
+    destination: DestinationId,
+    pub(super) listing: Listing,
+    /// Nothing listens there any more.
+    pub(super) removed: bool,
+    rate: Option<f64>,
+}
+
+/// The endpoint list, and what is wrong with service discovery. Entries are never taken out, as calls may name them.
+#[derive(Default)]
+pub(super) struct Discovery {
+    pub(super) entries: Vec<Entry>,
+    by_name: BTreeMap<String, usize>,
+    faults: Vec<DiscoveryFault>,
+}
+
+impl Discovery {
+    /// The entry of that name.
+    pub(super) fn find(&self, name: &str) -> Option<usize> {
+        self.by_name.get(name).copied()
+    }
+
+    fn add(&mut self, entry: Entry) -> usize {
+        let number = self.entries.len();
+        self.by_name.insert(entry.name.clone(), number);
+        self.entries.push(entry);
+        number
+    }
+
+    /// The whole list as it is.
+    fn snapshot(&self) -> Entries {
+        let listed = self.entries.iter().enumerate().filter(|(_, entry)| entry.listing != Listing::Gone);
+        listed.map(|(number, entry)| (number, entry.listing)).collect()
+    }
+
+    /// Entries that calls may go to.
+    pub(super) fn open(&self) -> impl Iterator<Item = (usize, &Entry)> {
+        self.entries.iter().enumerate().filter(|(_, entry)| entry.listing == Listing::Open)
+    }
+
+    fn is_out_of_reach(&self) -> bool {
+        self.faults.iter().any(|fault| fault.late.is_none())
+    }
+}
+
+impl World<'_> {
+    /// Adds an entry for a server to the endpoint list.
+    pub(super) fn list_server(&mut self, server: usize) -> usize {
+        let name = format!("e{}", self.discovery.entries.len() + 1);
+        let of = &self.site.servers[server];
+        let (route, destination) = (of.route, of.destination as u64 + 1);
+        let zone = &self.day.couriers.zones[of.zone];
+        let rate = self.listed_rate(server);
+        self.record.placed(self.clock.now(), &Fact::Placed { endpoint: &name, zone, route });
+        self.discovery.add(Entry { name, server, destination, listing: Listing::Open, removed: false, rate })
+    }
+
+    /// What is listed of a server's rate.
+    fn listed_rate(&self, server: usize) -> Option<f64> {
+        let of = &self.site.servers[server];
+        let per_s = self.site.rate(of.route);
+        match self.day.register.rates {
+            Rates::Absent => None,
+            Rates::Exact => Some(per_s),
+            Rates::Rough => Some(per_s * self.site.rough[of.destination]),
+        }
+    }
+
+    fn pushes(&self) -> bool {
+        self.day.register.form == RegisterForm::Push
+    }
+
+    pub(super) fn discovery_fault_begins(&mut self, fault: usize, late: Option<Duration>) {
+        self.discovery.faults.push(DiscoveryFault { fault, late });
+        if late.is_none() && !self.pushes() {
+            self.break_watches();
+        }
+    }
+
+    /// Every watch fails, each at a moment of its own.
+    fn break_watches(&mut self) {
+        for courier in 0..self.couriers.len() {
+            let host = &self.couriers[courier];
+            let life = host.life;
+            if host.alive && host.watches {
+                let wait = CALL_FAILS_AFTER.mul_f64(self.rng.random());
+                self.after(wait, Event::DiscoveryFails { courier, life });
+            }
+        }
+    }
+
+    pub(super) fn discovery_fault_ends(&mut self, fault: usize) {
+        self.discovery.faults.retain(|other| other.fault != fault);
+        if self.pushes() {
+            self.send_snapshot();
+        }
+    }
+
+    /// A courier hears that its call to service discovery failed.
+    pub(super) fn discovery_fails(&mut self, courier: usize, life: u32) {
+        if self.lives(courier, life) {
+            self.couriers[courier].watches = false;
+            self.tell(courier, |decider| decider.list_failed());
+        }
+    }
+
+    /// How long it takes until a change is told.
+    fn told_after(&mut self) -> Duration {
+        let usual = self.day.register.late.mul_f64(1.0 + self.rng.random::<f64>());
+        usual + self.discovery.faults.iter().filter_map(|fault| fault.late).sum::<Duration>()
+    }
+
+    /// Tells a courier that starts the list that it had, or the true one at its first start. Where changes are pushed
+    /// it counts as asked for, and the true list follows.
+    pub(super) fn tell_first_list(&mut self, courier: usize) {
+        let asked = self.pushes();
+        let known = &self.couriers[courier].known;
+        let first = known.is_empty();
+        let entries = if first {
+            self.discovery.snapshot()
+        } else {
+            known.iter().map(|(entry, listing)| (*entry, *listing)).collect()
+        };
+        self.tell_endpoints(courier, EndpointUpdate::Snapshot(entries), asked);
+        if asked && !first {
+            let wait = self.told_after();
+            if !self.discovery.is_out_of_reach() {
+                let update = EndpointUpdate::Snapshot(self.discovery.snapshot());
+                self.send_update(courier, wait, update);
+            }
+        }
+    }
+
+    fn send_update(&mut self, courier: usize, wait: Duration, update: EndpointUpdate) {
+        let life = self.couriers[courier].life;
+        self.after(wait, Event::EndpointsTold { courier, life, update });
+    }
+
+    /// A courier asks for changes from now on; the whole list comes first.
+    pub(super) fn watch(&mut self, courier: usize) {
+        if self.discovery.is_out_of_reach() {
+            let life = self.couriers[courier].life;
+            return self.after(CALL_FAILS_AFTER, Event::DiscoveryFails { courier, life });
+        }
+        self.couriers[courier].watches = true;
+        let wait = self.told_after();
+        let update = EndpointUpdate::Snapshot(self.discovery.snapshot());
+        self.send_update(courier, wait, update);
+    }
+
+    /// A courier hears of endpoints.
+    pub(super) fn endpoints_told(&mut self, courier: usize, life: u32, update: EndpointUpdate) {
+        if self.lives(courier, life) {
+            self.tell_endpoints(courier, update, true);
+        }
+    }
+
+    fn tell_endpoints(&mut self, courier: usize, update: EndpointUpdate, asked: bool) {
+        let (entries, whole) = match update {
+            EndpointUpdate::Changes(entries) => (entries, false),
+            EndpointUpdate::Snapshot(entries) => (entries, true),
+        };
+        self.learn(courier, &entries);
+        if whole {
+            self.learn(courier, &self.left_out(courier, &entries));
+        }
+        self.pass_on_endpoints(courier, &entries, whole, asked);
+    }
+
+    /// What a courier knows and a whole list leaves out.
+    fn left_out(&self, courier: usize, snapshot: &Entries) -> Entries {
+        let named: BTreeSet<_> = snapshot.iter().map(|(entry, _)| *entry).collect();
+        let known = self.couriers[courier].known.keys();
+        known.filter(|entry| !named.contains(entry)).map(|entry| (*entry, Listing::Gone)).collect()
+    }
+
+    /// A courier's host keeps what it is told; a fact for each change.
+    fn learn(&mut self, courier: usize, entries: &Entries) {
+        for (entry, listing) in entries.iter().copied() {
+            let known = &mut self.couriers[courier].known;
+            let before = match listing {
+                Listing::Gone => known.remove(&entry),
+                other => known.insert(entry, other),
+            };
+            if before != Some(listing) {
+                let endpoint = self.discovery.entries[entry].name.clone();
+                self.fact(&Fact::Learned { courier, endpoint: &endpoint, listing });
+            }
+        }
+    }
+
+    /// A courier's decider is told of endpoints.
+    fn pass_on_endpoints(&mut self, courier: usize, entries: &Entries, whole: bool, asked: bool) {
+        let day = self.day;
+        let rows: Vec<_> = entries
+            .iter()
+            .map(|(number, listing)| {
+                let entry = &self.discovery.entries[*number];
+                let server = &self.site.servers[entry.server];
+                let zone = &day.couriers.zones[server.zone];
+                let kind = &day.destinations[server.kind].kind;
+                (entry.name.clone(), zone, kind, entry.destination, *listing, entry.rate)
+            })
+            .collect();
+        let names: BTreeSet<_> = rows.iter().map(|row| row.0.clone()).collect();
+        self.tell(courier, |decider| {
+            for (name, zone, kind, destination, listing, rate) in &rows {
+                decider.listed(name, zone, kind, *destination, *listing, *rate);
+            }
+            decider.list_ends(whole.then_some(&names), asked);
+        });
+    }
+
+    /// An entry's state changes, and couriers are told of it.
+    fn change_listing(&mut self, entry: usize, listing: Listing) {
+        self.discovery.entries[entry].listing = listing;
+        if !self.discovery.is_out_of_reach() {
+            self.send_to_all(|| EndpointUpdate::Changes(vec![(entry, listing)]));
+        }
+    }
+
+    /// Sends the true list to all who hear.
+    pub(super) fn send_snapshot(&mut self) {
+        let entries = self.discovery.snapshot();
+        self.send_to_all(|| EndpointUpdate::Snapshot(entries.clone()));
+    }
+
+    /// Sends a list without a share of the endpoints that a fault strikes.
+    pub(super) fn send_partial_snapshot(&mut self, fault: usize, planned: &Planned, share: f64) {
+        let mut rng = chance_of_fault(self.seed, fault);
+        let struck: BTreeSet<_> = self.servers_struck(fault, &planned.whom).into_iter().collect();
+        let mut entries = self.discovery.snapshot();
+        entries.retain(|(entry, _)| {
+            let server = self.discovery.entries[*entry].server;
+            !struck.contains(&server) || rng.random::<f64>() >= share
+        });
+        self.send_to_all(|| EndpointUpdate::Snapshot(entries.clone()));
+    }
+
+    /// Sends an update to every courier that hears of changes, to each with a delay of its own.
+    fn send_to_all(&mut self, update: impl Fn() -> EndpointUpdate) {
+        for courier in 0..self.couriers.len() {
+            let host = &self.couriers[courier];
+            if host.alive && (self.pushes() || host.watches) {
+                let wait = self.told_after();
+                self.send_update(courier, wait, update());
+            }
+        }
+    }
+
+    /// The endpoints that a fault strikes drain one after the other over its time.
+    pub(super) fn drain(&mut self, fault: usize, planned: &Planned, drain: &Drain) {
+        let struck: BTreeSet<_> = self.servers_struck(fault, &planned.whom).into_iter().collect();
+        let open = self.discovery.open().filter(|(_, entry)| struck.contains(&entry.server));
+        let entries: Vec<_> = open.map(|(number, _)| number).collect();
+        let each = planned.lasts / entries.len().max(1) as u32;
+        for (nth, entry) in entries.into_iter().enumerate() {
+            self.after(each * nth as u32, Event::DrainBegins { entry, drain: drain.clone() });
+        }
+    }
+
+    pub(super) fn drain_begins(&mut self, entry: usize, drain: Drain) {
+        self.change_listing(entry, Listing::Draining);
+        if drain.replaced {
+            self.replace(entry, drain.same_address);
+        }
+        self.after(drain.gone_after, Event::DrainEnds { entry, drain });
+    }
+
+    pub(super) fn drain_ends(&mut self, entry: usize, drain: &Drain) {
+        self.change_listing(entry, Listing::Gone);
+        // At an address that is used again, calls to the old id go on arriving.
+        self.discovery.entries[entry].removed = !(drain.replaced && drain.same_address);
+    }
+
+    /// Lists a new endpoint for one that drains.
+    fn replace(&mut self, entry: usize, same_address: bool) {
+        let old = &self.discovery.entries[entry];
+        let (old_server, rate) = (old.server, old.rate);
+        let server = if same_address { old_server } else { self.site.replace(old_server) };
+        let new = self.list_server(server);
+        self.discovery.entries[new].rate = rate;
+        self.change_listing(new, Listing::Open);
+    }
+}
--- /dev/null
+++ b/crates/quillhub-emulator/src/world/effects.rs
@@ -0,0 +1,61 @@
+//! Effects at destinations: deduplication by idempotency key, and effects that must not come twice.
+
+use crate::day::{EffectOf, GradeOf};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// An idempotency key as a destination remembers it.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct IdempotencyKey {
+    pub(super) destination: usize,
+    /// Where endpoints of one zone share their memory and no others: that zone.
+    pub(super) zone: Option<usize>,
+    /// The client's message that it stands for.
+    pub(super) order: u64,
+}
+
+/// What became of a call at its destination.
+pub(super) struct Effect {
+    /// The destination knew the key and dropped the call.
+    pub(super) repeat: bool,
+    /// The same order had its effect before, and must not have it again.
+    pub(super) again: bool,
+}
+
+/// What all destinations remember, and what took effect at them.
+#[derive(Default)]
+pub(super) struct Effects {
+    /// Keys that destinations remember, and until when.
+    remembered: BTreeMap<IdempotencyKey, Duration>,
+    /// The ends of deduplication windows; forgotten in the order of their first calls.
+    window_ends: VecDeque<(Duration, IdempotencyKey)>,
+    /// Orders whose effect must not come twice and came once. All of a run: a repeat may come late.
+    done: BTreeSet<u64>,
+}
+
+impl Effects {
+    /// A call runs at its destination.
+    pub(super) fn run(&mut self, now: Duration, key: IdempotencyKey, grade: &GradeOf) -> Effect {
+        self.forget(now);
+        let repeat = grade.effect == EffectOf::Fingerprinted && self.is_repeat(now, key, grade.memory);
+        let again = grade.effect != EffectOf::Retriable && !repeat && !self.done.insert(key.order);
+        Effect { repeat, again }
+    }
+
+    fn forget(&mut self, now: Duration) {
+        while let Some((_, key)) = self.window_ends.front().copied().filter(|(end, _)| *end <= now) {
+            self.window_ends.pop_front();
+            self.remembered.remove(&key);
+        }
+    }
+
+    /// Whether the destination knows the key; if not, it remembers it from now on.
+    fn is_repeat(&mut self, now: Duration, key: IdempotencyKey, window: Duration) -> bool {
+        let window_end = now + window;
+        let until = *self.remembered.entry(key).or_insert_with(|| {
+            self.window_ends.push_back((window_end, key));
+            window_end
+        });
+        until != window_end
+    }
+}
--- /dev/null
+++ b/crates/quillhub-emulator/src/world/servers.rs
@@ -0,0 +1,173 @@
+//! The endpoint's side of a call: what its server does with it, its effect, and its answer.
+
+use super::World;
+use super::calls::Call;
+use super::effects::IdempotencyKey;
+use super::event::{CallEnd, Event};
+use crate::fact::Fact;
+use crate::site::{Site, Taken, Turn};
+use crate::trouble::Trouble;
+use quillhub::Outcome;
+use rand::RngExt;
+use std::time::Duration;
+
+/// Share of the calls that run though their endpoint hangs: what is caught there may or may not have run.
+const RUNS_UNHEARD: f64 = 0.5;
+
+impl World<'_> {
+    /// A call is at its endpoint.
+    pub(super) fn call_arrives(&mut self, number: u64) {
+        let Some(call) = self.calls.get(&number) else { return };
+        let Call { courier, notice, attempt, server, .. } = *call;
+        self.fact(&Fact::Reached { courier, notice, send: attempt });
+        let (taken, falls) = self.site.takes(server, self.clock.now(), &mut self.rng);
+        if falls {
+            self.route_falls(server);
+        }
+        match taken {
+            Taken::Breaks => self.answer_call(number, Outcome::Reset, false),
+            Taken::Hangs => self.call_hangs(number),
+            Taken::TurnedAway(wait) => {
+                self.record.tally.turned_away += 1;
+                self.answer_call(number, Outcome::Refused(wait), true);
+            }
+            Taken::Fails(time) => self.call_fails(number, time),
+            Taken::Begins => self.begin(number, server),
+            Taken::Queues => self.site.queues(server, number),
+        }
+    }
+
+    /// A route that was sent too much while it was cold stays down.
+    fn route_falls(&mut self, server: usize) {
+        self.fact(&Fact::Fell { route: self.site.servers[server].route });
+        for fallen in self.site.fallen(server) {
+            self.strike_server(fallen, Site::FALL, Trouble::Refuses);
+        }
+    }
+
+    /// A call is caught in a server that answers nothing.
+    fn call_hangs(&mut self, number: u64) {
+        if self.rng.random::<f64>() < RUNS_UNHEARD {
+            self.effect(number);
+        }
+        self.leave_endpoint(number);
+    }
+
+    /// A call ends with an error after `time`.
+    fn call_fails(&mut self, number: u64, time: Duration) {
+        let delay = self.way_back(number);
+        self.leave_endpoint(number);
+        if let Some(delay) = delay {
+            let end = CallEnd::answered(Outcome::Error);
+            self.after(time + delay, Event::CallEnds { call: number, end });
+        }
+    }
+
+    /// A worker takes a call up.
+    fn begin(&mut self, number: u64, server: usize) {
+        let time = self.site.begins(server, self.clock.now(), &mut self.rng);
+        if let Some(call) = self.calls.get(&number) {
+            self.record.tally.waited(self.clock.now() - call.started);
+        }
+        let effect = time.mul_f64(self.rng.random());
+        self.after(effect, Event::Effect { call: number });
+        self.after(time, Event::Served { call: number, server });
+    }
+
+    /// What a call asks for takes place at its destination.
+    pub(super) fn effect(&mut self, number: u64) {
+        let Some(call) = self.calls.get(&number).filter(|call| call.at_endpoint) else { return };
+        let Call { notice, order, attempt, .. } = *call;
+        let server = &self.site.servers[call.server];
+        let grade = &self.day.grades[call.grade];
+        let zone = grade.one_zone.then_some(server.zone);
+        let key = IdempotencyKey { destination: server.destination, zone, order };
+        let effect = self.effects.run(self.clock.now(), key, grade);
+        let (repeat, again) = (effect.repeat, effect.again);
+        self.fact(&Fact::Ran { notice, order, send: attempt, repeat, again });
+    }
+
+    /// A worker has finished a call; it takes up the next.
+    pub(super) fn served(&mut self, number: u64, server: usize) {
+        if !self.calls.get(&number).is_some_and(|call| call.at_endpoint) {
+            return; // cut off in the midst of it; its worker was freed then
+        }
+        if let Some(next) = self.site.ends(server) {
+            self.begin(next, server);
+        }
+        let (mute, _) = self.site.spoils(server);
+        if self.rng.random::<f64>() < mute {
+            return self.leave_endpoint(number);
+        }
+        self.answer_call(number, Outcome::Handled, true);
+    }
+
+    /// Nothing more happens to a call at its endpoint.
+    fn leave_endpoint(&mut self, number: u64) {
+        if let Some(call) = self.calls.get_mut(&number) {
+            call.at_endpoint = false;
+        }
+        self.drop_if_over(number);
+    }
+
+    /// The answer goes back to the courier, if anything gets through.
+    fn answer_call(&mut self, number: u64, outcome: Outcome, reusable: bool) {
+        let Some(call) = self.calls.get(&number) else { return };
+        let awaited = call.awaited;
+        let report = self.site.report(call.server, self.clock.now());
+        let delay = self.way_back(number);
+        self.leave_endpoint(number);
+        if let Some(delay) = delay.filter(|_| awaited) {
+            let end = CallEnd { outcome, reusable, report };
+            self.after(delay, Event::CallEnds { call: number, end });
+        }
+    }
+
+    /// The time from a call's endpoint back to its courier; nothing if it is lost on the way.
+    fn way_back(&mut self, number: u64) -> Option<Duration> {
+        let Call { courier, server, .. } = self.calls[&number];
+        let (from, to) = (self.site.servers[server].zone, self.couriers[courier].zone);
+        self.ways.pass(&mut self.rng, from, to)
+    }
+
+    /// A trouble begins at a server.
+    pub(super) fn strike_server(&mut self, server: usize, fault: usize, trouble: Trouble) {
+        self.site.troubled(server, fault, trouble);
+        if trouble == Trouble::Refuses {
+            self.cut_off_calls(server);
+        }
+        self.route_changes(self.site.servers[server].route);
+    }
+
+    /// Resets the connections that stood at a server.
+    fn cut_off_calls(&mut self, server: usize) {
+        let at_server = self.calls.iter().filter(|(_, call)| call.server == server);
+        let calls: Vec<_> = at_server.map(|(number, call)| (*number, call.connected)).collect();
+        for (number, _) in calls.iter().filter(|(_, connected)| *connected) {
+            self.reset(*number);
+        }
+        for (number, _) in calls {
+            self.leave_endpoint(number);
+        }
+    }
+
+    fn reset(&mut self, number: u64) {
+        if let Some(delay) = self.way_back(number) {
+            let begun = self.calls[&number].begun;
+            let outcome = if begun { Outcome::Reset } else { Outcome::Unconnected };
+            self.end_after(delay, number, outcome);
+        }
+    }
+
+    /// Records that a route is out or back, if that is new.
+    pub(super) fn route_changes(&mut self, route: usize) {
+        match self.site.turns(route, self.clock.now()) {
+            Some(Turn::Out) => self.fact(&Fact::Out { route }),
+            Some(Turn::Back) => {
+                let milli_per_s = (self.site.routes[route].per_s * 1_000.0) as u64;
+                self.fact(&Fact::Back { route, milli_per_s });
+            }
+            None => {}
+        }
+    }
+}
