Emulator: a decider takes one typed Input; its signatures stand once

Decider now has tell(Input): Courier's methods are called in one match, a wrapper passes on what it does not change, and the world hands over a slice of inputs.

Deciders' time in `quillhub-lab cost` now counts list_failed and woken too, which it left out.

--- a/crates/quillhub-emulator/src/decider.rs
+++ b/crates/quillhub-emulator/src/decider.rs
@@ -6,45 +6,89 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// A decider for one courier; each method is the one of that name of [`Courier`].
-#[allow(clippy::too_many_arguments)]
-pub trait Decider {
-    fn at(&mut self, now: Duration);
-    fn listed(
-        &mut self,
-        name: &str,
-        zone: &str,
-        kind: &str,
-        owner: DestinationId,
+/// What a decider is told at an instant; each is the method of [`Courier`] that its doc names.
+#[derive(Clone, Copy, Debug)]
+pub enum Input<'a> {
+    /// An entry of the endpoint list ([`Courier::listed`]).
+    Listed {
+        /// The endpoint's name.
+        endpoint: &'a str,
+        /// The zone that it stands in.
+        zone: &'a str,
+        /// The kind of its destination.
+        kind: &'a str,
+        /// Its destination.
+        destination: DestinationId,
+        /// Its state.
         listing: Listing,
+        /// Calls a second that it takes, where they are listed.
         rate: Option<f64>,
-    );
-    fn list_ends(&mut self, whole: Option<&BTreeSet<String>>, asked: bool);
-    fn list_failed(&mut self) {}
-    fn notice(
-        &mut self,
+    },
+    /// The entries that are told at once end here ([`Courier::list_ends`]).
+    ListEnds {
+        /// All names of a whole list, if it was one.
+        snapshot: Option<&'a BTreeSet<String>>,
+        /// Whether the courier had asked for it.
+        asked: bool,
+    },
+    /// The call to service discovery failed ([`Courier::list_failed`]).
+    ListFailed,
+    /// A message was handed in ([`Courier::notice`]).
+    Message {
+        /// Its number.
         id: NoticeId,
-        grade: &str,
+        /// Its service class, by name.
+        grade: &'a str,
+        /// Its ordering key.
         key: Option<u64>,
-        limit: Duration,
-        tenant: Option<&str>,
+        /// Until when it needs its final outcome.
+        deadline: Duration,
+        /// The tenant that it is of.
+        tenant: Option<&'a str>,
+        /// Where it goes.
         destination: DestinationId,
-    ) -> bool;
-    fn sent_before(&mut self, _: NoticeId, _sends: u32, _ran: Option<(Duration, &str)>) {}
-    fn may_go(&self, _: NoticeId, _send: u32, _now: Duration) -> bool {
-        true
-    }
-    fn outcome(
-        &mut self,
+    },
+    /// A message just told of was recovered after a restart ([`Courier::sent_before`]).
+    Recovered {
+        /// Its number.
+        id: NoticeId,
+        /// Attempts made before.
+        attempts: u32,
+        /// The first of them that may have run: when, and at which endpoint.
+        may_have_run: Option<(Duration, &'a str)>,
+    },
+    /// An attempt ended ([`Courier::outcome`]).
+    Outcome {
+        /// The message.
         id: NoticeId,
-        send: u32,
+        /// The attempt's number, from 0.
+        attempt: u32,
+        /// How it ended.
         outcome: Outcome,
+        /// How long it took.
         took: Duration,
+        /// Whether the message is over with it.
         over: bool,
+        /// The endpoint's report on its limit, where it gave one.
         report: Option<(f64, f64)>,
-    );
-    fn told_by_courier(&mut self, _: &[u8]) {}
-    fn woken(&mut self) {}
+    },
+    /// A gossip message came from another courier ([`Courier::told_by_courier`]).
+    Gossip(&'a [u8]),
+    /// The timer that was asked for last has run out ([`Courier::woken`]).
+    Woken,
+}
+
+/// A decider for one courier.
+pub trait Decider {
+    /// The instant of the inputs that follow, by the courier's own clock.
+    fn at(&mut self, now: Duration);
+    /// Takes an input; what follows from it is asked for in [`Decider::settle`].
+    fn tell(&mut self, input: Input);
+    /// Whether an attempt whose connection has come up may still leave.
+    fn may_go(&self, _: NoticeId, _attempt: u32, _now: Duration) -> bool {
+        true
+    }
+    /// Asks for what follows from the inputs since the last call.
     fn settle(&mut self, hands: &mut dyn Hands);
     /// Whether [`Decider::sees`] is to be called before each [`Decider::settle`]; only an oracle wants it.
     fn wants_truth(&self) -> bool {
@@ -58,57 +102,30 @@
     fn at(&mut self, now: Duration) {
         self.at(now);
     }
-    fn listed(
-        &mut self,
-        name: &str,
-        zone: &str,
-        kind: &str,
-        owner: DestinationId,
-        listing: Listing,
-        rate: Option<f64>,
-    ) {
-        self.listed(name, zone, kind, owner, listing, rate);
-    }
-    fn list_ends(&mut self, whole: Option<&BTreeSet<String>>, asked: bool) {
-        self.list_ends(whole, asked);
-    }
-    fn list_failed(&mut self) {
-        self.list_failed();
-    }
-    fn notice(
-        &mut self,
-        id: NoticeId,
-        grade: &str,
-        key: Option<u64>,
-        limit: Duration,
-        tenant: Option<&str>,
-        destination: DestinationId,
-    ) -> bool {
-        self.notice(id, grade, key, limit, tenant, destination)
-    }
-    fn sent_before(&mut self, id: NoticeId, sends: u32, ran: Option<(Duration, &str)>) {
-        self.sent_before(id, sends, ran);
-    }
-    fn may_go(&self, id: NoticeId, send: u32, now: Duration) -> bool {
-        self.may_go(id, send, now)
-    }
-    fn outcome(
-        &mut self,
-        id: NoticeId,
-        send: u32,
-        outcome: Outcome,
-        took: Duration,
-        over: bool,
-        report: Option<(f64, f64)>,
-    ) {
-        self.outcome(id, send, outcome, took, over, report);
-    }
-    fn told_by_courier(&mut self, octets: &[u8]) {
-        self.told_by_courier(octets);
+
+    fn tell(&mut self, input: Input) {
+        match input {
+            Input::Listed { endpoint, zone, kind, destination, listing, rate } => {
+                self.listed(endpoint, zone, kind, destination, listing, rate);
+            }
+            Input::ListEnds { snapshot, asked } => self.list_ends(snapshot, asked),
+            Input::ListFailed => self.list_failed(),
+            Input::Message { id, grade, key, deadline, tenant, destination } => {
+                self.notice(id, grade, key, deadline, tenant, destination);
+            }
+            Input::Recovered { id, attempts, may_have_run } => self.sent_before(id, attempts, may_have_run),
+            Input::Outcome { id, attempt, outcome, took, over, report } => {
+                self.outcome(id, attempt, outcome, took, over, report);
+            }
+            Input::Gossip(octets) => self.told_by_courier(octets),
+            Input::Woken => self.woken(),
+        }
     }
-    fn woken(&mut self) {
-        self.woken();
+
+    fn may_go(&self, id: NoticeId, attempt: u32, now: Duration) -> bool {
+        self.may_go(id, attempt, now)
     }
+
     fn settle(&mut self, hands: &mut dyn Hands) {
         self.settle(hands);
     }
--- a/crates/quillhub-emulator/src/lib.rs
+++ b/crates/quillhub-emulator/src/lib.rs
@@ -59,7 +59,7 @@
     Arrivals, Couriers, Day, Destinations, GradeOf, Law, LimitOf, Network, Pattern, Register, RegisterForm,
     Returns, Service,
 };
-pub use decider::{Decider, Start, module};
+pub use decider::{Decider, Input, Start, module};
 pub use fact::{Answered, Fact, line};
 pub use faults::Whom;
 pub use site::{Shown, Site, Taken};
--- a/crates/quillhub-emulator/src/world/calls.rs
+++ b/crates/quillhub-emulator/src/world/calls.rs
@@ -2,6 +2,7 @@
 
 use super::World;
 use super::event::{CallEnd, Event};
+use crate::decider::Input;
 use crate::fact::{Answered, Fact};
 use quillhub::{Listing, NoticeId, Outcome};
 use rand::RngExt;
@@ -187,7 +188,9 @@
         self.fact(&Fact::Ended { courier, notice, send: attempt, outcome });
         self.note_outcome(courier, notice, attempt, outcome);
         let (took, over) = (self.clock.now() - started, outcome == Outcome::Handled);
-        self.tell(courier, |decider| decider.outcome(notice, attempt, outcome, took, over, end.report));
+        let (id, report) = (notice, end.report);
+        let input = Input::Outcome { id, attempt, outcome, took, over, report };
+        self.tell(courier, &[input]);
     }
 
     /// A call gives its connection back, or closes it.
--- a/crates/quillhub-emulator/src/world/clients.rs
+++ b/crates/quillhub-emulator/src/world/clients.rs
@@ -4,6 +4,7 @@
 use super::couriers::{CourierHost, HeldMessage};
 use super::event::Event;
 use crate::clients::{Order, Shares, Weights};
+use crate::decider::Input;
 use crate::fact::{Answered, Fact};
 use quillhub::NoticeId;
 use rand::RngExt;
@@ -116,10 +117,9 @@
             limit: deadline,
         });
         let tenant = self.day.arrivals[order.stream].tenant.as_deref();
-        let own_deadline = deadline - self.couriers[courier].epoch;
-        self.tell(courier, |decider| {
-            decider.notice(notice, name, order.key, own_deadline, tenant, destination);
-        });
+        let deadline = deadline - self.couriers[courier].epoch;
+        let input = Input::Message { id: notice, grade: name, key: order.key, deadline, tenant, destination };
+        self.tell(courier, &[input]);
     }
 
     /// A client hears the final outcome of its message.
--- a/crates/quillhub-emulator/src/world/couriers.rs
+++ b/crates/quillhub-emulator/src/world/couriers.rs
@@ -3,12 +3,12 @@
 use super::World;
 use super::actions::{Action, Actions};
 use super::event::Event;
-use crate::decider::{Decider, Start};
+use crate::decider::{Decider, Input, Start};
 use crate::fact::Fact;
 use crate::site::chance;
-use quillhub::{DestinationId, Hands, Listing, NoticeId, Outcome};
+use quillhub::{DestinationId, Hands, Listing, NoticeId};
 use rand::RngExt;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// A message as its courier's host keeps it; gone with its final outcome, or with the courier's state directory.
@@ -103,11 +103,11 @@
     }
 
     /// Tells a courier's decider what happened, lets it act, and does what it asks for.
-    pub(super) fn tell(&mut self, courier: usize, input: impl FnOnce(&mut dyn Decider)) {
+    pub(super) fn tell(&mut self, courier: usize, inputs: &[Input]) {
         let own_now = self.clock.now() - self.couriers[courier].epoch;
         let decider = &mut self.couriers[courier].decider;
         decider.at(own_now);
-        input(decider.as_mut());
+        inputs.iter().for_each(|input| decider.tell(*input));
         if decider.wants_truth() {
             self.show_truth(courier);
         }
@@ -164,14 +164,14 @@
     /// A timer of a courier has run out.
     pub(super) fn wake(&mut self, courier: usize, life: u32) {
         if self.lives(courier, life) {
-            self.tell(courier, |decider| decider.woken());
+            self.tell(courier, &[Input::Woken]);
         }
     }
 
     /// A gossip message has reached a courier.
     pub(super) fn gossip_arrives(&mut self, courier: usize, octets: &[u8]) {
         if self.couriers[courier].alive {
-            self.tell(courier, |decider| decider.told_by_courier(octets));
+            self.tell(courier, &[Input::Gossip(octets)]);
         }
     }
 }
@@ -181,19 +181,6 @@
 
 impl Decider for NoDecider {
     fn at(&mut self, _: Duration) {}
-    fn listed(&mut self, _: &str, _: &str, _: &str, _: DestinationId, _: Listing, _: Option<f64>) {}
-    fn list_ends(&mut self, _: Option<&BTreeSet<String>>, _: bool) {}
-    fn notice(
-        &mut self,
-        _: NoticeId,
-        _: &str,
-        _: Option<u64>,
-        _: Duration,
-        _: Option<&str>,
-        _: DestinationId,
-    ) -> bool {
-        false
-    }
-    fn outcome(&mut self, _: NoticeId, _: u32, _: Outcome, _: Duration, _: bool, _: Option<(f64, f64)>) {}
+    fn tell(&mut self, _: Input) {}
     fn settle(&mut self, _: &mut dyn Hands) {}
 }
--- a/crates/quillhub-emulator/src/world/discovery.rs
+++ b/crates/quillhub-emulator/src/world/discovery.rs
@@ -3,6 +3,7 @@
 use super::World;
 use super::event::{DiscoveryFault, EndpointUpdate, Entries, Event};
 use crate::day::{Rates, RegisterForm};
+use crate::decider::Input;
 use crate::fact::Fact;
 use crate::faults::{Drain, Planned, chance_of_fault};
 use quillhub::{DestinationId, Listing};
@@ -61,7 +62,7 @@
     }
 }
 
-impl World<'_> {
+impl<'a> World<'a> {
     /// Adds an entry for a server to the endpoint list.
     pub(super) fn list_server(&mut self, server: usize) -> usize {
         let name = format!("e{}", self.discovery.entries.len() + 1);
@@ -118,7 +119,7 @@
     pub(super) fn discovery_fails(&mut self, courier: usize, life: u32) {
         if self.lives(courier, life) {
             self.couriers[courier].watches = false;
-            self.tell(courier, |decider| decider.list_failed());
+            self.tell(courier, &[Input::ListFailed]);
         }
     }
 
@@ -209,24 +210,31 @@
 
     /// A courier's decider is told of endpoints.
     fn pass_on_endpoints(&mut self, courier: usize, entries: &Entries, whole: bool, asked: bool) {
-        let day = self.day;
-        let rows: Vec<_> = entries
-            .iter()
-            .map(|(number, listing)| {
-                let entry = &self.discovery.entries[*number];
-                let server = &self.site.servers[entry.server];
-                let zone = &day.couriers.zones[server.zone];
-                let kind = &day.destinations[server.kind].kind;
-                (entry.name.clone(), zone, kind, entry.destination, *listing, entry.rate)
-            })
-            .collect();
-        let names: BTreeSet<_> = rows.iter().map(|row| row.0.clone()).collect();
-        self.tell(courier, |decider| {
-            for (name, zone, kind, destination, listing, rate) in &rows {
-                decider.listed(name, zone, kind, *destination, *listing, *rate);
-            }
-            decider.list_ends(whole.then_some(&names), asked);
-        });
+        let names: Vec<_> =
+            entries.iter().map(|(entry, _)| self.discovery.entries[*entry].name.clone()).collect();
+        let snapshot: Option<BTreeSet<_>> = whole.then(|| names.iter().cloned().collect());
+        let rows = entries.iter().zip(&names);
+        let mut inputs: Vec<_> =
+            rows.map(|((entry, listing), name)| self.listed(name, *entry, *listing)).collect();
+        inputs.push(Input::ListEnds { snapshot: snapshot.as_ref(), asked });
+        self.tell(courier, &inputs);
+    }
+
+    /// What a courier is told of one entry.
+    fn listed<'s>(&self, endpoint: &'s str, entry: usize, listing: Listing) -> Input<'s>
+    where
+        'a: 's,
+    {
+        let entry = &self.discovery.entries[entry];
+        let server = &self.site.servers[entry.server];
+        Input::Listed {
+            endpoint,
+            zone: &self.day.couriers.zones[server.zone],
+            kind: &self.day.destinations[server.kind].kind,
+            destination: entry.destination,
+            listing,
+            rate: entry.rate,
+        }
     }
 
     /// An entry's state changes, and couriers are told of it.
--- a/crates/quillhub-emulator/src/world/restarts.rs
+++ b/crates/quillhub-emulator/src/world/restarts.rs
@@ -3,7 +3,8 @@
 use super::World;
 use super::couriers::HeldMessage;
 use super::event::Event;
-use crate::day::EffectOf;
+use crate::day::{EffectOf, GradeOf};
+use crate::decider::Input;
 use crate::fact::Fact;
 use quillhub::{DestinationId, NoticeId};
 use std::collections::BTreeMap;
@@ -21,6 +22,19 @@
     may_have_run: Option<(Duration, String)>,
 }
 
+impl Recovered {
+    /// What its courier is told of it.
+    fn inputs<'s>(&'s self, grades: &'s [GradeOf]) -> [Input<'s>; 2] {
+        let Self { notice: id, key, deadline, destination, attempts, .. } = *self;
+        let grade = &grades[self.grade].name;
+        let may_have_run = self.may_have_run.as_ref().map(|(at, endpoint)| (*at, endpoint.as_str()));
+        [
+            Input::Message { id, grade, key, deadline, tenant: None, destination },
+            Input::Recovered { id, attempts, may_have_run },
+        ]
+    }
+}
+
 impl World<'_> {
     /// A courier stands still; what happens meanwhile it learns afterwards.
     pub(super) fn stall(&mut self, courier: usize, until: Duration) {
@@ -84,16 +98,8 @@
     /// Hands a courier what its state directory holds.
     fn hand_back(&mut self, courier: usize) {
         let recovered = self.recovered(courier);
-        let grades = &self.day.grades;
-        self.tell(courier, |decider| {
-            for message in &recovered {
-                let Recovered { notice, key, deadline, destination, attempts, .. } = *message;
-                let grade = &grades[message.grade].name;
-                decider.notice(notice, grade, key, deadline, None, destination);
-                let ran = message.may_have_run.as_ref().map(|(at, endpoint)| (*at, endpoint.as_str()));
-                decider.sent_before(notice, attempts, ran);
-            }
-        });
+        let inputs: Vec<_> = recovered.iter().flat_map(|message| message.inputs(&self.day.grades)).collect();
+        self.tell(courier, &inputs);
     }
 
     fn recovered(&self, courier: usize) -> Vec<Recovered> {
--- a/crates/quillhub-emulator/tests/mutants.rs
+++ b/crates/quillhub-emulator/tests/mutants.rs
@@ -2,7 +2,7 @@
 //! caught under exactly the rule that it breaks; the module itself is clean on the same days.
 
 use quillhub::{DestinationId, Hands, Listing, NoticeId, Outcome};
-use quillhub_emulator::{Breach, Day, Decider, Rule, Start, World, module};
+use quillhub_emulator::{Breach, Day, Decider, Input, Rule, Start, World, module};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -104,79 +104,32 @@
             Act::Other(note, ..) => hands.tell(&note),
         }
     }
-}
 
-impl Decider for Mutant {
-    fn at(&mut self, now: Duration) {
-        self.now = now;
-        self.inner.at(now);
-    }
-    fn listed(
-        &mut self,
-        name: &str,
-        zone: &str,
-        kind: &str,
-        owner: DestinationId,
-        l: Listing,
-        r: Option<f64>,
-    ) {
-        let open = self.flaw == Flaw::SendsToDraining;
-        self.inner.listed(name, zone, kind, owner, if open { Listing::Open } else { l }, r);
-    }
-    fn list_ends(&mut self, whole: Option<&BTreeSet<String>>, asked: bool) {
-        self.inner.list_ends(whole.filter(|_| self.flaw != Flaw::SendsToDraining), asked);
-    }
-    fn list_failed(&mut self) {
-        self.inner.list_failed();
-    }
-    fn notice(
-        &mut self,
-        id: NoticeId,
-        grade: &str,
-        key: Option<u64>,
-        limit: Duration,
-        tenant: Option<&str>,
-        destination: DestinationId,
-    ) -> bool {
-        if grade == "pay" {
-            self.binding.insert(id);
-        }
-        self.limits.insert(id, limit);
-        self.to.insert(id, destination);
-        self.inner.notice(id, grade, key, limit, tenant, destination)
-    }
-    fn sent_before(&mut self, id: NoticeId, sends: u32, ran: Option<(Duration, &str)>) {
-        self.sent.insert(id, (sends, sends));
+    fn recovered(&mut self, id: NoticeId, attempts: u32, input: Input) {
+        self.sent.insert(id, (attempts, attempts));
         match self.flaw {
             Flaw::ForgetsAtRestart => {
                 self.limits.remove(&id);
             }
             Flaw::ForgetsSendsAtRestart => {
-                self.sent.insert(id, (sends, 0));
+                self.sent.insert(id, (attempts, 0));
             }
-            _ => self.inner.sent_before(id, sends, ran),
+            _ => self.inner.tell(input),
         }
     }
-    fn may_go(&self, id: NoticeId, send: u32, now: Duration) -> bool {
-        // What it did not ask for goes no further than that: its asking is the breach.
-        let inner = self.numbers.get(&(id, send)).copied().flatten();
-        inner.is_some_and(|send| self.inner.may_go(id, send, now))
-    }
-    fn outcome(
-        &mut self,
-        id: NoticeId,
-        send: u32,
-        o: Outcome,
-        t: Duration,
-        over: bool,
-        r: Option<(f64, f64)>,
-    ) {
-        let mine = self.numbers.remove(&(id, send)).flatten();
-        // A copy that is handled ends the notice: then the one that was asked for has its end too.
+
+    /// The inner one's number of an attempt that ended. A copy that is handled ends the notice: then the one that was
+    /// asked for has its end too.
+    fn inner_number(&mut self, id: NoticeId, attempt: u32, over: bool) -> Option<u32> {
+        let mine = self.numbers.remove(&(id, attempt)).flatten();
         let of_copy =
             || self.numbers.iter().find(|((of, _), n)| *of == id && n.is_some()).and_then(|(_, n)| *n);
-        let Some(inner) = mine.or_else(|| of_copy().filter(|_| over)) else { return };
-        let told = match (self.flaw, o) {
+        mine.or_else(|| of_copy().filter(|_| over))
+    }
+
+    /// The outcome that the inner one is told.
+    fn falsified(&mut self, id: NoticeId, outcome: Outcome) -> Outcome {
+        match (self.flaw, outcome) {
             (Flaw::SendsBindingAgain, Outcome::TimedOut | Outcome::Reset) if self.binding.contains(&id) => {
                 Outcome::Unconnected
             }
@@ -190,15 +143,55 @@
             (Flaw::SeesNoOutage, Outcome::TimedOut | Outcome::Reset | Outcome::Unconnected) => {
                 Outcome::Unsent
             }
-            _ => o,
-        };
-        self.inner.outcome(id, inner, told, t, over, r);
+            _ => outcome,
+        }
     }
-    fn told_by_courier(&mut self, octets: &[u8]) {
-        self.inner.told_by_courier(octets);
+}
+
+/// The list as a decider sees it that takes every endpoint for open, and none for gone.
+fn hide_drains(input: Input) -> Input {
+    match input {
+        Input::Listed { endpoint, zone, kind, destination, rate, .. } => {
+            Input::Listed { endpoint, zone, kind, destination, listing: Listing::Open, rate }
+        }
+        Input::ListEnds { asked, .. } => Input::ListEnds { snapshot: None, asked },
+        other => other,
+    }
+}
+
+impl Decider for Mutant {
+    fn at(&mut self, now: Duration) {
+        self.now = now;
+        self.inner.at(now);
+    }
+    fn tell(&mut self, input: Input) {
+        match input {
+            Input::Listed { .. } | Input::ListEnds { .. } if self.flaw == Flaw::SendsToDraining => {
+                self.inner.tell(hide_drains(input));
+            }
+            Input::Message { id, grade, deadline, destination, .. } => {
+                if grade == "pay" {
+                    self.binding.insert(id);
+                }
+                self.limits.insert(id, deadline);
+                self.to.insert(id, destination);
+                self.inner.tell(input);
+            }
+            Input::Recovered { id, attempts, .. } => self.recovered(id, attempts, input),
+            Input::Outcome { id, attempt, outcome, took, over, report } => {
+                // What nobody asked for has no outcome.
+                if let Some(attempt) = self.inner_number(id, attempt, over) {
+                    let outcome = self.falsified(id, outcome);
+                    self.inner.tell(Input::Outcome { id, attempt, outcome, took, over, report });
+                }
+            }
+            other => self.inner.tell(other),
+        }
     }
-    fn woken(&mut self) {
-        self.inner.woken();
+    fn may_go(&self, id: NoticeId, send: u32, now: Duration) -> bool {
+        // What it did not ask for goes no further than that: its asking is the breach.
+        let inner = self.numbers.get(&(id, send)).copied().flatten();
+        inner.is_some_and(|send| self.inner.may_go(id, send, now))
     }
     fn settle(&mut self, hands: &mut dyn Hands) {
         let mut acts = Acts::default();
--- a/crates/quillhub-lab/src/baselines.rs
+++ b/crates/quillhub-lab/src/baselines.rs
@@ -2,7 +2,7 @@
 //! as plain as it can be, and an oracle that sees the true state of every endpoint.
 
 use quillhub::{DestinationId, Effect, Grade, Hands, Listing, NoticeId, Outcome};
-use quillhub_emulator::{Decider, Start, module};
+use quillhub_emulator::{Decider, Input, Start, module};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
@@ -272,28 +272,14 @@
         held.due = until;
         self.due.insert((until, id));
     }
-}
 
-impl Decider for Plain {
-    fn at(&mut self, now: Duration) {
-        self.now = self.now.max(now);
-    }
-
-    fn listed(
-        &mut self,
-        name: &str,
-        zone: &str,
-        _: &str,
-        owner: DestinationId,
-        listing: Listing,
-        _: Option<f64>,
-    ) {
+    fn listed(&mut self, name: &str, zone: &str, owner: DestinationId, listing: Listing) {
         self.by_destination.entry(owner).or_default().insert(name.into());
         let new = || Known { zone: zone.into(), owner, listing, out: 0, room: 0 };
         self.endpoints.entry(name.into()).or_insert_with(new).listing = listing;
     }
 
-    fn list_ends(&mut self, whole: Option<&BTreeSet<String>>, _: bool) {
+    fn list_ends(&mut self, whole: Option<&BTreeSet<String>>) {
         let by_destination = &mut self.by_destination;
         self.endpoints.retain(|name, known| {
             if whole.is_some_and(|names| !names.contains(name)) {
@@ -307,16 +293,8 @@
         });
     }
 
-    fn notice(
-        &mut self,
-        id: NoticeId,
-        grade: &str,
-        _: Option<u64>,
-        limit: Duration,
-        _: Option<&str>,
-        destination: DestinationId,
-    ) -> bool {
-        let Some(grade) = self.grades.iter().position(|g| g.0 == grade) else { return false };
+    fn notice(&mut self, id: NoticeId, grade: &str, limit: Duration, destination: DestinationId) {
+        let Some(grade) = self.grades.iter().position(|g| g.0 == grade) else { return };
         let limit = limit.saturating_sub(MARGIN);
         let (now, endpoint) = (self.now, String::new());
         let held = Held { grade, destination, limit, sends: 0, due: now, started: now, endpoint, ran: None };
@@ -326,7 +304,6 @@
         if self.held.len() > self.room {
             self.over.push(id);
         }
-        true
     }
 
     fn sent_before(&mut self, id: NoticeId, sends: u32, ran: Option<(Duration, &str)>) {
@@ -337,21 +314,7 @@
         }
     }
 
-    fn may_go(&self, id: NoticeId, _: u32, now: Duration) -> bool {
-        let Some(held) = self.held.get(&id) else { return false };
-        let open = self.endpoints.get(&held.endpoint).is_some_and(|e| e.listing == Listing::Open);
-        open && self.waits.get(&held.destination).is_none_or(|until| *until <= now)
-    }
-
-    fn outcome(
-        &mut self,
-        id: NoticeId,
-        _: u32,
-        outcome: Outcome,
-        _: Duration,
-        over: bool,
-        _: Option<(f64, f64)>,
-    ) {
+    fn outcome(&mut self, id: NoticeId, outcome: Outcome, over: bool) {
         self.calls -= 1;
         if let (Some(held), Outcome::Refused(Some(wait)) | Outcome::Unproven(Some(wait))) =
             (self.held.get(&id), outcome)
@@ -386,9 +349,33 @@
             self.due.insert((due, id));
         }
     }
+}
 
-    fn woken(&mut self) {
-        self.beat = self.beat.filter(|at| *at > self.now);
+impl Decider for Plain {
+    fn at(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+    }
+
+    fn tell(&mut self, input: Input) {
+        match input {
+            Input::Listed { endpoint, zone, destination, listing, .. } => {
+                self.listed(endpoint, zone, destination, listing);
+            }
+            Input::ListEnds { snapshot, .. } => self.list_ends(snapshot),
+            Input::Message { id, grade, deadline, destination, .. } => {
+                self.notice(id, grade, deadline, destination);
+            }
+            Input::Recovered { id, attempts, may_have_run } => self.sent_before(id, attempts, may_have_run),
+            Input::Outcome { id, outcome, over, .. } => self.outcome(id, outcome, over),
+            Input::Woken => self.beat = self.beat.filter(|at| *at > self.now),
+            Input::ListFailed | Input::Gossip(_) => {}
+        }
+    }
+
+    fn may_go(&self, id: NoticeId, _: u32, now: Duration) -> bool {
+        let Some(held) = self.held.get(&id) else { return false };
+        let open = self.endpoints.get(&held.endpoint).is_some_and(|e| e.listing == Listing::Open);
+        open && self.waits.get(&held.destination).is_none_or(|until| *until <= now)
     }
 
     fn settle(&mut self, hands: &mut dyn Hands) {
--- a/crates/quillhub-lab/src/cost.rs
+++ b/crates/quillhub-lab/src/cost.rs
@@ -4,10 +4,9 @@
 use crate::baselines;
 use crate::experiment::Planned;
 use crate::sweep::Run;
-use quillhub::{DestinationId, Hands, Listing, NoticeId, Outcome};
-use quillhub_emulator::{Decider, Report, Start, World};
+use quillhub::{Hands, NoticeId};
+use quillhub_emulator::{Decider, Input, Report, Start, World};
 use std::cell::Cell;
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -39,36 +38,8 @@
     fn at(&mut self, now: Duration) {
         self.inner.at(now);
     }
-    fn listed(
-        &mut self,
-        name: &str,
-        zone: &str,
-        kind: &str,
-        of: DestinationId,
-        l: Listing,
-        rate: Option<f64>,
-    ) {
-        self.time(|inner| inner.listed(name, zone, kind, of, l, rate));
-    }
-    fn list_ends(&mut self, whole: Option<&BTreeSet<String>>, asked: bool) {
-        self.time(|inner| inner.list_ends(whole, asked));
-    }
-    fn list_failed(&mut self) {
-        self.inner.list_failed();
-    }
-    fn notice(
-        &mut self,
-        id: NoticeId,
-        grade: &str,
-        key: Option<u64>,
-        limit: Duration,
-        tenant: Option<&str>,
-        to: DestinationId,
-    ) -> bool {
-        self.time(|inner| inner.notice(id, grade, key, limit, tenant, to))
-    }
-    fn sent_before(&mut self, id: NoticeId, sends: u32, ran: Option<(Duration, &str)>) {
-        self.time(|inner| inner.sent_before(id, sends, ran));
+    fn tell(&mut self, input: Input) {
+        self.time(|inner| inner.tell(input));
     }
     fn may_go(&self, id: NoticeId, send: u32, now: Duration) -> bool {
         let from = Instant::now();
@@ -76,23 +47,6 @@
         self.spent.set(self.spent.get() + from.elapsed());
         goes
     }
-    fn outcome(
-        &mut self,
-        id: NoticeId,
-        send: u32,
-        outcome: Outcome,
-        took: Duration,
-        over: bool,
-        report: Option<(f64, f64)>,
-    ) {
-        self.time(|inner| inner.outcome(id, send, outcome, took, over, report));
-    }
-    fn told_by_courier(&mut self, octets: &[u8]) {
-        self.time(|inner| inner.told_by_courier(octets));
-    }
-    fn woken(&mut self) {
-        self.inner.woken();
-    }
     fn settle(&mut self, hands: &mut dyn Hands) {
         self.time(|inner| inner.settle(hands));
     }
