--- a/crates/quillhub-emulator/src/audit.rs
+++ b/crates/quillhub-emulator/src/audit.rs
@@ -27,11 +27,15 @@
 /// One breach: the rule, the notice where there is one, the instants, and what was seen.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Breach {
+    /// The rule that was broken.
     pub rule: Rule,
+    /// The message that it was broken for, if it was one.
     pub notice: Option<NoticeId>,
     /// When what was broken began to bind, and when it was broken.
     pub since: Duration,
+    /// When it was broken.
     pub at: Duration,
+    /// What was seen, in words.
     pub what: &'static str,
 }
 
@@ -118,6 +122,7 @@
     late: Duration,
 }
 
+/// Takes the facts of a run one by one and finds the breaches of the six rules.
 pub struct Auditor {
     grades: Vec<(String, EffectOf, Duration, bool, bool)>,
     grace: Duration,
--- a/crates/quillhub-emulator/src/clients.rs
+++ b/crates/quillhub-emulator/src/clients.rs
@@ -72,8 +72,11 @@
 /// One arrival of a day; `destination` as couriers know it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Arrival {
+    /// When it comes, since the start of the day.
     pub at: Duration,
+    /// Its service class, by its place in the day's list.
     pub grade: usize,
+    /// The destination that it is for.
     pub destination: DestinationId,
 }
 
--- a/crates/quillhub-emulator/src/day.rs
+++ b/crates/quillhub-emulator/src/day.rs
@@ -17,20 +17,30 @@
     /// From the first arrival to the last; what is held then still gets its end.
     #[serde(with = "humantime_serde")]
     pub length: Span,
+    /// The couriers, and the front that deals messages out to them.
     pub couriers: Couriers,
+    /// Delays, and what connections cost.
     #[serde(default)]
     pub network: Network,
+    /// Service discovery.
     #[serde(default)]
     pub register: Register,
+    /// How destinations that were out return, and the figures of the rules.
     #[serde(default)]
     pub returns: Returns,
+    /// The service classes.
     pub grades: Vec<GradeOf>,
+    /// The destinations, by kind.
     pub destinations: Vec<Destinations>,
+    /// The streams of messages.
     pub arrivals: Vec<Arrivals>,
+    /// Tenants with a quota.
     #[serde(default)]
     pub tenants: Vec<Tenant>,
+    /// What clients do with what did not get through.
     #[serde(default)]
     pub clients: Clients,
+    /// What goes wrong, and when.
     #[serde(default)]
     pub faults: Vec<Planned>,
 }
@@ -46,14 +56,17 @@
     pub over_share: f64,
 }
 
+/// The couriers, and the front that deals messages out to them.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Couriers {
+    /// How many there are.
     pub count: u32,
     /// Calls out at once.
     pub slots: usize,
     /// Notices held at once.
     pub room: usize,
+    /// Attempts for one message at most.
     pub most_sends: u32,
     /// Longest wait told with a denial.
     #[serde(with = "humantime_serde")]
@@ -90,12 +103,14 @@
     }
 }
 
+/// Delays, and what connections cost.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Network {
-    /// One way, inside a zone and between two.
+    /// One way inside a zone.
     #[serde(with = "humantime_serde")]
     pub within: Span,
+    /// One way between two zones.
     #[serde(with = "humantime_serde")]
     pub between: Span,
     /// Up to such a share of the delay more, by even chance.
@@ -124,6 +139,7 @@
     }
 }
 
+/// How service discovery tells of changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum RegisterForm {
@@ -133,13 +149,16 @@
     Watch,
 }
 
+/// Service discovery.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Register {
+    /// How it tells of changes.
     pub form: RegisterForm,
     /// From a change to when it is told; as much again by chance.
     #[serde(with = "humantime_serde")]
     pub late: Span,
+    /// Which rates it lists.
     pub rates: Rates,
 }
 
@@ -178,10 +197,12 @@
     pub grace: Span,
     /// A destination just back starts at this share of its capacity and is warm after `warm_up`.
     pub start: f64,
+    /// From a destination's return until it is warm; its capacity grows evenly until then.
     #[serde(with = "humantime_serde")]
     pub warm_up: Span,
     /// Sent more than `factor` times what it can do, for `push`, it falls over and stays down.
     pub factor: f64,
+    /// How long it stands more than that.
     #[serde(with = "humantime_serde")]
     pub push: Span,
     /// A key rests so long after a time-out, reset or cancel.
@@ -210,10 +231,13 @@
     Binding,
 }
 
+/// A service class: what a message of it may do, until when it is needed, and what it is worth.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct GradeOf {
+    /// Its name.
     pub name: String,
+    /// What a repeat may do at its destination.
     pub effect: EffectOf,
     /// How long a destination remembers a mark, for fingerprinted ones.
     #[serde(default, with = "humantime_serde")]
@@ -221,21 +245,28 @@
     /// Whether only endpoints of one zone share that memory.
     #[serde(default)]
     pub one_zone: bool,
+    /// Soft deadline: delivered within this time after it was first handed in, a message has its full value.
     #[serde(with = "humantime_serde")]
     pub contract: Span,
+    /// Deadline: a message has its final outcome within this time after it was first handed in.
     #[serde(with = "humantime_serde")]
     pub limit: Span,
+    /// Value of a message delivered within its soft deadline, in units of the experiment's own.
     #[serde(default = "one")]
     pub earnings: f64,
+    /// Share of the value that is left at the deadline.
     #[serde(default)]
     pub late_share: f64,
+    /// Whether the value halves over each further span as long as `contract`; otherwise it falls evenly.
     #[serde(default)]
     pub halving: bool,
+    /// Whether messages of one ordering key are delivered one at a time, in the order taken.
     #[serde(default)]
     pub in_order: bool,
 }
 
 impl GradeOf {
+    /// The class as couriers know it.
     pub fn grade(&self) -> Grade {
         let effect = match self.effect {
             EffectOf::Retriable => Effect::Retriable,
@@ -258,7 +289,9 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Destinations {
+    /// Its name.
     pub kind: String,
+    /// How many destinations there are of this kind.
     #[serde(default = "one_of")]
     pub count: usize,
     /// Of each destination.
@@ -267,12 +300,15 @@
     /// Calls that an endpoint works on at once, and that wait there; what comes beyond is turned away as full.
     #[serde(default = "eight")]
     pub workers: usize,
+    /// Calls that wait at an endpoint for a worker.
     #[serde(default = "sixty_four")]
     pub queue: usize,
+    /// The time that a call takes.
     pub service: Service,
     /// Some are slower than others: by even chance up to so many times, or a part as long.
     #[serde(default = "one")]
     pub spread: f64,
+    /// What couriers may send, where that is limited.
     pub limit: Option<LimitOf>,
     /// Whether each endpoint has a limit, and returns, by itself.
     #[serde(default)]
@@ -285,19 +321,25 @@
     /// Within the kind the k-th busiest gets 1/k^skew of what the busiest gets; 0 spreads evenly.
     #[serde(default)]
     pub skew: f64,
-    /// Share of the answers that hold a report on the limit, as it was up to `report_age` ago.
+    /// Whether answers hold a report on the limit, as it was up to `report_age` ago.
     #[serde(default)]
     pub reports: bool,
+    /// How old what a report tells may be.
     #[serde(default, with = "humantime_serde")]
     pub report_age: Span,
 }
 
+/// A law of chance for the time that a call takes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Law {
+    /// Always the mean.
     Constant,
+    /// Exponential.
     Exponential,
+    /// Log-normal.
     LogNormal,
+    /// Gamma.
     Gamma,
     /// A heavy tail.
     Pareto,
@@ -307,8 +349,10 @@
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
+    /// The mean time.
     #[serde(with = "humantime_serde")]
     pub mean: Span,
+    /// The law.
     #[serde(default = "lognormal")]
     pub law: Law,
     /// Standard deviation over mean, for the laws that take one; over 0.
@@ -340,6 +384,7 @@
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LimitOf {
+    /// Calls a second.
     pub per_s: f64,
     /// Counted in spans that begin one after the other; absent, a plain rate with a burst of one second.
     #[serde(default, with = "humantime_serde")]
@@ -352,6 +397,7 @@
     pub refused_count: bool,
 }
 
+/// When the messages of a stream come.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(tag = "law", rename_all = "lowercase", deny_unknown_fields)]
 pub enum Pattern {
@@ -360,17 +406,24 @@
     /// One after each `1/per_s`.
     Even,
     /// Clumps for one destination: `of` at once on average.
-    Bursts { of: f64 },
+    Bursts {
+        /// Messages that come at once, on average.
+        of: f64,
+    },
     /// A wave round `per_s`, from `1 - depth` to `1 + depth` times it.
     Daily {
+        /// The length of one wave.
         #[serde(with = "humantime_serde")]
         every: Span,
+        /// How far the wave goes up and down, as a share of the rate.
         depth: f64,
     },
     /// Evenly, but only in the part of each `every` that begins at `from`.
     Part {
+        /// The length of one span.
         #[serde(with = "humantime_serde")]
         every: Span,
+        /// Where in each span its part begins.
         #[serde(with = "humantime_serde")]
         from: Span,
     },
@@ -380,7 +433,9 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Arrivals {
+    /// Messages a second, on average.
     pub per_s: f64,
+    /// When they come.
     #[serde(default = "poisson")]
     pub pattern: Pattern,
     /// Its grade; absent, all grades in turn.
@@ -389,10 +444,12 @@
     pub to: Option<String>,
     /// Its tenant, and the number of turn keys in use.
     pub tenant: Option<String>,
+    /// How many ordering keys are in use; 0 for none.
     #[serde(default)]
     pub keys: u64,
     /// A sidecar's stream: all goes to the courier of this number.
     pub courier: Option<u32>,
+    /// When the stream begins.
     #[serde(default, with = "humantime_serde")]
     pub from: Span,
     /// Absent, until the day's end.
--- a/crates/quillhub-emulator/src/decider.rs
+++ b/crates/quillhub-emulator/src/decider.rs
@@ -133,8 +133,11 @@
 
 /// What a decider is started with: its chance, its zone, and the day's figures that couriers are told.
 pub struct Start<'a> {
+    /// Seed of its chance.
     pub seed: u64,
+    /// The zone that it stands in.
     pub zone: &'a str,
+    /// The day, for the figures that couriers are told.
     pub day: &'a Day,
 }
 
--- a/crates/quillhub-emulator/src/faults/crash.rs
+++ b/crates/quillhub-emulator/src/faults/crash.rs
@@ -3,6 +3,7 @@
 use super::{Does, Planned, Strike};
 use serde::{Deserialize, Serialize};
 
+/// The fault's figures.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Crash {
--- a/crates/quillhub-emulator/src/faults/crowd.rs
+++ b/crates/quillhub-emulator/src/faults/crowd.rs
@@ -3,9 +3,11 @@
 use super::{Does, Planned, Strike, Wrong, over_zero};
 use serde::{Deserialize, Serialize};
 
+/// The fault's figures.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Crowd {
+    /// How many times as many messages come.
     pub factor: f64,
     /// Only this one of the day's streams, from 0; absent, all.
     #[serde(default)]
--- a/crates/quillhub-emulator/src/faults/cut.rs
+++ b/crates/quillhub-emulator/src/faults/cut.rs
@@ -4,12 +4,14 @@
 use crate::trouble::How;
 use serde::{Deserialize, Serialize};
 
+/// The fault's figures.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Cut {
     /// Zones that it goes from and to; absent, any.
     #[serde(default)]
     pub from: Option<String>,
+    /// The zone that it goes to; absent, any.
     #[serde(default)]
     pub to: Option<String>,
 }
--- a/crates/quillhub-emulator/src/faults/delay.rs
+++ b/crates/quillhub-emulator/src/faults/delay.rs
@@ -5,14 +5,17 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
+/// The fault's figures.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Delay {
+    /// How much longer one way takes.
     #[serde(with = "humantime_serde")]
     pub more: Duration,
     /// Zones that it goes from and to; absent, any.
     #[serde(default)]
     pub from: Option<String>,
+    /// The zone that it goes to; absent, any.
     #[serde(default)]
     pub to: Option<String>,
 }
--- a/crates/quillhub-emulator/src/faults/hot.rs
+++ b/crates/quillhub-emulator/src/faults/hot.rs
@@ -3,9 +3,11 @@
 use super::{Does, Planned, Strike, Wrong, over_zero};
 use serde::{Deserialize, Serialize};
 
+/// The fault's figures.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Hot {
+    /// How many times their share they get.
     pub factor: f64,
 }
 
--- a/crates/quillhub-emulator/src/faults/loss.rs
+++ b/crates/quillhub-emulator/src/faults/loss.rs
@@ -4,13 +4,16 @@
 use crate::trouble::How;
 use serde::{Deserialize, Serialize};
 
+/// The fault's figures.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Loss {
+    /// Share of what is lost.
     pub share: f64,
     /// Zones that it goes from and to; absent, any.
     #[serde(default)]
     pub from: Option<String>,
+    /// The zone that it goes to; absent, any.
     #[serde(default)]
     pub to: Option<String>,
 }
--- a/crates/quillhub-emulator/src/faults/mod.rs
+++ b/crates/quillhub-emulator/src/faults/mod.rs
@@ -50,11 +50,15 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Planned {
+    /// When it begins, since the start of the day.
     #[serde(with = "humantime_serde")]
     pub at: Duration,
+    /// How long it lasts.
     #[serde(with = "humantime_serde")]
     pub lasts: Duration,
+    /// What it does.
     pub what: Fault,
+    /// Who is struck.
     #[serde(default)]
     pub whom: Whom,
 }
@@ -73,25 +77,45 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Fault {
+    /// Endpoints refuse connections, and reset those that stood.
     Refuse,
+    /// Endpoints take calls and answer none.
     Hang,
+    /// Nothing at all comes back from endpoints, not even for a connection.
     Silent,
+    /// Couriers stand still.
     Stall,
+    /// Endpoints fail a share of the calls.
     Errors(Errors),
+    /// Destinations are shut.
     Shut(Shut),
+    /// Calls take longer at endpoints.
     Slow(Slow),
+    /// A share of the answers is lost.
     Mute(Mute),
+    /// A share of the kept connections is dead.
     Stale(Stale),
+    /// Opening a connection takes longer.
     Handshake(Handshake),
+    /// Nothing gets from one zone to another.
     Cut(Cut),
+    /// A share of what goes from one zone to another is lost.
     Loss(Loss),
+    /// The way from one zone to another takes longer.
     Delay(Delay),
+    /// Service discovery is out of reach, or late.
     Register(Register),
+    /// Service discovery tells a list that is not whole.
     Partial(Partial),
+    /// Endpoints drain.
     Drain(Drain),
+    /// Couriers die and start again.
     Crash(Crash),
+    /// Gossip between couriers is lost, or late.
     Notes(Notes),
+    /// More messages come.
     Crowd(Crowd),
+    /// Some destinations get more than their share of the messages.
     Hot(Hot),
 }
 
--- a/crates/quillhub-emulator/src/faults/register.rs
+++ b/crates/quillhub-emulator/src/faults/register.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
+/// The fault's figures.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Register {
--- a/crates/quillhub-emulator/src/faults/shut.rs
+++ b/crates/quillhub-emulator/src/faults/shut.rs
@@ -4,6 +4,7 @@
 use crate::trouble::Trouble;
 use serde::{Deserialize, Serialize};
 
+/// The fault's figures.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Shut {
--- a/crates/quillhub-emulator/src/faults/slow.rs
+++ b/crates/quillhub-emulator/src/faults/slow.rs
@@ -4,9 +4,11 @@
 use crate::trouble::Trouble;
 use serde::{Deserialize, Serialize};
 
+/// The fault's figures.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Slow {
+    /// How many times as long calls take.
     pub factor: f64,
 }
 
--- a/crates/quillhub-emulator/src/faults/stale.rs
+++ b/crates/quillhub-emulator/src/faults/stale.rs
@@ -4,9 +4,11 @@
 use crate::trouble::Trouble;
 use serde::{Deserialize, Serialize};
 
+/// The fault's figures.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Stale {
+    /// Share of the kept connections that are dead.
     pub share: f64,
 }
 
--- a/crates/quillhub-emulator/src/site.rs
+++ b/crates/quillhub-emulator/src/site.rs
@@ -60,6 +60,7 @@
     Back,
 }
 
+/// The destinations of a day with their servers.
 pub struct Site<'a> {
     pub(crate) day: &'a Day,
     seed: u64,
@@ -103,6 +104,7 @@
         site
     }
 
+    /// How many servers there are, with those that were replaced.
     pub fn servers(&self) -> usize {
         self.servers.len()
     }
@@ -293,6 +295,7 @@
         }
     }
 
+    /// A fault of the day ends, as far as it struck endpoints.
     pub fn ends_fault(&mut self, number: usize, now: Duration) {
         for at in self.relieved(number) {
             self.turns(self.servers[at].route, now);
--- a/crates/quillhub-emulator/src/tally.rs
+++ b/crates/quillhub-emulator/src/tally.rs
@@ -9,14 +9,21 @@
 /// One second of a run, or a longer span of a long one.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Second {
+    /// Messages that came.
     pub asked: u32,
+    /// First attempts.
     pub firsts: u32,
+    /// Retries.
     pub repeats: u32,
+    /// Messages delivered.
     pub handled: u32,
+    /// Messages rejected.
     pub denied: u32,
+    /// Messages abandoned.
     pub written_off: u32,
     /// Earnings of what was asked for in this second, and what was earned of them in the end.
     pub worth: f64,
+    /// What was earned in the end of the value of what came in this second.
     pub earned: f64,
     /// Taken and not yet answered at its end.
     pub held: i64,
@@ -26,33 +33,48 @@
 pub struct Tally {
     worth: Vec<f64>,
     grades: Vec<quillhub::Grade>,
+    /// The rows, from the start of the run on.
     pub seconds: Vec<Second>,
     /// Seconds of each row.
     pub row_s: u64,
+    /// Messages that came.
     pub asked: u64,
+    /// Messages delivered.
     pub handled: u64,
+    /// Messages delivered within their soft deadline.
     pub in_contract: u64,
     /// Given up by clients, or lost with a courier.
     pub unserved: u64,
+    /// Value of what was delivered.
     pub earned: f64,
+    /// Value of all messages that came.
     pub asked_worth: f64,
     /// By grade: asked for, and earned.
     pub by_grade: Vec<(f64, f64)>,
+    /// First attempts.
     pub firsts: u64,
+    /// Retries.
     pub repeats: u64,
+    /// Calls that endpoints turned away.
     pub turned_away: u64,
+    /// Connections opened.
     pub connections: u64,
+    /// Rejections; a message may be handed in again after one.
     pub denials: u64,
+    /// Messages abandoned.
     pub written_off: u64,
     /// Effects that took place, repeats that destinations dropped, and effects that came twice though they must not:
     /// a repeat sent inside the mark's memory that took effect after it, or one handed in again after a loss.
     pub ran: u64,
+    /// Repeats that destinations dropped.
     pub dropped: u64,
+    /// Effects that came twice though they must not.
     pub doubled: u64,
     /// From a notice's first handing in to when its client hears that it is handled, in microseconds.
     pub latency: Histogram<u64>,
     /// From a send's decision to when a worker takes it up, in microseconds.
     pub queueing: Histogram<u64>,
+    /// Most messages held at once.
     pub most_held: i64,
     held: i64,
     /// Sends by destination, for each second, where a day asks for it.
