--- a/crates/quillhub-emulator/src/audit.rs
+++ b/crates/quillhub-emulator/src/audit.rs
@@ -102,8 +102,9 @@
     rests: Option<(Duration, NoticeId)>,
 }
 
+/// What the auditor knows of a route.
 #[derive(Default)]
-struct Way {
+struct RouteState {
     out: bool,
     /// Couriers that saw a call fail, or be refused, while it was out.
     knew: BTreeSet<usize>,
@@ -139,7 +140,7 @@
     past: VecDeque<(Duration, NoticeId)>,
     lines: BTreeMap<(usize, u64), Line>,
     couriers: BTreeMap<usize, Told>,
-    ways: BTreeMap<usize, Way>,
+    routes: BTreeMap<usize, RouteState>,
     breaches: Vec<Breach>,
 }
 
@@ -163,7 +164,7 @@
             past: VecDeque::new(),
             lines: BTreeMap::new(),
             couriers: BTreeMap::new(),
-            ways: BTreeMap::new(),
+            routes: BTreeMap::new(),
             breaches: Vec::new(),
         }
     }
@@ -232,15 +233,15 @@
             Fact::Ended { courier, notice, send, outcome } => self.ended(now, courier, notice, send, outcome),
             Fact::Answered { notice, answer, .. } => self.answered(now, notice, answer),
             Fact::Out { route } => {
-                let way = self.ways.entry(route).or_default();
-                *way = Way { out: true, ..Way::default() };
+                let route_state = self.routes.entry(route).or_default();
+                *route_state = RouteState { out: true, ..RouteState::default() };
             }
             Fact::Back { route, milli_per_s } => {
-                let way = self.ways.entry(route).or_default();
-                (way.out, way.back) = (false, Some((now, milli_per_s as f64 / 1_000.0)));
-                way.came.clear();
+                let route_state = self.routes.entry(route).or_default();
+                (route_state.out, route_state.back) = (false, Some((now, milli_per_s as f64 / 1_000.0)));
+                route_state.came.clear();
             }
-            Fact::Went { .. } | Fact::Fell { .. } | Fact::Trouble { .. } => {}
+            Fact::Went { .. } | Fact::Fell { .. } | Fact::Fault { .. } => {}
         }
     }
 
@@ -370,18 +371,18 @@
     fn reached(&mut self, now: Duration, courier: usize, id: NoticeId, send: u32) {
         let Some((_, _, route)) = self.place(id, send) else { return };
         let (factor, push, start, warm_up) = (self.factor, self.push, self.start, self.warm_up);
-        let Some(way) = self.ways.get_mut(&route) else { return };
-        let Some((back, per_s)) = way.back else { return };
+        let Some(route_state) = self.routes.get_mut(&route) else { return };
+        let Some((back, per_s)) = route_state.back else { return };
         if now >= back + warm_up {
-            way.back = None;
-            way.came.clear();
+            route_state.back = None;
+            route_state.came.clear();
             return;
         }
-        way.came.push_back((now, courier));
-        while way.came.front().is_some_and(|(at, _)| *at + push < now) {
-            way.came.pop_front();
+        route_state.came.push_back((now, courier));
+        while route_state.came.front().is_some_and(|(at, _)| *at + push < now) {
+            route_state.came.pop_front();
         }
-        if way.judged || now < back + push {
+        if route_state.judged || now < back + push {
             return;
         }
         // What it could do in the span: its capacity, summed up in small steps.
@@ -394,10 +395,10 @@
                 (start + (1.0 - start) * warmth) * per_s * push.as_secs_f64() / f64::from(steps)
             })
             .sum();
-        let knew = way.came.iter().filter(|(_, courier)| way.knew.contains(courier)).count();
-        if way.came.len() as f64 > factor * could {
-            way.judged = true;
-            if knew as f64 >= way.came.len() as f64 * KNEW {
+        let knew = route_state.came.iter().filter(|(_, courier)| route_state.knew.contains(courier)).count();
+        if route_state.came.len() as f64 > factor * could {
+            route_state.judged = true;
+            if knew as f64 >= route_state.came.len() as f64 * KNEW {
                 self.broken(Rule::Returns, None, back, now, "pushed over by couriers that knew it was out");
             }
         }
@@ -420,11 +421,11 @@
         let route = sent.place.map(|place| place.2);
         sent.ended = Some(outcome);
         let key = notice.key;
-        if let Some(way) = route.and_then(|route| self.ways.get_mut(&route))
-            && way.out
+        if let Some(route_state) = route.and_then(|route| self.routes.get_mut(&route))
+            && route_state.out
             && !matches!(outcome, Outcome::Handled | Outcome::CalledOff | Outcome::Unsent)
         {
-            way.knew.insert(courier);
+            route_state.knew.insert(courier);
         }
         if let (Some(route), Outcome::Refused(Some(wait)) | Outcome::Unproven(Some(wait))) = (route, outcome)
         {
--- a/crates/quillhub-emulator/src/clients.rs
+++ b/crates/quillhub-emulator/src/clients.rs
@@ -80,7 +80,7 @@
     pub destination: DestinationId,
 }
 
-/// All arrivals of a day, in order, as the world has them too; crowds among its troubles are in them, hot
+/// All arrivals of a day, in order, as the world has them too; crowds among its faults are in them, hot
 /// destinations are not.
 pub fn arrivals(day: &Day, seed: u64) -> Vec<Arrival> {
     let shares = Shares::of(day, |_| 1.0);
--- a/crates/quillhub-emulator/src/trouble.rs
+++ b/crates/quillhub-emulator/src/conditions.rs
@@ -1,10 +1,10 @@
-//! What can be wrong with an endpoint or with a way through the network.
+//! What can be wrong with an endpoint or with a path through the network.
 
 use std::time::Duration;
 
 /// What is wrong with a server, by the fault that did it; several hold at once.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) enum Trouble {
+pub(crate) enum ServerFault {
     /// Connections are refused, and those that stood are reset.
     Refuses,
     /// Calls are taken and none is answered; connections come up.
@@ -25,7 +25,7 @@
     Handshake(Duration),
 }
 
-impl Trouble {
+impl ServerFault {
     /// Whether an endpoint struck by it counts as out: down, silent, hung, shut, or most calls failing.
     pub(crate) fn is_outage(self) -> bool {
         match self {
@@ -36,9 +36,9 @@
     }
 }
 
-/// What is wrong with a way from zone to zone.
+/// What is wrong with the path from zone to zone.
 #[derive(Clone, Copy, Debug)]
-pub(crate) enum How {
+pub(crate) enum PathFault {
     /// Nothing gets through, and nobody is told.
     Cut,
     /// Such a share of what is sent does not arrive.
--- a/crates/quillhub-emulator/src/day.rs
+++ b/crates/quillhub-emulator/src/day.rs
@@ -1,7 +1,7 @@
-//! What a day consists of, as written in an experiment file: sizes, laws of chance, rates, and the troubles. Every
+//! What a day consists of, as written in an experiment file: sizes, laws of chance, rates, and the faults. Every
 //! span is written with its unit ("250 ms"); what is left out has the value named at its field.
 
-use crate::faults::Planned;
+use crate::faults::ScheduledFault;
 use quillhub::{Effect, Grade, ListedRate};
 use rand::Rng;
 use rand_distr::{Distribution, Exp, Gamma, LogNormal, Pareto};
@@ -42,7 +42,7 @@
     pub clients: Clients,
     /// What goes wrong, and when.
     #[serde(default)]
-    pub faults: Vec<Planned>,
+    pub faults: Vec<ScheduledFault>,
 }
 
 /// A tenant and what it bought, in notices a second for all couriers; no limit is enforced, what comes over it
--- a/crates/quillhub-emulator/src/fact.rs
+++ b/crates/quillhub-emulator/src/fact.rs
@@ -155,8 +155,8 @@
         /// The route that fell.
         route: usize,
     },
-    /// A trouble began, or ended.
-    Trouble {
+    /// A fault began, or ended.
+    Fault {
         /// The fault's place in the day's list.
         number: usize,
         /// Whether it began, and did not end.
--- a/crates/quillhub-emulator/src/faults/crash.rs
+++ b/crates/quillhub-emulator/src/faults/crash.rs
@@ -1,9 +1,9 @@
-//! Couriers die at once and come back at the trouble's end, with their folder or without it.
+//! Couriers die at once and come back at the fault's end, with their folder or without it.
 
-use super::{Does, Planned, Strike};
+use super::{FaultKind, Injection, ScheduledFault};
 use serde::{Deserialize, Serialize};
 
-/// The fault's figures.
+/// Couriers die at once, and start again at the fault's end.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Crash {
@@ -12,8 +12,8 @@
     pub folder_lost: bool,
 }
 
-impl Strike for Crash {
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Crash { folder_lost: self.folder_lost }
+impl FaultKind for Crash {
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Crash { folder_lost: self.folder_lost }
     }
 }
--- a/crates/quillhub-emulator/src/faults/crowd.rs
+++ b/crates/quillhub-emulator/src/faults/crowd.rs
@@ -1,9 +1,9 @@
 //! So many times as many notices come: a flash crowd, or a hot caller where it names one stream.
 
-use super::{Does, Planned, Strike, Wrong, over_zero};
+use super::{FaultKind, Injection, ScheduledFault, Wrong, over_zero};
 use serde::{Deserialize, Serialize};
 
-/// The fault's figures.
+/// More messages come than usual.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Crowd {
@@ -14,12 +14,12 @@
     pub stream: Option<usize>,
 }
 
-impl Strike for Crowd {
+impl FaultKind for Crowd {
     fn check(&self) -> Wrong {
         over_zero("what.crowd.factor", self.factor)
     }
 
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Crowd { stream: self.stream, factor: self.factor }
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Crowd { stream: self.stream, factor: self.factor }
     }
 }
--- a/crates/quillhub-emulator/src/faults/cut.rs
+++ b/crates/quillhub-emulator/src/faults/cut.rs
@@ -1,14 +1,14 @@
 //! The way from one zone to another is cut, in that direction only: nothing arrives, and nobody is told.
 
-use super::{Does, Planned, Strike};
-use crate::trouble::How;
+use super::{FaultKind, Injection, ScheduledFault};
+use crate::conditions::PathFault;
 use serde::{Deserialize, Serialize};
 
-/// The fault's figures.
+/// Nothing gets from one zone to another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Cut {
-    /// Zones that it goes from and to; absent, any.
+    /// The zone that it goes from; absent, any.
     #[serde(default)]
     pub from: Option<String>,
     /// The zone that it goes to; absent, any.
@@ -16,8 +16,8 @@
     pub to: Option<String>,
 }
 
-impl Strike for Cut {
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Spoil { from: &self.from, to: &self.to, how: How::Cut }
+impl FaultKind for Cut {
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Paths { from: &self.from, to: &self.to, kind: PathFault::Cut }
     }
 }
--- a/crates/quillhub-emulator/src/faults/delay.rs
+++ b/crates/quillhub-emulator/src/faults/delay.rs
@@ -1,18 +1,18 @@
 //! The way from one zone to another takes so much longer.
 
-use super::{Does, Planned, Strike};
-use crate::trouble::How;
+use super::{FaultKind, Injection, ScheduledFault};
+use crate::conditions::PathFault;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// The fault's figures.
+/// The way from one zone to another takes longer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Delay {
     /// How much longer one way takes.
     #[serde(with = "humantime_serde")]
     pub more: Duration,
-    /// Zones that it goes from and to; absent, any.
+    /// The zone that it goes from; absent, any.
     #[serde(default)]
     pub from: Option<String>,
     /// The zone that it goes to; absent, any.
@@ -20,8 +20,8 @@
     pub to: Option<String>,
 }
 
-impl Strike for Delay {
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Spoil { from: &self.from, to: &self.to, how: How::Slower(self.more) }
+impl FaultKind for Delay {
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Paths { from: &self.from, to: &self.to, kind: PathFault::Slower(self.more) }
     }
 }
--- a/crates/quillhub-emulator/src/faults/drain.rs
+++ b/crates/quillhub-emulator/src/faults/drain.rs
@@ -1,11 +1,11 @@
-//! Endpoints drain, one after the other over the trouble's time, and are gone a while after; each may be replaced by
+//! Endpoints drain, one after the other over the fault's time, and are gone a while after; each may be replaced by
 //! one with a new id, at an address of its own or at the old one.
 
-use super::{Does, Planned, Strike};
+use super::{FaultKind, Injection, ScheduledFault};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// The fault's figures.
+/// Endpoints drain one after the other.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Drain {
@@ -28,8 +28,8 @@
     true
 }
 
-impl Strike for Drain {
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Drain(self)
+impl FaultKind for Drain {
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Drain(self)
     }
 }
--- a/crates/quillhub-emulator/src/faults/errors.rs
+++ b/crates/quillhub-emulator/src/faults/errors.rs
@@ -1,10 +1,10 @@
 //! Endpoints fail a share of the calls, quickly.
 
-use super::{Does, Planned, Strike, Wrong, share};
-use crate::trouble::Trouble;
+use super::{FaultKind, Injection, ScheduledFault, Wrong, share};
+use crate::conditions::ServerFault;
 use serde::{Deserialize, Serialize};
 
-/// The fault's figures.
+/// Endpoints fail a share of the calls.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Errors {
@@ -12,12 +12,12 @@
     pub share: f64,
 }
 
-impl Strike for Errors {
+impl FaultKind for Errors {
     fn check(&self) -> Wrong {
         share("what.errors.share", self.share)
     }
 
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Strike(Trouble::Errs(self.share))
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Servers(ServerFault::Errs(self.share))
     }
 }
--- a/crates/quillhub-emulator/src/faults/handshake.rs
+++ b/crates/quillhub-emulator/src/faults/handshake.rs
@@ -1,11 +1,11 @@
 //! Opening a connection takes so much longer.
 
-use super::{Does, Planned, Strike};
-use crate::trouble::Trouble;
+use super::{FaultKind, Injection, ScheduledFault};
+use crate::conditions::ServerFault;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// The fault's figures.
+/// Opening a connection takes longer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Handshake {
@@ -14,8 +14,8 @@
     pub more: Duration,
 }
 
-impl Strike for Handshake {
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Strike(Trouble::Handshake(self.more))
+impl FaultKind for Handshake {
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Servers(ServerFault::Handshake(self.more))
     }
 }
--- a/crates/quillhub-emulator/src/faults/hang.rs
+++ b/crates/quillhub-emulator/src/faults/hang.rs
@@ -1,12 +1,12 @@
 //! Endpoints take calls and answer none; some of these run all the same.
 
-use super::{Does, Planned, Strike};
-use crate::trouble::Trouble;
+use super::{FaultKind, Injection, ScheduledFault};
+use crate::conditions::ServerFault;
 
 pub(crate) struct Hang;
 
-impl Strike for Hang {
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Strike(Trouble::Hangs)
+impl FaultKind for Hang {
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Servers(ServerFault::Hangs)
     }
 }
--- a/crates/quillhub-emulator/src/faults/hot.rs
+++ b/crates/quillhub-emulator/src/faults/hot.rs
@@ -1,9 +1,9 @@
 //! The destinations struck get so many times their share of all notices; how many come stays as it was.
 
-use super::{Does, Planned, Strike, Wrong, over_zero};
+use super::{FaultKind, Injection, ScheduledFault, Wrong, over_zero};
 use serde::{Deserialize, Serialize};
 
-/// The fault's figures.
+/// Some destinations get more than their share of the messages.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Hot {
@@ -11,12 +11,12 @@
     pub factor: f64,
 }
 
-impl Strike for Hot {
+impl FaultKind for Hot {
     fn check(&self) -> Wrong {
         over_zero("what.hot.factor", self.factor)
     }
 
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Heat(self.factor)
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Heat(self.factor)
     }
 }
--- a/crates/quillhub-emulator/src/faults/loss.rs
+++ b/crates/quillhub-emulator/src/faults/loss.rs
@@ -1,16 +1,16 @@
 //! A share of what goes from one zone to another does not arrive.
 
-use super::{Does, Planned, Strike, Wrong, share};
-use crate::trouble::How;
+use super::{FaultKind, Injection, ScheduledFault, Wrong, share};
+use crate::conditions::PathFault;
 use serde::{Deserialize, Serialize};
 
-/// The fault's figures.
+/// A share of what goes from one zone to another is lost.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Loss {
     /// Share of what is lost.
     pub share: f64,
-    /// Zones that it goes from and to; absent, any.
+    /// The zone that it goes from; absent, any.
     #[serde(default)]
     pub from: Option<String>,
     /// The zone that it goes to; absent, any.
@@ -18,12 +18,12 @@
     pub to: Option<String>,
 }
 
-impl Strike for Loss {
+impl FaultKind for Loss {
     fn check(&self) -> Wrong {
         share("what.loss.share", self.share)
     }
 
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Spoil { from: &self.from, to: &self.to, how: How::Loses(self.share) }
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Paths { from: &self.from, to: &self.to, kind: PathFault::Loses(self.share) }
     }
 }
--- a/crates/quillhub-emulator/src/faults/mod.rs
+++ b/crates/quillhub-emulator/src/faults/mod.rs
@@ -1,4 +1,4 @@
-//! Troubles of a day, as data: when, what, whom, how much. They compose; each kind is one file here, which says how
+//! Faults of a day, as data: when, what, whom, how much. They compose; each kind is one file here, which says how
 //! it begins and how it ends, and one line in [`Fault`].
 
 mod crash;
@@ -23,7 +23,7 @@
 mod stall;
 mod whom;
 
-use crate::trouble::{How, Trouble};
+use crate::conditions::{PathFault, ServerFault};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -46,10 +46,10 @@
 pub use whom::Whom;
 pub(crate) use whom::chance_of_fault;
 
-/// A trouble, when it begins and how long it lasts.
+/// A fault, when it begins and how long it lasts.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Planned {
+pub struct ScheduledFault {
     /// When it begins, since the start of the day.
     #[serde(with = "humantime_serde")]
     pub at: Duration,
@@ -63,17 +63,17 @@
     pub whom: Whom,
 }
 
-impl Planned {
+impl ScheduledFault {
     /// How many times as much of a stream comes by it.
     pub(crate) fn crowds(&self, nth: usize) -> Option<f64> {
-        match self.what.does(self) {
-            Does::Crowd { stream, factor } if stream.is_none_or(|one| one == nth) => Some(factor),
+        match self.what.injection(self) {
+            Injection::Crowd { stream, factor } if stream.is_none_or(|one| one == nth) => Some(factor),
             _ => None,
         }
     }
 }
 
-/// The kinds of trouble; those with nothing more to say are written as a word, others as a table of one row.
+/// The kinds of fault; those with nothing more to say are written as a word, others as a table of one row.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Fault {
@@ -134,18 +134,18 @@
     if value > 0.0 && value.is_finite() { Ok(()) } else { wrong(field, "a number over 0", value) }
 }
 
-/// What a trouble does to the world, from its begin to its end.
-pub(crate) enum Does<'a> {
-    /// To the endpoints struck.
-    Strike(Trouble),
-    /// To the ways from one zone to another; absent, any.
-    Spoil {
+/// What a fault does to the world, from its begin to its end.
+pub(crate) enum Injection<'a> {
+    /// To the servers struck.
+    Servers(ServerFault),
+    /// To the paths from one zone to another; absent, any.
+    Paths {
         from: &'a Option<String>,
         to: &'a Option<String>,
-        how: How,
+        kind: PathFault,
     },
-    /// The register is so much later, or out of reach.
-    Register(Option<Duration>),
+    /// Service discovery is so much later, or out of reach.
+    Discovery(Option<Duration>),
     /// A list without such a share of the endpoints struck is told, and the true one at the end.
     Partial(f64),
     Drain(&'a Drain),
@@ -153,7 +153,8 @@
         folder_lost: bool,
     },
     Stall,
-    Notes {
+    /// Gossip between couriers is lost, or so much later.
+    Gossip {
         lost: f64,
         late: Duration,
     },
@@ -164,16 +165,16 @@
     Heat(f64),
 }
 
-/// A kind of trouble.
-pub(crate) trait Strike {
+/// A kind of fault.
+pub(crate) trait FaultKind {
     fn check(&self) -> Wrong {
         Ok(())
     }
-    fn does(&self, planned: &Planned) -> Does<'_>;
+    fn injection(&self, scheduled: &ScheduledFault) -> Injection<'_>;
 }
 
 impl Fault {
-    fn kind(&self) -> &dyn Strike {
+    fn kind(&self) -> &dyn FaultKind {
         match self {
             Self::Refuse => &refuse::Refuse,
             Self::Hang => &hang::Hang,
@@ -217,7 +218,7 @@
         from.iter().chain(to).collect()
     }
 
-    pub(crate) fn does(&self, planned: &Planned) -> Does<'_> {
-        self.kind().does(planned)
+    pub(crate) fn injection(&self, scheduled: &ScheduledFault) -> Injection<'_> {
+        self.kind().injection(scheduled)
     }
 }
--- a/crates/quillhub-emulator/src/faults/mute.rs
+++ b/crates/quillhub-emulator/src/faults/mute.rs
@@ -1,10 +1,10 @@
 //! A share of the answers is lost once their calls have run.
 
-use super::{Does, Planned, Strike, Wrong, share};
-use crate::trouble::Trouble;
+use super::{FaultKind, Injection, ScheduledFault, Wrong, share};
+use crate::conditions::ServerFault;
 use serde::{Deserialize, Serialize};
 
-/// The fault's figures.
+/// A share of the answers is lost.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Mute {
@@ -12,12 +12,12 @@
     pub share: f64,
 }
 
-impl Strike for Mute {
+impl FaultKind for Mute {
     fn check(&self) -> Wrong {
         share("what.mute.share", self.share)
     }
 
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Strike(Trouble::Mutes(self.share))
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Servers(ServerFault::Mutes(self.share))
     }
 }
--- a/crates/quillhub-emulator/src/faults/notes.rs
+++ b/crates/quillhub-emulator/src/faults/notes.rs
@@ -1,10 +1,10 @@
 //! Notes between couriers are lost, or come so much later.
 
-use super::{Does, Planned, Strike, Wrong, share};
+use super::{FaultKind, Injection, ScheduledFault, Wrong, share};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// The fault's figures.
+/// Gossip between couriers is lost, or late.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Notes {
@@ -16,12 +16,12 @@
     pub late: Duration,
 }
 
-impl Strike for Notes {
+impl FaultKind for Notes {
     fn check(&self) -> Wrong {
         share("what.notes.lost", self.lost)
     }
 
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Notes { lost: self.lost, late: self.late }
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Gossip { lost: self.lost, late: self.late }
     }
 }
--- a/crates/quillhub-emulator/src/faults/partial.rs
+++ b/crates/quillhub-emulator/src/faults/partial.rs
@@ -1,9 +1,9 @@
 //! The register tells a whole list in which a share of the endpoints is missing, and the true one at its end.
 
-use super::{Does, Planned, Strike, Wrong, share};
+use super::{FaultKind, Injection, ScheduledFault, Wrong, share};
 use serde::{Deserialize, Serialize};
 
-/// The fault's figures.
+/// Service discovery tells a list that is not whole.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Partial {
@@ -11,12 +11,12 @@
     pub share: f64,
 }
 
-impl Strike for Partial {
+impl FaultKind for Partial {
     fn check(&self) -> Wrong {
         share("what.partial.share", self.share)
     }
 
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Partial(self.share)
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Partial(self.share)
     }
 }
--- a/crates/quillhub-emulator/src/faults/refuse.rs
+++ b/crates/quillhub-emulator/src/faults/refuse.rs
@@ -1,12 +1,12 @@
 //! Endpoints refuse connections; those that stood are reset, and what ran there is cut off.
 
-use super::{Does, Planned, Strike};
-use crate::trouble::Trouble;
+use super::{FaultKind, Injection, ScheduledFault};
+use crate::conditions::ServerFault;
 
 pub(crate) struct Refuse;
 
-impl Strike for Refuse {
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Strike(Trouble::Refuses)
+impl FaultKind for Refuse {
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Servers(ServerFault::Refuses)
     }
 }
--- a/crates/quillhub-emulator/src/faults/register.rs
+++ b/crates/quillhub-emulator/src/faults/register.rs
@@ -1,10 +1,10 @@
 //! The register is out of reach, or so much later than usual; what changes then is told when it is back.
 
-use super::{Does, Planned, Strike};
+use super::{FaultKind, Injection, ScheduledFault};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// The fault's figures.
+/// Service discovery is out of reach, or late.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Register {
@@ -13,8 +13,8 @@
     pub late: Option<Duration>,
 }
 
-impl Strike for Register {
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Register(self.late)
+impl FaultKind for Register {
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Discovery(self.late)
     }
 }
--- a/crates/quillhub-emulator/src/faults/shut.rs
+++ b/crates/quillhub-emulator/src/faults/shut.rs
@@ -1,10 +1,10 @@
 //! Destinations are shut: every call is turned away unseen, with the wait told or without.
 
-use super::{Does, Planned, Strike};
-use crate::trouble::Trouble;
+use super::{FaultKind, Injection, ScheduledFault};
+use crate::conditions::ServerFault;
 use serde::{Deserialize, Serialize};
 
-/// The fault's figures.
+/// Destinations are shut.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Shut {
@@ -13,8 +13,8 @@
     pub tells: bool,
 }
 
-impl Strike for Shut {
-    fn does(&self, planned: &Planned) -> Does<'_> {
-        Does::Strike(Trouble::Shut { until: self.tells.then(|| planned.at + planned.lasts) })
+impl FaultKind for Shut {
+    fn injection(&self, scheduled: &ScheduledFault) -> Injection<'_> {
+        Injection::Servers(ServerFault::Shut { until: self.tells.then(|| scheduled.at + scheduled.lasts) })
     }
 }
--- a/crates/quillhub-emulator/src/faults/silent.rs
+++ b/crates/quillhub-emulator/src/faults/silent.rs
@@ -1,12 +1,12 @@
 //! Nothing comes back from endpoints, not even for a new connection: a black hole, not a refusal.
 
-use super::{Does, Planned, Strike};
-use crate::trouble::Trouble;
+use super::{FaultKind, Injection, ScheduledFault};
+use crate::conditions::ServerFault;
 
 pub(crate) struct Silent;
 
-impl Strike for Silent {
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Strike(Trouble::Silent)
+impl FaultKind for Silent {
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Servers(ServerFault::Silent)
     }
 }
--- a/crates/quillhub-emulator/src/faults/slow.rs
+++ b/crates/quillhub-emulator/src/faults/slow.rs
@@ -1,10 +1,10 @@
 //! Calls take so many times as long at endpoints.
 
-use super::{Does, Planned, Strike, Wrong, over_zero};
-use crate::trouble::Trouble;
+use super::{FaultKind, Injection, ScheduledFault, Wrong, over_zero};
+use crate::conditions::ServerFault;
 use serde::{Deserialize, Serialize};
 
-/// The fault's figures.
+/// Calls take longer at endpoints.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Slow {
@@ -12,12 +12,12 @@
     pub factor: f64,
 }
 
-impl Strike for Slow {
+impl FaultKind for Slow {
     fn check(&self) -> Wrong {
         over_zero("what.slow.factor", self.factor)
     }
 
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Strike(Trouble::Slow(self.factor))
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Servers(ServerFault::Slow(self.factor))
     }
 }
--- a/crates/quillhub-emulator/src/faults/stale.rs
+++ b/crates/quillhub-emulator/src/faults/stale.rs
@@ -1,10 +1,10 @@
 //! A share of the kept connections is dead, which shows only when one is used.
 
-use super::{Does, Planned, Strike, Wrong, share};
-use crate::trouble::Trouble;
+use super::{FaultKind, Injection, ScheduledFault, Wrong, share};
+use crate::conditions::ServerFault;
 use serde::{Deserialize, Serialize};
 
-/// The fault's figures.
+/// A share of the kept connections is dead.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Stale {
@@ -12,12 +12,12 @@
     pub share: f64,
 }
 
-impl Strike for Stale {
+impl FaultKind for Stale {
     fn check(&self) -> Wrong {
         share("what.stale.share", self.share)
     }
 
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Strike(Trouble::Stale(self.share))
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Servers(ServerFault::Stale(self.share))
     }
 }
--- a/crates/quillhub-emulator/src/faults/stall.rs
+++ b/crates/quillhub-emulator/src/faults/stall.rs
@@ -1,11 +1,11 @@
-//! Couriers stand still: what happens meanwhile they learn at the trouble's end, all at once.
+//! Couriers stand still: what happens meanwhile they learn at the fault's end, all at once.
 
-use super::{Does, Planned, Strike};
+use super::{FaultKind, Injection, ScheduledFault};
 
 pub(crate) struct Stall;
 
-impl Strike for Stall {
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Stall
+impl FaultKind for Stall {
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Stall
     }
 }
--- a/crates/quillhub-emulator/src/faults/whom.rs
+++ b/crates/quillhub-emulator/src/faults/whom.rs
@@ -5,7 +5,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 
-/// Who is struck by a trouble; all that fit, where nothing is said.
+/// Who is struck by a fault; all that fit, where nothing is said.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Whom {
--- a/crates/quillhub-emulator/src/lib.rs
+++ b/crates/quillhub-emulator/src/lib.rs
@@ -1,5 +1,5 @@
 //! The world that couriers serve, in virtual time: destinations, the network, the register, clients, and the
-//! troubles of all of these. It has no I/O and no threads, and one seed settles a run to the last bit.
+//! faults of all of these. It has no I/O and no threads, and one seed settles a run to the last bit.
 //!
 //! A [`Day`] says what there is and what happens to it. [`World::run`] plays it: for each courier it starts one
 //! [`Decider`], the real module ([`module`]) or whatever is to be compared with it, tells it its inputs and
@@ -41,6 +41,7 @@
 
 mod audit;
 mod clients;
+mod conditions;
 mod day;
 mod decider;
 mod fact;
@@ -50,7 +51,6 @@
 mod server;
 mod site;
 mod tally;
-mod trouble;
 mod world;
 
 pub use audit::{Auditor, Breach, Rule};
--- a/crates/quillhub-emulator/src/server.rs
+++ b/crates/quillhub-emulator/src/server.rs
@@ -1,9 +1,9 @@
 //! Destinations as they are: routes with their limits, outages and returns, and the servers behind endpoints with
-//! workers, queues, connections and whatever troubles strike them. Nothing here knows of events or couriers' minds.
+//! workers, queues, connections and whatever faults strike them. Nothing here knows of events or couriers' minds.
 
+use crate::conditions::ServerFault;
 use crate::day::{Destinations, Returns};
 use crate::limit::Limit;
-use crate::trouble::Trouble;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -72,62 +72,62 @@
     pub(crate) open: usize,
     /// Idle connections by courier, and since when; gone when used, hung up or closed for idleness.
     pub(crate) idle: BTreeMap<usize, Vec<Duration>>,
-    pub(crate) troubles: Vec<(usize, Trouble)>,
+    pub(crate) faults: Vec<(usize, ServerFault)>,
 }
 
 impl Server {
     pub(crate) fn new(destination: usize, kind: usize, zone: usize, route: usize, pace: f64) -> Self {
-        let (idle, troubles, queue) = (BTreeMap::new(), Vec::new(), VecDeque::new());
-        Self { destination, kind, zone, route, pace, busy: 0, starts: 0, queue, open: 0, idle, troubles }
+        let (idle, faults, queue) = (BTreeMap::new(), Vec::new(), VecDeque::new());
+        Self { destination, kind, zone, route, pace, busy: 0, starts: 0, queue, open: 0, idle, faults }
     }
 
     pub(crate) fn is_out(&self) -> bool {
-        self.troubles.iter().any(|(_, trouble)| trouble.is_outage())
+        self.faults.iter().any(|(_, fault)| fault.is_outage())
     }
 
     pub(crate) fn refuses(&self) -> bool {
-        self.troubles.iter().any(|(_, t)| *t == Trouble::Refuses)
+        self.faults.iter().any(|(_, t)| *t == ServerFault::Refuses)
     }
 
     pub(crate) fn silent(&self) -> bool {
-        self.troubles.iter().any(|(_, t)| *t == Trouble::Silent)
+        self.faults.iter().any(|(_, t)| *t == ServerFault::Silent)
     }
 
     pub(crate) fn hangs(&self) -> bool {
-        self.troubles.iter().any(|(_, t)| matches!(t, Trouble::Hangs | Trouble::Silent))
+        self.faults.iter().any(|(_, t)| matches!(t, ServerFault::Hangs | ServerFault::Silent))
     }
 
     /// When it opens, if it is shut, and whether that is told.
     pub(crate) fn shut(&self) -> Option<Option<Duration>> {
-        let shut = |t: &Trouble| if let Trouble::Shut { until } = t { Some(*until) } else { None };
-        self.troubles.iter().filter_map(|(_, t)| shut(t)).max()
+        let shut = |t: &ServerFault| if let ServerFault::Shut { until } = t { Some(*until) } else { None };
+        self.faults.iter().filter_map(|(_, t)| shut(t)).max()
     }
 
-    /// The share that all troubles together leave over, of those shares that `of` picks.
-    fn spared(&self, of: impl Fn(&Trouble) -> Option<f64>) -> f64 {
-        self.troubles.iter().filter_map(|(_, t)| of(t)).map(|share| 1.0 - share).product()
+    /// The share that all faults together leave over, of those shares that `of` picks.
+    fn spared(&self, of: impl Fn(&ServerFault) -> Option<f64>) -> f64 {
+        self.faults.iter().filter_map(|(_, t)| of(t)).map(|share| 1.0 - share).product()
     }
 
     pub(crate) fn errs(&self) -> f64 {
-        1.0 - self.spared(|t| if let Trouble::Errs(share) = t { Some(*share) } else { None })
+        1.0 - self.spared(|t| if let ServerFault::Errs(share) = t { Some(*share) } else { None })
     }
 
     pub(crate) fn mutes(&self) -> f64 {
-        1.0 - self.spared(|t| if let Trouble::Mutes(share) = t { Some(*share) } else { None })
+        1.0 - self.spared(|t| if let ServerFault::Mutes(share) = t { Some(*share) } else { None })
     }
 
     pub(crate) fn stale(&self) -> f64 {
-        1.0 - self.spared(|t| if let Trouble::Stale(share) = t { Some(*share) } else { None })
+        1.0 - self.spared(|t| if let ServerFault::Stale(share) = t { Some(*share) } else { None })
     }
 
     pub(crate) fn slow(&self) -> f64 {
-        let factor = |t: &Trouble| if let Trouble::Slow(factor) = t { Some(*factor) } else { None };
-        self.troubles.iter().filter_map(|(_, t)| factor(t)).product()
+        let factor = |t: &ServerFault| if let ServerFault::Slow(factor) = t { Some(*factor) } else { None };
+        self.faults.iter().filter_map(|(_, t)| factor(t)).product()
     }
 
     pub(crate) fn handshake(&self) -> Duration {
-        let more = |t: &Trouble| if let Trouble::Handshake(more) = t { Some(*more) } else { None };
-        self.troubles.iter().filter_map(|(_, t)| more(t)).sum()
+        let more = |t: &ServerFault| if let ServerFault::Handshake(more) = t { Some(*more) } else { None };
+        self.faults.iter().filter_map(|(_, t)| more(t)).sum()
     }
 
     /// Closes what idled for too long.
@@ -181,13 +181,14 @@
     }
 
     #[test]
-    fn troubles_compose() {
+    fn faults_compose() {
         let mut server = Server::new(0, 0, 0, 0, 1.0);
-        server.troubles = vec![(0, Trouble::Slow(2.0)), (1, Trouble::Slow(3.0)), (2, Trouble::Errs(0.5))];
+        server.faults =
+            vec![(0, ServerFault::Slow(2.0)), (1, ServerFault::Slow(3.0)), (2, ServerFault::Errs(0.5))];
         assert_eq!((server.slow(), server.errs(), server.is_out()), (6.0, 0.5, false));
-        server.troubles.push((3, Trouble::Errs(0.5)));
+        server.faults.push((3, ServerFault::Errs(0.5)));
         assert_eq!(server.errs(), 0.75);
-        server.troubles.retain(|(fault, _)| *fault != 0);
+        server.faults.retain(|(fault, _)| *fault != 0);
         assert_eq!(server.slow(), 3.0);
     }
 }
--- a/crates/quillhub-emulator/src/site.rs
+++ b/crates/quillhub-emulator/src/site.rs
@@ -1,11 +1,11 @@
 //! All destinations of a day as one thing: what is where, who is struck, and what an endpoint does with a call that
 //! came. No events and no couriers: the world drives it in virtual time, stand-ins drive it on sockets.
 
+use crate::conditions::ServerFault;
 use crate::day::Day;
-use crate::faults::{Does, Drain, Whom, chance_of_fault};
+use crate::faults::{Drain, Injection, Whom, chance_of_fault};
 use crate::limit::Limit;
 use crate::server::{Route, Server, warmth};
-use crate::trouble::Trouble;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeSet, VecDeque};
@@ -38,7 +38,7 @@
     Queues,
 }
 
-/// What stand-ins on sockets have to do for a trouble of a day.
+/// What stand-ins on sockets have to do for a fault of a day.
 #[derive(Clone, Copy, Debug)]
 pub enum Shown<'a> {
     /// Nothing but [`Site::begins_fault`].
@@ -53,7 +53,7 @@
     Not,
 }
 
-/// What changed for a route by a trouble's begin or end.
+/// What changed for a route by a fault's begin or end.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Turn {
     Out,
@@ -143,7 +143,7 @@
         if falls {
             self.routes[route].fell = true;
             for server in self.routes[route].servers.clone() {
-                self.servers[server].troubles.push((FALL, Trouble::Refuses));
+                self.servers[server].faults.push((FALL, ServerFault::Refuses));
             }
         }
         let (server, route) = (&mut self.servers[at], &mut self.routes[route]);
@@ -254,7 +254,7 @@
         free.min(limit).min(cold)
     }
 
-    /// The servers that a trouble strikes; `open` says which may be struck. The choice is the same whatever was
+    /// The servers that a fault strikes; `open` says which may be struck. The choice is the same whatever was
     /// decided before.
     pub fn struck(&self, number: usize, whom: &Whom, open: impl Fn(usize) -> bool) -> Vec<usize> {
         let kind = |at: usize| &self.day.destinations[self.servers[at].kind].kind;
@@ -273,43 +273,43 @@
         struck
     }
 
-    /// What a trouble of the day is on sockets. A new endpoint at a new address is more than stand-ins do.
+    /// What a fault of the day is on sockets. A new endpoint at a new address is more than stand-ins do.
     pub fn shown(&self, number: usize) -> Shown<'a> {
-        let planned = &self.day.faults[number];
-        match planned.what.does(planned) {
-            Does::Strike(_) => Shown::ByEndpoints,
-            Does::Register(None) => Shown::ByRegister,
-            Does::Drain(by) if by.same_address || !by.replaced => Shown::ByDrain(by),
-            Does::Crowd { .. } => Shown::ByArrivals,
+        let scheduled = &self.day.faults[number];
+        match scheduled.what.injection(scheduled) {
+            Injection::Servers(_) => Shown::ByEndpoints,
+            Injection::Discovery(None) => Shown::ByRegister,
+            Injection::Drain(by) if by.same_address || !by.replaced => Shown::ByDrain(by),
+            Injection::Crowd { .. } => Shown::ByArrivals,
             _ => Shown::Not,
         }
     }
 
-    /// A trouble of the day begins, as far as it strikes endpoints.
+    /// A fault of the day begins, as far as it strikes endpoints.
     pub fn begins_fault(&mut self, number: usize, now: Duration) {
-        let planned = &self.day.faults[number];
-        let Does::Strike(trouble) = planned.what.does(planned) else { return };
-        for at in self.struck(number, &planned.whom, |_| true) {
-            self.troubled(at, number, trouble);
+        let scheduled = &self.day.faults[number];
+        let Injection::Servers(fault) = scheduled.what.injection(scheduled) else { return };
+        for at in self.struck(number, &scheduled.whom, |_| true) {
+            self.strike(at, number, fault);
             self.turns(self.servers[at].route, now);
         }
     }
 
     /// A fault of the day ends, as far as it struck endpoints.
     pub fn ends_fault(&mut self, number: usize, now: Duration) {
-        for at in self.relieved(number) {
+        for at in self.relieve(number) {
             self.turns(self.servers[at].route, now);
         }
     }
 
-    /// A trouble begins at a server. What stood there is cut off if it refuses connections from now on: its queue is
+    /// A fault begins at a server. What stood there is cut off if it refuses connections from now on: its queue is
     /// empty then, and its workers are free.
-    pub(crate) fn troubled(&mut self, at: usize, number: usize, trouble: Trouble) {
+    pub(crate) fn strike(&mut self, at: usize, number: usize, fault: ServerFault) {
         let server = &mut self.servers[at];
         if number != FALL {
-            server.troubles.push((number, trouble));
+            server.faults.push((number, fault));
         }
-        if trouble == Trouble::Refuses {
+        if fault == ServerFault::Refuses {
             server.idle.clear();
             server.queue.clear();
             server.busy = 0;
@@ -317,13 +317,13 @@
         }
     }
 
-    /// The end of a trouble; the servers that it struck.
-    pub(crate) fn relieved(&mut self, number: usize) -> Vec<usize> {
+    /// The end of a fault; the servers that it struck.
+    pub(crate) fn relieve(&mut self, number: usize) -> Vec<usize> {
         let mut struck = Vec::new();
         for (at, server) in self.servers.iter_mut().enumerate() {
-            let before = server.troubles.len();
-            server.troubles.retain(|(fault, _)| *fault != number);
-            if server.troubles.len() != before {
+            let before = server.faults.len();
+            server.faults.retain(|(fault, _)| *fault != number);
+            if server.faults.len() != before {
                 struck.push(at);
             }
         }
--- a/crates/quillhub-emulator/src/world/calls.rs
+++ b/crates/quillhub-emulator/src/world/calls.rs
@@ -132,8 +132,8 @@
 
     /// The time to a zone and back; nothing if either way is lost.
     fn round_trip(&mut self, here: usize, there: usize) -> Option<Duration> {
-        let to = self.ways.pass(&mut self.rng, here, there);
-        let back = self.ways.pass(&mut self.rng, there, here);
+        let to = self.paths.pass(&mut self.rng, here, there);
+        let back = self.paths.pass(&mut self.rng, there, here);
         Some(to? + back?)
     }
 
@@ -162,7 +162,7 @@
         let Call { courier, notice, attempt, .. } = *call;
         self.fact(&Fact::Went { courier, notice, send: attempt });
         let (from, to) = self.zones_of_call(number);
-        if let Some(delay) = self.ways.pass(&mut self.rng, from, to) {
+        if let Some(delay) = self.paths.pass(&mut self.rng, from, to) {
             self.call_mut(number).at_endpoint = true;
             self.after(delay, Event::CallArrives { call: number });
         }
@@ -244,7 +244,7 @@
         let Some(entry) = self.discovery.find(endpoint) else { return 0 };
         let entry = &self.discovery.entries[entry];
         let (here, there) = (self.couriers[courier].zone, self.site.servers[entry.server].zone);
-        let cut = self.ways.is_bad(here, there) || self.ways.is_bad(there, here);
+        let cut = self.paths.is_bad(here, there) || self.paths.is_bad(there, here);
         if cut || entry.removed || entry.listing != Listing::Open {
             return 0;
         }
--- a/crates/quillhub-emulator/src/world/couriers.rs
+++ b/crates/quillhub-emulator/src/world/couriers.rs
@@ -154,7 +154,7 @@
         for other in (0..self.couriers.len()).filter(|other| *other != courier) {
             let lost = self.rng.random::<f64>() >= arrives;
             let (from, to) = (self.couriers[courier].zone, self.couriers[other].zone);
-            let delay = self.ways.pass(&mut self.rng, from, to).filter(|_| !lost);
+            let delay = self.paths.pass(&mut self.rng, from, to).filter(|_| !lost);
             if let Some(delay) = delay {
                 self.after(delay + late, Event::Gossip { courier: other, octets: octets.to_vec() });
             }
--- a/crates/quillhub-emulator/src/world/discovery.rs
+++ b/crates/quillhub-emulator/src/world/discovery.rs
@@ -5,7 +5,7 @@
 use crate::day::{Rates, RegisterForm};
 use crate::decider::Input;
 use crate::fact::Fact;
-use crate::faults::{Drain, Planned, chance_of_fault};
+use crate::faults::{Drain, ScheduledFault, chance_of_fault};
 use quillhub::{DestinationId, Listing};
 use rand::RngExt;
 use std::collections::{BTreeMap, BTreeSet};
@@ -252,9 +252,9 @@
     }
 
     /// Sends a list without a share of the endpoints that a fault strikes.
-    pub(super) fn send_partial_snapshot(&mut self, fault: usize, planned: &Planned, share: f64) {
+    pub(super) fn send_partial_snapshot(&mut self, fault: usize, scheduled: &ScheduledFault, share: f64) {
         let mut rng = chance_of_fault(self.seed, fault);
-        let struck: BTreeSet<_> = self.servers_struck(fault, &planned.whom).into_iter().collect();
+        let struck: BTreeSet<_> = self.servers_struck(fault, &scheduled.whom).into_iter().collect();
         let mut entries = self.discovery.snapshot();
         entries.retain(|(entry, _)| {
             let server = self.discovery.entries[*entry].server;
@@ -275,11 +275,11 @@
     }
 
     /// The endpoints that a fault strikes drain one after the other over its time.
-    pub(super) fn drain(&mut self, fault: usize, planned: &Planned, drain: &Drain) {
-        let struck: BTreeSet<_> = self.servers_struck(fault, &planned.whom).into_iter().collect();
+    pub(super) fn drain(&mut self, fault: usize, scheduled: &ScheduledFault, drain: &Drain) {
+        let struck: BTreeSet<_> = self.servers_struck(fault, &scheduled.whom).into_iter().collect();
         let open = self.discovery.open().filter(|(_, entry)| struck.contains(&entry.server));
         let entries: Vec<_> = open.map(|(number, _)| number).collect();
-        let each = planned.lasts / entries.len().max(1) as u32;
+        let each = scheduled.lasts / entries.len().max(1) as u32;
         for (nth, entry) in entries.into_iter().enumerate() {
             self.after(each * nth as u32, Event::DrainBegins { entry, drain: drain.clone() });
         }
--- a/crates/quillhub-emulator/src/world/faults.rs
+++ b/crates/quillhub-emulator/src/world/faults.rs
@@ -3,61 +3,63 @@
 use super::World;
 use super::clients::HotSpot;
 use super::couriers::GossipFault;
+use crate::conditions::PathFault;
 use crate::fact::Fact;
-use crate::faults::{Does, Whom, chance_of_fault};
-use crate::network::Spoilt;
-use crate::trouble::How;
+use crate::faults::{Injection, Whom, chance_of_fault};
+use crate::network::ImpairedPath;
 use std::collections::BTreeSet;
 
 impl World<'_> {
     pub(super) fn fault_begins(&mut self, fault: usize) {
-        self.fact(&Fact::Trouble { number: fault, begins: true });
-        let planned = &self.day.faults[fault];
-        let (whom, until) = (&planned.whom, planned.at + planned.lasts);
-        match planned.what.does(planned) {
-            Does::Strike(trouble) => {
+        self.fact(&Fact::Fault { number: fault, begins: true });
+        let scheduled = &self.day.faults[fault];
+        let (whom, until) = (&scheduled.whom, scheduled.at + scheduled.lasts);
+        match scheduled.what.injection(scheduled) {
+            Injection::Servers(server_fault) => {
                 for server in self.servers_struck(fault, whom) {
-                    self.strike_server(server, fault, trouble);
+                    self.strike_server(server, fault, server_fault);
                 }
             }
-            Does::Spoil { from, to, how } => self.spoil_ways(fault, from.as_deref(), to.as_deref(), how),
-            Does::Register(late) => self.discovery_fault_begins(fault, late),
-            Does::Partial(share) => self.send_partial_snapshot(fault, planned, share),
-            Does::Drain(drain) => self.drain(fault, planned, drain),
-            Does::Crash { folder_lost } => {
+            Injection::Paths { from, to, kind } => {
+                self.impair_paths(fault, from.as_deref(), to.as_deref(), kind);
+            }
+            Injection::Discovery(late) => self.discovery_fault_begins(fault, late),
+            Injection::Partial(share) => self.send_partial_snapshot(fault, scheduled, share),
+            Injection::Drain(drain) => self.drain(fault, scheduled, drain),
+            Injection::Crash { folder_lost } => {
                 for courier in self.couriers_struck(fault, whom) {
                     self.kill(courier, folder_lost, until);
                 }
             }
-            Does::Stall => {
+            Injection::Stall => {
                 for courier in self.couriers_struck(fault, whom) {
                     self.stall(courier, until);
                 }
             }
-            Does::Notes { lost, late } => self.gossip_faults.push(GossipFault { fault, lost, late }),
-            Does::Crowd { stream, factor } => self.crowd(fault, stream, factor),
-            Does::Heat(factor) => self.heat(fault, whom, factor),
+            Injection::Gossip { lost, late } => self.gossip_faults.push(GossipFault { fault, lost, late }),
+            Injection::Crowd { stream, factor } => self.crowd(fault, stream, factor),
+            Injection::Heat(factor) => self.heat(fault, whom, factor),
         }
     }
 
     /// Undoes what a fault did, as far as it does not end by itself.
     pub(super) fn fault_ends(&mut self, fault: usize) {
-        self.fact(&Fact::Trouble { number: fault, begins: false });
-        let planned = &self.day.faults[fault];
-        match planned.what.does(planned) {
-            Does::Strike(_) => self.relieve_servers(fault),
-            Does::Spoil { .. } => self.ways.spoilt.retain(|spoilt| spoilt.fault != fault),
-            Does::Register(_) => self.discovery_fault_ends(fault),
-            Does::Partial(_) => self.send_snapshot(),
-            Does::Notes { .. } => self.gossip_faults.retain(|other| other.fault != fault),
-            Does::Crowd { .. } => {
+        self.fact(&Fact::Fault { number: fault, begins: false });
+        let scheduled = &self.day.faults[fault];
+        match scheduled.what.injection(scheduled) {
+            Injection::Servers(_) => self.relieve_servers(fault),
+            Injection::Paths { .. } => self.paths.impaired.retain(|impaired| impaired.fault != fault),
+            Injection::Discovery(_) => self.discovery_fault_ends(fault),
+            Injection::Partial(_) => self.send_snapshot(),
+            Injection::Gossip { .. } => self.gossip_faults.retain(|other| other.fault != fault),
+            Injection::Crowd { .. } => {
                 self.streams.iter_mut().for_each(|stream| stream.factors.retain(|(by, _)| *by != fault));
             }
-            Does::Heat(_) => {
+            Injection::Heat(_) => {
                 self.hot_spots.retain(|spot| spot.fault != fault);
                 self.share_out();
             }
-            Does::Drain(_) | Does::Crash { .. } | Does::Stall => {}
+            Injection::Drain(_) | Injection::Crash { .. } | Injection::Stall => {}
         }
     }
 
@@ -77,15 +79,15 @@
     }
 
     fn relieve_servers(&mut self, fault: usize) {
-        for server in self.site.relieved(fault) {
+        for server in self.site.relieve(fault) {
             self.route_changes(self.site.servers[server].route);
         }
     }
 
-    fn spoil_ways(&mut self, fault: usize, from: Option<&str>, to: Option<&str>, how: How) {
+    fn impair_paths(&mut self, fault: usize, from: Option<&str>, to: Option<&str>, kind: PathFault) {
         let zones = &self.day.couriers.zones;
         let zone = |name: Option<&str>| name.and_then(|name| zones.iter().position(|zone| zone == name));
-        self.ways.spoilt.push(Spoilt { fault, from: zone(from), to: zone(to), how });
+        self.paths.impaired.push(ImpairedPath { fault, from: zone(from), to: zone(to), kind });
     }
 
     /// The destinations that a fault strikes get more than their share of all messages.
--- a/crates/quillhub-emulator/src/world/mod.rs
+++ b/crates/quillhub-emulator/src/world/mod.rs
@@ -19,7 +19,7 @@
 use crate::day::Day;
 use crate::decider::{Decider, Start};
 use crate::fact::Fact;
-use crate::network::Ways;
+use crate::network::Paths;
 use crate::site::{Site, chance};
 use calls::Call;
 use clients::HotSpot;
@@ -52,7 +52,7 @@
     rng: Pcg64Mcg,
     /// Chance of the front that deals messages out to couriers.
     front: Pcg64Mcg,
-    ways: Ways,
+    paths: Paths,
     site: Site<'a>,
     discovery: Discovery,
     streams: Vec<Stream>,
@@ -95,7 +95,7 @@
             record: Record::new(day, observer),
             rng: chance(seed, 1),
             front: chance(seed, 3),
-            ways: Ways::new(day.network.clone()),
+            paths: Paths::new(day.network.clone()),
             site: Site::new(day, seed),
             discovery: Discovery::default(),
             streams: (0..day.arrivals.len()).map(|nth| Stream::new(stream_chance(seed, nth))).collect(),
@@ -121,9 +121,9 @@
         for stream in 0..self.day.arrivals.len() {
             self.schedule_arrival(stream);
         }
-        for (fault, planned) in self.day.faults.iter().enumerate() {
-            self.clock.at(planned.at, Event::FaultBegins { fault });
-            self.clock.at(planned.at + planned.lasts, Event::FaultEnds { fault });
+        for (fault, scheduled) in self.day.faults.iter().enumerate() {
+            self.clock.at(scheduled.at, Event::FaultBegins { fault });
+            self.clock.at(scheduled.at + scheduled.lasts, Event::FaultEnds { fault });
         }
     }
 
--- a/crates/quillhub-emulator/src/world/servers.rs
+++ b/crates/quillhub-emulator/src/world/servers.rs
@@ -4,9 +4,9 @@
 use super::calls::Call;
 use super::effects::IdempotencyKey;
 use super::event::{CallEnd, Event};
+use crate::conditions::ServerFault;
 use crate::fact::Fact;
 use crate::site::{Site, Taken, Turn};
-use crate::trouble::Trouble;
 use quillhub::Outcome;
 use rand::RngExt;
 use std::time::Duration;
@@ -41,7 +41,7 @@
     fn route_falls(&mut self, server: usize) {
         self.fact(&Fact::Fell { route: self.site.servers[server].route });
         for fallen in self.site.fallen(server) {
-            self.strike_server(fallen, Site::FALL, Trouble::Refuses);
+            self.strike_server(fallen, Site::FALL, ServerFault::Refuses);
         }
     }
 
@@ -127,13 +127,13 @@
     fn way_back(&mut self, number: u64) -> Option<Duration> {
         let Call { courier, server, .. } = self.calls[&number];
         let (from, to) = (self.site.servers[server].zone, self.couriers[courier].zone);
-        self.ways.pass(&mut self.rng, from, to)
+        self.paths.pass(&mut self.rng, from, to)
     }
 
-    /// A trouble begins at a server.
-    pub(super) fn strike_server(&mut self, server: usize, fault: usize, trouble: Trouble) {
-        self.site.troubled(server, fault, trouble);
-        if trouble == Trouble::Refuses {
+    /// A fault begins at a server.
+    pub(super) fn strike_server(&mut self, server: usize, number: usize, fault: ServerFault) {
+        self.site.strike(server, number, fault);
+        if fault == ServerFault::Refuses {
             self.cut_off_calls(server);
         }
         self.route_changes(self.site.servers[server].route);
--- a/crates/quillhub-emulator/tests/mutants.rs
+++ b/crates/quillhub-emulator/tests/mutants.rs
@@ -230,7 +230,7 @@
     }
 }
 
-/// A day with grades, destinations and troubles for all six rules; `grades` and `faults` pick what is played.
+/// A day with grades, destinations and faults for all six rules; `grades` and `faults` pick what is played.
 fn day(grades: &[&str], faults: &str, more: &str) -> Day {
     let streams: String = grades
         .iter()
@@ -436,7 +436,7 @@
     caught(&day, &told, Flaw::IsTold, Rule::Order);
 }
 
-/// All troubles at once, on several seeds: the module keeps all rules.
+/// All faults at once, on several seeds: the module keeps all rules.
 #[test]
 fn the_module_is_clean_on_a_day_with_all_of_it() {
     let all = ["order", "zoned", "pay", "status", "turns"];
--- a/crates/quillhub-lab/src/command.rs
+++ b/crates/quillhub-lab/src/command.rs
@@ -236,8 +236,8 @@
     let line: Line = argh::from_env();
     match obey(line.command) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(trouble) => {
-            eprintln!("{trouble}");
+        Err(error) => {
+            eprintln!("{error}");
             ExitCode::from(2)
         }
     }
--- a/crates/quillhub-lab/src/explain.rs
+++ b/crates/quillhub-lab/src/explain.rs
@@ -6,7 +6,7 @@
 use quillhub_emulator::{Fact, line};
 use std::collections::BTreeSet;
 
-/// The lines on a notice, by its number or by its client's (`order`); troubles that began or ended are among them.
+/// The lines on a notice, by its number or by its client's (`order`); faults that began or ended are among them.
 pub fn explain(planned: &Planned, run: &Kept, wanted: u64) -> Result<Vec<String>, String> {
     let variant = planned.variants.iter().find(|variant| variant.name == run.variant);
     let variant = variant.ok_or(format!("expected days named '{}', found none", run.variant))?;
@@ -23,7 +23,7 @@
         }
         let is_about = fact.notice().is_some_and(|notice| names.contains(&notice));
         about += usize::from(is_about);
-        if is_about || matches!(fact, Fact::Trouble { .. }) {
+        if is_about || matches!(fact, Fact::Fault { .. }) {
             lines.push(line(at, fact));
         }
     });
--- a/crates/quillhub-lab/tests/fleet.rs
+++ b/crates/quillhub-lab/tests/fleet.rs
@@ -1,4 +1,4 @@
-//! The fleet's days in small: thirty couriers instead of three hundred, the same troubles, fixed seeds. What each
+//! The fleet's days in small: thirty couriers instead of three hundred, the same faults, fixed seeds. What each
 //! courier does alone must not add up to a broken rule, nor to less than a single try earns.
 
 use quillhub_lab::experiment::Planned;
