--- a/crates/quillhub-emulator/src/clients.rs
+++ b/crates/quillhub-emulator/src/clients.rs
@@ -72,12 +72,15 @@
 /// One arrival of a day; `destination` as couriers know it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Arrival {
+    /// When it comes, since the start of the day.
     pub at: Duration,
+    /// Its service class, by its place in the day's list.
     pub grade: usize,
+    /// The destination that it is for.
     pub destination: DestinationId,
 }
 
-/// All arrivals of a day, in order, as the world has them too; crowds among its troubles are in them, hot
+/// All arrivals of a day, in order, as the world has them too; crowds among its faults are in them, hot
 /// destinations are not.
 pub fn arrivals(day: &Day, seed: u64) -> Vec<Arrival> {
     let shares = Shares::of(day, |_| 1.0);
--- a/crates/quillhub-emulator/src/faults/mute.rs
+++ b/crates/quillhub-emulator/src/faults/mute.rs
@@ -1,21 +1,23 @@
 //! A share of the answers is lost once their calls have run.
 
-use super::{Does, Planned, Strike, Wrong, share};
-use crate::trouble::Trouble;
+use super::{FaultKind, Injection, ScheduledFault, Wrong, share};
+use crate::conditions::ServerFault;
 use serde::{Deserialize, Serialize};
 
+/// A share of the answers is lost.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Mute {
+    /// Share of the answers lost.
     pub share: f64,
 }
 
-impl Strike for Mute {
+impl FaultKind for Mute {
     fn check(&self) -> Wrong {
         share("what.mute.share", self.share)
     }
 
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Strike(Trouble::Mutes(self.share))
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Servers(ServerFault::Mutes(self.share))
     }
 }
--- a/crates/quillhub-emulator/src/faults/notes.rs
+++ b/crates/quillhub-emulator/src/faults/notes.rs
@@ -1,25 +1,27 @@
 //! Notes between couriers are lost, or come so much later.
 
-use super::{Does, Planned, Strike, Wrong, share};
+use super::{FaultKind, Injection, ScheduledFault, Wrong, share};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
+/// Gossip between couriers is lost, or late.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Notes {
     /// Share of the notes lost.
     #[serde(default)]
     pub lost: f64,
+    /// How much later those come that are not lost.
     #[serde(default, with = "humantime_serde")]
     pub late: Duration,
 }
 
-impl Strike for Notes {
+impl FaultKind for Notes {
     fn check(&self) -> Wrong {
         share("what.notes.lost", self.lost)
     }
 
-    fn does(&self, _: &Planned) -> Does<'_> {
-        Does::Notes { lost: self.lost, late: self.late }
+    fn injection(&self, _: &ScheduledFault) -> Injection<'_> {
+        Injection::Gossip { lost: self.lost, late: self.late }
     }
 }
