--- a/src/policy.rs
+++ b/src/policy.rs
@@ -100,7 +100,8 @@
 pub(crate) struct Repeats {
     seconds: VecDeque<(u64, u32, u32)>,
     failures: u32,
-    refused: Option<Duration>, // since when, by limits that no answer tells, with nothing handled between
+    failing: Option<Duration>, // since when calls fail or are refused, with nothing handled between
+    untold: bool,              // whether one of these was refused where no answer tells of the limit
 }
 
 impl Repeats {
@@ -114,10 +115,15 @@
         *(if repeat { &mut last.2 } else { &mut last.1 }) += 1;
     }
 
+    /// Whether nothing was handled for longer than a limit's span.
+    fn long(&self, now: Duration) -> bool {
+        self.failing.is_some_and(|since| since + SHUT < now)
+    }
+
     /// Refusals over more than a limit's span count, where nothing tells of that limit. Against couriers that
     /// call too seldom to see two failures. May hold back calls at a limit.
     pub(crate) fn suspect(&self, now: Duration) -> bool {
-        self.failures >= SUSPECT || self.refused.is_some_and(|since| since + SHUT < now)
+        self.failures >= SUSPECT || self.untold && self.long(now)
     }
 
     /// Since when what is counted goes back, and the first tries and repeats since then.
@@ -495,7 +501,7 @@
         }
         let (before, suspect) = (endpoint.outage.health, route.repeats.suspect(self.now));
         // Whether the call got no answer, or is the first refused of several; how much it says of an outage.
-        let (mut lost, mut shut, mut first, mut weight) = (false, false, false, 0.0);
+        let (mut lost, mut shut, mut first, mut back, mut weight) = (false, false, false, false, 0.0);
         let keep = || Keep::new(self.idle_close, self.couriers);
         let keep = self.keeps.entry(endpoint.kind.clone()).or_insert_with(keep);
         match outcome {
@@ -514,7 +520,8 @@
                 if self.may_tell && (before == Health::Out || suspect) {
                     self.news.push((call.destination, endpoint.route.clone()));
                 }
-                (route.repeats.failures, route.repeats.refused) = (0, None);
+                back = suspect && route.repeats.long(self.now);
+                (route.repeats.failures, route.repeats.failing, route.repeats.untold) = (0, None, false);
             }
             Outcome::Refused(wait) | Outcome::Unproven(wait) => {
                 // Against a herd of all refused or told to wait together, where no answer tells of the sum: a
@@ -543,8 +550,8 @@
                 } else if call.started >= endpoint.outage.told {
                     weight = LOST_WEIGHT;
                 }
-                first = !route.reported && route.repeats.refused.is_none();
-                route.repeats.refused = route.repeats.refused.or(first.then_some(self.now));
+                first = !route.reported && !route.repeats.untold;
+                route.repeats.untold |= first;
                 // Where answers tell of no limit, or so many came in a row, it is shut or its queue full.
                 let no_limit = report.is_some_and(|(_, rate)| rate <= 0.0);
                 route.repeats.failures += u32::from(no_limit || route.refusals >= STREAK);
@@ -577,6 +584,9 @@
             }
             Outcome::CalledOff | Outcome::Unsent => {}
         }
+        if !matches!(outcome, Outcome::Handled | Outcome::Crowded | Outcome::CalledOff | Outcome::Unsent) {
+            route.repeats.failing = route.repeats.failing.or(Some(self.now));
+        }
         endpoint.credits.earned(lost);
         if endpoint.credits.spent == 0
             && !matches!(outcome, Outcome::Unconnected | Outcome::Crowded)
@@ -599,14 +609,20 @@
         }
         let ejected = before == Health::Well && after == Health::Out;
         let begins = first || ejected || !suspect && route.repeats.suspect(self.now);
-        let Some(name) = (shut || begins).then(|| endpoint.route.clone()) else { return };
+        let Some(name) = (shut || begins || back).then(|| endpoint.route.clone()) else { return };
         for e in destination.endpoints.values_mut().filter(|e| e.route == name) {
             // Against a herd at the end of a wait told by one that is shut: all its endpoints return cold.
             if shut {
                 e.outage.failed(self.now, 1.0);
             }
+            // Against all that waits at many couriers, released by the first call that each sees handled.
+            if back && e.outage.health == Health::Well {
+                e.outage.returns(self.now);
+            }
             // Against budgets saved up while all was well: of many couriers each would send a call at once.
-            (e.outage.ration, e.outage.filled) = (Ration::by_chance(&mut self.rng), self.now);
+            if shut || begins {
+                (e.outage.ration, e.outage.filled) = (Ration::by_chance(&mut self.rng), self.now);
+            }
         }
     }
 
@@ -623,7 +639,7 @@
                 e.outage.ration = Ration::by_chance(&mut self.rng);
             }
         }
-        (repeats.failures, repeats.refused) = (0, None);
+        (repeats.failures, repeats.failing, repeats.untold) = (0, None, false);
     }
 
     pub fn settle(&mut self, hands: &mut dyn Hands) {
