--- a/src/policy.rs
+++ b/src/policy.rs
@@ -520,7 +520,7 @@
                 if self.may_tell && (before == Health::Out || suspect) {
                     self.news.push((call.destination, endpoint.route.clone()));
                 }
-                back = suspect && route.repeats.long(self.now);
+                back = route.repeats.failures >= SUSPECT && route.repeats.long(self.now);
                 (route.repeats.failures, route.repeats.failing, route.repeats.untold) = (0, None, false);
             }
             Outcome::Refused(wait) | Outcome::Unproven(wait) => {
