--- a/src/policy.rs
+++ b/src/policy.rs
@@ -115,17 +115,15 @@
         *(if repeat { &mut last.2 } else { &mut last.1 }) += 1;
     }
 
+    pub(crate) fn suspect(&self) -> bool {
+        self.failures >= SUSPECT
+    }
+
     /// Whether nothing was handled for longer than a limit's span.
     fn long(&self, now: Duration) -> bool {
         self.failing.is_some_and(|since| since + SHUT < now)
     }
 
-    /// Refusals over more than a limit's span count, where nothing tells of that limit. Against couriers that
-    /// call too seldom to see two failures. May hold back calls at a limit.
-    pub(crate) fn suspect(&self, now: Duration) -> bool {
-        self.failures >= SUSPECT || self.untold && self.long(now)
-    }
-
     /// Since when what is counted goes back, and the first tries and repeats since then.
     fn live(&self, now: Duration) -> (u64, u32, u32) {
         let live = self.seconds.iter().filter(|s| s.0 + SPAN.as_secs() > now.as_secs());
@@ -499,7 +497,7 @@
         if let Some((_, rate)) = report.filter(|r| r.1 > 0.0) {
             (route.pace.known, route.pace.sure, route.reported) = (Some(rate), Some(rate), true);
         }
-        let (before, suspect) = (endpoint.outage.health, route.repeats.suspect(self.now));
+        let (before, suspect) = (endpoint.outage.health, route.repeats.suspect());
         // Whether the call got no answer, or is the first refused of several; how much it says of an outage.
         let (mut lost, mut shut, mut first, mut back, mut weight) = (false, false, false, false, 0.0);
         let keep = || Keep::new(self.idle_close, self.couriers);
@@ -520,7 +518,7 @@
                 if self.may_tell && (before == Health::Out || suspect) {
                     self.news.push((call.destination, endpoint.route.clone()));
                 }
-                back = route.repeats.failures >= SUSPECT && route.repeats.long(self.now);
+                back = suspect && route.repeats.long(self.now);
                 (route.repeats.failures, route.repeats.failing, route.repeats.untold) = (0, None, false);
             }
             Outcome::Refused(wait) | Outcome::Unproven(wait) => {
@@ -608,7 +606,7 @@
             self.lines.push(format!("{name} of destination {owner}: {before:?} -> {after:?}"));
         }
         let ejected = before == Health::Well && after == Health::Out;
-        let begins = first || ejected || !suspect && route.repeats.suspect(self.now);
+        let begins = first || ejected || !suspect && route.repeats.suspect();
         let Some(name) = (shut || begins || back).then(|| endpoint.route.clone()) else { return };
         for e in destination.endpoints.values_mut().filter(|e| e.route == name) {
             // Against a herd at the end of a wait told by one that is shut: all its endpoints return cold.
@@ -632,9 +630,7 @@
         let Some(destination) = self.destinations.get_mut(&destination) else { return };
         let Some(repeats) = destination.routes.get_mut(route).map(|r| &mut r.repeats) else { return };
         for e in destination.endpoints.values_mut().filter(|e| e.route == route) {
-            if e.outage.health == Health::Out
-                || repeats.suspect(self.now) && e.outage.quiet(self.now, self.now)
-            {
+            if e.outage.health == Health::Out || repeats.suspect() && e.outage.quiet(self.now, self.now) {
                 e.outage.returns(self.now);
                 e.outage.ration = Ration::by_chance(&mut self.rng);
             }
@@ -788,7 +784,7 @@
             let earned = e.outage.fill(self.now, self.ramp, part / open as f64, trials / open as f64);
             let trial = e.outage.health == Health::Out;
             // Against many couriers that each see too little for a verdict. May slow one that loses some.
-            let suspect = route.repeats.suspect(self.now);
+            let suspect = route.repeats.suspect();
             let sound = e.outage.health == Health::Well && !suspect;
             let opens = route.told.max(route.closed).max(self.now + route.pace.next());
             let opens = opens.max(if sound { self.now } else { self.now + earned });
@@ -805,7 +801,10 @@
             let doubt = (e.outage.share * DOUBT) as i64;
             let load = i64::from(e.credits.spent) + AWAY * i64::from(e.zone != self.zone) + doubt;
             let rank = (trial, toll, if joins { i64::MIN } else { load }, idle, e.place);
-            let repeats = joins || route.repeats.allows(self.now);
+            // Against repeats of many couriers that were refused once each by one that is shut, and know no better
+            // for seconds. May hold back a repeat that a limit would take.
+            let stale = route.repeats.untold && route.repeats.long(self.now);
+            let repeats = joins || route.repeats.allows(self.now) && (!stale || earned.is_zero());
             let (at, zone) = ((id, name.clone()), e.zone.clone());
             let kept = self.idle.contains_key(&at);
             ways.push(Way { endpoint: at.1, zone, repeats, kept, joins, rank });
@@ -906,7 +905,8 @@
             route.trial = now + trial_gap(&mut self.rng, route.trials, TRIAL_GAP);
         }
         self.idle.remove(&(held.destination, name.to_owned()));
-        if !joined && (endpoint.outage.health != Health::Well || route.repeats.suspect(self.now)) {
+        let stale = held.sends > 0 && route.repeats.untold && route.repeats.long(now);
+        if !joined && (endpoint.outage.health != Health::Well || route.repeats.suspect() || stale) {
             endpoint.outage.ration.spend();
         }
         endpoint.used = Some(now);
