--- a/src/policy.rs
+++ b/src/policy.rs
@@ -545,6 +545,7 @@
                 shut = route.told > self.now + SHUT;
                 if self.now > route.refused + SHUT {
                     weight = SILENT_WEIGHT;
+                    route.repeats.failures += if route.reported { 0 } else { SUSPECT };
                 } else if call.started >= endpoint.outage.told {
                     weight = LOST_WEIGHT;
                 }
@@ -801,8 +802,7 @@
             let doubt = (e.outage.share * DOUBT) as i64;
             let load = i64::from(e.credits.spent) + AWAY * i64::from(e.zone != self.zone) + doubt;
             let rank = (trial, toll, if joins { i64::MIN } else { load }, idle, e.place);
-            // Against repeats of many couriers that were refused once each by one that is shut, and know no better
-            // for seconds. May hold back a repeat that a limit would take.
+            // Against repeats of many couriers refused once each by one that is shut, who know no better for long.
             let stale = route.repeats.untold && route.repeats.long(self.now);
             let repeats = joins || route.repeats.allows(self.now) && (!stale || earned.is_zero());
             let (at, zone) = ((id, name.clone()), e.zone.clone());
