Trial: first tries spend what repeats wait for

Cause: 1 of 240 returns of shut routes pushed over at 30 couriers. Change: first tries spend the budget that repeats wait for.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -905,7 +905,7 @@
             route.trial = now + trial_gap(&mut self.rng, route.trials, TRIAL_GAP);
         }
         self.idle.remove(&(held.destination, name.to_owned()));
-        let stale = held.sends > 0 && route.repeats.untold && route.repeats.long(now);
+        let stale = route.repeats.untold && route.repeats.long(now);
         if !joined && (endpoint.outage.health != Health::Well || route.repeats.suspect() || stale) {
             endpoint.outage.ration.spend();
         }
