--- a/src/courier.rs
+++ b/src/courier.rs
@@ -465,9 +465,9 @@
                     !gone || busy.contains(name)
                 });
                 let live: BTreeSet<_> = destination.endpoints.values().map(|e| &e.route).collect();
-                destination
-                    .routes
-                    .retain(|name, route| live.contains(name) || route.told > now || route.repeats.suspect());
+                destination.routes.retain(|name, route| {
+                    live.contains(name) || route.told > now || route.repeats.suspect(now)
+                });
                 !destination.routes.is_empty()
             });
         }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -101,7 +101,7 @@
     seconds: VecDeque<(u64, u32, u32)>,
     failures: u32,
     failing: Option<Duration>, // since when calls fail or are refused, with nothing handled between
-    untold: bool,              // whether one of these was refused where no answer tells of the limit
+    untold: u32,               // how many of these were refused where no answer tells of the limit
 }
 
 impl Repeats {
@@ -115,8 +115,9 @@
         *(if repeat { &mut last.2 } else { &mut last.1 }) += 1;
     }
 
-    pub(crate) fn suspect(&self) -> bool {
-        self.failures >= SUSPECT
+    /// Refusals count as failures once they last longer than a limit's span, where nothing tells of that limit.
+    pub(crate) fn suspect(&self, now: Duration) -> bool {
+        self.failures >= SUSPECT || self.untold >= SUSPECT && self.long(now)
     }
 
     /// Whether nothing was handled for longer than a limit's span.
@@ -497,7 +498,7 @@
         if let Some((_, rate)) = report.filter(|r| r.1 > 0.0) {
             (route.pace.known, route.pace.sure, route.reported) = (Some(rate), Some(rate), true);
         }
-        let (before, suspect) = (endpoint.outage.health, route.repeats.suspect());
+        let (before, suspect) = (endpoint.outage.health, route.repeats.suspect(self.now));
         // Whether the call got no answer, or is the first refused of several; how much it says of an outage.
         let (mut lost, mut shut, mut first, mut back, mut weight) = (false, false, false, false, 0.0);
         let keep = || Keep::new(self.idle_close, self.couriers);
@@ -518,8 +519,8 @@
                 if self.may_tell && (before == Health::Out || suspect) {
                     self.news.push((call.destination, endpoint.route.clone()));
                 }
-                back = suspect && route.repeats.long(self.now);
-                (route.repeats.failures, route.repeats.failing, route.repeats.untold) = (0, None, false);
+                back = route.repeats.failures >= SUSPECT && route.repeats.long(self.now);
+                (route.repeats.failures, route.repeats.failing, route.repeats.untold) = (0, None, 0);
             }
             Outcome::Refused(wait) | Outcome::Unproven(wait) => {
                 // Against a herd of all refused or told to wait together, where no answer tells of the sum: a
@@ -545,12 +546,11 @@
                 shut = route.told > self.now + SHUT;
                 if self.now > route.refused + SHUT {
                     weight = SILENT_WEIGHT;
-                    route.repeats.failures += if route.reported { 0 } else { SUSPECT };
                 } else if call.started >= endpoint.outage.told {
                     weight = LOST_WEIGHT;
                 }
-                first = !route.reported && !route.repeats.untold;
-                route.repeats.untold |= first;
+                first = !route.reported && route.repeats.untold == 0;
+                route.repeats.untold += u32::from(!route.reported);
                 // Where answers tell of no limit, or so many came in a row, it is shut or its queue full.
                 let no_limit = report.is_some_and(|(_, rate)| rate <= 0.0);
                 route.repeats.failures += u32::from(no_limit || route.refusals >= STREAK);
@@ -607,7 +607,7 @@
             self.lines.push(format!("{name} of destination {owner}: {before:?} -> {after:?}"));
         }
         let ejected = before == Health::Well && after == Health::Out;
-        let begins = first || ejected || !suspect && route.repeats.suspect();
+        let begins = first || ejected || !suspect && route.repeats.suspect(self.now);
         let Some(name) = (shut || begins || back).then(|| endpoint.route.clone()) else { return };
         for e in destination.endpoints.values_mut().filter(|e| e.route == name) {
             // Against a herd at the end of a wait told by one that is shut: all its endpoints return cold.
@@ -631,12 +631,14 @@
         let Some(destination) = self.destinations.get_mut(&destination) else { return };
         let Some(repeats) = destination.routes.get_mut(route).map(|r| &mut r.repeats) else { return };
         for e in destination.endpoints.values_mut().filter(|e| e.route == route) {
-            if e.outage.health == Health::Out || repeats.suspect() && e.outage.quiet(self.now, self.now) {
+            if e.outage.health == Health::Out
+                || repeats.suspect(self.now) && e.outage.quiet(self.now, self.now)
+            {
                 e.outage.returns(self.now);
                 e.outage.ration = Ration::by_chance(&mut self.rng);
             }
         }
-        (repeats.failures, repeats.failing, repeats.untold) = (0, None, false);
+        (repeats.failures, repeats.failing, repeats.untold) = (0, None, 0);
     }
 
     pub fn settle(&mut self, hands: &mut dyn Hands) {
@@ -785,7 +787,7 @@
             let earned = e.outage.fill(self.now, self.ramp, part / open as f64, trials / open as f64);
             let trial = e.outage.health == Health::Out;
             // Against many couriers that each see too little for a verdict. May slow one that loses some.
-            let suspect = route.repeats.suspect();
+            let suspect = route.repeats.suspect(self.now);
             let sound = e.outage.health == Health::Well && !suspect;
             let opens = route.told.max(route.closed).max(self.now + route.pace.next());
             let opens = opens.max(if sound { self.now } else { self.now + earned });
@@ -803,7 +805,7 @@
             let load = i64::from(e.credits.spent) + AWAY * i64::from(e.zone != self.zone) + doubt;
             let rank = (trial, toll, if joins { i64::MIN } else { load }, idle, e.place);
             // Against repeats of many couriers refused once each by one that is shut, who know no better for long.
-            let stale = route.repeats.untold && route.repeats.long(self.now);
+            let stale = route.repeats.untold > 0 && route.repeats.long(self.now);
             let repeats = joins || route.repeats.allows(self.now) && (!stale || earned.is_zero());
             let (at, zone) = ((id, name.clone()), e.zone.clone());
             let kept = self.idle.contains_key(&at);
@@ -905,8 +907,8 @@
             route.trial = now + trial_gap(&mut self.rng, route.trials, TRIAL_GAP);
         }
         self.idle.remove(&(held.destination, name.to_owned()));
-        let stale = route.repeats.untold && route.repeats.long(now);
-        if !joined && (endpoint.outage.health != Health::Well || route.repeats.suspect() || stale) {
+        let stale = held.sends > 0 && route.repeats.untold > 0 && route.repeats.long(now);
+        if !joined && (endpoint.outage.health != Health::Well || route.repeats.suspect(self.now) || stale) {
             endpoint.outage.ration.spend();
         }
         endpoint.used = Some(now);
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -649,7 +649,7 @@
         let call = call_to("a", ms(1));
         (0..2).for_each(|_| courier.judge(&call, Outcome::Refused(None), ms(9), report));
         let destination = &courier.destinations[&9];
-        let doubtful = destination.routes[""].repeats.suspect();
+        let doubtful = destination.routes[""].repeats.suspect(courier.now);
         let well = destination.endpoints["a"].outage.health == Health::Well;
         assert_eq!(!well || doubtful, rationed, "{report:?}");
     }
@@ -818,7 +818,7 @@
         courier.told_by_courier(&note::of_return(9, ""));
         let to = &courier.destinations[&9];
         assert_eq!(to.endpoints["a"].outage.health, health);
-        assert!(!to.routes[""].repeats.suspect());
+        assert!(!to.routes[""].repeats.suspect(courier.now));
     }
 }
 
@@ -847,7 +847,7 @@
         courier.judge(&call, Outcome::Crowded, ms(1), None);
     }
     let route = &courier.destinations[&9].routes[""];
-    assert!(route.closed.is_zero() && !route.repeats.suspect());
+    assert!(route.closed.is_zero() && !route.repeats.suspect(courier.now));
     assert_eq!(courier.destinations[&9].endpoints["a"].outage.health, Health::Well);
     assert!(courier.idle.is_empty() && courier.keeps["k"].time == courier.keeps["k"].least);
 }
@@ -990,7 +990,7 @@
     courier.list_ends(Some(&BTreeSet::new()), false);
     assert!(courier.destinations[&9].endpoints.is_empty());
     courier.listed("b", "x", "", 9, Listing::Open, Some(10.0));
-    assert!(courier.destinations[&9].routes[""].repeats.suspect());
+    assert!(courier.destinations[&9].routes[""].repeats.suspect(courier.now));
 }
 
 /// The same day: what was earned in a minute in which all was well went out in two seconds, a call from each courier.
