--- a/src/policy.rs
+++ b/src/policy.rs
@@ -115,9 +115,12 @@
         *(if repeat { &mut last.2 } else { &mut last.1 }) += 1;
     }
 
-    /// Refusals count as failures once they last longer than a limit's span, where nothing tells of that limit.
+    /// Against many couriers that were refused once or twice each by one that is shut, seconds ago, and know no
+    /// better, where nothing tells of a limit. What one refusal says is old after SPAN. May hold back calls that a
+    /// limit would take.
     pub(crate) fn suspect(&self, now: Duration) -> bool {
-        self.failures >= SUSPECT || self.untold >= SUSPECT && self.long(now)
+        let recent = self.failing.is_some_and(|since| now < since + SPAN);
+        self.failures >= SUSPECT || self.untold > u32::from(!recent) && self.long(now)
     }
 
     /// Whether nothing was handled for longer than a limit's span.
@@ -804,9 +807,7 @@
             let doubt = (e.outage.share * DOUBT) as i64;
             let load = i64::from(e.credits.spent) + AWAY * i64::from(e.zone != self.zone) + doubt;
             let rank = (trial, toll, if joins { i64::MIN } else { load }, idle, e.place);
-            // Against repeats of many couriers refused once each by one that is shut, who know no better for long.
-            let stale = route.repeats.untold > 0 && route.repeats.long(self.now);
-            let repeats = joins || route.repeats.allows(self.now) && (!stale || earned.is_zero());
+            let repeats = joins || route.repeats.allows(self.now);
             let (at, zone) = ((id, name.clone()), e.zone.clone());
             let kept = self.idle.contains_key(&at);
             ways.push(Way { endpoint: at.1, zone, repeats, kept, joins, rank });
@@ -907,8 +908,7 @@
             route.trial = now + trial_gap(&mut self.rng, route.trials, TRIAL_GAP);
         }
         self.idle.remove(&(held.destination, name.to_owned()));
-        let stale = held.sends > 0 && route.repeats.untold > 0 && route.repeats.long(now);
-        if !joined && (endpoint.outage.health != Health::Well || route.repeats.suspect(self.now) || stale) {
+        if !joined && (endpoint.outage.health != Health::Well || route.repeats.suspect(now)) {
             endpoint.outage.ration.spend();
         }
         endpoint.used = Some(now);
