--- a/crates/quillhub-emulator/tests/cold_return.rs
+++ b/crates/quillhub-emulator/tests/cold_return.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 const SEEDS: u64 = 20;
+const FLEETS: [u32; 3] = [20, 30, 100];
 /// The share of the calls that couriers which knew of the outage must have sent for it to be their doing.
 const KNEW: f64 = 2.0 / 3.0;
 /// A factor that no fleet reaches: destinations do not fall here, so that every window is seen to its end.
@@ -171,13 +172,12 @@
     all
 }
 
-fn none_is_pushed_over(kind: &str, rates: &str, factor: f64, faults: &str) {
-    for couriers in [20, 30, 100] {
-        let found = returns(&day(couriers, kind, rates, factor, faults));
-        println!("{couriers} couriers: {found:?}");
-        assert!(found.returns >= 5 * SEEDS as usize && found.calls > 1_000, "{couriers} couriers: {found:?}");
-        assert_eq!(found.blamed, 0, "{couriers} couriers: {found:?}");
-    }
+/// The settings let a fleet of `couriers` send so much, and it does not push a returning destination over.
+fn none_is_pushed_over(couriers: u32, kind: &str, rates: &str, factor: f64, faults: &str) {
+    let found = returns(&day(couriers, kind, rates, factor, faults));
+    println!("{couriers} couriers: {found:?}");
+    assert!(found.returns >= 5 * SEEDS as usize && found.calls > 1_000, "{couriers} couriers: {found:?}");
+    assert_eq!(found.blamed, 0, "{couriers} couriers: {found:?}");
 }
 
 const SERVICE: &str = r#"service = { mean = "200 ms", law = "lognormal", cv = 0.5 }"#;
@@ -196,11 +196,13 @@
         what = { drain = { gone_after = "2 s" } }
         whom = { endpoints = 1 }
     "#;
-    none_is_pushed_over(SERVICE, "rough", 1.5, faults);
+    for couriers in FLEETS {
+        none_is_pushed_over(couriers, SERVICE, "rough", 1.5, faults);
+    }
 }
 
-#[test]
-fn small_routes_apart_that_are_shut_and_whose_refusals_tell_nothing_of_their_limit() {
+/// Small routes apart that are shut, and whose refusals tell nothing of their limit.
+fn shut_routes(couriers: u32) {
     let kind = format!(
         "{SERVICE}\nroutes_apart = true\nlimit = {{ per_s = 4.0, span = \"2 s\", refused_count = true }}"
     );
@@ -211,7 +213,22 @@
         what = { shut = {} }
         whom = { share = 0.5 }
     "#;
-    none_is_pushed_over(&kind, "rough", 1.5, faults);
+    none_is_pushed_over(couriers, &kind, "rough", 1.5, faults);
+}
+
+#[test]
+fn small_routes_that_were_shut_are_not_pushed_over_by_20_couriers() {
+    shut_routes(20);
+}
+
+#[test]
+fn small_routes_that_were_shut_are_not_pushed_over_by_30_couriers() {
+    shut_routes(30);
+}
+
+#[test]
+fn small_routes_that_were_shut_are_not_pushed_over_by_100_couriers() {
+    shut_routes(100);
 }
 
 #[test]
@@ -224,5 +241,7 @@
         what = "refuse"
         whom = { share = 0.5 }
     "#;
-    none_is_pushed_over(&kind, "absent", 2.0, faults);
+    for couriers in FLEETS {
+        none_is_pushed_over(couriers, &kind, "absent", 2.0, faults);
+    }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -115,12 +115,9 @@
         *(if repeat { &mut last.2 } else { &mut last.1 }) += 1;
     }
 
-    /// Against many couriers that were refused once or twice each by one that is shut, seconds ago, and know no
-    /// better, where nothing tells of a limit. What one refusal says is old after SPAN. May hold back calls that a
-    /// limit would take.
+    /// Refusals count as failures once they last, where nothing tells of a limit.
     pub(crate) fn suspect(&self, now: Duration) -> bool {
-        let recent = self.failing.is_some_and(|since| now < since + SPAN);
-        self.failures >= SUSPECT || self.untold > u32::from(!recent) && self.long(now)
+        self.failures >= SUSPECT || self.untold >= SUSPECT && self.long(now)
     }
 
     /// Whether nothing was handled for longer than a limit's span.
@@ -526,8 +523,7 @@
                 (route.repeats.failures, route.repeats.failing, route.repeats.untold) = (0, None, 0);
             }
             Outcome::Refused(wait) | Outcome::Unproven(wait) => {
-                // Against a herd of all refused or told to wait together, where no answer tells of the sum: a
-                // wait ends by chance up to as long again, so does the pace's gap. May leave room unused.
+                // Against a herd of all refused or told to wait together, where no answer tells of the sum.
                 let chance = if route.reported { 1.0 } else { 2.0 * self.rng.random::<f64>() };
                 route.pace.saved = route.pace.saved.min(0.0);
                 if route.refusals == 0 {
@@ -578,8 +574,7 @@
                 self.strays += if stray { STRAYS } else { 0.0 };
                 route.repeats.failures += 1;
             }
-            // Against many couriers' connections that fill an endpoint's table: it lives, and no limit is
-            // reached. Another endpoint, or a table that others left, may take the next one.
+            // A table full of many couriers' connections: it lives, and no limit is reached.
             Outcome::Crowded => {
                 keep.failed();
                 endpoint.used = None;
@@ -807,7 +802,9 @@
             let doubt = (e.outage.share * DOUBT) as i64;
             let load = i64::from(e.credits.spent) + AWAY * i64::from(e.zone != self.zone) + doubt;
             let rank = (trial, toll, if joins { i64::MIN } else { load }, idle, e.place);
-            let repeats = joins || route.repeats.allows(self.now);
+            // Against repeats of many couriers that were refused once each, seconds ago, by one that is shut.
+            let stale = route.repeats.untold > 0 && route.repeats.long(self.now);
+            let repeats = joins || route.repeats.allows(self.now) && (!stale || earned.is_zero());
             let (at, zone) = ((id, name.clone()), e.zone.clone());
             let kept = self.idle.contains_key(&at);
             ways.push(Way { endpoint: at.1, zone, repeats, kept, joins, rank });
@@ -908,7 +905,8 @@
             route.trial = now + trial_gap(&mut self.rng, route.trials, TRIAL_GAP);
         }
         self.idle.remove(&(held.destination, name.to_owned()));
-        if !joined && (endpoint.outage.health != Health::Well || route.repeats.suspect(now)) {
+        let stale = held.sends > 0 && route.repeats.untold > 0 && route.repeats.long(now);
+        if !joined && (endpoint.outage.health != Health::Well || route.repeats.suspect(self.now) || stale) {
             endpoint.outage.ration.spend();
         }
         endpoint.used = Some(now);
