--- a/src/policy.rs
+++ b/src/policy.rs
@@ -101,7 +101,7 @@
     seconds: VecDeque<(u64, u32, u32)>,
     failures: u32,
     failing: Option<Duration>, // since when calls fail or are refused, with nothing handled between
-    untold: u32,               // how many of these were refused where no answer tells of the limit
+    untold: bool,              // whether one of these was refused where no answer tells of the limit
 }
 
 impl Repeats {
@@ -115,16 +115,17 @@
         *(if repeat { &mut last.2 } else { &mut last.1 }) += 1;
     }
 
-    /// Refusals count as failures once they last, where nothing tells of a limit.
-    pub(crate) fn suspect(&self, now: Duration) -> bool {
-        self.failures >= SUSPECT || self.untold >= SUSPECT && self.long(now)
-    }
-
     /// Whether nothing was handled for longer than a limit's span.
     fn long(&self, now: Duration) -> bool {
         self.failing.is_some_and(|since| since + SHUT < now)
     }
 
+    /// Refusals count once they last, where no answer tells of a limit. Against couriers that call too seldom to
+    /// see two failures. May hold back calls that a limit would take.
+    pub(crate) fn suspect(&self, now: Duration) -> bool {
+        self.failures >= SUSPECT || self.untold && self.long(now)
+    }
+
     /// Since when what is counted goes back, and the first tries and repeats since then.
     fn live(&self, now: Duration) -> (u64, u32, u32) {
         let live = self.seconds.iter().filter(|s| s.0 + SPAN.as_secs() > now.as_secs());
@@ -520,10 +521,11 @@
                     self.news.push((call.destination, endpoint.route.clone()));
                 }
                 back = route.repeats.failures >= SUSPECT && route.repeats.long(self.now);
-                (route.repeats.failures, route.repeats.failing, route.repeats.untold) = (0, None, 0);
+                (route.repeats.failures, route.repeats.failing, route.repeats.untold) = (0, None, false);
             }
             Outcome::Refused(wait) | Outcome::Unproven(wait) => {
                 // Against a herd of all refused or told to wait together, where no answer tells of the sum.
+                // May leave room unused.
                 let chance = if route.reported { 1.0 } else { 2.0 * self.rng.random::<f64>() };
                 route.pace.saved = route.pace.saved.min(0.0);
                 if route.refusals == 0 {
@@ -548,8 +550,8 @@
                 } else if call.started >= endpoint.outage.told {
                     weight = LOST_WEIGHT;
                 }
-                first = !route.reported && route.repeats.untold == 0;
-                route.repeats.untold += u32::from(!route.reported);
+                first = !route.reported && !route.repeats.untold;
+                route.repeats.untold |= first;
                 // Where answers tell of no limit, or so many came in a row, it is shut or its queue full.
                 let no_limit = report.is_some_and(|(_, rate)| rate <= 0.0);
                 route.repeats.failures += u32::from(no_limit || route.refusals >= STREAK);
@@ -574,7 +576,8 @@
                 self.strays += if stray { STRAYS } else { 0.0 };
                 route.repeats.failures += 1;
             }
-            // A table full of many couriers' connections: it lives, and no limit is reached.
+            // Against many couriers' connections that fill an endpoint's table: it lives, and no limit is
+            // reached. Another endpoint, or a table that others left, may take the next one.
             Outcome::Crowded => {
                 keep.failed();
                 endpoint.used = None;
@@ -636,7 +639,7 @@
                 e.outage.ration = Ration::by_chance(&mut self.rng);
             }
         }
-        (repeats.failures, repeats.failing, repeats.untold) = (0, None, 0);
+        (repeats.failures, repeats.failing, repeats.untold) = (0, None, false);
     }
 
     pub fn settle(&mut self, hands: &mut dyn Hands) {
@@ -802,9 +805,7 @@
             let doubt = (e.outage.share * DOUBT) as i64;
             let load = i64::from(e.credits.spent) + AWAY * i64::from(e.zone != self.zone) + doubt;
             let rank = (trial, toll, if joins { i64::MIN } else { load }, idle, e.place);
-            // Against repeats of many couriers that were refused once each, seconds ago, by one that is shut.
-            let stale = route.repeats.untold > 0 && route.repeats.long(self.now);
-            let repeats = joins || route.repeats.allows(self.now) && (!stale || earned.is_zero());
+            let repeats = joins || route.repeats.allows(self.now);
             let (at, zone) = ((id, name.clone()), e.zone.clone());
             let kept = self.idle.contains_key(&at);
             ways.push(Way { endpoint: at.1, zone, repeats, kept, joins, rank });
@@ -905,8 +906,7 @@
             route.trial = now + trial_gap(&mut self.rng, route.trials, TRIAL_GAP);
         }
         self.idle.remove(&(held.destination, name.to_owned()));
-        let stale = held.sends > 0 && route.repeats.untold > 0 && route.repeats.long(now);
-        if !joined && (endpoint.outage.health != Health::Well || route.repeats.suspect(self.now) || stale) {
+        if !joined && (endpoint.outage.health != Health::Well || route.repeats.suspect(self.now)) {
             endpoint.outage.ration.spend();
         }
         endpoint.used = Some(now);
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -1038,7 +1038,6 @@
             courier.judge(&call_to("a", ms(19_900)), Outcome::Refused(None), ms(9), report);
             courier.at(ms(27_000));
             courier.notice(1, "g", None, ms(37_000), None, 9);
-            courier.sent_before(1, 1, None);
             courier
         }
     };
