An ask of discovery that is lost is followed by the next within 5 s, spread by chance

The rule on askEveryUs (four periods after a failed call) is older and comes after.

Change: the wait is bounded by the time from the lost ask's begin to the next one's begin, 4 to 5 s by chance (ASK_WITHIN), whatever the period and however the ask ended. From begin to begin, as the fleet's rate of asks then does not rise where discovery refuses at once. Register.began holds the begin.

Tests: the_next_ask_begins_within_five_seconds_of_one_that_is_lost fails with the old wait; couriers_whose_asks_fail_together_ask_again_apart fails with 5 s for all; a_register_that_all_couriers_ask_at_once_answers_them_all_in_the_end is unchanged and holds.

--- a/src/courier.rs
+++ b/src/courier.rs
@@ -32,6 +32,8 @@
     pub(crate) must_ask: bool,
     pub(crate) every: Duration,
     pub(crate) asked: bool,
+    /// When the last ask began.
+    pub(crate) began: Duration,
     pub(crate) failures: u32,
     pub(crate) next: Duration,
 }
@@ -295,6 +297,7 @@
                 must_ask: false,
                 every: Duration::ZERO,
                 asked: false,
+                began: Duration::ZERO,
                 failures: 1, // as nothing has stood yet
                 next: Duration::ZERO,
             },
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -70,6 +70,7 @@
 const MOST_RAMP: f64 = 1.6; // x the warm part of the known rate: capacity lies over a limit, by a half or so
 // Register.
 const ASK_BASE: Duration = ms(500); // first gap's upper end between asks that failed
+const ASK_WITHIN: Duration = ms(5_000); // from one ask to the next: a change counts as told after 6 s
 pub(crate) const FORGET: Duration = ms(600_000); // until a destination without endpoints does not exist
 // Holding room, and time.
 const SPARE_ROOM: f64 = 0.05; // of the room kept free, so that this courier chooses who is denied
@@ -405,13 +406,12 @@
     pub fn list_failed(&mut self) {
         let register = &mut self.register;
         (register.asked, register.failures) = (false, register.failures + 1);
-        register.next = self.now + gap(&mut self.rng, register.failures, ASK_BASE, CAP);
-        // Against many couriers that together ask for more than it answers in time, so that none is answered:
-        // it must bear one ask of each in the period it sets. One quick ask when a watch that stood ends. May
-        // learn late of changes, where it fails for other reasons.
-        if register.failures > 1 {
-            register.next += register.every.mul_f64(self.rng.random_range(0.5..1.0));
-        }
+        let soon = self.now + ASK_BASE.mul_f64(self.rng.random());
+        let period = register.every.mul_f64(self.rng.random_range(0.5..1.0));
+        let later = self.now + gap(&mut self.rng, register.failures, ASK_BASE, CAP) + period;
+        let last = register.began + ASK_WITHIN.mul_f64(self.rng.random_range(0.8..1.0));
+        // Against more asks of all than it answers in time, so that none is. `last` is from begin to begin.
+        register.next = if register.failures > 1 { later.min(last).max(soon) } else { soon };
     }
 
     /// A notice was handed in. False if its grade is unknown: then nothing was taken.
@@ -665,7 +665,7 @@
     fn ask_register(&mut self, hands: &mut dyn Hands) -> bool {
         let due = self.register.must_ask && !self.register.asked && self.register.next <= self.now;
         if due {
-            self.register.asked = true;
+            (self.register.asked, self.register.began) = (true, self.now);
             hands.watch();
         }
         due
--- a/src/policy_tests.rs
+++ b/src/policy_tests.rs
@@ -282,6 +282,61 @@
     assert_eq!(settled(&mut courier), ["watch"]);
 }
 
+/// When a courier asks, if each ask fails after `fails_after` and its register wants one in `every`, for 60 s.
+fn asks_that_fail(seed: u64, every: Duration, fails_after: Duration) -> Vec<Duration> {
+    let mut courier = Courier::new(seed, 300, "x");
+    courier.listing(true, ListedRate::Absent);
+    courier.ask_every(every);
+    let (mut asks, mut fails) = (Vec::new(), None);
+    for now in (0..60_000).step_by(5).map(ms) {
+        courier.at(now);
+        if fails.is_some_and(|at| at <= now) {
+            fails = None;
+            courier.list_failed();
+        }
+        if !settled(&mut courier).is_empty() {
+            asks.push(now);
+            fails = Some(now + fails_after);
+        }
+    }
+    asks
+}
+
+/// What a register has counts as told 6 s after it could be reached, which may be just after an ask that is lost.
+#[test]
+fn the_next_ask_begins_within_five_seconds_of_one_that_is_lost() {
+    for every in [0, 2_000, 10_000, 60_000].map(ms) {
+        for fails_after in [0, 100, 2_000, 2_500, 4_990].map(ms) {
+            for seed in 0..40 {
+                let asks = asks_that_fail(seed, every, fails_after);
+                let between: Vec<_> = asks.windows(2).map(|two| two[1] - two[0]).collect();
+                let longest = between.iter().max().unwrap();
+                let bound = ASK_WITHIN.max(fails_after + ASK_BASE) + ms(5);
+                assert!(*longest <= bound, "{every:?} {fails_after:?} {seed}: {longest:?}");
+                let asked = asks.len() as u32;
+                assert!(every < ASK_WITHIN || asked <= 17, "{every:?} {fails_after:?}: {asked} asks in 60 s");
+            }
+        }
+    }
+}
+
+/// All that lost their watches in one instant, as at an outage's begin: their asks must not come in one, either.
+#[test]
+fn couriers_whose_asks_fail_together_ask_again_apart() {
+    for fails_after in [0, 2_500].map(ms) {
+        let all: Vec<_> = (0..300).map(|seed| asks_that_fail(seed, ms(10_000), fails_after)).collect();
+        for nth in 1..10 {
+            let mut asks: Vec<_> = all.iter().map(|asks| asks[nth]).collect();
+            asks.sort();
+            let within =
+                |from: &Duration| asks.iter().filter(|at| (*from..*from + ms(100)).contains(at)).count();
+            let at_once = asks.iter().map(within);
+            let (most, span) = (at_once.max().unwrap(), asks[299] - asks[0]);
+            assert!(most <= 60 && span >= ms(800), "ask {nth}: {most} of 300 in 100 ms, all in {span:?}");
+        }
+    }
+}
+
 /// How many of `couriers`, started in one instant, hold the list after 30 s. Their register takes one ask of each
 /// in 8 s, answers in order, and works on what has waited for its 2 s in vain all the same, up to 3 s of work.
 fn listed_to(couriers: u32) -> usize {
