A lost call of discovery has one bound, long lists are read to their end, panics told

Cause, by reading and by the tests below: a call gave its connection, its head and its body 2.5 s each (ask and one_watch in register.rs), so that one lost at discovery's return could take 7.5 s; a whole list and each line had to be whole within 2.5 s, so that some MiB over a slow connection were never read; a list over many lines was read from its start again with each line; after a panic in one_watch the courier was never told that its ask had ended, and never asked again where discovery must be asked; and a wish for an ask made during a call after SIGHUP was kept, and skipped the wait after a later failure.

Change: one bound of 2.5 s for connection and head; then 2.5 s of silence end a list, and 30 s in all; values of a stream are looked for once; what follow() keeps over a panic stands in Progress, and its next round tells the end.

--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -10,9 +10,10 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
 use std::rc::{Rc, Weak};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, SystemTime};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 /// A notice that is held: what its calls and its final answer need. Gone with its end.
 struct Notice {
--- a/crates/quillhub-net/src/lib.rs
+++ b/crates/quillhub-net/src/lib.rs
@@ -24,7 +24,7 @@
 use peers::Peers;
 use quillhub_settings::At;
 use serde_json::Value;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -149,9 +149,9 @@
     };
     let (at, platform) = (host.clone(), discovery.clone());
     lasting(move || finals::flush(at.clone(), platform.clone()));
-    let (at, revision) = (host.clone(), Rc::new(Cell::new(revision)));
+    let (at, progress) = (host.clone(), register::Progress::new(revision));
     let heard = host.borrow().register_heard.clone();
-    lasting(move || register::follow(at.clone(), discovery.clone(), revision.clone(), must_be_asked));
+    lasting(move || register::follow(at.clone(), discovery.clone(), progress.clone(), must_be_asked));
     // Against calls by the list that the last process had: what the register has now counts as told from the first
     // moment on, and what is owed goes at once. Delays a start while the register is silent.
     host.borrow_mut().event(|_| ());
--- a/crates/quillhub-net/src/link.rs
+++ b/crates/quillhub-net/src/link.rs
@@ -45,13 +45,21 @@
 pub struct Link {
     stream: TcpStream,
     buffer: Vec<u8>,
+    /// How long a read may wait for its first byte, where that is bounded.
+    longest_silence: Option<Duration>,
 }
 
 impl Link {
     pub async fn open(at: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(at).await?;
         stream.set_nodelay(true)?;
-        Ok(Self { stream, buffer: Vec::new() })
+        Ok(Self { stream, buffer: Vec::new(), longest_silence: None })
+    }
+
+    /// From now on the connection counts as ended once nothing has come for `longest` while something is waited for,
+    /// however long the whole takes.
+    pub fn ends_after_silence_of(&mut self, longest: Duration) {
+        self.longest_silence = Some(longest);
     }
 
     pub async fn write(&mut self, octets: &[u8]) -> io::Result<()> {
@@ -72,7 +80,12 @@
 
     async fn more(&mut self) -> Result<(), Broken> {
         self.buffer.reserve(READ);
-        match self.stream.read_buf(&mut self.buffer).await {
+        let read = self.stream.read_buf(&mut self.buffer);
+        let read = match self.longest_silence {
+            Some(longest) => timeout(longest, read).await.map_err(|_| Broken::Ended)?,
+            None => read.await,
+        };
+        match read {
             Ok(0) => Err(Broken::Ended),
             Ok(_) => Ok(()),
             Err(error) => Err(Broken::Failed(error)),
--- a/crates/quillhub-net/src/register.rs
+++ b/crates/quillhub-net/src/register.rs
@@ -13,12 +13,18 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep_until, timeout};
 
 const PATH: &str = "/registry/instances";
 /// A watch sends a line every 2 s; one silent for so long has ended, whatever its connection says.
 const SILENCE: Duration = Duration::from_millis(2_500);
+/// How long a call may take from its begin to the end of its answer's head: the register answers at once, and this is
+/// room for a connection that comes up with its second try, after 1 s. One bound for all of it: a call that is lost as
+/// the register comes back must leave time for the next (docs/architecture.md, "When a change is known").
+const CALL: Duration = SILENCE;
+/// How long a list may take from its first byte to its last, if more of it keeps coming: the longest, at 140 KB/s.
+const LONGEST_LIST: Duration = Duration::from_secs(30);
 /// Shortest time from one watch's opening to the next, where the register tells changes unasked: one that lasted longer
 /// is opened again at once.
 const PAUSE: Duration = Duration::from_millis(250);
@@ -84,13 +90,20 @@
 
 /// The register's answer to a question, as far as its head, and where its body ends.
 async fn ask(at: SocketAddr, path: &str) -> Result<(Link, Framing), Broken> {
-    let opened = timeout(SILENCE, Link::open(at)).await.map_err(|_| Broken::Ended)?;
-    let mut link = opened.map_err(Broken::Failed)?;
-    let request = http::request("GET", path, &at.to_string(), &[], &[]);
-    link.write(&request).await.map_err(Broken::Failed)?;
-    let head = timeout(SILENCE, link.head()).await.map_err(|_| Broken::Ended)??;
+    let head = async {
+        let mut link = Link::open(at).await.map_err(Broken::Failed)?;
+        let request = http::request("GET", path, &at.to_string(), &[], &[]);
+        link.write(&request).await.map_err(Broken::Failed)?;
+        let head = link.head().await?;
+        Ok((link, head))
+    };
+    let (mut link, head) = timeout(CALL, head).await.unwrap_or(Err(Broken::Ended))?;
     tracing::debug!(path, status = head.status, "the register answers");
-    if head.status == 200 { Ok((link, head.framing()?)) } else { Err(Broken::Malformed) }
+    if head.status != 200 {
+        return Err(Broken::Malformed);
+    }
+    link.ends_after_silence_of(SILENCE);
+    Ok((link, head.framing()?))
 }
 
 /// Tells the courier a list, and keeps the number of that.
@@ -112,7 +125,8 @@
         Some(revision) => revision,
         None => {
             let (mut link, framing) = ask(at, PATH).await?;
-            let body = timeout(SILENCE, link.body(framing, MOST_LINE)).await.map_err(|_| Broken::Ended)??;
+            let body = link.body(framing, MOST_LINE);
+            let body = timeout(LONGEST_LIST, body).await.map_err(|_| Broken::Ended)??;
             take(host, &serde_json::from_slice(&body).map_err(|_| Broken::Malformed)?, revision)?;
             heard.notify_one();
             revision.get().unwrap_or_default()
@@ -122,14 +136,17 @@
     if framing != Framing::Chunked {
         return Err(Broken::Malformed);
     }
-    let mut text = Vec::new();
+    let (mut text, mut ends, mut began) = (Vec::new(), ValueEnds::default(), Instant::now());
     loop {
-        let chunk = timeout(SILENCE, link.chunk(MOST_LINE)).await.map_err(|_| Broken::Ended)??;
-        if chunk.is_empty() || text.len() > MOST_LINE {
+        let chunk = timeout(LONGEST_LIST, link.chunk(MOST_LINE)).await.map_err(|_| Broken::Ended)??;
+        if text.is_empty() {
+            began = Instant::now();
+        }
+        if chunk.is_empty() || text.len() > MOST_LINE || began.elapsed() > LONGEST_LIST {
             return Err(Broken::Ended);
         }
         text.extend_from_slice(&chunk);
-        if chunk.contains(&b'\n') {
+        if ends.within(&chunk) {
             for list in whole_values(&mut text)? {
                 take(host, &list, revision)?;
             }
@@ -138,6 +155,38 @@
     }
 }
 
+/// Where the JSON values of a stream may end, found in looking at each byte once. Against lists of some MiB over many
+/// lines, which would be read from their start again with each.
+#[derive(Default)]
+struct ValueEnds {
+    depth: u32,
+    in_string: bool,
+    escaped: bool,
+}
+
+impl ValueEnds {
+    /// Whether a value, or a line outside of any, ends within `octets`, which follow those looked at before.
+    fn within(&mut self, octets: &[u8]) -> bool {
+        let mut found = false;
+        for octet in octets {
+            match octet {
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.in_string => self.escaped = true,
+                b'"' => self.in_string = !self.in_string,
+                _ if self.in_string => {}
+                b'{' | b'[' => self.depth += 1,
+                b'}' | b']' => {
+                    self.depth = self.depth.saturating_sub(1);
+                    found |= self.depth == 0;
+                }
+                b'\n' => found |= self.depth == 0,
+                _ => {}
+            }
+        }
+        found
+    }
+}
+
 /// Takes the whole JSON values from the start of `text`, which may be written over several lines each; empty lines
 /// are none.
 fn whole_values(text: &mut Vec<u8>) -> Result<Vec<Value>, Broken> {
@@ -159,38 +208,74 @@
     }
 }
 
+/// What outlives a panic of [`follow`].
+#[derive(Default)]
+pub struct Progress {
+    /// The number of the list that the courier was told last; none if the next must be a whole one.
+    pub revision: Cell<Option<u64>>,
+    /// Whether the register is elsewhere, and has not been called there.
+    moved: Cell<bool>,
+    /// Whether a call, or the watch that it opened, has begun and the courier was not told of its end.
+    out: Cell<bool>,
+}
+
+impl Progress {
+    pub fn new(revision: Option<u64>) -> Rc<Self> {
+        Rc::new(Self { revision: Cell::new(revision), ..Self::default() })
+    }
+
+    fn moves(&self) {
+        self.moved.set(true);
+        self.revision.set(None);
+        self.out.set(false);
+    }
+}
+
+/// Takes back what was wanted before now.
+async fn forget(wanted: &Notify) {
+    tokio::select! {
+        biased;
+        () = wanted.notified() => {}
+        () = std::future::ready(()) => {}
+    }
+}
+
 /// Keeps a watch open. Where the register `must_be_asked`, the courier says when; but once the register is
 /// elsewhere it is watched there at once, and its whole list taken.
 pub async fn follow(
     host: Rc<RefCell<Host>>,
     mut register: watch::Receiver<SocketAddr>,
-    revision: Rc<Cell<Option<u64>>>,
+    progress: Rc<Progress>,
     must_be_asked: bool,
 ) {
     let wanted = host.borrow().watch_wanted.clone();
-    let mut moved = false;
     loop {
-        if must_be_asked && !moved {
+        // Here, so that the courier is also told of what a panic has ended: it would never ask again.
+        if progress.out.get() {
+            forget(&wanted).await;
+            host.borrow_mut().event(|courier| courier.list_failed());
+            progress.out.set(false);
+        }
+        if must_be_asked && !progress.moved.get() {
             tokio::select! {
                 () = wanted.notified() => {}
-                Ok(()) = register.changed() => revision.set(None),
+                Ok(()) = register.changed() => progress.moves(),
             }
         }
         let at = *register.borrow_and_update();
         let opened = Instant::now();
+        progress.out.set(true);
+        progress.moved.set(false);
         let ended = tokio::select! {
-            ended = one_watch(&host, at, &revision) => ended,
+            ended = one_watch(&host, at, &progress.revision) => ended,
             Ok(()) = register.changed() => {
-                moved = true;
-                revision.set(None);
+                progress.moves();
                 continue;
             }
         };
-        moved = false;
         if let Err(end) = ended {
-            tracing::info!(%end, revision = revision.get(), "the watch on the register ended");
+            tracing::info!(%end, revision = progress.revision.get(), "the watch on the register ended");
         }
-        host.borrow_mut().event(|courier| courier.list_failed());
         if !must_be_asked {
             sleep_until(opened + PAUSE).await;
         }
@@ -200,3 +285,7 @@
 #[cfg(test)]
 #[path = "register_tests.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "register_return_tests.rs"]
+mod return_tests;
--- a/crates/quillhub-net/src/register_tests.rs
+++ b/crates/quillhub-net/src/register_tests.rs
@@ -82,7 +82,7 @@
         let (new, mut asked_new) = answering(vec![listed, watched]).await;
         let host = host(&folder, old);
         let (at, seen) = watch::channel(old);
-        spawn_local(follow(host.clone(), seen, Rc::new(Cell::new(Some(6))), false));
+        spawn_local(follow(host.clone(), seen, Progress::new(Some(6)), false));
         assert!(asked_old.recv().await.unwrap().contains("after=6 "));
         at.send_replace(new);
         assert!(asked_new.recv().await.unwrap().starts_with("GET /registry/instances HTTP/1.1\r\n"));
@@ -160,7 +160,7 @@
             tokio::time::pause();
             let (at, mut told) = answering(vec![answer; 4]).await;
             let (_at, seen) = watch::channel(at);
-            spawn_local(follow(host(&folder, at), seen, Rc::new(Cell::new(Some(6))), false));
+            spawn_local(follow(host(&folder, at), seen, Progress::new(Some(6)), false));
             told.recv().await.unwrap();
             let first = Instant::now();
             for nth in 1..4 {
--- a/crates/quillhub-net/src/stand_in.rs
+++ b/crates/quillhub-net/src/stand_in.rs
@@ -26,7 +26,12 @@
 
 /// A host on `folder` with destination 9 at `at`, which has taken back what the folder held.
 pub fn host(folder: &Folder, at: SocketAddr) -> Rc<RefCell<Host>> {
-    let (courier, _) = quillhub_settings::read(7, &plan()["settings"]).unwrap();
+    host_with(7, &plan()["settings"], folder, at)
+}
+
+/// The same with another seed and other settings.
+pub fn host_with(seed: u64, settings: &Value, folder: &Folder, at: SocketAddr) -> Rc<RefCell<Host>> {
+    let (courier, _) = quillhub_settings::read(seed, settings).unwrap();
     let (wal, owed) = Wal::open(&folder.0, 1 << 20).unwrap();
     let host = Host::new(courier, wal, Endpoints::new(LONG, 8), LONG, None, false);
     let mut new = host.borrow_mut();
