Calls without an answer leave descriptors for discovery, the platform and clients

Seen (tests/restarts.rs, a real process with 128 descriptors, discovery refused, endpoints that hang, maxCalls 400): 115 calls were out, and 2 x 128 idle clients could not even be connected any more; nobody was served within 40 s. Clients had a bound of their own (half of what is left after 64), idle connections too; calls had none but maxCalls, and took the 64 descriptors for all else as well (crates/quillhub-net/src/lib.rs, Host::send).

Change: connections to endpoints, calls and idle ones together, take half of what is left after 64 at most. The module is told so as a bound on its calls out (Courier::most_calls), so that what finds no room waits and is not ended as not sent; a call that needs a new connection closes the oldest idle ones. With 256 descriptors that is 96 calls out.

A window of 1 s: host_tests, a_window_that_..., by take_back in host.rs and last_start in src/policy.rs.

--- a/crates/quillhub-net/src/endpoints.rs
+++ b/crates/quillhub-net/src/endpoints.rs
@@ -234,13 +234,18 @@
         if !self.addresses.contains_key(name) || self.most_idle == 0 {
             return;
         }
-        while self.idle.values().map(Vec::len).sum::<usize>() >= self.most_idle {
+        self.close_oldest_beyond(self.most_idle - 1);
+        self.idle.entry(name.into()).or_default().push((link, Instant::now()));
+    }
+
+    /// Closes the oldest idle connections until there are `most` at most.
+    pub fn close_oldest_beyond(&mut self, most: usize) {
+        while self.idle.values().map(Vec::len).sum::<usize>() > most {
             let oldest =
                 self.idle.iter().filter_map(|(name, links)| Some((links.first()?.1, name.clone()))).min();
             let Some(links) = oldest.and_then(|(_, name)| self.idle.get_mut(&name)) else { break };
             links.remove(0);
         }
-        self.idle.entry(name.into()).or_default().push((link, Instant::now()));
     }
 
     pub fn hang_up(&mut self, name: &str) {
--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -77,6 +77,8 @@
     pub finals_wait: Rc<Notify>,
     pub endpoints: Endpoints,
     connecting: Duration,
+    /// Connections to endpoints, those of calls and idle ones.
+    most_connections: usize,
     peers: Option<Rc<Peers>>,
     pub watch_wanted: Rc<Notify>,
     /// Told whenever the register has said something.
@@ -119,6 +121,7 @@
                 finals_wait: Rc::new(Notify::new()),
                 endpoints,
                 connecting,
+                most_connections: usize::MAX,
                 peers,
                 watch_wanted: Rc::new(Notify::new()),
                 register_heard: Rc::new(Notify::new()),
@@ -129,6 +132,13 @@
         })
     }
 
+    /// Bounds the connections to endpoints, of which each call takes one. Against calls that nobody answers, which
+    /// would take the descriptors of discovery, the platform and the state directory.
+    pub fn bound_connections(&mut self, most: usize) {
+        self.most_connections = most;
+        self.event(|courier| courier.most_calls(most));
+    }
+
     fn now(&self) -> Duration {
         self.before + self.started.elapsed()
     }
@@ -357,6 +367,9 @@
         let on_file = filed.is_ok();
         log_failed("a notice", filed);
         let link = self.endpoints.take(endpoint);
+        if link.is_none() {
+            self.endpoints.close_oldest_beyond(self.most_connections.saturating_sub(self.calls + 1));
+        }
         let (me, name, connecting) = (self.me.clone(), endpoint.to_owned(), self.connecting);
         self.calls += 1;
         tracing::debug!(notice = id, send, endpoint, ?patience, kept = link.is_some(), "call goes");
--- a/crates/quillhub-net/src/host_tests.rs
+++ b/crates/quillhub-net/src/host_tests.rs
@@ -365,3 +365,71 @@
         });
     }
 }
+
+/// A host with a window of 1 s for repeats, whose state directory holds message 1, first sent so long ago by an attempt
+/// that may have run, and behind it, with the same ordering key, the untried message 2.
+fn restarted(folder: &Folder, at: SocketAddr, ago: Duration) -> Rc<RefCell<Host>> {
+    let (mut wal, _) = Wal::open(&folder.0, 1 << 20).unwrap();
+    for id in [1, 2] {
+        let limit = Some(SystemTime::now() + LASTS);
+        let (reference, mark) = (format!("ab{id}").into_bytes(), Some(format!("k{id}").into_bytes()));
+        let of = Owed {
+            grade: "marked".into(),
+            destination: 9,
+            turn: Some(5),
+            limit,
+            reference,
+            mark,
+            ..Owed::default()
+        };
+        wal.taken(id, &wal::taken(&of)).unwrap();
+    }
+    wal.may_have_run(1, 0, SystemTime::now() - ago, "e").unwrap();
+    drop(wal);
+    let mut settings = crate::stand_in::plan()["settings"].clone();
+    settings["rules"] = serde_json::json!({"keyRestUs": 300_000});
+    settings["classes"][2]["memorySpanUs"] = 1_000_000.into();
+    settings["classes"][2]["byArrival"] = true.into();
+    crate::stand_in::host_with(7, &settings, folder, at)
+}
+
+/// The window for repeats may be shorter than the restart, or have less left than a usual call takes.
+#[test]
+fn a_window_that_passed_in_a_restart_ends_its_message_at_once_and_strands_none_behind_it() {
+    for ago in [700, 1_000, 1_200, 60_000].map(Duration::from_millis) {
+        let folder = Folder::new();
+        on_one_thread(async {
+            let (at, mut told) = answering(vec![OK]).await;
+            let host = restarted(&folder, at, ago);
+            let ends: Vec<_> = host.borrow().finals.iter().map(|end| end.id).collect();
+            assert_eq!(ends, [1], "{ago:?}: at once");
+            let call = told.recv().await.unwrap();
+            assert!(call.contains("X-Request-Id: ab2\r\n"), "{ago:?}: {call}");
+            while host.borrow().calls > 0 {
+                tokio::task::yield_now().await;
+            }
+            host.borrow_mut().confirmed(1);
+            assert!(host.borrow().at_rest(), "{ago:?}");
+        });
+        assert!(Wal::open(&folder.0, 1 << 20).unwrap().1.is_empty(), "{ago:?}");
+    }
+}
+
+/// Handled, on a connection that is not kept.
+const CLOSES: &[u8] = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
+#[test]
+fn a_window_that_holds_a_usual_call_after_a_restart_lets_its_message_be_sent_again_first() {
+    let folder = Folder::new();
+    on_one_thread(async {
+        let (at, mut told) = answering(vec![CLOSES; 2]).await;
+        let host = restarted(&folder, at, Duration::ZERO);
+        assert!(host.borrow().finals.is_empty());
+        let call = told.recv().await.unwrap();
+        assert!(call.contains("X-Request-Id: ab1\r\n") && call.contains("Idempotency-Key: k1\r\n"), "{call}");
+        while !host.borrow().at_rest() {
+            tokio::task::yield_now().await;
+        }
+    });
+    assert!(Wal::open(&folder.0, 1 << 20).unwrap().1.is_empty());
+}
--- a/crates/quillhub-net/src/lib.rs
+++ b/crates/quillhub-net/src/lib.rs
@@ -42,7 +42,8 @@
 const OTHER_SOCKETS: usize = 64;
 /// Part of the rest that clients' connections may take: a half, as each may bring a call.
 const CLIENTS: usize = 2;
-/// Part of it that idle connections to endpoints may take; calls that are out have the last quarter.
+/// Part of it that idle connections to endpoints may take; calls that are out have the last quarter, and that of the
+/// idle ones as they need it.
 const IDLE: usize = 4;
 /// How often closed idle connections are looked for: well within the time that one is kept.
 const SWEEP: Duration = Duration::from_millis(500);
@@ -143,6 +144,8 @@
     let free = sockets.saturating_sub(OTHER_SOCKETS);
     let endpoints = Endpoints::new(idle_close, free / IDLE);
     let host = Host::new(courier, wal, endpoints, connecting, peers.clone(), reports);
+    let connections = (free / CLIENTS).max(1);
+    host.borrow_mut().bound_connections(free - free / CLIENTS);
     let revision = match top.get("known") {
         Some(known) => Some(register::tell(&mut host.borrow_mut(), known.value, false)?),
         None => None,
@@ -167,7 +170,6 @@
     tracing::info!(%listen, "serving");
 
     let (phase, seen) = watch::channel(Phase::Serving);
-    let connections = (free / CLIENTS).max(1);
     let places = Arc::new(Semaphore::new(connections));
     let admission = clients::Admission::new(seen, places.clone());
     let (at, listener) = (host.clone(), Rc::new(listener));
--- a/src/courier.rs
+++ b/src/courier.rs
@@ -336,6 +336,11 @@
         self.most_sends = sends.unwrap_or(u32::MAX);
     }
 
+    /// For hosts that have room for so many calls out at once only, whatever the settings allow.
+    pub fn most_calls(&mut self, most: usize) {
+        self.slots.most = self.slots.most.min(most.max(1));
+    }
+
     /// The longest wait that may be told with a denial; none if none may be told.
     pub fn come_back(&mut self, longest: Option<Duration>) {
         self.longest_wait = longest.unwrap_or_default();
