--- a/crates/quillhub-net/src/configuration.rs
+++ b/crates/quillhub-net/src/configuration.rs
@@ -16,10 +16,6 @@
     serde_json::from_str(text).map_err(|error| format!("the configuration is no JSON: {error}"))
 }
 
-pub fn address(at: &At) -> Result<SocketAddr, String> {
-    at.word()?.parse().or_else(|_| at.wrong("an address"))
-}
-
 /// The courier, and whether answers hold reports that it goes by.
 pub fn courier(top: &At) -> Result<(Courier, bool), String> {
     let seed = top.need("seed")?;
@@ -31,12 +27,12 @@
 
 /// Where clients connect.
 pub fn listen(top: &At) -> Result<SocketAddr, String> {
-    address(&top.need("listen")?)
+    top.need("listen")?.address()
 }
 
 /// Where the register and the platform are.
 pub fn discovery(top: &At) -> Result<SocketAddr, String> {
-    address(&top.need("discovery")?)
+    top.need("discovery")?.address()
 }
 
 /// If couriers may send each other notes: where to listen, what reaches all, and the address of this one.
@@ -50,8 +46,8 @@
     }
     let me = settings.get("me").map(|me| me.whole()).transpose()?;
     let peers = top.get("peers").map_or(Ok(Vec::new()), |peers| peers.rows())?;
-    let own = me.and_then(|me| peers.get(me as usize)).map(address).transpose()?;
-    Ok(Some((address(&listen)?, address(&all)?, own)))
+    let own = me.and_then(|me| peers.get(me as usize)).map(At::address).transpose()?;
+    Ok(Some((listen.address()?, all.address()?, own)))
 }
 
 /// Bytes of the lasting folder, and descriptors.
--- a/crates/quillhub-net/src/lib.rs
+++ b/crates/quillhub-net/src/lib.rs
@@ -162,7 +162,10 @@
     host.borrow_mut().take_back(owed);
     if let Some(peers) = peers {
         let at = host.clone();
-        lasting(move || peers.clone().hear(at.clone()));
+        lasting(move || {
+            let host = at.clone();
+            peers.clone().hear(move |note| host.borrow_mut().event(|courier| courier.told_by_courier(note)))
+        });
     }
     let at = host.clone();
     lasting(move || sweep(at.clone()));
--- a/crates/quillhub-net/src/peers.rs
+++ b/crates/quillhub-net/src/peers.rs
@@ -1,7 +1,5 @@
 //! Notes between couriers, as datagrams; they may be lost.
 
-use crate::host::Host;
-use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -38,13 +36,13 @@
         }
     }
 
-    /// Hands what comes to the courier, as long as the host lives.
-    pub async fn hear(self: Rc<Self>, host: Rc<RefCell<Host>>) {
+    /// Hands `take` each note that comes from others, without end.
+    pub async fn hear(self: Rc<Self>, take: impl Fn(&[u8])) {
         let mut octets = [0; MOST + 1];
         loop {
             match self.socket.recv_from(&mut octets).await {
                 Ok((length, from)) if length <= MOST && Some(from) != self.own => {
-                    host.borrow_mut().event(|courier| courier.told_by_courier(&octets[..length]));
+                    take(&octets[..length]);
                 }
                 Ok(_) => {}
                 Err(_) => sleep(PAUSE).await,
--- a/crates/quillhub-net/src/register.rs
+++ b/crates/quillhub-net/src/register.rs
@@ -1,7 +1,6 @@
 //! The register: the list at first, then a watch on its changes, opened again whenever it ends or the register
 //! is elsewhere.
 
-use crate::configuration::address;
 use crate::host::Host;
 use crate::http::{self, Framing};
 use crate::link::{Broken, Link};
@@ -44,7 +43,7 @@
 type Row<'a> = (&'a str, SocketAddr, [&'a str; 2], u64, Listing, Option<f64>);
 
 fn row<'a>(member: At<'a>) -> Result<Row<'a>, String> {
-    let at = address(&member.need("host_port")?)?;
+    let at = member.need("host_port")?.address()?;
     let word = |name| member.get(name).map_or(Ok(""), |v| v.word());
     let places = [word("locality")?, word("flavor")?];
     let rate = member.get("size").map(|v| v.number()).transpose()?;
--- a/crates/quillhub-settings/src/lib.rs
+++ b/crates/quillhub-settings/src/lib.rs
@@ -4,6 +4,7 @@
 use quillhub::{Effect, Grade, ListedRate};
 use serde_json::Value;
 use std::fmt::Display;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The longest piece of what was found that a message quotes.
@@ -63,6 +64,10 @@
         self.value.as_str().map_or_else(|| self.wrong("a text"), Ok)
     }
 
+    pub fn address(&self) -> Result<SocketAddr, String> {
+        self.word()?.parse().or_else(|_| self.wrong("an address"))
+    }
+
     pub fn rows(&self) -> Result<Vec<At<'a>>, String> {
         let Some(rows) = self.value.as_array() else { return self.wrong("a list") };
         let row = |(at, value)| At { value, path: format!("{}[{at}]", self.path) };
