--- a/crates/quillhub-net/src/configuration.rs
+++ b/crates/quillhub-net/src/configuration.rs
@@ -30,7 +30,7 @@
     top.need("listen")?.address()
 }
 
-/// Where the register and the platform are.
+/// Where discovery and the platform are.
 pub fn discovery(top: &At) -> Result<SocketAddr, String> {
     top.need("discovery")?.address()
 }
@@ -65,7 +65,7 @@
     Ok((span("connectTimeoutUs")?.unwrap_or(Duration::MAX), span("idleCloseUs")?.unwrap_or(Duration::MAX)))
 }
 
-/// Whether the register tells changes only when the courier asks.
+/// Whether discovery tells changes only when the courier asks.
 pub fn must_be_asked(top: &At) -> Result<bool, String> {
     let mode = top.need("settings")?.get("membershipMode");
     Ok(mode.map(|v| v.word()).transpose()? == Some("subscribe"))
@@ -91,5 +91,5 @@
     bounds(top)?;
     connections(top)?;
     must_be_asked(top)?;
-    top.get("known").map_or(Ok(()), |known| crate::register::check(known.value))
+    top.get("known").map_or(Ok(()), |known| crate::discovery::check(known.value))
 }
--- a/crates/quillhub-net/src/register.rs
+++ b/crates/quillhub-net/src/discovery.rs
@@ -1,4 +1,4 @@
-//! The register: the list at first, then a watch on its changes, opened again whenever it ends or the register
+//! Discovery: the list at first, then a watch on its changes, opened again whenever it ends or discovery
 //! is elsewhere.
 
 use crate::host::Host;
@@ -18,13 +18,13 @@
 const PATH: &str = "/registry/instances";
 /// A watch sends a line every 2 s; one silent for so long has ended, whatever its connection says.
 const SILENCE: Duration = Duration::from_millis(2_500);
-/// How long a call may take from its begin to the end of its answer's head: the register answers at once, and this is
+/// How long a call may take from its begin to the end of its answer's head: discovery answers at once, and this is
 /// room for a connection that comes up with its second try, after 1 s. One bound for all of it: a call that is lost as
-/// the register comes back must leave time for the next (docs/architecture.md, "When a change is known").
+/// discovery comes back must leave time for the next (docs/architecture.md, "When a change is known").
 const CALL: Duration = SILENCE;
 /// How long a list may take from its first byte to its last, if more of it keeps coming: the longest, at 140 KB/s.
 const LONGEST_LIST: Duration = Duration::from_secs(30);
-/// Shortest time from one watch's opening to the next, where the register tells changes unasked: one that lasted longer
+/// Shortest time from one watch's opening to the next, where discovery tells changes unasked: one that lasted longer
 /// is opened again at once.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Bytes of a line: the whole list of a large deployment.
@@ -87,7 +87,7 @@
     Ok(revision)
 }
 
-/// The register's answer to a question, as far as its head, and where its body ends.
+/// Discovery's answer to a question, as far as its head, and where its body ends.
 async fn ask(at: SocketAddr, path: &str) -> Result<(Link, Framing), Broken> {
     let head = async {
         let mut link = Link::open(at).await.map_err(Broken::Failed)?;
@@ -97,7 +97,7 @@
         Ok((link, head))
     };
     let (mut link, head) = timeout(CALL, head).await.unwrap_or(Err(Broken::Ended))?;
-    tracing::debug!(path, status = head.status, "the register answers");
+    tracing::debug!(path, status = head.status, "discovery answers");
     if head.status != 200 {
         return Err(Broken::Malformed);
     }
@@ -108,18 +108,18 @@
 /// Tells the courier a list, and keeps the number of that.
 fn take(host: &RefCell<Host>, list: &Value, revision: &Cell<Option<u64>>) -> Result<(), Broken> {
     let told = tell(&mut host.borrow_mut(), list, true);
-    tracing::debug!(revision = ?told, "the register tells");
+    tracing::debug!(revision = ?told, "discovery tells");
     revision.set(Some(told.map_err(|trouble| {
-        tracing::error!(trouble, "the register's list cannot be read");
+        tracing::error!(trouble, "discovery's list cannot be read");
         Broken::Malformed
     })?));
     Ok(())
 }
 
 /// One watch, from `revision` on, until it ends. Where there is none, the whole list is taken first: another
-/// register may number its changes otherwise.
+/// discovery may number its changes otherwise.
 async fn one_watch(host: &RefCell<Host>, at: SocketAddr, revision: &Cell<Option<u64>>) -> Result<(), Broken> {
-    let heard = host.borrow().register_heard.clone();
+    let heard = host.borrow().discovery_heard.clone();
     let after = match revision.get() {
         Some(revision) => revision,
         None => {
@@ -212,7 +212,7 @@
 pub struct Progress {
     /// The number of the list that the courier was told last; none if the next must be a whole one.
     pub revision: Cell<Option<u64>>,
-    /// Whether the register is elsewhere, and has not been called there.
+    /// Whether discovery is elsewhere, and has not been called there.
     moved: Cell<bool>,
     /// Whether a call, or the watch that it opened, has begun and the courier was not told of its end.
     out: Cell<bool>,
@@ -239,11 +239,11 @@
     }
 }
 
-/// Keeps a watch open. Where the register `must_be_asked`, the courier says when; but once the register is
+/// Keeps a watch open. Where discovery `must_be_asked`, the courier says when; but once discovery is
 /// elsewhere it is watched there at once, and its whole list taken.
 pub async fn follow(
     host: Rc<RefCell<Host>>,
-    mut register: watch::Receiver<SocketAddr>,
+    mut discovery: watch::Receiver<SocketAddr>,
     progress: Rc<Progress>,
     must_be_asked: bool,
 ) {
@@ -258,22 +258,22 @@
         if must_be_asked && !progress.moved.get() {
             tokio::select! {
                 () = wanted.notified() => {}
-                Ok(()) = register.changed() => progress.moves(),
+                Ok(()) = discovery.changed() => progress.moves(),
             }
         }
-        let at = *register.borrow_and_update();
+        let at = *discovery.borrow_and_update();
         let opened = Instant::now();
         progress.out.set(true);
         progress.moved.set(false);
         let ended = tokio::select! {
             ended = one_watch(&host, at, &progress.revision) => ended,
-            Ok(()) = register.changed() => {
+            Ok(()) = discovery.changed() => {
                 progress.moves();
                 continue;
             }
         };
         if let Err(end) = ended {
-            tracing::info!(%end, revision = progress.revision.get(), "the watch on the register ended");
+            tracing::info!(%end, revision = progress.revision.get(), "the watch on discovery ended");
         }
         if !must_be_asked {
             sleep_until(opened + PAUSE).await;
@@ -282,9 +282,9 @@
 }
 
 #[cfg(test)]
-#[path = "register_tests.rs"]
+#[path = "discovery_tests.rs"]
 mod tests;
 
 #[cfg(test)]
-#[path = "register_return_tests.rs"]
+#[path = "discovery_return_tests.rs"]
 mod return_tests;
--- a/crates/quillhub-net/src/register_return_tests.rs
+++ b/crates/quillhub-net/src/discovery_return_tests.rs
@@ -1,4 +1,4 @@
-//! A register that comes back, or is slow: what it has is known in time, whatever became of the calls before. Virtual
+//! Discovery that comes back, or is slow: what it has is known in time, whatever became of the calls before. Virtual
 //! time, real sockets.
 
 use super::*;
@@ -11,7 +11,7 @@
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{advance, sleep};
 
-/// When a change counts as told, from the moment on in which the register has it and can be reached.
+/// When a change counts as told, from the moment on in which discovery has it and can be reached.
 const COUNTS_AS_TOLD: Duration = Duration::from_secs(6);
 const LIST: &str = r#"{"revision":9,"complete":true,"members":[{"id":"f","host_port":"127.0.0.1:2","cell":9,"phase":"up"}]}"#;
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -20,7 +20,7 @@
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
-/// What becomes of a connection to a register that is out of reach. None of them recovers.
+/// What becomes of a connection to discovery that is out of reach. None of them recovers.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Lost {
     Refused,
@@ -82,8 +82,8 @@
     Ok(())
 }
 
-/// A register out of reach in this way until `back`.
-fn register(lost: Lost, back: Instant) -> SocketAddr {
+/// Discovery out of reach in this way until `back`.
+fn discovery(lost: Lost, back: Instant) -> SocketAddr {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
     socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
     let at = socket.local_addr().unwrap().as_socket().unwrap();
@@ -131,13 +131,13 @@
     }
 }
 
-/// How long after its return what the register has is known.
+/// How long after its return what discovery has is known.
 fn told_after(seed: u64, lost: Lost, must_be_asked: bool, whole: bool, down: Duration) -> Duration {
     let folder = Folder::new();
     on_one_thread(async {
         tokio::time::pause();
         let back = Instant::now() + down;
-        let at = register(lost, back);
+        let at = discovery(lost, back);
         let host = host_with(seed, &settings(must_be_asked), &folder, "127.0.0.1:1".parse().unwrap());
         let (_at, seen) = watch::channel(at);
         let progress = Progress::new(Some(6).filter(|_| !whole));
@@ -163,12 +163,12 @@
 }
 
 #[test]
-fn what_a_register_that_tells_unasked_has_at_its_return_is_known_within_six_seconds() {
+fn what_discovery_that_tells_unasked_has_at_its_return_is_known_within_six_seconds() {
     longest_until_told(false);
 }
 
 #[test]
-fn what_a_register_that_must_be_asked_has_at_its_return_is_known_within_six_seconds() {
+fn what_discovery_that_must_be_asked_has_at_its_return_is_known_within_six_seconds() {
     longest_until_told(true);
 }
 
@@ -199,7 +199,7 @@
     });
 }
 
-/// A panic in the midst of a list: it is taken for the call's end, and the register asked again.
+/// A panic in the midst of a list: it is taken for the call's end, and discovery asked again.
 #[test]
 #[allow(clippy::await_holding_refcell_ref)] // that the host is held while the list is read is what panics
 fn a_panic_in_reading_a_list_is_followed_by_another_call() {
--- a/crates/quillhub-net/src/register_tests.rs
+++ b/crates/quillhub-net/src/discovery_tests.rs
@@ -72,7 +72,7 @@
 }
 
 #[test]
-fn a_register_that_is_elsewhere_is_watched_there_at_once_from_its_whole_list_on() {
+fn discovery_that_is_elsewhere_is_watched_there_at_once_from_its_whole_list_on() {
     let folder = Folder::new();
     on_one_thread(async {
         let watched = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -81,8 +81,8 @@
     most_connections: usize,
     peers: Option<Rc<Peers>>,
     pub watch_wanted: Rc<Notify>,
-    /// Told whenever the register has said something.
-    pub register_heard: Rc<Notify>,
+    /// Told whenever discovery has said something.
+    pub discovery_heard: Rc<Notify>,
     reports: bool,
     /// Calls that are out.
     pub calls: usize,
@@ -124,7 +124,7 @@
                 most_connections: usize::MAX,
                 peers,
                 watch_wanted: Rc::new(Notify::new()),
-                register_heard: Rc::new(Notify::new()),
+                discovery_heard: Rc::new(Notify::new()),
                 reports,
                 calls: 0,
                 closing: false,
--- a/crates/quillhub-net/src/lib.rs
+++ b/crates/quillhub-net/src/lib.rs
@@ -5,6 +5,7 @@
 mod clients;
 pub mod command;
 mod configuration;
+mod discovery;
 mod endpoints;
 mod finals;
 mod host;
@@ -12,7 +13,6 @@
 mod link;
 mod partial;
 mod peers;
-mod register;
 pub mod resp;
 #[cfg(test)]
 mod stand_in;
@@ -52,7 +52,7 @@
 const DECIDES: Duration = Duration::from_millis(2_000); // and so long what is held is still worked on
 const CALLS: Duration = Duration::from_millis(3_000); // calls that are out may take until then
 const FLUSHES: Duration = Duration::from_millis(3_300); // and final answers on their way
-/// How long a start waits for the register's first word: it answers at once, unless it is down.
+/// How long a start waits for discovery's first word: it answers at once, unless it is down.
 const FIRST_WORD: Duration = Duration::from_millis(200);
 /// Pause after a panic in a job that lasts.
 const AFTER_PANIC: Duration = Duration::from_millis(50);
@@ -61,7 +61,7 @@
 
 /// Runs a courier with the configuration in `text`, its lasting folder at `state`, until `stop` is done and
 /// what is owed is put in order. `next` waits for a new configuration and gives its text; it is called again
-/// and again. What can change while the courier runs is where the register and the platform are.
+/// and again. What can change while the courier runs is where discovery and the platform are.
 pub async fn serve(
     text: &str,
     state: &Path,
@@ -147,16 +147,16 @@
     let connections = (free / CLIENTS).max(1);
     host.borrow_mut().bound_connections(free - free / CLIENTS);
     let revision = match top.get("known") {
-        Some(known) => Some(register::tell(&mut host.borrow_mut(), known.value, false)?),
+        Some(known) => Some(discovery::tell(&mut host.borrow_mut(), known.value, false)?),
         None => None,
     };
     let (at, platform) = (host.clone(), discovery.clone());
     lasting(move || finals::flush(at.clone(), platform.clone()));
-    let (at, progress) = (host.clone(), register::Progress::new(revision));
-    let heard = host.borrow().register_heard.clone();
-    lasting(move || register::follow(at.clone(), discovery.clone(), progress.clone(), must_be_asked));
-    // Against calls by the list that the last process had: what the register has now counts as told from the first
-    // moment on, and what is owed goes at once. Delays a start while the register is silent.
+    let (at, progress) = (host.clone(), discovery::Progress::new(revision));
+    let heard = host.borrow().discovery_heard.clone();
+    lasting(move || discovery::follow(at.clone(), discovery.clone(), progress.clone(), must_be_asked));
+    // Against calls by the list that the last process had: what discovery has now counts as told from the first
+    // moment on, and what is owed goes at once. Delays a start while discovery is silent.
     host.borrow_mut().event(|_| ());
     let _ = timeout(FIRST_WORD, heard.notified()).await;
     host.borrow_mut().take_back(owed);
--- a/crates/quillhub-net/src/lib_tests.rs
+++ b/crates/quillhub-net/src/lib_tests.rs
@@ -41,7 +41,7 @@
 }
 
 #[test]
-fn a_new_configuration_moves_the_register_and_one_that_cannot_be_used_changes_nothing() {
+fn a_new_configuration_moves_discovery_and_one_that_cannot_be_used_changes_nothing() {
     let started_with = plan();
     let (mut lame, mut moved) = (plan(), plan());
     lame["discovery"] = json!("127.0.0.1:2");
@@ -68,9 +68,9 @@
     });
 }
 
-/// What the register has counts as told from the first moment of a new process on.
+/// What discovery has counts as told from the first moment of a new process on.
 #[test]
-fn what_is_owed_goes_by_the_list_that_the_register_has_when_the_process_starts() {
+fn what_is_owed_goes_by_the_list_that_discovery_has_when_the_process_starts() {
     let folder = Folder::new();
     let (mut wal, _) = Wal::open(&folder.0, 1 << 20).unwrap();
     let limit = Some(SystemTime::now() + Duration::from_secs(9));
@@ -86,9 +86,9 @@
         let list = format!("{}\n", json!({"revision": 2, "complete": false, "members": rows}));
         let told =
             format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{list}\r\n", list.len());
-        let (register, _asked) = answering(vec![told.leak().as_bytes()]).await;
+        let (discovery, _asked) = answering(vec![told.leak().as_bytes()]).await;
         let mut plan = plan();
-        plan["discovery"] = json!(register.to_string());
+        plan["discovery"] = json!(discovery.to_string());
         plan["known"] = json!({"revision": 1, "complete": true, "members": [member("e", old, "up")]});
         let text = plan.to_string();
         tokio::select! {
--- a/crates/quillhub-net/tests/crossings.rs
+++ b/crates/quillhub-net/tests/crossings.rs
@@ -42,7 +42,7 @@
     FinalAnswer,
 }
 
-/// Endpoint, register and platform on loopback, and what they saw.
+/// Endpoint, discovery and platform on loopback, and what they saw.
 struct World {
     step: Step,
     /// Whether the process that ran at first has ended: from then on all is well.
@@ -75,7 +75,7 @@
         }
     }
 
-    async fn register_and_platform(self: Rc<Self>, stream: TcpStream) {
+    async fn discovery_and_platform(self: Rc<Self>, stream: TcpStream) {
         let mut stream = Served::new(stream);
         while let Ok(Some(asked)) = stream.next().await {
             let answer = if asked.path == "/v2/finals" {
@@ -163,7 +163,7 @@
         list: RefCell::new(Value::Null),
     });
     let endpoint = world.listen(World::endpoint).await;
-    let discovery = world.listen(World::register_and_platform).await;
+    let discovery = world.listen(World::discovery_and_platform).await;
     let first_list = match step {
         Step::Taken => list(1, None),
         Step::Opening => list(1, Some(full)),
