--- a/src/courier.rs
+++ b/src/courier.rs
@@ -32,6 +32,8 @@
     pub(crate) must_ask: bool,
     pub(crate) every: Duration,
     pub(crate) asked: bool,
+    /// When the last ask began.
+    pub(crate) began: Duration,
     pub(crate) failures: u32,
     pub(crate) next: Duration,
 }
@@ -329,6 +331,7 @@
                 must_ask: false,
                 every: Duration::ZERO,
                 asked: false,
+                began: Duration::ZERO,
                 failures: 1, // as nothing has stood yet
                 next: Duration::ZERO,
             },
@@ -367,6 +370,11 @@
         self.most_sends = sends.unwrap_or(u32::MAX);
     }
 
+    /// For hosts that have room for so many calls out at once only, whatever the settings allow.
+    pub fn most_calls(&mut self, most: usize) {
+        self.slots.most = self.slots.most.min(most.max(1));
+    }
+
     /// The longest wait that may be told with a denial; none if none may be told.
     pub fn come_back(&mut self, longest: Option<Duration>) {
         self.longest_wait = longest.unwrap_or_default();
