quillhub-rig: hollow couriers, counted stand-ins, bounds and fits for scale runs

Change: a crate with hollow couriers (the module and the real protocol, no clients, no state directory, no calls), a shared listener for destinations, a relay for gossip, the real courier's process under load, and pure fits, bounds and reading of experiments. The stand-ins count their traffic and keep the written list.

--- /dev/null
+++ b/crates/quillhub-rig/src/fleet.rs
@@ -0,0 +1,145 @@
+//! All that surrounds the real couriers of one point: discovery and platform, destinations, the relay between peers, and
+//! the hollow couriers.
+
+use crate::bounds::HOLLOW_PER_THREAD;
+use crate::control::Control;
+use crate::destinations::{self, Destinations, HANGING};
+use crate::gossip::Relay;
+use crate::hollow::{Common, Group, Status};
+use crate::plan::Sizes;
+use quillhub_stand_ins::traffic::Counts;
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+/// How often a condition is looked at.
+const LOOK: Duration = Duration::from_millis(2);
+
+/// How long after a change it was in force at the courier in the middle, and at the last.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct InForce {
+    /// At half of the couriers.
+    pub median: Duration,
+    /// At the last.
+    pub worst: Duration,
+}
+
+/// What the hollow couriers have exchanged with discovery and platform.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Exchanged {
+    /// With discovery.
+    pub discovery: Counts,
+    /// With the platform.
+    pub platform: Counts,
+    /// Final outcomes that the platform confirmed, of real couriers too.
+    pub finals: u64,
+    /// Watches and other connections to discovery that are open.
+    pub open: u64,
+}
+
+/// The surroundings, running.
+pub struct Fleet {
+    pub(crate) control: Control,
+    pub(crate) destinations: Destinations,
+    pub(crate) relay: Relay,
+    groups: Vec<Group>,
+    /// Destinations that answer.
+    healthy: u64,
+    beginning: Instant,
+}
+
+impl Fleet {
+    /// Starts all of it; `real` couriers will join later.
+    pub fn start(sizes: &Sizes, seed: u64, real: u64) -> Result<Self, String> {
+        let beginning = Instant::now();
+        let destinations = Destinations::start()?;
+        let hanging = if sizes.backlog > 0 { HANGING } else { 0 };
+        let control = Control::start(destinations.listed(sizes.destinations, hanging))?;
+        let relay = Relay::start()?;
+        let common = Common {
+            control: control.for_hollow,
+            peers: relay.at,
+            couriers: sizes.couriers + real,
+            destinations: sizes.destinations,
+            seed,
+            beginning,
+        };
+        let mut groups = Vec::new();
+        let mut first = 0;
+        while first < sizes.couriers {
+            let count = HOLLOW_PER_THREAD.min(sizes.couriers - first);
+            let group = Group::start(common, first, count)?;
+            group.addresses.iter().for_each(|address| relay.join(*address));
+            groups.push(group);
+            first += count;
+        }
+        Ok(Self { control, destinations, relay, groups, healthy: sizes.destinations, beginning })
+    }
+
+    fn statuses(&self) -> impl Iterator<Item = &Status> {
+        self.groups.iter().flat_map(|group| &group.statuses).map(AsRef::as_ref)
+    }
+
+    /// Waits until all hollow couriers are ready; false if some are not by `until`.
+    pub async fn ready(&self, until: Instant) -> bool {
+        while !self.statuses().all(Status::ready) {
+            if Instant::now() >= until {
+                return false;
+            }
+            sleep(LOOK).await;
+        }
+        true
+    }
+
+    /// Ends and starts anew one hollow courier of every `of`.
+    pub fn restart_each(&self, of: usize) {
+        for group in &self.groups {
+            (0..group.statuses.len()).step_by(of.max(1)).for_each(|nth| group.restart(nth));
+        }
+    }
+
+    /// The endpoint that changes: of the last destination that answers, which gets no load.
+    pub fn changing(&self) -> String {
+        destinations::endpoint(self.healthy)
+    }
+
+    /// Makes one change and waits until it is in force at all hollow couriers; nothing if it is not by `until`.
+    pub async fn change(&self, until: Instant) -> Result<Option<InForce>, String> {
+        let (revision, at) = self.control.change(&self.changing()).await?;
+        let at = at.saturating_duration_since(self.beginning);
+        while !self.statuses().all(|status| status.in_force().0 >= revision) {
+            if Instant::now() >= until {
+                return Ok(None);
+            }
+            sleep(LOOK).await;
+        }
+        let mut waits: Vec<_> = self.statuses().map(|status| status.in_force().1.saturating_sub(at)).collect();
+        waits.sort();
+        Ok(waits.last().map(|worst| InForce { median: waits[waits.len() / 2], worst: *worst }))
+    }
+
+    /// Totals by now.
+    pub fn exchanged(&self) -> Exchanged {
+        let with = &self.control.with_hollow;
+        Exchanged {
+            discovery: with.discovery.counts(),
+            platform: with.platform.counts(),
+            finals: self.control.finals(),
+            open: with.discovery.open(),
+        }
+    }
+
+    /// Processor time of the servers of discovery and platform by now.
+    pub fn control_time(&self) -> Duration {
+        self.control.processor_time()
+    }
+
+    /// Processor time of all hollow couriers by now.
+    pub fn hollow_time(&self) -> Duration {
+        self.groups.iter().map(Group::processor_time).sum()
+    }
+
+    /// Gossip messages that hollow couriers heard.
+    pub fn heard(&self) -> u64 {
+        self.statuses().map(Status::heard).sum()
+    }
+}
--- /dev/null
+++ b/crates/quillhub-rig/src/hollow.rs
@@ -0,0 +1,478 @@
+//! Hollow couriers: the decision module with its real state and the real protocol to discovery, platform and peers, but
+//! no clients, no state directory and no calls to endpoints. Many share one thread.
+
+use crate::settings;
+use crate::thread::Worker;
+use quillhub::courier::Courier;
+use quillhub::{Hands, Listing, NoticeId, Outcome};
+use quillhub_net::http::{self, Framing, Head};
+use serde_json::Value;
+use std::cell::RefCell;
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpStream, UdpSocket};
+use tokio::sync::Notify;
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{sleep, sleep_until, timeout};
+
+/// From one message that makes a courier gossip to its next: what each of them is assumed to tell.
+pub const GOSSIP_GAP: Duration = Duration::from_secs(60);
+/// A watch silent for so long has ended, as for a real courier.
+const SILENCE: Duration = Duration::from_millis(2_500);
+/// Pause after a watch or a call that ended.
+const PAUSE: Duration = Duration::from_millis(250);
+/// Bytes of a line or a list that are read.
+const MOST_LINE: usize = 4 * 1024 * 1024;
+/// Deadline of the messages that make a courier gossip.
+const GOSSIP_DEADLINE: Duration = Duration::from_secs(30);
+/// Calls of such a message that fail before one succeeds: two in a row make its destination's return news.
+const FAILED_CALLS: u32 = 2;
+/// Bytes of a datagram.
+const MOST_DATAGRAM: usize = 256;
+
+/// What is seen of a hollow courier from outside its thread.
+#[derive(Debug, Default)]
+pub struct Status {
+    revision: AtomicU64,
+    /// Nanoseconds from the fleet's beginning until that revision was in force.
+    in_force_ns: AtomicU64,
+    confirmed: AtomicU64,
+    heard: AtomicU64,
+}
+
+impl Status {
+    /// The last revision in force, 0 before the first, and when it came into force since the fleet's beginning.
+    pub fn in_force(&self) -> (u64, Duration) {
+        let at = Duration::from_nanos(self.in_force_ns.load(Ordering::Acquire));
+        (self.revision.load(Ordering::Acquire), at)
+    }
+
+    /// Whether its list is in force and the platform has confirmed its final outcome.
+    pub fn ready(&self) -> bool {
+        self.revision.load(Ordering::Acquire) > 0 && self.confirmed.load(Ordering::Acquire) > 0
+    }
+
+    /// Gossip messages that it heard.
+    pub fn heard(&self) -> u64 {
+        self.heard.load(Ordering::Relaxed)
+    }
+}
+
+/// What all hollow couriers of a run have in common.
+#[derive(Clone, Copy)]
+pub struct Common {
+    /// Discovery and platform.
+    pub control: SocketAddr,
+    /// What reaches all peers.
+    pub peers: SocketAddr,
+    /// Couriers in all, real ones too.
+    pub couriers: u64,
+    /// Destinations numbered from 1 that messages may be for.
+    pub destinations: u64,
+    pub seed: u64,
+    /// The instant that times count from.
+    pub beginning: Instant,
+}
+
+/// What the module asked for in one round.
+#[derive(Default)]
+struct Actions {
+    calls: Vec<NoticeId>,
+    ended: Vec<(NoticeId, bool)>,
+    gossip: Vec<Vec<u8>>,
+    wakes: Vec<Duration>,
+}
+
+impl Hands for Actions {
+    fn send(&mut self, id: NoticeId, _endpoint: &str, _patience: Duration) {
+        self.calls.push(id);
+    }
+    fn deny(&mut self, id: NoticeId, _come_back: Option<Duration>) {
+        self.ended.push((id, true));
+    }
+    fn write_off(&mut self, id: NoticeId) {
+        self.ended.push((id, false));
+    }
+    fn hang_up(&mut self, _endpoint: &str) {}
+    fn tell(&mut self, note: &[u8]) {
+        self.gossip.push(note.to_vec());
+    }
+    fn wake(&mut self, wait: Duration) {
+        self.wakes.push(wait);
+    }
+    fn watch(&mut self) {}
+    fn log(&mut self, _line: &str) {}
+}
+
+/// The state of one hollow courier.
+struct State {
+    courier: Courier,
+    started: Instant,
+    wakes: BinaryHeap<Reverse<Instant>>,
+    /// Calls of each message so far, by its id; ids count up.
+    calls: std::collections::BTreeMap<NoticeId, u32>,
+    finals: VecDeque<(NoticeId, bool)>,
+    gossip: VecDeque<Vec<u8>>,
+    next: NoticeId,
+}
+
+struct Hollow {
+    state: RefCell<State>,
+    /// There is something to do for the tasks that wait: a timer, a final outcome, gossip.
+    timer: Notify,
+    finals: Notify,
+    gossip: Notify,
+    status: Arc<Status>,
+    common: Common,
+    number: u64,
+}
+
+impl Hollow {
+    fn event<T>(&self, event: impl FnOnce(&mut Courier) -> T) -> T {
+        let mut state = self.state.borrow_mut();
+        let (told, calls) = self.round(&mut state, event);
+        // Calls end at once, so what they lead to is told before anything else.
+        let mut calls = VecDeque::from(calls);
+        while let Some(id) = calls.pop_front() {
+            let nth = *state.calls.entry(id).and_modify(|calls| *calls += 1).or_insert(0);
+            let handled = nth >= FAILED_CALLS;
+            let outcome = if handled { Outcome::Handled } else { Outcome::Unconnected };
+            if handled {
+                state.calls.remove(&id);
+            }
+            let more = self.round(&mut state, |courier| {
+                courier.outcome(id, nth, outcome, Duration::from_millis(1), handled, None);
+            });
+            calls.extend(more.1);
+        }
+        told
+    }
+
+    /// One event, and the calls that it leads to.
+    fn round<T>(&self, state: &mut State, event: impl FnOnce(&mut Courier) -> T) -> (T, Vec<NoticeId>) {
+        let mut actions = Actions::default();
+        state.courier.at(state.started.elapsed());
+        let told = event(&mut state.courier);
+        state.courier.settle(&mut actions);
+        let now = Instant::now();
+        if !actions.wakes.is_empty() {
+            state.wakes.extend(actions.wakes.iter().map(|wait| Reverse(now + *wait)));
+            self.timer.notify_one();
+        }
+        if !actions.ended.is_empty() {
+            actions.ended.iter().for_each(|(id, _)| {
+                state.calls.remove(id);
+            });
+            state.finals.extend(actions.ended);
+            self.finals.notify_one();
+        }
+        if !actions.gossip.is_empty() {
+            state.gossip.extend(actions.gossip);
+            self.gossip.notify_one();
+        }
+        (told, actions.calls)
+    }
+
+    fn submit(&self, destination: u64, deadline: Duration) {
+        let id = {
+            let mut state = self.state.borrow_mut();
+            state.next += 1;
+            state.next
+        };
+        let limit = self.state.borrow().started.elapsed() + deadline;
+        self.event(|courier| courier.notice(id, settings::CLASS, None, limit, None, destination));
+    }
+
+    /// Tells the module a list or changes of it.
+    fn apply(&self, list: &Value) -> io::Result<u64> {
+        let malformed = || io::Error::from(io::ErrorKind::InvalidData);
+        let revision = list["revision"].as_u64().ok_or_else(malformed)?;
+        let rows = list["members"].as_array().ok_or_else(malformed)?;
+        let whole = list["complete"].as_bool().unwrap_or(false);
+        let word = |row: &Value, name: &str| row[name].as_str().unwrap_or_default().to_owned();
+        let names: BTreeSet<String> = rows.iter().map(|row| word(row, "id")).collect();
+        self.event(|courier| {
+            for row in rows {
+                let listing = match row["phase"].as_str() {
+                    Some("up") => Listing::Open,
+                    Some("draining") => Listing::Draining,
+                    _ => Listing::Gone,
+                };
+                let (name, zone, kind) = (word(row, "id"), word(row, "locality"), word(row, "flavor"));
+                let owner = row["cell"].as_u64().unwrap_or_default();
+                courier.listed(&name, &zone, &kind, owner, listing, row["size"].as_f64());
+            }
+            courier.list_ends(whole.then_some(&names), true);
+        });
+        let since = self.common.beginning.elapsed().as_nanos() as u64;
+        self.status.in_force_ns.store(since, Ordering::Release);
+        self.status.revision.store(revision, Ordering::Release);
+        Ok(revision)
+    }
+
+    async fn watch_once(&self, revision: &mut Option<u64>) -> io::Result<()> {
+        let at = self.common.control;
+        let after = match *revision {
+            Some(revision) => revision,
+            None => {
+                let mut link = Link::open(at).await?;
+                let head = link.ask("GET", "/registry/instances", &[]).await?;
+                let body = timeout(SILENCE, link.body(&head)).await??;
+                let first = self.apply(&serde_json::from_slice(&body)?)?;
+                *revision = Some(first);
+                // Its one final outcome: a message whose deadline is over when it comes.
+                self.submit(1, Duration::ZERO);
+                first
+            }
+        };
+        let mut link = Link::open(at).await?;
+        link.ask("GET", &format!("/registry/instances?watch=1&after={after}"), &[]).await?;
+        let mut text = Vec::new();
+        loop {
+            let chunk = timeout(SILENCE, link.chunk()).await??;
+            if chunk.is_empty() {
+                return Ok(());
+            }
+            text.extend_from_slice(&chunk);
+            if text.ends_with(b"\n") {
+                for line in text.split(|byte| *byte == b'\n').filter(|line| !line.is_empty()) {
+                    *revision = Some(self.apply(&serde_json::from_slice(line)?)?);
+                }
+                text.clear();
+            }
+        }
+    }
+
+    async fn follow_discovery(&self) {
+        let mut revision = None;
+        loop {
+            let _ = self.watch_once(&mut revision).await;
+            self.event(Courier::list_failed);
+            sleep(PAUSE).await;
+        }
+    }
+
+    async fn tell_platform(&self) {
+        let mut link = None;
+        loop {
+            let (count, body) = {
+                let state = self.state.borrow();
+                let line = |(id, rejected): &(NoticeId, bool)| {
+                    let result = if *rejected { "bounced" } else { "dead" };
+                    format!("{{\"ref\":\"h{}-{id}\",\"result\":\"{result}\"}}\n", self.number)
+                };
+                (state.finals.len(), state.finals.iter().map(line).collect::<String>())
+            };
+            if count == 0 {
+                self.finals.notified().await;
+                continue;
+            }
+            match self.post(link.take(), body.as_bytes()).await {
+                Ok(kept) => {
+                    self.state.borrow_mut().finals.drain(..count);
+                    self.status.confirmed.fetch_add(count as u64, Ordering::Release);
+                    link = Some(kept);
+                }
+                Err(_) => sleep(PAUSE).await,
+            }
+        }
+    }
+
+    async fn post(&self, link: Option<Link>, body: &[u8]) -> io::Result<Link> {
+        let mut link = match link {
+            Some(link) => link,
+            None => Link::open(self.common.control).await?,
+        };
+        let head = timeout(SILENCE, link.ask("POST", "/v2/finals", body)).await??;
+        if head.status == 204 { Ok(link) } else { Err(io::ErrorKind::InvalidData.into()) }
+    }
+
+    async fn keep_timers(&self) {
+        loop {
+            let next = self.state.borrow().wakes.peek().map(|Reverse(at)| *at);
+            let Some(next) = next else {
+                self.timer.notified().await;
+                continue;
+            };
+            tokio::select! {
+                () = sleep_until(next.into()) => {
+                    self.state.borrow_mut().wakes.pop();
+                    self.event(Courier::woken);
+                }
+                () = self.timer.notified() => {}
+            }
+        }
+    }
+
+    async fn exchange_gossip(&self, socket: &UdpSocket) {
+        let mut octets = [0; MOST_DATAGRAM];
+        loop {
+            tokio::select! {
+                came = socket.recv_from(&mut octets) => if let Ok((length, _)) = came {
+                    self.status.heard.fetch_add(1, Ordering::Relaxed);
+                    self.event(|courier| courier.told_by_courier(&octets[..length]));
+                },
+                () = self.gossip.notified() => {
+                    while let Some(message) = { let next = self.state.borrow_mut().gossip.pop_front(); next } {
+                        let _ = socket.send_to(&message, self.common.peers).await;
+                    }
+                }
+            }
+        }
+    }
+
+    /// A message every so often whose first calls fail: its destination's return is then told to all. The couriers'
+    /// turns are spread over the gap.
+    async fn make_gossip(&self) {
+        let turn = self.number as f64 / self.common.couriers.max(1) as f64;
+        sleep(GOSSIP_GAP.mul_f64(turn)).await;
+        loop {
+            self.submit(1 + self.number % self.common.destinations, GOSSIP_DEADLINE);
+            sleep(GOSSIP_GAP).await;
+        }
+    }
+}
+
+async fn live(common: Common, number: u64, status: Arc<Status>, socket: Rc<UdpSocket>) {
+    let read = quillhub_settings::read(common.seed + number, &settings::decisions(common.couriers));
+    let (mut courier, _) = read.expect("the rig's own settings can be read");
+    courier.one_a_call();
+    let state = State {
+        courier,
+        started: Instant::now(),
+        wakes: BinaryHeap::new(),
+        calls: Default::default(),
+        finals: VecDeque::new(),
+        gossip: VecDeque::new(),
+        next: 0,
+    };
+    let hollow = Hollow {
+        state: RefCell::new(state),
+        timer: Notify::new(),
+        finals: Notify::new(),
+        gossip: Notify::new(),
+        status,
+        common,
+        number,
+    };
+    tokio::join!(
+        hollow.follow_discovery(),
+        hollow.tell_platform(),
+        hollow.keep_timers(),
+        hollow.exchange_gossip(&socket),
+        hollow.make_gossip(),
+    );
+}
+
+/// One HTTP connection.
+struct Link {
+    stream: TcpStream,
+    read: Vec<u8>,
+    host: String,
+}
+
+impl Link {
+    async fn open(at: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(at).await?;
+        stream.set_nodelay(true)?;
+        Ok(Self { stream, read: Vec::new(), host: at.to_string() })
+    }
+
+    async fn parsed<T>(
+        &mut self,
+        parse: impl Fn(&[u8]) -> Result<Option<(T, usize)>, http::Malformed>,
+    ) -> io::Result<T> {
+        loop {
+            let parsed = parse(&self.read).map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+            if let Some((found, used)) = parsed {
+                self.read.drain(..used);
+                return Ok(found);
+            }
+            if self.stream.read_buf(&mut self.read).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
+    async fn ask(&mut self, method: &str, path: &str, body: &[u8]) -> io::Result<Head> {
+        let request = http::request(method, path, &self.host, &[], body);
+        self.stream.write_all(&request).await?;
+        self.parsed(http::head).await
+    }
+
+    async fn body(&mut self, head: &Head) -> io::Result<Vec<u8>> {
+        match head.framing() {
+            Ok(Framing::Length(length)) if length <= MOST_LINE => {
+                while self.read.len() < length {
+                    if self.stream.read_buf(&mut self.read).await? == 0 {
+                        return Err(io::ErrorKind::UnexpectedEof.into());
+                    }
+                }
+                Ok(self.read.drain(..length).collect())
+            }
+            _ => Err(io::ErrorKind::InvalidData.into()),
+        }
+    }
+
+    async fn chunk(&mut self) -> io::Result<Vec<u8>> {
+        self.parsed(|read| Ok(http::chunk(read, MOST_LINE)?.map(|(chunk, used)| (chunk.to_vec(), used)))).await
+    }
+}
+
+/// Hollow couriers that share one thread.
+pub struct Group {
+    /// One for each, in order.
+    pub statuses: Vec<Arc<Status>>,
+    /// Where each hears gossip.
+    pub addresses: Vec<SocketAddr>,
+    restart: UnboundedSender<usize>,
+    worker: Worker,
+}
+
+impl Group {
+    /// Starts those numbered from `first` on.
+    pub fn start(common: Common, first: u64, count: u64) -> Result<Self, String> {
+        let statuses: Vec<Arc<Status>> = (0..count).map(|_| Arc::default()).collect();
+        let (restart, mut restarts) = unbounded_channel::<usize>();
+        let told = statuses.clone();
+        let (worker, addresses) = Worker::start(move || async move {
+            let mut sockets = Vec::new();
+            for _ in &told {
+                sockets.push(Rc::new(UdpSocket::bind("127.0.0.1:0").await?));
+            }
+            let addresses = sockets.iter().map(|socket| socket.local_addr()).collect::<io::Result<Vec<_>>>()?;
+            let begin = move |nth: usize| -> JoinHandle<()> {
+                spawn_local(live(common, first + nth as u64, told[nth].clone(), sockets[nth].clone()))
+            };
+            let mut running: Vec<_> = (0..count as usize).map(&begin).collect();
+            spawn_local(async move {
+                while let Some(nth) = restarts.recv().await {
+                    running[nth].abort();
+                    running[nth] = begin(nth);
+                }
+            });
+            Ok(addresses)
+        })?;
+        Ok(Self { statuses, addresses, restart, worker })
+    }
+
+    /// Ends one as if it were killed, and starts it anew: all that it knew is gone.
+    pub fn restart(&self, nth: usize) {
+        self.statuses[nth].revision.store(0, Ordering::Release);
+        self.statuses[nth].confirmed.store(0, Ordering::Release);
+        let _ = self.restart.send(nth);
+    }
+
+    /// Processor time of all by now.
+    pub fn processor_time(&self) -> Duration {
+        self.worker.processor_time()
+    }
+}
--- a/crates/quillhub-stand-ins/src/http.rs
+++ b/crates/quillhub-stand-ins/src/http.rs
@@ -1,6 +1,8 @@
 //! HTTP/1.1 as a server needs it: one request at a time from a connection.
 
+use crate::traffic::{Connection, Traffic};
 use std::io;
+use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -13,6 +15,7 @@
 pub struct Served {
     stream: TcpStream,
     read: Vec<u8>,
+    traffic: Connection,
 }
 
 /// One request, with the few headers that a stand-in goes by.
@@ -31,8 +34,18 @@
 
 impl Served {
     pub fn new(stream: TcpStream) -> Self {
+        Self::counted(stream, Arc::default())
+    }
+
+    /// One whose traffic is part of `server`'s.
+    pub fn counted(stream: TcpStream, server: Arc<Traffic>) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, read: Vec::new() }
+        Self { stream, read: Vec::new(), traffic: Connection::accepted(server) }
+    }
+
+    /// From now on, and for what it has carried already, it is one of `server`'s.
+    pub fn belongs_to(&mut self, server: &Arc<Traffic>) {
+        self.traffic.move_to(server);
     }
 
     /// The next request; nothing once the other side has closed.
@@ -40,12 +53,15 @@
         loop {
             if let Some((asked, used)) = parse(&self.read)? {
                 self.read.drain(..used);
+                self.traffic.request();
                 return Ok(Some(asked));
             }
             if self.read.len() > MOST {
                 return Err(malformed("one that does not end"));
             }
-            if self.stream.read_buf(&mut self.read).await? == 0 {
+            let length = self.stream.read_buf(&mut self.read).await?;
+            self.traffic.read(length);
+            if length == 0 {
                 return Ok(None);
             }
         }
@@ -55,12 +71,14 @@
         let mut octets =
             format!("HTTP/1.1 {status} -\r\n{headers}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
         octets.extend_from_slice(body);
-        self.stream.write_all(&octets).await
+        self.write(&octets).await
     }
 
     /// As it is, for answers that go on.
     pub async fn write(&mut self, octets: &[u8]) -> io::Result<()> {
-        self.stream.write_all(octets).await
+        self.stream.write_all(octets).await?;
+        self.traffic.written(octets.len());
+        Ok(())
     }
 
     /// Ends with a reset instead of a close.
--- a/crates/quillhub-stand-ins/src/lib.rs
+++ b/crates/quillhub-stand-ins/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod process;
 pub mod scratch;
 pub mod scripted;
+pub mod traffic;
--- a/crates/quillhub-stand-ins/src/platform.rs
+++ b/crates/quillhub-stand-ins/src/platform.rs
@@ -2,11 +2,14 @@
 
 use crate::endpoints::Listed;
 use crate::http::Served;
+use crate::traffic::Traffic;
 use quillhub_emulator::{Day, Shown, Site};
 use serde_json::{Value, json};
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedSender;
@@ -33,8 +36,12 @@
     /// Out of reach: it says nothing.
     pub lost: bool,
     changed: watch::Sender<u64>,
-    /// Rows of each version, as told.
+    /// Rows of each version, as told, in order.
     changes: Vec<(u64, Value)>,
+    /// Where each id stands in `members`.
+    places: BTreeMap<String, usize>,
+    /// The whole list as written, with its version.
+    written: Option<(u64, Rc<str>)>,
 }
 
 fn member(listed: &Listed, phase: &str) -> Value {
@@ -45,8 +52,10 @@
 impl Register {
     pub fn new(all: &[Listed]) -> Rc<RefCell<Self>> {
         let members = all.iter().map(|listed| (listed.clone(), "up")).collect();
+        let places = all.iter().enumerate().map(|(place, listed)| (listed.id.clone(), place)).collect();
         let (changed, _) = watch::channel(1);
-        Rc::new(RefCell::new(Self { members, revision: 1, lost: false, changed, changes: Vec::new() }))
+        let (revision, lost, changes, written) = (1, false, Vec::new(), None);
+        Rc::new(RefCell::new(Self { members, revision, lost, changed, changes, places, written }))
     }
 
     /// The whole list.
@@ -56,9 +65,27 @@
         json!({"revision": self.revision, "complete": true, "members": members})
     }
 
+    /// The whole list as it is written: row by row, so that a large one takes no more room than its text.
+    pub fn list_text(&mut self) -> Rc<str> {
+        if let Some((_, text)) = self.written.as_ref().filter(|(revision, _)| *revision == self.revision) {
+            return text.clone();
+        }
+        let mut text = format!("{{\"revision\":{},\"complete\":true,\"members\":[", self.revision);
+        let live = self.members.iter().filter(|(_, phase)| *phase != "removed");
+        for (nth, (listed, phase)) in live.enumerate() {
+            text.push_str(if nth == 0 { "" } else { "," });
+            text.push_str(&member(listed, phase).to_string());
+        }
+        text.push_str("]}");
+        let text: Rc<str> = text.into();
+        self.written = Some((self.revision, text.clone()));
+        text
+    }
+
     /// An endpoint is `up`, `draining` or `removed` from now on.
     pub fn change(&mut self, id: &str, phase: &'static str) {
-        let Some((listed, was)) = self.members.iter_mut().find(|(listed, _)| listed.id == id) else { return };
+        let Some(place) = self.places.get(id) else { return };
+        let (listed, was) = &mut self.members[*place];
         *was = phase;
         self.revision += 1;
         self.changes.push((self.revision, member(listed, phase)));
@@ -67,15 +94,17 @@
 
     /// A new endpoint, at the address of `old`.
     pub fn replace(&mut self, old: &str) {
-        let Some((listed, _)) = self.members.iter().find(|(listed, _)| listed.id == old) else { return };
+        let Some(place) = self.places.get(old) else { return };
         let id = format!("e{}", self.members.len() + 1);
-        let new = Listed { id: id.clone(), ..listed.clone() };
+        let new = Listed { id: id.clone(), ..self.members[*place].0.clone() };
+        self.places.insert(id.clone(), self.members.len());
         self.members.push((new, "up"));
         self.change(&id, "up");
     }
 
     fn after(&self, revision: u64) -> Value {
-        let rows: Vec<_> = self.changes.iter().filter(|(at, _)| *at > revision).map(|(_, row)| row).collect();
+        let from = self.changes.partition_point(|(at, _)| *at <= revision);
+        let rows: Vec<_> = self.changes[from..].iter().map(|(_, row)| row).collect();
         json!({"revision": self.revision, "complete": false, "members": rows})
     }
 }
@@ -116,10 +145,26 @@
     }
 }
 
+/// What goes over the connections of each of the two.
+#[derive(Clone, Default)]
+pub struct Counted {
+    pub discovery: Arc<Traffic>,
+    pub platform: Arc<Traffic>,
+}
+
 /// Starts both on the current thread's local tasks.
 pub async fn start(
     register: Rc<RefCell<Register>>,
     tell: UnboundedSender<Finally>,
+) -> std::io::Result<SocketAddr> {
+    start_counted(register, tell, Counted::default()).await
+}
+
+/// The same, with their traffic counted.
+pub async fn start_counted(
+    register: Rc<RefCell<Register>>,
+    tell: UnboundedSender<Finally>,
+    traffic: Counted,
 ) -> std::io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let at = listener.local_addr()?;
@@ -127,7 +172,8 @@
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    spawn_local(serve(register.clone(), tell.clone(), Served::new(stream)));
+                    let link = Served::counted(stream, traffic.discovery.clone());
+                    spawn_local(serve(register.clone(), tell.clone(), link, traffic.platform.clone()));
                 }
                 Err(_) => sleep(Duration::from_millis(5)).await,
             }
@@ -140,9 +186,11 @@
     register: Rc<RefCell<Register>>,
     tell: UnboundedSender<Finally>,
     mut link: Served,
+    platform: Arc<Traffic>,
 ) -> std::io::Result<()> {
     while let Some(asked) = link.next().await? {
         if asked.method == "POST" && asked.path == "/v2/finals" {
+            link.belongs_to(&platform);
             let read: Option<Vec<Finally>> =
                 asked.body.split(|b| *b == b'\n').filter(|l| !l.is_empty()).map(read).collect();
             match read {
@@ -161,7 +209,7 @@
             let after = after.and_then(|text| text.parse().ok()).unwrap_or(0);
             return watched(&register, link, after).await;
         } else if asked.path == "/registry/instances" {
-            let list = register.borrow().list().to_string();
+            let list = register.borrow_mut().list_text();
             link.answer(200, "Content-Type: application/json\r\n", list.as_bytes()).await?;
         } else {
             link.answer(404, "", b"").await?;
--- a/crates/quillhub-stand-ins/src/process.rs
+++ b/crates/quillhub-stand-ins/src/process.rs
@@ -1,7 +1,7 @@
 //! A courier's process that this one started, and what it uses. It is ended with its owner.
 
 use std::io;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
 use tokio::time::sleep;
@@ -45,6 +45,18 @@
         }
     }
 
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.0.id()
+    }
+
+    /// Processor time by now, to the nanosecond: the sum that /proc rounds to ticks as utime and stime, read from
+    /// the scheduler's account of each of its threads. Nothing if it has ended.
+    pub fn processor_time(&self) -> Option<Duration> {
+        let threads = std::fs::read_dir(format!("/proc/{}/task", self.0.id())).ok()?;
+        threads.map(|thread| scheduled(&thread.ok()?.path())).sum()
+    }
+
     /// Nothing if it has ended.
     pub fn used(&self) -> Option<Used> {
         let id = self.0.id();
@@ -59,6 +71,17 @@
     }
 }
 
+/// Where /proc tells of the current thread; other threads of this process may read it.
+pub fn this_thread() -> io::Result<PathBuf> {
+    Ok(Path::new("/proc").join(std::fs::read_link("/proc/thread-self")?))
+}
+
+/// Processor time of the thread that /proc tells of at `thread`.
+pub fn scheduled(thread: &Path) -> Option<Duration> {
+    let text = std::fs::read_to_string(thread.join("schedstat")).ok()?;
+    text.split_whitespace().next()?.parse().ok().map(Duration::from_nanos)
+}
+
 impl Drop for Courier {
     fn drop(&mut self) {
         let _ = self.0.kill();
