--- a/crates/quillhub-lab/src/chart.rs
+++ b/crates/quillhub-lab/src/chart.rs
@@ -72,3 +72,13 @@
     };
     draw(title, lines, "", &label, names.len())
 }
+
+/// Sizes spaced by factors: each power of ten is as far from the next.
+pub fn over_sizes(title: &str, across: &str, lines: &[Line]) -> Result<String, String> {
+    let scaled = |line: &Line| {
+        let points = line.points.iter().map(|(size, value)| (size.max(1.0).log10(), *value)).collect();
+        Line { name: line.name.clone(), points }
+    };
+    let lines: Vec<Line> = lines.iter().map(scaled).collect();
+    draw(title, &lines, across, &|at| format!("{:.0}", 10f64.powf(*at)), 10)
+}
--- a/crates/quillhub-lab/src/command.rs
+++ b/crates/quillhub-lab/src/command.rs
@@ -2,7 +2,7 @@
 
 use crate::experiment::Planned;
 use crate::results::Kept;
-use crate::{compare, cost, explain, load, report, results, sweep};
+use crate::{compare, cost, explain, load, report, results, scale, sweep};
 use argh::FromArgs;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -24,6 +24,7 @@
     Explain(Explain),
     Load(Load),
     Cost(Cost),
+    Scale(Scale),
 }
 
 /// Play an experiment over all cores; goes on where a stopped one ended.
@@ -128,6 +129,22 @@
     experiment: PathBuf,
 }
 
+/// Measure how a real courier's cost grows with one size, amid hollow ones on loopback; not simulated. Bounds (half of
+/// the memory, 300 processes, 20,000 descriptors, loopback, the time of a point) are checked before anything starts.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "scale")]
+struct Scale {
+    /// experiment file (experiments/scale-*.toml)
+    #[argh(positional)]
+    experiment: PathBuf,
+    /// folder for results (default: found/ and the experiment's name)
+    #[argh(option)]
+    out: Option<PathBuf>,
+    /// the courier's program (default: quillhub beside this one)
+    #[argh(option)]
+    courier: Option<PathBuf>,
+}
+
 /// Rates as written: numbers over 0.
 fn rates(text: &str) -> Result<Vec<f64>, String> {
     let rate = |word: &str| {
@@ -148,6 +165,21 @@
     Ok((planned, runs))
 }
 
+/// The courier's program: as given, or the one beside this program.
+fn courier(given: Option<PathBuf>) -> Result<PathBuf, String> {
+    let beside = || std::env::current_exe().map(|own| own.with_file_name("quillhub"));
+    let program = given.map_or_else(beside, Ok).map_err(|e| format!("--courier: {e}"))?;
+    if program.is_file() {
+        return Ok(program);
+    }
+    Err(format!("--courier: expected a program, found none at {}", program.display()))
+}
+
+/// The folder as given, or the usual one for the experiment at `path`.
+fn folder(given: Option<PathBuf>, path: &Path) -> PathBuf {
+    given.unwrap_or_else(|| Path::new("found").join(path.file_stem().unwrap_or_default()))
+}
+
 fn obey(command: Command) -> Result<(), String> {
     match command {
         Command::Run(line) => {
@@ -200,11 +232,7 @@
         Command::Load(line) => {
             let planned = Planned::read(&line.experiment)?;
             let rates = line.rates.as_deref().map_or(Ok(Vec::new()), rates)?;
-            let beside = || std::env::current_exe().map(|own| own.with_file_name("quillhub"));
-            let program = line.courier.map_or_else(beside, Ok).map_err(|e| format!("--courier: {e}"))?;
-            if !program.is_file() {
-                return Err(format!("--courier: expected a program, found none at {}", program.display()));
-            }
+            let program = courier(line.courier)?;
             let seed = planned.of.seeds[0];
             let (connections, body, sockets) = (line.connections, line.body, line.sockets);
             let made = load::Made { program: &program, connections, body, sockets, seed };
@@ -218,6 +246,10 @@
                 println!("{}", cost::measure(&planned, run).line(run).trim_start());
             }
         }
+        Command::Scale(line) => {
+            let program = courier(line.courier)?;
+            scale::run(&line.experiment, &program, &folder(line.out, &line.experiment))?;
+        }
         Command::Explain(line) => {
             let split = line.run.rsplit_once(':').and_then(|(f, n)| Some((f, n.parse::<usize>().ok()?)));
             let (folder, nth) = split.unwrap_or((&line.run, 1));
--- a/crates/quillhub-lab/src/lib.rs
+++ b/crates/quillhub-lab/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod load;
 pub mod report;
 pub mod results;
+pub mod scale;
 pub mod sweep;
