--- /dev/null
+++ b/crates/quillhub-lab/src/capacity/evidence.rs
@@ -0,0 +1,123 @@
+//! Figures of the kept runs, read at any size: between two measured sizes, or beyond the largest by a fit that holds.
+
+use crate::scale::{formula, short};
+use quillhub_rig::fit::{self, Sample};
+use quillhub_rig::plan::Slope;
+use quillhub_rig::results::{self, Point};
+use std::collections::BTreeMap;
+use std::path::Path;
+
+/// A figure at one size.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Figure {
+    /// Its value; a lower bound if not `firm`.
+    pub value: f64,
+    /// How it was found, in words.
+    pub steps: String,
+    /// Whether it was measured or predicted by a fit that holds.
+    pub firm: bool,
+    /// The experiment.
+    pub run: String,
+}
+
+/// The kept runs of all slopes.
+pub struct Evidence {
+    slopes: BTreeMap<Slope, Vec<Point>>,
+}
+
+/// The name of a slope's experiment.
+pub fn experiment(slope: Slope) -> String {
+    format!("scale-{}", slope.name())
+}
+
+impl Evidence {
+    /// Of these points.
+    pub fn of(points: impl IntoIterator<Item = Point>) -> Self {
+        let mut slopes: BTreeMap<Slope, Vec<Point>> = BTreeMap::new();
+        for point in points {
+            slopes.entry(point.slope).or_default().push(point);
+        }
+        Self { slopes }
+    }
+
+    /// Of the runs kept below `results`.
+    pub fn read(results: &Path) -> Result<Self, String> {
+        let mut points = Vec::new();
+        for slope in Slope::ALL {
+            points.extend(results::read(&results.join(experiment(slope)))?);
+        }
+        Ok(Self::of(points))
+    }
+
+    /// All points of a slope.
+    pub fn points(&self, slope: Slope) -> &[Point] {
+        self.slopes.get(&slope).map_or(&[], Vec::as_slice)
+    }
+
+    /// The figure `name` of `slope` at `size`; an error if no run has it.
+    pub fn at(&self, slope: Slope, name: &str, size: f64) -> Result<Figure, String> {
+        let samples = results::samples(self.points(slope), name);
+        let run = experiment(slope);
+        if samples.is_empty() {
+            return Err(format!("{run}: expected runs with '{name}', found none"));
+        }
+        let (value, steps, firm) = read_at(&samples, size);
+        Ok(Figure { value, steps, firm, run })
+    }
+
+    /// What each unit of size adds to the figure `name`, by its fit; an error if it grows otherwise.
+    pub fn each(&self, slope: Slope, name: &str) -> Result<Figure, String> {
+        let run = experiment(slope);
+        let samples = results::samples(self.points(slope), name);
+        let fit =
+            fit::fit(&samples).ok_or_else(|| format!("{run}: expected runs with '{name}', found none"))?;
+        if fit.shape != fit::Shape::Linear {
+            return Err(format!("{run}: expected '{name}' to be linear, found it {}", fit.shape.name()));
+        }
+        let firm = fit::held_out(&samples).is_some_and(|held| held.holds());
+        let steps = format!("{} for each (slope of {})", short(fit.slope), formula(&fit));
+        Ok(Figure { value: fit.slope, steps, firm, run })
+    }
+}
+
+/// Value, how it was found, and whether it is firm.
+fn read_at(samples: &[Sample], size: f64) -> (f64, String, bool) {
+    let means = fit::by_size(samples);
+    let (first, last) = (means[0], means[means.len() - 1]);
+    let unit = |size: f64| short(size);
+    if let Some((_, mean, _)) = means.iter().find(|(measured, ..)| *measured == size) {
+        return (*mean, format!("{} measured at {}", short(*mean), unit(size)), true);
+    }
+    if size < first.0 {
+        let steps = format!("{} measured at {}, the least size", short(first.1), unit(first.0));
+        return (first.1, steps, true);
+    }
+    if let Some(pair) = means.windows(2).find(|pair| size < pair[1].0) {
+        let (low, high) = (pair[0], pair[1]);
+        let part = (size - low.0) / (high.0 - low.0);
+        let value = low.1 + (high.1 - low.1) * part;
+        let steps = format!(
+            "{} between {} at {} and {} at {}",
+            short(value),
+            short(low.1),
+            unit(low.0),
+            short(high.1),
+            unit(high.0)
+        );
+        return (value, steps, true);
+    }
+    match (fit::fit(samples), fit::held_out(samples)) {
+        (Some(fit), Some(held)) if held.holds() => {
+            let value = fit.at(size);
+            (value, format!("{} at N = {}: {}", formula(&fit), unit(size), short(value)), true)
+        }
+        _ => {
+            let steps = format!(
+                "at least {}, measured at {}; the fit misses the held-out size, nothing is extrapolated",
+                short(last.1),
+                unit(last.0)
+            );
+            (last.1, steps, false)
+        }
+    }
+}
--- a/crates/quillhub-lab/src/command.rs
+++ b/crates/quillhub-lab/src/command.rs
@@ -2,7 +2,7 @@
 
 use crate::experiment::Planned;
 use crate::results::Kept;
-use crate::{compare, cost, explain, load, report, results, scale, sweep};
+use crate::{capacity, compare, cost, explain, load, report, results, scale, sweep};
 use argh::FromArgs;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -25,6 +25,7 @@
     Load(Load),
     Cost(Cost),
     Scale(Scale),
+    Capacity(Capacity),
 }
 
 /// Play an experiment over all cores; goes on where a stopped one ended.
@@ -145,6 +146,21 @@
     courier: Option<PathBuf>,
 }
 
+/// Write the tables of the capacity page from the kept runs of the slopes.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "capacity")]
+struct Capacity {
+    /// the page (default: docs/CAPACITY.md)
+    #[argh(option, default = "PathBuf::from(\"docs/CAPACITY.md\")")]
+    page: PathBuf,
+    /// folder with the results of the slopes (default: experiments/results)
+    #[argh(option, default = "PathBuf::from(\"experiments/results\")")]
+    results: PathBuf,
+    /// change nothing; say whether the page is what the runs make of it
+    #[argh(switch)]
+    check: bool,
+}
+
 /// Rates as written: numbers over 0.
 fn rates(text: &str) -> Result<Vec<f64>, String> {
     let rate = |word: &str| {
@@ -250,6 +266,8 @@
             let program = courier(line.courier)?;
             scale::run(&line.experiment, &program, &folder(line.out, &line.experiment))?;
         }
+        Command::Capacity(line) if line.check => capacity::check(&line.page, &line.results)?,
+        Command::Capacity(line) => capacity::write(&line.page, &line.results)?,
         Command::Explain(line) => {
             let split = line.run.rsplit_once(':').and_then(|(f, n)| Some((f, n.parse::<usize>().ok()?)));
             let (folder, nth) = split.unwrap_or((&line.run, 1));
--- a/crates/quillhub-lab/src/lib.rs
+++ b/crates/quillhub-lab/src/lib.rs
@@ -5,6 +5,7 @@
 //! it over all cores and keeps each as one JSON line as soon as it has ended; [`report`] and [`compare`] read these.
 
 pub mod baselines;
+pub mod capacity;
 pub mod chart;
 pub mod command;
 pub mod compare;
--- a/crates/quillhub-lab/src/scale.rs
+++ b/crates/quillhub-lab/src/scale.rs
@@ -121,7 +121,8 @@
     for point in points {
         let broke = point.breaks.as_deref().unwrap_or_default().replace(',', ";");
         let values = names.iter().map(|name| point.figures.get(name).map_or(String::new(), f64::to_string));
-        let _ = writeln!(csv, "{},{},{broke},{}", point.size, point.play, values.collect::<Vec<_>>().join(","));
+        let _ =
+            writeln!(csv, "{},{},{broke},{}", point.size, point.play, values.collect::<Vec<_>>().join(","));
     }
     csv
 }
--- a/crates/quillhub-rig/src/bounds.rs
+++ b/crates/quillhub-rig/src/bounds.rs
@@ -52,7 +52,8 @@
     let real = COURIER_BYTES
         .saturating_add(destinations.saturating_mul(DESTINATION_BYTES))
         .saturating_add(backlog.saturating_mul(MESSAGE_BYTES + load.body as u64));
-    let hollow = couriers.saturating_mul(destinations.saturating_mul(DESTINATION_BYTES).saturating_add(HOLLOW_BYTES));
+    let hollow =
+        couriers.saturating_mul(destinations.saturating_mul(DESTINATION_BYTES).saturating_add(HOLLOW_BYTES));
     let serving = destinations.saturating_mul(LISTED_BYTES);
     Need {
         processes: 2,
@@ -77,7 +78,11 @@
         return refuse(place, format!("at most {MOST_PROCESSES} processes"), need.processes);
     }
     if need.descriptors >= descriptors {
-        return refuse(place, format!("under {descriptors} descriptors"), format!("a need of {}", need.descriptors));
+        return refuse(
+            place,
+            format!("under {descriptors} descriptors"),
+            format!("a need of {}", need.descriptors),
+        );
     }
     Ok(())
 }
--- a/crates/quillhub-rig/src/bounds_tests.rs
+++ b/crates/quillhub-rig/src/bounds_tests.rs
@@ -30,7 +30,10 @@
 #[test]
 fn memory_over_half_of_the_machine_is_refused_with_both_figures() {
     let found = refused(Sizes { backlog: 1_000_000, ..SIZES }, Limits { memory: GB, ..LIMITS }).unwrap();
-    assert!(found.starts_with("sizes: expected at most 512 MB, half of the machine's memory, found a need of "), "{found}");
+    assert!(
+        found.starts_with("sizes: expected at most 512 MB, half of the machine's memory, found a need of "),
+        "{found}"
+    );
 }
 
 #[test]
--- a/crates/quillhub-rig/src/fleet.rs
+++ b/crates/quillhub-rig/src/fleet.rs
@@ -112,7 +112,8 @@
             }
             sleep(LOOK).await;
         }
-        let mut waits: Vec<_> = self.statuses().map(|status| status.in_force().1.saturating_sub(at)).collect();
+        let mut waits: Vec<_> =
+            self.statuses().map(|status| status.in_force().1.saturating_sub(at)).collect();
         waits.sort();
         Ok(waits.last().map(|worst| InForce { median: waits[waits.len() / 2], worst: *worst }))
     }
--- a/crates/quillhub-rig/src/hollow.rs
+++ b/crates/quillhub-rig/src/hollow.rs
@@ -423,7 +423,8 @@
     }
 
     async fn chunk(&mut self) -> io::Result<Vec<u8>> {
-        self.parsed(|read| Ok(http::chunk(read, MOST_LINE)?.map(|(chunk, used)| (chunk.to_vec(), used)))).await
+        self.parsed(|read| Ok(http::chunk(read, MOST_LINE)?.map(|(chunk, used)| (chunk.to_vec(), used))))
+            .await
     }
 }
 
@@ -448,7 +449,8 @@
             for _ in &told {
                 sockets.push(Rc::new(UdpSocket::bind("127.0.0.1:0").await?));
             }
-            let addresses = sockets.iter().map(|socket| socket.local_addr()).collect::<io::Result<Vec<_>>>()?;
+            let addresses =
+                sockets.iter().map(|socket| socket.local_addr()).collect::<io::Result<Vec<_>>>()?;
             let begin = move |nth: usize| -> JoinHandle<()> {
                 spawn_local(live(common, first + nth as u64, told[nth].clone(), sockets[nth].clone()))
             };
--- a/crates/quillhub-rig/src/plan.rs
+++ b/crates/quillhub-rig/src/plan.rs
@@ -203,7 +203,11 @@
             if pair[0] == 0 || (pair[1] as f64) < pair[0] as f64 * LEAST_FACTOR {
                 let place = format!("sizes[{}]", nth + 1);
                 let least = pair[0] as f64 * LEAST_FACTOR;
-                return refuse(place, format!("at least {least:.0}, {LEAST_FACTOR} times the one before"), pair[1]);
+                return refuse(
+                    place,
+                    format!("at least {least:.0}, {LEAST_FACTOR} times the one before"),
+                    pair[1],
+                );
             }
         }
         if self.plays < LEAST_PLAYS {
@@ -215,7 +219,11 @@
         }
         if self.most_per_point.is_zero() || self.most_per_point > LONGEST_POINT {
             let found = format!("{} s", self.most_per_point.as_secs_f64());
-            return refuse("most_per_point", format!("over 0 s, at most {} s", LONGEST_POINT.as_secs()), found);
+            return refuse(
+                "most_per_point",
+                format!("over 0 s, at most {} s", LONGEST_POINT.as_secs()),
+                found,
+            );
         }
         if self.base.destinations < 2 {
             return refuse("base.destinations", "at least 2", self.base.destinations);
--- a/crates/quillhub-rig/src/plan_tests.rs
+++ b/crates/quillhub-rig/src/plan_tests.rs
@@ -31,7 +31,8 @@
 #[test]
 fn the_sizes_of_the_slope_replace_those_held_still() {
     let plan = Plan::parse(TEXT).unwrap();
-    let points: Vec<_> = plan.points().map(|(size, sizes)| (size, sizes.destinations, sizes.couriers)).collect();
+    let points: Vec<_> =
+        plan.points().map(|(size, sizes)| (size, sizes.destinations, sizes.couriers)).collect();
     assert_eq!(points, [(10, 10, 0), (40, 40, 0), (160, 160, 0), (640, 640, 0)]);
 }
 
--- a/crates/quillhub-rig/src/point.rs
+++ b/crates/quillhub-rig/src/point.rs
@@ -46,8 +46,10 @@
     pub const READY_S: &str = "ready s";
     /// Messages delivered.
     pub const DELIVERED: &str = "delivered a second";
-    /// Time to hand in a backlog.
-    pub const FILL_S: &str = "fill s";
+    /// Messages of the load that the courier rejected or did not answer, over all that were offered.
+    pub const REJECTED: &str = "rejected share";
+    /// Time to hand in a backlog, over its messages: what it grows by is half of what the last one takes.
+    pub const FILL_US: &str = "us to hand in a message of the backlog";
     /// From the start of a courier that was killed with a backlog to its first answer.
     pub const READY_AGAIN_S: &str = "ready after a kill s";
     /// Bytes of its state directory.
@@ -237,7 +239,7 @@
             let Offered { accepted, refused } = offered;
             return breaks(format!("{accepted} messages are held and {refused} refused after {took:.0} s"));
         }
-        played.put(figure::FILL_S, took);
+        played.put(figure::FILL_US, took * MICROSECONDS / count as f64);
         Ok(())
     }
 
@@ -285,6 +287,8 @@
         }
         played.put(figure::MESSAGE_US, spent.as_secs_f64() * MICROSECONDS / delivered() as f64);
         played.put(figure::DELIVERED, delivered() as f64 / span);
+        let all = (offered.accepted + offered.refused).max(1);
+        played.put(figure::REJECTED, offered.refused as f64 / all as f64);
         let used = self.courier.used().ok_or_else(|| Stop::Breaks("the courier's process ended".into()))?;
         played.put(figure::MEMORY_MB, used.memory_kb as f64 / 1_024.0);
         Ok(())
@@ -359,8 +363,7 @@
         played.put(figure::LIST_BYTES, list.len() as f64);
         self.courier.signal("KILL").map_err(|e| Stop::Fails(e.to_string()))?;
         let listen = free_port()?;
-        let configured =
-            configure(&self.fleet, &self.folder, "bare", listen, &self.sizes, self.seed, None)?;
+        let configured = configure(&self.fleet, &self.folder, "bare", listen, &self.sizes, self.seed, None)?;
         let begun = Instant::now();
         let _courier = start(self.program, &self.folder, "bare", &configured)?;
         let patience = self.until.saturating_duration_since(begun);
@@ -375,7 +378,9 @@
         while counter.load(Ordering::Relaxed) == before {
             if Instant::now() >= most {
                 let (bytes, span) = (list.len(), FIRST_DELIVERY.as_secs());
-                return breaks(format!("a list of {bytes} bytes is not taken from discovery within {span} s"));
+                return breaks(format!(
+                    "a list of {bytes} bytes is not taken from discovery within {span} s"
+                ));
             }
             sleep(LOOK).await;
         }
@@ -384,7 +389,6 @@
     }
 }
 
-
 /// Writes the configuration and makes the state directory of the real courier `name`.
 fn configure(
     fleet: &Fleet,
@@ -408,5 +412,6 @@
 
 fn start(program: &Path, folder: &Folder, name: &str, configuration: &Path) -> Result<Courier, String> {
     let (state, log) = (folder.0.join(format!("{name}-state")), folder.0.join(format!("{name}.log")));
-    Courier::start(program, configuration, &state, &log).map_err(|e| format!("a courier cannot be started: {e}"))
+    Courier::start(program, configuration, &state, &log)
+        .map_err(|e| format!("a courier cannot be started: {e}"))
 }
--- a/crates/quillhub-rig/src/results.rs
+++ b/crates/quillhub-rig/src/results.rs
@@ -44,7 +44,8 @@
 
 /// The names of all figures of these points.
 pub fn names(points: &[Point]) -> Vec<String> {
-    let names: std::collections::BTreeSet<&String> = points.iter().flat_map(|point| point.figures.keys()).collect();
+    let names: std::collections::BTreeSet<&String> =
+        points.iter().flat_map(|point| point.figures.keys()).collect();
     names.into_iter().cloned().collect()
 }
 
