--- a/crates/quillhub-lab/src/capacity/evidence.rs
+++ b/crates/quillhub-lab/src/capacity/evidence.rs
@@ -20,9 +20,16 @@
     pub run: String,
 }
 
-/// The kept runs of all slopes.
+/// The experiment that found how much one courier carries.
+const KNEE: &str = "socket-knee";
+/// Share of the messages within their soft deadline up to which a rate counts as carried.
+const IN_TIME: f64 = 0.99;
+
+/// The kept runs of all slopes, and of the load on one courier.
 pub struct Evidence {
     slopes: BTreeMap<Slope, Vec<Point>>,
+    /// Steps of that load: messages a second, and the share of them in time.
+    steps: Vec<(f64, f64)>,
 }
 
 /// The name of a slope's experiment.
@@ -37,7 +44,28 @@
         for point in points {
             slopes.entry(point.slope).or_default().push(point);
         }
-        Self { slopes }
+        Self { slopes, steps: Vec::new() }
+    }
+
+    /// With the steps of a load on one courier, as its results have them.
+    pub fn with_load(mut self, text: &str) -> Result<Self, String> {
+        for (at, line) in text.lines().enumerate() {
+            let step: serde_json::Value = serde_json::from_str(line).unwrap_or_default();
+            let found = (step["rate"].as_f64(), step["figures"]["in contract"].as_f64());
+            let (Some(rate), Some(in_time)) = found else {
+                return Err(format!("{}: expected a step of a load as JSON, found '{line}'", at + 1));
+            };
+            self.steps.push((rate, in_time));
+        }
+        Ok(self)
+    }
+
+    /// The highest rate that one courier carried.
+    pub fn carried(&self) -> Result<Figure, String> {
+        let carried = self.steps.iter().filter(|(_, in_time)| *in_time >= IN_TIME).map(|(rate, _)| *rate);
+        let value = carried.reduce(f64::max).ok_or(format!("{KNEE}: expected steps in time, found none"))?;
+        let steps = format!("{} carried, {}% of it in time", short(value), IN_TIME * 100.0);
+        Ok(Figure { value, steps, firm: true, run: KNEE.into() })
     }
 
     /// Of the runs kept below `results`.
@@ -46,7 +74,9 @@
         for slope in Slope::ALL {
             points.extend(results::read(&results.join(experiment(slope)))?);
         }
-        Ok(Self::of(points))
+        let load = results.join(KNEE).join("load.jsonl");
+        let text = std::fs::read_to_string(&load).map_err(|e| format!("{}: {e}", load.display()))?;
+        Self::of(points).with_load(&text).map_err(|what| format!("{}:{what}", load.display()))
     }
 
     /// All points of a slope.
--- a/crates/quillhub-lab/src/capacity/needs.rs
+++ b/crates/quillhub-lab/src/capacity/needs.rs
@@ -373,17 +373,18 @@
 
 fn clients(evidence: &Evidence) -> Result<Vec<Need>, String> {
     let role = Role::Clients;
-    let rate = target::rate(COURIERS);
-    let delivered = evidence.at(Destinations, figure::DELIVERED, SHARE)?;
-    let steps = format!("550,000 / 1,300 = {}; {} delivered a second", short(rate), delivered.steps);
-    let mut taken = Need::plain(role, "messages a second of one courier", rate, steps).by(MODULE);
-    taken.runs.push(delivered.run);
-    // What was offered is what was delivered, but for the load's last moments.
-    let carried = Limit { value: delivered.value.max(f64::MIN_POSITIVE), source: "delivered in the run" };
-    const ROUNDING: f64 = 0.99;
-    taken.need *= ROUNDING;
-    taken.steps.push_str("; 99% of it counts as all");
-    Ok(vec![taken.under(carried)])
+    let carried = evidence.carried()?;
+    let taken = |what, couriers: f64| {
+        let rate = target::rate(couriers);
+        let steps = format!("550,000 / {} = {}; {}", short(couriers), short(rate), carried.steps);
+        let mut need = Need::plain(role, what, rate, steps).by(MODULE);
+        need.runs.push(carried.run.clone());
+        need.under(Limit { value: carried.value, source: "the highest rate carried" })
+    };
+    Ok(vec![
+        taken("messages a second of one courier", COURIERS),
+        taken("the same with a region cut off", COURIERS / 2.0),
+    ])
 }
 
 fn tools(_: &Evidence) -> Result<Vec<Need>, String> {
--- a/crates/quillhub-rig/src/clients.rs
+++ b/crates/quillhub-rig/src/clients.rs
@@ -25,8 +25,8 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 /// Pause while too many are on their way.
 const PAUSE: Duration = Duration::from_millis(1);
-/// Destinations that the load is spread over, at most.
-pub const LOADED: u64 = 20;
+/// Messages by which connections are opened before anything is measured: as many as a courier keeps idle.
+const MOST_WARMING: u64 = 1_000;
 
 /// What came of offering messages.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -92,8 +92,23 @@
     Ok(all)
 }
 
+/// Hands in one message for each of the destinations numbered from 1, as far as a courier keeps connections: what is
+/// measured later is not their opening. The number of messages handed in.
+pub async fn warm(
+    at: SocketAddr,
+    load: &Load,
+    destinations: u64,
+    delivered: &Arc<AtomicU64>,
+) -> Result<u64, String> {
+    let count = destinations.min(MOST_WARMING);
+    let per_s = load.per_s.max(count as f64);
+    let once = Load { per_s, loaded: Duration::from_secs_f64(count as f64 / per_s), ..*load };
+    let offered = play(at, &once, destinations, delivered, 0).await?;
+    Ok(offered.accepted + offered.refused)
+}
+
 /// Offers `load` for its time to destinations numbered from 1 to `destinations`; `delivered` counts what came through.
-/// `first` is the number of the first message, so that ids are used once.
+/// `first` is the number of the first message, so that ids are used once and destinations in turn.
 pub async fn play(
     at: SocketAddr,
     load: &Load,
@@ -117,8 +132,8 @@
                     sleep(PAUSE).await;
                     continue;
                 }
-                let number = next.replace(next.get() + 1);
-                let command = submit("a", first + number, DEADLINE_MS, 1 + number % destinations, &body);
+                let number = first + next.replace(next.get() + 1);
+                let command = submit("a", number, DEADLINE_MS, 1 + number % destinations, &body);
                 if offer(&mut stream, &command).await? {
                     accepted.set(accepted.get() + 1);
                     offered.accepted += 1;
--- a/crates/quillhub-rig/src/fleet.rs
+++ b/crates/quillhub-rig/src/fleet.rs
@@ -133,14 +133,4 @@
     pub fn control_time(&self) -> Duration {
         self.control.processor_time()
     }
-
-    /// Processor time of all hollow couriers by now.
-    pub fn hollow_time(&self) -> Duration {
-        self.groups.iter().map(Group::processor_time).sum()
-    }
-
-    /// Gossip messages that hollow couriers heard.
-    pub fn heard(&self) -> u64 {
-        self.statuses().map(Status::heard).sum()
-    }
 }
--- a/crates/quillhub-rig/src/hollow.rs
+++ b/crates/quillhub-rig/src/hollow.rs
@@ -45,7 +45,6 @@
     /// Nanoseconds from the fleet's beginning until that revision was in force.
     in_force_ns: AtomicU64,
     confirmed: AtomicU64,
-    heard: AtomicU64,
 }
 
 impl Status {
@@ -59,11 +58,6 @@
     pub fn ready(&self) -> bool {
         self.revision.load(Ordering::Acquire) > 0 && self.confirmed.load(Ordering::Acquire) > 0
     }
-
-    /// Gossip messages that it heard.
-    pub fn heard(&self) -> u64 {
-        self.heard.load(Ordering::Relaxed)
-    }
 }
 
 /// What all hollow couriers of a run have in common.
@@ -317,11 +311,11 @@
         loop {
             tokio::select! {
                 came = socket.recv_from(&mut octets) => if let Ok((length, _)) = came {
-                    self.status.heard.fetch_add(1, Ordering::Relaxed);
                     self.event(|courier| courier.told_by_courier(&octets[..length]));
                 },
                 () = self.gossip.notified() => {
-                    while let Some(message) = { let next = self.state.borrow_mut().gossip.pop_front(); next } {
+                    let messages = std::mem::take(&mut self.state.borrow_mut().gossip);
+                    for message in messages {
                         let _ = socket.send_to(&message, self.common.peers).await;
                     }
                 }
@@ -435,7 +429,7 @@
     /// Where each hears gossip.
     pub addresses: Vec<SocketAddr>,
     restart: UnboundedSender<usize>,
-    worker: Worker,
+    _worker: Worker,
 }
 
 impl Group {
@@ -463,7 +457,7 @@
             });
             Ok(addresses)
         })?;
-        Ok(Self { statuses, addresses, restart, worker })
+        Ok(Self { statuses, addresses, restart, _worker: worker })
     }
 
     /// Ends one as if it were killed, and starts it anew: all that it knew is gone.
@@ -472,9 +466,4 @@
         self.statuses[nth].confirmed.store(0, Ordering::Release);
         let _ = self.restart.send(nth);
     }
-
-    /// Processor time of all by now.
-    pub fn processor_time(&self) -> Duration {
-        self.worker.processor_time()
-    }
 }
--- a/crates/quillhub-rig/src/point.rs
+++ b/crates/quillhub-rig/src/point.rs
@@ -167,6 +167,8 @@
     courier: Courier,
     listen: SocketAddr,
     ready: Duration,
+    /// Messages handed in before the measurement.
+    warmed: u64,
 }
 
 impl<'a> Point<'a> {
@@ -192,7 +194,19 @@
             return breaks("the courier does not answer within the time of a point");
         }
         let ready = begun.elapsed();
-        Ok(Self { plan, sizes: *sizes, seed, program, until, fleet, folder, courier, listen, ready })
+        Ok(Self {
+            plan,
+            sizes: *sizes,
+            seed,
+            program,
+            until,
+            fleet,
+            folder,
+            courier,
+            listen,
+            ready,
+            warmed: 0,
+        })
     }
 
     async fn measure(&mut self, played: &mut Played) -> Result<(), Stop> {
@@ -200,6 +214,9 @@
         if self.sizes.backlog > 0 {
             self.fill(played).await?;
         }
+        let counter = self.fleet.destinations.delivered();
+        self.warmed =
+            clients::warm(self.listen, &self.plan.load, self.loaded_destinations(), &counter).await?;
         if self.sizes.changes > 0 {
             let gap = Duration::from_secs_f64(SECONDS_AN_HOUR / self.sizes.changes as f64);
             self.fleet.control.change_steadily(&self.fleet.changing(), gap);
@@ -269,13 +286,17 @@
         Ok(())
     }
 
+    /// Destinations that the load goes to: all that answer but the last, which is the one that changes.
+    fn loaded_destinations(&self) -> u64 {
+        self.sizes.destinations - 1
+    }
+
     async fn loaded(&self, played: &mut Played) -> Result<(), Stop> {
         let counter = self.fleet.destinations.delivered();
         let (begun, time) = (Instant::now(), self.processor_time()?);
         let before = counter.load(Ordering::Relaxed);
-        // The last destination that answers is the one that changes.
-        let loaded = clients::LOADED.min(self.sizes.destinations - 1);
-        let offered = clients::play(self.listen, &self.plan.load, loaded, &counter, 0).await?;
+        let (load, loaded) = (&self.plan.load, self.loaded_destinations());
+        let offered = clients::play(self.listen, load, loaded, &counter, self.warmed).await?;
         let delivered = || counter.load(Ordering::Relaxed) - before;
         let drained = Instant::now() + DRAINING;
         while delivered() < offered.accepted && Instant::now() < drained {
