--- a/crates/quillhub-lab/src/capacity/needs.rs
+++ b/crates/quillhub-lab/src/capacity/needs.rs
@@ -405,12 +405,12 @@
     let need = |what, name| Ok::<_, String>(Need::of(role, what, evidence.at(Couriers, name, COURIERS)?));
     let list = evidence.at(Destinations, figure::LIST_BYTES, DESTINATIONS)?;
     let drained = target::rate(COURIERS) + target::backlog_each() / DAY_S;
-    let fill = evidence.at(Destinations, figure::MESSAGE_US, SHARE)?;
+    let message = evidence.at(Destinations, figure::MESSAGE_US, SHARE)?;
     Ok(vec![
         share("3 machines down, 424 a second each, cores", COURIERS - MACHINES_DOWN)?,
         share("a zone out, 494 a second each, cores", COURIERS * (ZONES - 1.0) / ZONES)?,
         share("a region cut off, 846 a second each, cores", COURIERS / 2.0)?,
-        Need::of(role, "draining the full backlog within a day, cores", fill)
+        Need::of(role, "draining the full backlog within a day, cores", message)
             .times(drained / US, "(423 + 5.077e6 / 86,400 s) a second / 1e6 us")
             .under(ONE_CORE)
             .by(DURABLE_BACKLOG),
