--- a/crates/quillhub-lab/src/capacity/evidence.rs
+++ b/crates/quillhub-lab/src/capacity/evidence.rs
@@ -95,6 +95,17 @@
         Ok(Figure { value, steps, firm, run })
     }
 
+    /// The largest size whose figure `name` is at least `least` on average; an error if none is.
+    pub fn largest(&self, slope: Slope, name: &str, least: f64) -> Result<Figure, String> {
+        let run = experiment(slope);
+        let means = fit::by_size(&results::samples(self.points(slope), name));
+        let enough = means.iter().filter(|(_, mean, _)| *mean >= least).map(|(size, ..)| *size);
+        let value = enough.reduce(f64::max);
+        let value = value.ok_or_else(|| format!("{run}: expected '{name}' of {least}, found less"))?;
+        let steps = format!("{value:.0} is the largest size with {name} of {} at least", short(least));
+        Ok(Figure { value, steps, firm: true, run })
+    }
+
     /// What each unit of size adds to the figure `name`, by its fit; an error if it grows otherwise.
     pub fn each(&self, slope: Slope, name: &str) -> Result<Figure, String> {
         let run = experiment(slope);
@@ -114,7 +125,7 @@
 fn read_at(samples: &[Sample], size: f64) -> (f64, String, bool) {
     let means = fit::by_size(samples);
     let (first, last) = (means[0], means[means.len() - 1]);
-    let unit = |size: f64| short(size);
+    let unit = |size: f64| if size < 1e6 { format!("{size:.0}") } else { short(size) };
     if let Some((_, mean, _)) = means.iter().find(|(measured, ..)| *measured == size) {
         return (*mean, format!("{} measured at {}", short(*mean), unit(size)), true);
     }
--- a/crates/quillhub-lab/src/capacity/needs.rs
+++ b/crates/quillhub-lab/src/capacity/needs.rs
@@ -14,8 +14,10 @@
 const NETWORK: f64 = 1.25e9;
 /// Memory of a courier's machine for it, in MB: four gigabytes a core, as usual machines have.
 const MEMORY_MB: f64 = 4_096.0;
-/// Descriptors of a courier where its configuration names none.
-const DESCRIPTORS: f64 = 1_024.0;
+/// Descriptors of a courier, as its configuration names them in the runs.
+const DESCRIPTORS: f64 = 4_096.0;
+/// Share of the messages offered that must be delivered for a size to count as carried.
+const ALL: f64 = 0.99;
 
 /// A part of the system.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -260,7 +262,13 @@
 fn backlog(evidence: &Evidence) -> Result<Vec<Need>, String> {
     let (role, held, rate) = (Role::Courier, target::backlog_each(), target::rate(COURIERS));
     let need = |what, name| Ok::<_, String>(Need::of(role, what, evidence.at(Backlog, name, held)?));
+    let carried = evidence.largest(Backlog, figure::DELIVERED, ALL * rate)?;
+    let steps = format!("6.6e9 / 1,300 = {}; {}", short(held), carried.steps);
+    let mut messages = Need::plain(role, "messages held while all others are delivered", held, steps);
+    messages.runs.push(carried.run);
+    let carried = Limit { value: carried.value, source: "the largest that is carried" };
     Ok(vec![
+        messages.under(carried).by(DURABLE_BACKLOG),
         cores(evidence, role, "processor beside the full backlog, cores", Backlog, held, rate)?
             .by(DURABLE_BACKLOG),
         need("handing in a message of the full backlog, cores", figure::FILL_US)?
@@ -364,10 +372,10 @@
             role,
             "connections that a courier would keep, shares of 740",
             SHARE,
-            format!("740 against (1,024 - 64) / 4 = {} that it may keep idle", short(kept)),
+            format!("740 against (4,096 - 64) / 4 = {} that it may keep idle", short(kept)),
         )
-        .under(Limit { value: kept, source: "architecture.md, Bounds, where no descriptors are named" })
-        .by("`limits.sockets` in the configuration; the oldest idle one closes"),
+        .under(Limit { value: kept, source: "architecture.md, Bounds, with 4,096 descriptors" })
+        .by("`limits.sockets` of the configuration; the oldest idle one closes"),
     ])
 }
 
--- a/crates/quillhub-lab/src/scale.rs
+++ b/crates/quillhub-lab/src/scale.rs
@@ -144,6 +144,7 @@
 pub fn short(value: f64) -> String {
     match value.abs() {
         0.0 => "0".into(),
+        size if size >= 1e9 => format!("{:.3}e9", value / 1e9),
         size if size >= 1e6 => format!("{:.3}e6", value / 1e6),
         size if size >= 100.0 => format!("{value:.0}"),
         size if size >= 1.0 => format!("{value:.2}"),
