--- a/crates/quillhub-lab/src/experiment.rs
+++ b/crates/quillhub-lab/src/experiment.rs
@@ -2,6 +2,7 @@
 
 use crate::baselines::{Baselines, Named};
 use quillhub_emulator::Day;
+use quillhub_rig::plan::position;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -58,13 +59,6 @@
     pub variants: Vec<Variant>,
 }
 
-/// Line and column of a byte, from 1.
-fn position(text: &str, at: usize) -> (usize, usize) {
-    let before = &text[..at.min(text.len())];
-    let line = before.matches('\n').count() + 1;
-    (line, before.len() - before.rfind('\n').map_or(0, |nl| nl + 1) + 1)
-}
-
 /// Where a place like `faults[2].whom.kind` stands in the text: it, or the nearest thing round it.
 fn find(text: &str, place: &str) -> usize {
     let Ok(table) = DeTable::parse(text) else { return 0 };
--- a/crates/quillhub-rig/src/fit.rs
+++ b/crates/quillhub-rig/src/fit.rs
@@ -116,7 +116,7 @@
         ((s_gg * s_y - s_g * s_gy) / determinant, (s_w * s_gy - s_g * s_y) / determinant)
     };
     let (fixed, slope) = match both {
-        (fixed, slope) if slope < 0.0 || !fixed.is_finite() => (flat.0, flat.1 * slope.signum().max(0.0)),
+        (_, slope) if slope < 0.0 => flat,
         (fixed, _) if fixed < 0.0 => through_zero,
         both => both,
     };
--- a/crates/quillhub-rig/src/plan.rs
+++ b/crates/quillhub-rig/src/plan.rs
@@ -158,7 +158,7 @@
 }
 
 /// Line and column of a byte, from 1.
-fn position(text: &str, at: usize) -> (usize, usize) {
+pub fn position(text: &str, at: usize) -> (usize, usize) {
     let before = &text[..at.min(text.len())];
     let line = before.matches('\n').count() + 1;
     (line, before.len() - before.rfind('\n').map_or(0, |end| end + 1) + 1)
