Capacity: only a fit of the same shape carries beyond its sizes

Seen: memory with the full backlog was extrapolated by a line, while the held-out prediction that allowed it was N log N.

--- a/crates/quillhub-lab/src/capacity/needs.rs
+++ b/crates/quillhub-lab/src/capacity/needs.rs
@@ -418,10 +418,10 @@
         share("3 machines down, 424 a second each, cores", COURIERS - MACHINES_DOWN)?,
         share("a zone out, 494 a second each, cores", COURIERS * (ZONES - 1.0) / ZONES)?,
         share("a region cut off, 846 a second each, cores", COURIERS / 2.0)?,
-        Need::of(role, "draining the full backlog within a day, cores", message)
+        Need::of(role, "the rate of draining the full backlog within a day, beside all else, cores", message)
             .times(drained / US, "(423 + 5.077e6 / 86,400 s) a second / 1e6 us")
             .under(ONE_CORE)
-            .by(DURABLE_BACKLOG),
+            .by(MODULE),
         need("restart of all at once, 20 destinations, s", figure::RESTART_S)?
             .under(operators(READY_S))
             .by(WATCH),
--- a/crates/quillhub-lab/src/capacity/tables.rs
+++ b/crates/quillhub-lab/src/capacity/tables.rs
@@ -70,7 +70,11 @@
     let (Some(fit), Some(held)) = (row.fit, row.held_out) else {
         return format!("| {} | too few sizes | | | | | | no extrapolation |\n", row.name);
     };
-    let verdict = if held.holds() { "holds" } else { "misses: no extrapolation rests on it" };
+    let verdict = match held.holds() {
+        true if held.carries(&fit) => "holds",
+        true => "holds by another shape: no extrapolation rests on it",
+        false => "misses: no extrapolation rests on it",
+    };
     format!(
         "| {} | {} | {} | {:.0}% | {} ({}) | {} | {:+.1}% | {verdict} |\n",
         row.name,
--- a/crates/quillhub-rig/src/fit.rs
+++ b/crates/quillhub-rig/src/fit.rs
@@ -179,10 +179,16 @@
         if self.measured == 0.0 && self.predicted == 0.0 { 0.0 } else { self.predicted / self.measured - 1.0 }
     }
 
-    /// Whether the fit may be relied upon beyond the sizes it was made from.
+    /// Whether the largest size is predicted within the aim.
     pub fn holds(&self) -> bool {
         self.difference().abs() <= AIM
     }
+
+    /// Whether `all`, the fit of all sizes, may be relied upon beyond them: the others predict the largest, and by the
+    /// same shape.
+    pub fn carries(&self, all: &Fit) -> bool {
+        self.holds() && self.fit.shape == all.shape
+    }
 }
 
 /// Fits all sizes but the largest, then looks at that one; nothing with fewer than three sizes.
--- a/crates/quillhub-rig/src/fit_tests.rs
+++ b/crates/quillhub-rig/src/fit_tests.rs
@@ -59,6 +59,15 @@
     assert!(!held.holds() && (held.difference() + 0.667).abs() < 0.01, "{held:?}");
 }
 
+#[test]
+fn a_prediction_by_another_shape_carries_nothing() {
+    let samples = samples(|size| 70.0 + 0.02 * size);
+    let (held, all) = (held_out(&samples).unwrap(), fit(&samples).unwrap());
+    assert!(held.carries(&all));
+    assert!(!held.carries(&Fit { shape: Shape::Quadratic, ..all }));
+    assert!(!HeldOut { measured: held.predicted * 2.0, ..held }.carries(&all));
+}
+
 #[test]
 fn too_few_sizes_show_no_shape() {
     let one = [Sample { size: 10.0, value: 1.0 }; 4];
