--- a/crates/quillhub-lab/src/capacity/needs.rs
+++ b/crates/quillhub-lab/src/capacity/needs.rs
@@ -243,7 +243,7 @@
             .by(WATCH),
         need("control, packets a second", Couriers, figure::CONTROL_PACKETS, COURIERS)?.by(WATCH),
         need("the whole list, bytes of one line", Destinations, figure::LIST_BYTES, DESTINATIONS)?
-            .under(Limit { value: MOST_LINE, source: "register.rs, MOST_LINE" })
+            .under(Limit { value: MOST_LINE, source: "discovery.rs, MOST_LINE" })
             .by(PLACEMENT),
         need("the whole list, s of its control bytes", Destinations, figure::LIST_BYTES, DESTINATIONS)?
             .times(1.0 / CONTROL_BYTES_PER_S, "1 / 6,000 bytes a second")
