--- a/crates/quillhub-emulator/tests/cold_return.rs
+++ b/crates/quillhub-emulator/tests/cold_return.rs
@@ -245,3 +245,17 @@
         none_is_pushed_over(couriers, &kind, "absent", 2.0, faults);
     }
 }
+
+/// Endpoints that hang refuse by their full queues, and what they tell of their limit looks like any other's.
+#[test]
+fn small_destinations_that_hung_and_tell_their_limit_are_not_pushed_over_by_200_couriers() {
+    let kind = format!("{SERVICE}\nreports = true\nlimit = {{ per_s = 5.0, refused_count = true }}");
+    let faults = r#"
+        [[faults]]
+        at = "6 s"
+        lasts = "10 s"
+        what = "hang"
+        whom = { share = 0.5 }
+    "#;
+    none_is_pushed_over(200, &kind, "exact", 2.0, faults);
+}
