--- a/src/policy.rs
+++ b/src/policy.rs
@@ -121,8 +121,8 @@
         self.failing.is_some_and(|since| since + SHUT < now)
     }
 
-    /// Refusals count once they last, where no answer tells of a limit. Against couriers that call too seldom to
-    /// see two failures. May hold back calls that a limit would take.
+    /// Refusals count once they last, where no answer tells of a limit. Against couriers that call too seldom
+    /// to see two failures. May hold back calls that a limit would take.
     pub(crate) fn suspect(&self, now: Duration) -> bool {
         self.failures >= SUSPECT || self.untold && self.long(now)
     }
@@ -367,8 +367,8 @@
             (entry.pace.known, entry.pace.sure) = (known, sure);
         }
         // Against taking a new endpoint of a destination that is out or cold for a way around that.
-        let siblings = destination.endpoints.values().filter(|e| e.route == route);
-        let health = siblings.map(|e| e.outage.health).min().unwrap_or(Health::Well);
+        let siblings = destination.endpoints.values().take_while(|_| route != name).map(|e| e.outage.health);
+        let health = siblings.clone().find(|h| *h == Health::Well).or_else(|| siblings.min());
         let endpoint = destination.endpoints.entry(name.into()).or_insert_with(|| Endpoint {
             zone: zone.into(),
             kind: kind.into(),
@@ -376,7 +376,7 @@
             route: route.into(),
             listing,
             credits: Credits { most: FIRST_CREDITS, spent: 0 },
-            outage: Outage::new(health, self.rng.random(), now),
+            outage: Outage::new(health.unwrap_or(Health::Well), self.rng.random(), now),
             used: None,
             mates: (now, 0),
         });
