--- a/crates/quillhub-lab/src/lib.rs
+++ b/crates/quillhub-lab/src/lib.rs
@@ -5,6 +5,7 @@
 //! it over all cores and keeps each as one JSON line as soon as it has ended; [`report`] and [`compare`] read these.
 
 pub mod baselines;
+pub mod capacity;
 pub mod chart;
 pub mod command;
 pub mod compare;
@@ -14,4 +15,5 @@
 pub mod load;
 pub mod report;
 pub mod results;
+pub mod scale;
 pub mod sweep;
--- a/crates/quillhub-net/src/host.rs
+++ b/crates/quillhub-net/src/host.rs
@@ -10,9 +10,10 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
 use std::rc::{Rc, Weak};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, SystemTime};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 /// A notice that is held: what its calls and its final answer need. Gone with its end.
 struct Notice {
@@ -76,10 +77,12 @@
     pub finals_wait: Rc<Notify>,
     pub endpoints: Endpoints,
     connecting: Duration,
+    /// Connections to endpoints, those of calls and idle ones.
+    most_connections: usize,
     peers: Option<Rc<Peers>>,
     pub watch_wanted: Rc<Notify>,
-    /// Told whenever the register has said something.
-    pub register_heard: Rc<Notify>,
+    /// Told whenever discovery has said something.
+    pub discovery_heard: Rc<Notify>,
     reports: bool,
     /// Calls that are out.
     pub calls: usize,
@@ -118,9 +121,10 @@
                 finals_wait: Rc::new(Notify::new()),
                 endpoints,
                 connecting,
+                most_connections: usize::MAX,
                 peers,
                 watch_wanted: Rc::new(Notify::new()),
-                register_heard: Rc::new(Notify::new()),
+                discovery_heard: Rc::new(Notify::new()),
                 reports,
                 calls: 0,
                 closing: false,
@@ -128,6 +132,13 @@
         })
     }
 
+    /// Bounds the connections to endpoints, of which each call takes one. Against calls that nobody answers, which
+    /// would take the descriptors of discovery, the platform and the state directory.
+    pub fn bound_connections(&mut self, most: usize) {
+        self.most_connections = most;
+        self.event(|courier| courier.most_calls(most));
+    }
+
     fn now(&self) -> Duration {
         self.before + self.started.elapsed()
     }
@@ -356,6 +367,9 @@
         let on_file = filed.is_ok();
         log_failed("a notice", filed);
         let link = self.endpoints.take(endpoint);
+        if link.is_none() {
+            self.endpoints.close_oldest_beyond(self.most_connections.saturating_sub(self.calls + 1));
+        }
         let (me, name, connecting) = (self.me.clone(), endpoint.to_owned(), self.connecting);
         self.calls += 1;
         tracing::debug!(notice = id, send, endpoint, ?patience, kept = link.is_some(), "call goes");
