Module: one reset of what went wrong at a route; siblings only for new endpoints

Found on reading the change again: the three fields of a doubt were reset in two places (judge, told_by_courier), what a told shutting does stood beside the condition for all beginnings, and each row of a list looked at its endpoint's siblings though only a new one takes their health.

--- a/src/courier.rs
+++ b/src/courier.rs
@@ -1,7 +1,7 @@
 //! What a courier holds: the figures it was started with, and what it has seen. Nothing is decided here; the
 //! parts that decide are in `policy.rs`.
 
-use crate::policy::{Credits, FORGET, Latency, Repeats};
+use crate::policy::{Credits, FORGET, Latency};
 use crate::{DestinationId, Grade, ListedRate, Listing, NoticeId};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -105,6 +105,18 @@
     pub(crate) filled: Duration,
 }
 
+/// What was sent of late to one route, and what went wrong there since a call was last handled.
+#[derive(Default)]
+pub(crate) struct Repeats {
+    /// First tries and repeats, by second; old seconds leave with each count.
+    pub(crate) seconds: VecDeque<(u64, u32, u32)>,
+    pub(crate) failures: u32,
+    /// Since when calls fail or are refused.
+    pub(crate) failing: Option<Duration>,
+    /// Whether one of these was refused where no answer tells of the limit.
+    pub(crate) untold: bool,
+}
+
 /// How long an idle connection to endpoints of one kind is kept. Against tables full of other couriers' idle
 /// ones. May cost handshakes after outages.
 pub(crate) struct Keep {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -5,7 +5,7 @@
 //! in order and again from the first, until none fires. docs/design.md says where each rule comes from.
 
 use crate::courier::{
-    Call, Courier, Destination, Endpoint, Health, Held, Keep, Outage, Pace, Ration, Return, Route,
+    Call, Courier, Destination, Endpoint, Health, Held, Keep, Outage, Pace, Ration, Repeats, Return, Route,
 };
 use crate::{DestinationId, Effect, Hands, ListedRate, Listing, NoticeId, Outcome, ms, note};
 use rand::RngExt;
@@ -96,15 +96,6 @@
     Duration::from_secs_f64((wanted / rate).clamp(0.001, 3_600.0))
 }
 
-/// Repeats and first tries of the last SPAN, in seconds; old seconds leave with each count.
-#[derive(Default)]
-pub(crate) struct Repeats {
-    seconds: VecDeque<(u64, u32, u32)>,
-    failures: u32,
-    failing: Option<Duration>, // since when calls fail or are refused, with nothing handled between
-    untold: bool,              // whether one of these was refused where no answer tells of the limit
-}
-
 impl Repeats {
     fn count(&mut self, now: Duration, repeat: bool) {
         let second = now.as_secs();
@@ -116,6 +107,10 @@
         *(if repeat { &mut last.2 } else { &mut last.1 }) += 1;
     }
 
+    fn handled(&mut self) {
+        (self.failures, self.failing, self.untold) = (0, None, false);
+    }
+
     /// Whether nothing was handled for longer than a limit's span.
     fn long(&self, now: Duration) -> bool {
         self.failing.is_some_and(|since| since + SHUT < now)
@@ -367,7 +362,8 @@
             (entry.pace.known, entry.pace.sure) = (known, sure);
         }
         // Against taking a new endpoint of a destination that is out or cold for a way around that.
-        let siblings = destination.endpoints.values().take_while(|_| route != name).map(|e| e.outage.health);
+        let shared = route != name && !destination.endpoints.contains_key(name);
+        let siblings = destination.endpoints.values().take_while(|_| shared).map(|e| e.outage.health);
         let health = siblings.clone().find(|h| *h == Health::Well).or_else(|| siblings.min());
         let endpoint = destination.endpoints.entry(name.into()).or_insert_with(|| Endpoint {
             zone: zone.into(),
@@ -521,11 +517,12 @@
                     self.news.push((call.destination, endpoint.route.clone()));
                 }
                 back = route.repeats.failures >= SUSPECT && route.repeats.long(self.now);
-                (route.repeats.failures, route.repeats.failing, route.repeats.untold) = (0, None, false);
+                route.repeats.handled();
             }
             Outcome::Refused(wait) | Outcome::Unproven(wait) => {
-                // Against a herd of all refused or told to wait together, where no answer tells of the sum.
-                // May leave room unused.
+                // Against a herd of all that were refused or told to wait together, where no answer tells of
+                // the sum: a wait ends by chance up to as long again, the pace's next call is due within
+                // twice its gap. May leave room unused after a wait.
                 let chance = if route.reported { 1.0 } else { 2.0 * self.rng.random::<f64>() };
                 route.pace.saved = route.pace.saved.min(0.0);
                 if route.refusals == 0 {
@@ -608,8 +605,8 @@
             self.lines.push(format!("{name} of destination {owner}: {before:?} -> {after:?}"));
         }
         let ejected = before == Health::Well && after == Health::Out;
-        let begins = first || ejected || !suspect && route.repeats.suspect(self.now);
-        let Some(name) = (shut || begins || back).then(|| endpoint.route.clone()) else { return };
+        let begins = shut || first || ejected || !suspect && route.repeats.suspect(self.now);
+        let Some(name) = (begins || back).then(|| endpoint.route.clone()) else { return };
         for e in destination.endpoints.values_mut().filter(|e| e.route == name) {
             // Against a herd at the end of a wait told by one that is shut: all its endpoints return cold.
             if shut {
@@ -620,7 +617,7 @@
                 e.outage.returns(self.now);
             }
             // Against budgets saved up while all was well: of many couriers each would send a call at once.
-            if shut || begins {
+            if begins {
                 (e.outage.ration, e.outage.filled) = (Ration::by_chance(&mut self.rng), self.now);
             }
         }
@@ -639,7 +636,7 @@
                 e.outage.ration = Ration::by_chance(&mut self.rng);
             }
         }
-        (repeats.failures, repeats.failing, repeats.untold) = (0, None, false);
+        repeats.handled();
     }
 
     pub fn settle(&mut self, hands: &mut dyn Hands) {
