A call's new connection looks at idle ones only where they may be too many

Found on reading the change again: each call that needs a connection added up all idle ones, up to a quarter of the descriptors, though there are never more of them than most_idle. Now the sum is made only once calls leave less than that. Behaviour as before; quillhub-net's tests pass.

--- a/crates/quillhub-net/src/endpoints.rs
+++ b/crates/quillhub-net/src/endpoints.rs
@@ -240,6 +240,9 @@
 
     /// Closes the oldest idle connections until there are `most` at most.
     pub fn close_oldest_beyond(&mut self, most: usize) {
+        if most >= self.most_idle {
+            return; // there are no more than that
+        }
         while self.idle.values().map(Vec::len).sum::<usize>() > most {
             let oldest =
                 self.idle.iter().filter_map(|(name, links)| Some((links.first()?.1, name.clone()))).min();
