Rig: the courier's own HTTP link, one accept loop, one bound of a line

Found on reading the change again: hollow couriers had a second HTTP connection beside quillhub_net's Link, the rig a third accept loop beside those of endpoints and platform, a second way to open a client's connection, and the bound of discovery's line stood in three crates. Link and MOST_LINE are public in quillhub-net now and used; accept_each in the stand-ins serves all three. Counts of the relay that nobody read, a target figure and a status that nothing had are gone, and a folder's size is taken without making an owner of it that must be forgotten.

--- a/crates/quillhub-lab/src/capacity/needs.rs
+++ b/crates/quillhub-lab/src/capacity/needs.rs
@@ -3,13 +3,12 @@
 use super::evidence::{Evidence, Figure};
 use super::target::{self, *};
 use crate::scale::short;
+use quillhub_net::MOST_LINE;
 use quillhub_rig::figure;
 use quillhub_rig::plan::Slope::{self, Backlog, Changes, Couriers, Destinations};
 
 /// Microseconds of a second.
 const US: f64 = 1e6;
-/// Bytes of a line that a courier takes from discovery.
-const MOST_LINE: f64 = 4.0 * 1024.0 * 1024.0;
 /// Network of one machine, in bytes a second: ten gigabits, the least that is usual in a data centre today.
 const NETWORK: f64 = 1.25e9;
 /// Memory of a courier's machine for it, in MB: four gigabytes a core, as usual machines have.
@@ -83,8 +82,6 @@
     Carries,
     /// Within the limit as far as is measured, and no further.
     NotShown,
-    /// Over the limit; a mechanism is written up.
-    Designed,
     /// Over the limit; nothing carries it.
     Missing,
     /// Nothing limits it that is known.
@@ -97,7 +94,6 @@
         match self {
             Self::Carries => "carries today",
             Self::NotShown => "not shown",
-            Self::Designed => "designed",
             Self::Missing => "missing",
             Self::Unlimited => "no limit set",
         }
@@ -243,7 +239,7 @@
             .by(WATCH),
         need("control, packets a second", Couriers, figure::CONTROL_PACKETS, COURIERS)?.by(WATCH),
         need("the whole list, bytes of one line", Destinations, figure::LIST_BYTES, DESTINATIONS)?
-            .under(Limit { value: MOST_LINE, source: "discovery.rs, MOST_LINE" })
+            .under(Limit { value: MOST_LINE as f64, source: "discovery.rs, MOST_LINE" })
             .by(PLACEMENT),
         need("the whole list, s of its control bytes", Destinations, figure::LIST_BYTES, DESTINATIONS)?
             .times(1.0 / CONTROL_BYTES_PER_S, "1 / 6,000 bytes a second")
--- a/crates/quillhub-lab/src/capacity/tables.rs
+++ b/crates/quillhub-lab/src/capacity/tables.rs
@@ -129,7 +129,7 @@
 
 /// What is over its limit or not shown to be within it, by ratio.
 pub fn missing(needs: &[Need]) -> String {
-    let open = |need: &&Need| matches!(need.status(), Status::Missing | Status::Designed | Status::NotShown);
+    let open = |need: &&Need| matches!(need.status(), Status::Missing | Status::NotShown);
     let mut rows: Vec<&Need> = needs.iter().filter(open).collect();
     rows.sort_by(|one, other| other.ratio().unwrap_or(0.0).total_cmp(&one.ratio().unwrap_or(0.0)));
     let mut text = String::from("| ratio | role | what | need | limit | mechanism | status |\n");
--- a/crates/quillhub-lab/src/capacity/target.rs
+++ b/crates/quillhub-lab/src/capacity/target.rs
@@ -26,8 +26,6 @@
 pub const CONTROL_MACHINES: f64 = 20.0;
 /// Machines that fail on an ordinary day.
 pub const MACHINES_DOWN: f64 = 3.0;
-/// Couriers that are restarted or replaced on an ordinary day.
-pub const RESTARTS_PER_DAY: f64 = 130.0;
 /// Within which a restarted courier is ready, in seconds.
 pub const READY_S: f64 = 10.0;
 /// Destinations that a courier serves where they are divided: the largest share that the page plans with.
--- a/crates/quillhub-net/src/discovery.rs
+++ b/crates/quillhub-net/src/discovery.rs
@@ -27,8 +27,8 @@
 /// Shortest time from one watch's opening to the next, where discovery tells changes unasked: one that lasted longer
 /// is opened again at once.
 const PAUSE: Duration = Duration::from_millis(250);
-/// Bytes of a line: the whole list of a large deployment.
-const MOST_LINE: usize = 4 * 1024 * 1024;
+/// Bytes of a line that a courier takes from discovery: the whole list of a large deployment.
+pub const MOST_LINE: usize = 4 * 1024 * 1024;
 
 fn listing(phase: &At) -> Result<Listing, String> {
     match phase.word()? {
--- a/crates/quillhub-net/src/lib.rs
+++ b/crates/quillhub-net/src/lib.rs
@@ -10,7 +10,7 @@
 mod finals;
 mod host;
 pub mod http;
-mod link;
+pub mod link;
 mod partial;
 mod peers;
 pub mod resp;
@@ -18,6 +18,8 @@
 mod stand_in;
 mod wal;
 
+pub use discovery::MOST_LINE;
+
 use clients::Phase;
 use endpoints::Endpoints;
 use host::Host;
--- a/crates/quillhub-net/src/link.rs
+++ b/crates/quillhub-net/src/link.rs
@@ -35,6 +35,16 @@
     }
 }
 
+impl From<Broken> for io::Error {
+    fn from(broken: Broken) -> Self {
+        match broken {
+            Broken::Ended => ErrorKind::UnexpectedEof.into(),
+            Broken::Failed(error) => error,
+            Broken::Malformed => ErrorKind::InvalidData.into(),
+        }
+    }
+}
+
 /// Bytes that a read has room for at least: more than most answers have.
 const READ: usize = 1024;
 
--- a/crates/quillhub-rig/src/clients.rs
+++ b/crates/quillhub-rig/src/clients.rs
@@ -4,7 +4,7 @@
 use crate::destinations::HANGING;
 use crate::plan::Load;
 use crate::settings::{CLASS, LONGEST_MS};
-use quillhub_stand_ins::clients::{ask, command};
+use quillhub_stand_ins::clients::{ask, command, open};
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
@@ -43,12 +43,6 @@
     command(&[b"SUBMIT", b"0000000000000000", id.as_bytes(), list.as_bytes(), body])
 }
 
-async fn open(at: SocketAddr) -> io::Result<TcpStream> {
-    let stream = TcpStream::connect(at).await?;
-    stream.set_nodelay(true)?;
-    Ok(stream)
-}
-
 async fn offer(stream: &mut TcpStream, command: &[u8]) -> io::Result<bool> {
     let word = timeout(PATIENCE, ask(stream, command)).await??;
     Ok(word == "+OK")
--- a/crates/quillhub-rig/src/destinations.rs
+++ b/crates/quillhub-rig/src/destinations.rs
@@ -3,20 +3,17 @@
 
 use crate::settings;
 use crate::thread::Worker;
+use quillhub_stand_ins::accept::accept_each;
 use quillhub_stand_ins::endpoints::Listed;
 use quillhub_stand_ins::http::Served;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
 
 /// Destinations that hang, among which a backlog is spread.
 pub const HANGING: u64 = 20;
-/// Pause after a failure to accept, such as having no descriptor left.
-const PAUSE: Duration = Duration::from_millis(5);
 
 /// The listeners behind all destinations.
 pub struct Destinations {
@@ -26,17 +23,6 @@
     _worker: Worker,
 }
 
-async fn accept<F: Future<Output = ()> + 'static>(listener: TcpListener, serve: impl Fn(TcpStream) -> F) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(serve(stream));
-            }
-            Err(_) => sleep(PAUSE).await,
-        }
-    }
-}
-
 async fn answer_all(stream: TcpStream, delivered: Arc<AtomicU64>) {
     let mut link = Served::new(stream);
     while let Ok(Some(_)) = link.next().await {
@@ -60,8 +46,8 @@
             let (healthy, hanging) =
                 (TcpListener::bind("127.0.0.1:0").await?, TcpListener::bind("127.0.0.1:0").await?);
             let addresses = (healthy.local_addr()?, hanging.local_addr()?);
-            spawn_local(accept(healthy, move |stream| answer_all(stream, counted.clone())));
-            spawn_local(accept(hanging, answer_none));
+            spawn_local(accept_each(healthy, move |stream| answer_all(stream, counted.clone())));
+            spawn_local(accept_each(hanging, answer_none));
             Ok(addresses)
         })?;
         Ok(Self { healthy, hanging, delivered, _worker: worker })
--- a/crates/quillhub-rig/src/gossip.rs
+++ b/crates/quillhub-rig/src/gossip.rs
@@ -16,13 +16,9 @@
 /// Bytes of the headers of IPv4 and UDP.
 pub const HEADER_BYTES: u64 = 28;
 
-/// Datagrams passed on, and their bytes.
+/// Datagrams passed on to the courier that is watched, and their bytes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Passed {
-    /// Datagrams that came from couriers.
-    pub told: u64,
-    /// Datagrams sent on, one for each receiver.
-    pub sent: u64,
     /// Datagrams to the courier that is watched.
     pub to_watched: u64,
     /// Bytes of those, without headers.
@@ -33,8 +29,6 @@
 struct Shared {
     members: Mutex<Vec<SocketAddr>>,
     watched: Mutex<Option<SocketAddr>>,
-    told: AtomicU64,
-    sent: AtomicU64,
     to_watched: AtomicU64,
     bytes_to_watched: AtomicU64,
 }
@@ -62,17 +56,13 @@
             sleep(PAUSE).await;
             continue;
         };
-        add(&shared.told, 1);
         let members = locked(&shared.members).clone();
         let watched = *locked(&shared.watched);
         for to in members.into_iter().filter(|to| *to != from) {
             // One that cannot be sent at once is lost, as on a network.
-            if socket.try_send_to(&octets[..length], to).is_ok() {
-                add(&shared.sent, 1);
-                if Some(to) == watched {
-                    add(&shared.to_watched, 1);
-                    add(&shared.bytes_to_watched, length as u64);
-                }
+            if socket.try_send_to(&octets[..length], to).is_ok() && Some(to) == watched {
+                add(&shared.to_watched, 1);
+                add(&shared.bytes_to_watched, length as u64);
             }
         }
     }
@@ -105,8 +95,6 @@
     pub fn passed(&self) -> Passed {
         let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
         Passed {
-            told: read(&self.shared.told),
-            sent: read(&self.shared.sent),
             to_watched: read(&self.shared.to_watched),
             bytes_to_watched: read(&self.shared.bytes_to_watched),
         }
--- a/crates/quillhub-rig/src/hollow.rs
+++ b/crates/quillhub-rig/src/hollow.rs
@@ -5,7 +5,9 @@
 use crate::thread::Worker;
 use quillhub::courier::Courier;
 use quillhub::{Hands, Listing, NoticeId, Outcome};
-use quillhub_net::http::{self, Framing, Head};
+use quillhub_net::MOST_LINE;
+use quillhub_net::http::{self, Head};
+use quillhub_net::link::{Broken, Link};
 use serde_json::Value;
 use std::cell::RefCell;
 use std::cmp::Reverse;
@@ -16,8 +18,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpStream, UdpSocket};
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::task::{JoinHandle, spawn_local};
@@ -29,8 +30,6 @@
 const SILENCE: Duration = Duration::from_millis(2_500);
 /// Pause after a watch or a call that ended.
 const PAUSE: Duration = Duration::from_millis(250);
-/// Bytes of a line or a list that are read.
-const MOST_LINE: usize = 4 * 1024 * 1024;
 /// Deadline of the messages that make a courier gossip.
 const GOSSIP_DEADLINE: Duration = Duration::from_secs(30);
 /// Calls of such a message that fail before one succeeds: two in a row make its destination's return news.
@@ -218,8 +217,9 @@
             Some(revision) => revision,
             None => {
                 let mut link = Link::open(at).await?;
-                let head = link.ask("GET", "/registry/instances", &[]).await?;
-                let body = timeout(SILENCE, link.body(&head)).await??;
+                let head = ask(&mut link, at, "GET", "/registry/instances", &[]).await?;
+                let framing = head.framing().map_err(Broken::from)?;
+                let body = timeout(SILENCE, link.body(framing, MOST_LINE)).await??;
                 let first = self.apply(&serde_json::from_slice(&body)?)?;
                 *revision = Some(first);
                 // Its one final outcome: a message whose deadline is over when it comes.
@@ -228,10 +228,10 @@
             }
         };
         let mut link = Link::open(at).await?;
-        link.ask("GET", &format!("/registry/instances?watch=1&after={after}"), &[]).await?;
+        ask(&mut link, at, "GET", &format!("/registry/instances?watch=1&after={after}"), &[]).await?;
         let mut text = Vec::new();
         loop {
-            let chunk = timeout(SILENCE, link.chunk()).await??;
+            let chunk = timeout(SILENCE, link.chunk(MOST_LINE)).await??;
             if chunk.is_empty() {
                 return Ok(());
             }
@@ -281,11 +281,12 @@
     }
 
     async fn post(&self, link: Option<Link>, body: &[u8]) -> io::Result<Link> {
+        let at = self.common.control;
         let mut link = match link {
             Some(link) => link,
-            None => Link::open(self.common.control).await?,
+            None => Link::open(at).await?,
         };
-        let head = timeout(SILENCE, link.ask("POST", "/v2/finals", body)).await??;
+        let head = timeout(SILENCE, ask(&mut link, at, "POST", "/v2/finals", body)).await??;
         if head.status == 204 { Ok(link) } else { Err(io::ErrorKind::InvalidData.into()) }
     }
 
@@ -366,60 +367,10 @@
     );
 }
 
-/// One HTTP connection.
-struct Link {
-    stream: TcpStream,
-    read: Vec<u8>,
-    host: String,
-}
-
-impl Link {
-    async fn open(at: SocketAddr) -> io::Result<Self> {
-        let stream = TcpStream::connect(at).await?;
-        stream.set_nodelay(true)?;
-        Ok(Self { stream, read: Vec::new(), host: at.to_string() })
-    }
-
-    async fn parsed<T>(
-        &mut self,
-        parse: impl Fn(&[u8]) -> Result<Option<(T, usize)>, http::Malformed>,
-    ) -> io::Result<T> {
-        loop {
-            let parsed = parse(&self.read).map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
-            if let Some((found, used)) = parsed {
-                self.read.drain(..used);
-                return Ok(found);
-            }
-            if self.stream.read_buf(&mut self.read).await? == 0 {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-        }
-    }
-
-    async fn ask(&mut self, method: &str, path: &str, body: &[u8]) -> io::Result<Head> {
-        let request = http::request(method, path, &self.host, &[], body);
-        self.stream.write_all(&request).await?;
-        self.parsed(http::head).await
-    }
-
-    async fn body(&mut self, head: &Head) -> io::Result<Vec<u8>> {
-        match head.framing() {
-            Ok(Framing::Length(length)) if length <= MOST_LINE => {
-                while self.read.len() < length {
-                    if self.stream.read_buf(&mut self.read).await? == 0 {
-                        return Err(io::ErrorKind::UnexpectedEof.into());
-                    }
-                }
-                Ok(self.read.drain(..length).collect())
-            }
-            _ => Err(io::ErrorKind::InvalidData.into()),
-        }
-    }
-
-    async fn chunk(&mut self) -> io::Result<Vec<u8>> {
-        self.parsed(|read| Ok(http::chunk(read, MOST_LINE)?.map(|(chunk, used)| (chunk.to_vec(), used))))
-            .await
-    }
+/// Asks on `link`, a connection to `at`; the answer's head.
+async fn ask(link: &mut Link, at: SocketAddr, method: &str, path: &str, body: &[u8]) -> io::Result<Head> {
+    link.write(&http::request(method, path, &at.to_string(), &[], body)).await?;
+    Ok(link.head().await?)
 }
 
 /// Hollow couriers that share one thread.
--- a/crates/quillhub-rig/src/machine.rs
+++ b/crates/quillhub-rig/src/machine.rs
@@ -24,10 +24,15 @@
     line.split_whitespace().find_map(|word| word.parse().ok())
 }
 
+/// Kilobytes of memory.
+fn memory_kb() -> u64 {
+    field(&file("/proc/meminfo"), "MemTotal:").unwrap_or_default()
+}
+
 /// The machine that this process runs on.
 pub fn here() -> Machine {
     let cores = std::thread::available_parallelism().map_or(0, |cores| cores.get() as u64);
-    let memory_mb = field(&file("/proc/meminfo"), "MemTotal:").unwrap_or_default() / 1024;
+    let memory_mb = memory_kb() / 1024;
     // Only the numbers of the release: what follows may name a host.
     let release = file("/proc/sys/kernel/osrelease");
     let kernel = release.split('-').next().unwrap_or_default().trim().to_owned();
@@ -36,9 +41,8 @@
 
 /// What this process may take of it.
 pub fn limits() -> Limits {
-    let memory = field(&file("/proc/meminfo"), "MemTotal:").unwrap_or_default() * 1024;
     let descriptors = field(&file("/proc/self/limits"), "Max open files").unwrap_or_default();
-    Limits { descriptors, memory }
+    Limits { descriptors, memory: memory_kb() * 1024 }
 }
 
 /// Processes that ran or wanted to, on average over the last minute.
--- a/crates/quillhub-rig/src/point.rs
+++ b/crates/quillhub-rig/src/point.rs
@@ -6,11 +6,11 @@
 use crate::settings::{self, Addresses};
 use quillhub_stand_ins::clients::ready;
 use quillhub_stand_ins::process::Courier;
-use quillhub_stand_ins::scratch::{Folder, on_one_thread};
+use quillhub_stand_ins::scratch::{Folder, on_one_thread, size_of};
 use quillhub_stand_ins::traffic::Counts;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
@@ -363,9 +363,8 @@
 
     /// Kills the courier with its backlog and starts it anew on the same state directory.
     async fn restarted(&mut self, played: &mut Played) -> Result<(), Stop> {
-        let state = Folder(self.folder.0.join("real-state"));
-        played.put(figure::STATE_MB, state.size() as f64 / (1024.0 * 1024.0));
-        std::mem::forget(state); // the whole folder is removed at the end
+        let state = size_of(&state_directory(&self.folder, "real"));
+        played.put(figure::STATE_MB, state as f64 / (1024.0 * 1024.0));
         let fails = |e: std::io::Error| Stop::Fails(format!("the courier cannot be ended: {e}"));
         self.courier.signal("KILL").map_err(fails)?;
         self.courier.end().await.map_err(fails)?;
@@ -419,7 +418,7 @@
     sizes: &Sizes,
     seed: u64,
     known: Option<&str>,
-) -> Result<std::path::PathBuf, String> {
+) -> Result<PathBuf, String> {
     let gossip = free_datagram_port()?;
     fleet.relay.join(gossip);
     fleet.relay.watch(gossip);
@@ -427,12 +426,16 @@
     let path = folder.0.join(format!("{name}.json"));
     let told = |e: std::io::Error| format!("a courier's files cannot be written: {e}");
     std::fs::write(&path, settings::configuration(seed, sizes.couriers + 1, &at, known)).map_err(told)?;
-    std::fs::create_dir_all(folder.0.join(format!("{name}-state"))).map_err(told)?;
+    std::fs::create_dir_all(state_directory(folder, name)).map_err(told)?;
     Ok(path)
 }
 
+fn state_directory(folder: &Folder, name: &str) -> PathBuf {
+    folder.0.join(format!("{name}-state"))
+}
+
 fn start(program: &Path, folder: &Folder, name: &str, configuration: &Path) -> Result<Courier, String> {
-    let (state, log) = (folder.0.join(format!("{name}-state")), folder.0.join(format!("{name}.log")));
+    let (state, log) = (state_directory(folder, name), folder.0.join(format!("{name}.log")));
     Courier::start(program, configuration, &state, &log)
         .map_err(|e| format!("a courier cannot be started: {e}"))
 }
--- a/crates/quillhub-stand-ins/src/clients.rs
+++ b/crates/quillhub-stand-ins/src/clients.rs
@@ -213,7 +213,8 @@
     Ok(word)
 }
 
-async fn open(at: SocketAddr) -> std::io::Result<TcpStream> {
+/// A new connection to a courier.
+pub async fn open(at: SocketAddr) -> std::io::Result<TcpStream> {
     let stream = TcpStream::connect(at).await?;
     stream.set_nodelay(true)?;
     Ok(stream)
--- a/crates/quillhub-stand-ins/src/endpoints.rs
+++ b/crates/quillhub-stand-ins/src/endpoints.rs
@@ -1,6 +1,7 @@
 //! The endpoints of a day on loopback: one listener each, behind which the emulator's own site decides what a call
 //! meets, and the day's faults at their instants.
 
+use crate::accept::accept_each;
 use crate::http::Served;
 use quillhub_emulator::{Day, Shown, Site, Taken};
 use rand::{RngExt, SeedableRng};
@@ -9,7 +10,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
@@ -97,16 +97,9 @@
         };
         listed.push(Listed { id: format!("e{}", server + 1), at, zone, kind, destination });
         let place = place.clone();
-        spawn_local(async move {
-            loop {
-                match listener.accept().await {
-                    Ok((stream, _)) => {
-                        spawn_local(connection(place.clone(), server, Served::new(stream)));
-                    }
-                    Err(_) => sleep(Duration::from_millis(5)).await, // out of descriptors, for a while
-                }
-            }
-        });
+        spawn_local(accept_each(listener, move |stream| {
+            connection(place.clone(), server, Served::new(stream))
+        }));
     }
     for (number, planned) in day.faults.iter().enumerate() {
         let place = place.clone();
--- a/crates/quillhub-stand-ins/src/lib.rs
+++ b/crates/quillhub-stand-ins/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! Faults come from the same schedule as the emulator's; what sockets cannot show is refused before anything starts.
 
+pub mod accept;
 pub mod clients;
 pub mod configuration;
 pub mod endpoints;
--- a/crates/quillhub-stand-ins/src/platform.rs
+++ b/crates/quillhub-stand-ins/src/platform.rs
@@ -1,5 +1,6 @@
 //! Register and platform on one address: the list, a watch on its changes, and final answers.
 
+use crate::accept::accept_each;
 use crate::endpoints::Listed;
 use crate::http::Served;
 use crate::traffic::Traffic;
@@ -168,17 +169,10 @@
 ) -> std::io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let at = listener.local_addr()?;
-    spawn_local(async move {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let link = Served::counted(stream, traffic.discovery.clone());
-                    spawn_local(serve(register.clone(), tell.clone(), link, traffic.platform.clone()));
-                }
-                Err(_) => sleep(Duration::from_millis(5)).await,
-            }
-        }
-    });
+    spawn_local(accept_each(listener, move |stream| {
+        let link = Served::counted(stream, traffic.discovery.clone());
+        serve(register.clone(), tell.clone(), link, traffic.platform.clone())
+    }));
     Ok(at)
 }
 
--- a/crates/quillhub-stand-ins/src/scratch.rs
+++ b/crates/quillhub-stand-ins/src/scratch.rs
@@ -1,7 +1,7 @@
 //! An empty folder for a test, and a runtime like the courier's.
 
 use std::future::Future;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
 use tokio::task::LocalSet;
 
@@ -20,11 +20,16 @@
 
     /// What its files take, in whole blocks.
     pub fn size(&self) -> u64 {
-        let files = std::fs::read_dir(&self.0).expect("the folder is there");
-        files.map(|file| file.unwrap().metadata().unwrap().len().div_ceil(512) * 512).sum()
+        size_of(&self.0)
     }
 }
 
+/// What the files of a folder take, in whole blocks.
+pub fn size_of(folder: &Path) -> u64 {
+    let files = std::fs::read_dir(folder).expect("the folder is there");
+    files.map(|file| file.unwrap().metadata().unwrap().len().div_ceil(512) * 512).sum()
+}
+
 impl Drop for Folder {
     fn drop(&mut self) {
         let _ = std::fs::remove_dir_all(&self.0);
