--- a/crates/quillhub-emulator/tests/cold_return.rs
+++ b/crates/quillhub-emulator/tests/cold_return.rs
@@ -180,16 +180,17 @@
     assert_eq!(found.blamed, 0, "{couriers} couriers: {found:?}");
 }
 
+/// Half of the destinations are out for 10 s, in one way.
+fn outage(what: &str) -> String {
+    format!("[[faults]]\nat = \"6 s\"\nlasts = \"10 s\"\nwhat = {what}\nwhom = {{ share = 0.5 }}\n")
+}
+
 const SERVICE: &str = r#"service = { mean = "200 ms", law = "lognormal", cv = 0.5 }"#;
 
 #[test]
 fn destinations_that_fail_all_calls_and_have_an_endpoint_replaced_meanwhile() {
-    let faults = r#"
-        [[faults]]
-        at = "6 s"
-        lasts = "10 s"
-        what = { errors = { share = 1.0 } }
-        whom = { share = 0.5 }
+    let faults = outage("{ errors = { share = 1.0 } }")
+        + r#"
         [[faults]]
         at = "8 s"
         lasts = "6 s"
@@ -197,7 +198,7 @@
         whom = { endpoints = 1 }
     "#;
     for couriers in FLEETS {
-        none_is_pushed_over(couriers, SERVICE, "rough", 1.5, faults);
+        none_is_pushed_over(couriers, SERVICE, "rough", 1.5, &faults);
     }
 }
 
@@ -206,14 +207,8 @@
     let kind = format!(
         "{SERVICE}\nroutes_apart = true\nlimit = {{ per_s = 4.0, span = \"2 s\", refused_count = true }}"
     );
-    let faults = r#"
-        [[faults]]
-        at = "6 s"
-        lasts = "10 s"
-        what = { shut = {} }
-        whom = { share = 0.5 }
-    "#;
-    none_is_pushed_over(couriers, &kind, "rough", 1.5, faults);
+    let faults = outage("{ shut = {} }");
+    none_is_pushed_over(couriers, &kind, "rough", 1.5, &faults);
 }
 
 #[test]
@@ -234,15 +229,9 @@
 #[test]
 fn destinations_that_refuse_connections_and_tell_their_limit_when_they_answer() {
     let kind = format!("{SERVICE}\nreports = true\nlimit = {{ per_s = 8.0 }}");
-    let faults = r#"
-        [[faults]]
-        at = "6 s"
-        lasts = "10 s"
-        what = "refuse"
-        whom = { share = 0.5 }
-    "#;
+    let faults = outage(r#""refuse""#);
     for couriers in FLEETS {
-        none_is_pushed_over(couriers, &kind, "absent", 2.0, faults);
+        none_is_pushed_over(couriers, &kind, "absent", 2.0, &faults);
     }
 }
 
@@ -250,12 +239,6 @@
 #[test]
 fn small_destinations_that_hung_and_tell_their_limit_are_not_pushed_over_by_200_couriers() {
     let kind = format!("{SERVICE}\nreports = true\nlimit = {{ per_s = 5.0, refused_count = true }}");
-    let faults = r#"
-        [[faults]]
-        at = "6 s"
-        lasts = "10 s"
-        what = "hang"
-        whom = { share = 0.5 }
-    "#;
-    none_is_pushed_over(200, &kind, "exact", 2.0, faults);
+    let faults = outage(r#""hang""#);
+    none_is_pushed_over(200, &kind, "exact", 2.0, &faults);
 }
