--- /dev/null
+++ b/crates/quillhub-fakes/examples/fault_laboratory.rs
@@ -0,0 +1,74 @@
+//! Runs seeds of the fault laboratory against a build of `quillhub`, one after the other:
+//!
+//! `fault_laboratory PROGRAM --seeds A..B [--plan surplus-responses|no-faults] [--logs DIRECTORY]`
+//!
+//! Prints a line for each seed and the timeline of each message that broke a rule. Exit status: 0 if no rule broke, 1 if
+//! one did, 2 if the command line cannot be read or a run cannot be started.
+
+use quillhub_fakes::laboratory::{Plan, run};
+use quillhub_fakes::scratch::on_one_thread;
+use std::ops::Range;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+const USAGE: &str =
+    "usage: fault_laboratory PROGRAM --seeds A..B [--plan surplus-responses|no-faults] [--logs DIRECTORY]";
+/// Number of messages whose timelines are printed for a seed.
+const MAX_TIMELINES: usize = 3;
+
+struct Options {
+    program: PathBuf,
+    seeds: Range<u64>,
+    plan: fn(u64) -> Plan,
+    logs: Option<PathBuf>,
+}
+
+fn parse_options() -> Option<Options> {
+    let mut arguments = std::env::args().skip(1);
+    let program = PathBuf::from(arguments.next()?);
+    let mut options = Options { program, seeds: 0..0, plan: Plan::with_surplus_responses, logs: None };
+    while let Some(name) = arguments.next() {
+        let value = arguments.next()?;
+        match (name.as_str(), value.as_str()) {
+            ("--seeds", _) => {
+                let (first, end) = value.split_once("..")?;
+                options.seeds = first.parse().ok()?..end.parse().ok()?;
+            }
+            ("--plan", "surplus-responses") => options.plan = Plan::with_surplus_responses,
+            ("--plan", "no-faults") => options.plan = Plan::without_faults,
+            ("--logs", _) => options.logs = Some(value.into()),
+            _ => return None,
+        }
+    }
+    Some(options)
+}
+
+fn main() -> ExitCode {
+    let Some(options) = parse_options() else {
+        eprintln!("{USAGE}");
+        return ExitCode::from(2);
+    };
+    let mut is_broken = false;
+    for seed in options.seeds {
+        let plan = (options.plan)(seed);
+        let logs = options.logs.as_ref().map(|directory| directory.join(seed.to_string()));
+        match on_one_thread(run(&options.program, &plan, logs.as_deref())) {
+            Ok(verdict) => {
+                println!(
+                    "seed {seed}: {verdict}; copies {:?}, restarts {}",
+                    plan.copies,
+                    plan.restarts.len()
+                );
+                for (violation, timeline) in verdict.violations.iter().take(MAX_TIMELINES) {
+                    println!("{violation:?}: {timeline}");
+                }
+                is_broken |= !verdict.violations.is_empty();
+            }
+            Err(error) => {
+                eprintln!("seed {seed}: {error}");
+                return ExitCode::from(2);
+            }
+        }
+    }
+    if is_broken { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+}
--- a/crates/quillhub-fakes/src/http.rs
+++ b/crates/quillhub-fakes/src/http.rs
@@ -57,7 +57,7 @@
     /// Reads the next request; `None` if the client has closed the connection.
     pub async fn next(&mut self) -> io::Result<Option<Request>> {
         loop {
-            if let Some((request, used)) = parse(&self.unparsed)? {
+            if let Some((request, used)) = parse_request(&self.unparsed)? {
                 self.unparsed.drain(..used);
                 self.traffic.add_request();
                 return Ok(Some(request));
@@ -95,7 +95,7 @@
 }
 
 /// Parses the request at the start of `read` and returns it with its length; `None` if it is incomplete.
-fn parse(read: &[u8]) -> io::Result<Option<(Request, usize)>> {
+pub fn parse_request(read: &[u8]) -> io::Result<Option<(Request, usize)>> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut request = httparse::Request::new(&mut headers);
     let head = match request.parse(read).map_err(|e| malformed(&e.to_string()))? {
--- /dev/null
+++ b/crates/quillhub-fakes/src/laboratory/audit.rs
@@ -0,0 +1,125 @@
+//! Verdict on a run: which messages broke which rule, according to the records of clients, endpoints and platform.
+
+use super::plan::SERVICE_CLASSES;
+use super::record::{Call, Record, Submission};
+use std::fmt;
+use std::time::Duration;
+
+/// Time after its deadline by which a message must be finished.
+const LOST_SLACK: Duration = Duration::from_millis(300);
+/// Time after an instance is ready again by which its overdue messages must be finished.
+const LOST_SLACK_AFTER_RESTART: Duration = Duration::from_millis(1_500);
+/// Tolerance for events at two sockets whose order the instance cannot control: the close of one connection and a
+/// request on another, or a request that crosses a final outcome.
+const CROSSING: Duration = Duration::from_millis(20);
+/// Tolerance of each time limit of the rules.
+const RULE_TOLERANCE: Duration = Duration::from_millis(50);
+
+/// Rule that was broken for a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Violation {
+    /// Accepted, and neither delivered nor finished in time.
+    Lost,
+    /// Sent again although it may have been executed, against the rules of its class.
+    SentAgain,
+    /// Two calls were out at once.
+    TwoAtOnce,
+    /// Sent after its final outcome.
+    SentAfterEnd,
+}
+
+/// Verdict on a run.
+#[derive(Debug, Default)]
+pub struct Verdict {
+    /// Number of accepted messages.
+    pub accepted: usize,
+    /// Number of messages for which an endpoint wrote status 200.
+    pub delivered: usize,
+    /// Number of calls.
+    pub calls: usize,
+    /// Number of surplus responses that were written.
+    pub copies: usize,
+    /// Number of connections that endpoints accepted.
+    pub connections: usize,
+    /// Violations, each with the timeline of its message.
+    pub violations: Vec<(Violation, String)>,
+}
+
+impl Verdict {
+    /// Returns the number of violations of one rule.
+    pub fn count(&self, violation: Violation) -> usize {
+        self.violations.iter().filter(|(found, _)| *found == violation).count()
+    }
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let Self { accepted, delivered, calls, copies, connections, .. } = self;
+        write!(f, "accepted {accepted}, delivered {delivered}, calls {calls}, connections {connections}, ")?;
+        write!(f, "surplus responses {copies}, lost {}, ", self.count(Violation::Lost))?;
+        write!(f, "sent again {}, ", self.count(Violation::SentAgain))?;
+        write!(f, "two at once {}, ", self.count(Violation::TwoAtOnce))?;
+        write!(f, "sent after the end {}", self.count(Violation::SentAfterEnd))
+    }
+}
+
+/// Returns the verdict on a finished run.
+pub(super) fn audit(record: &Record) -> Verdict {
+    let mut verdict =
+        Verdict { calls: record.calls.len(), copies: record.copies.len(), ..Verdict::default() };
+    let connections: std::collections::BTreeSet<_> =
+        record.calls.iter().map(|call| (call.endpoint, call.connection)).collect();
+    verdict.connections = connections.len();
+    for (message, submission) in &record.submissions {
+        let calls: Vec<_> = record.calls_of(message).collect();
+        verdict.accepted += usize::from(submission.accepted);
+        verdict.delivered += usize::from(calls.iter().any(|call| call.is_delivered()));
+        let checks = [
+            (Violation::Lost, is_lost(record, message, submission, &calls)),
+            (Violation::SentAgain, is_sent_again(submission, &calls)),
+            (Violation::TwoAtOnce, is_sent_twice_at_once(&calls)),
+            (Violation::SentAfterEnd, is_sent_after_end(record, message, &calls)),
+        ];
+        for (violation, _) in checks.into_iter().filter(|(_, found)| *found) {
+            verdict.violations.push((violation, record.timeline(message)));
+        }
+    }
+    verdict
+}
+
+fn is_lost(record: &Record, message: &str, submission: &Submission, calls: &[&Call]) -> bool {
+    let due = record.due(submission.instance, submission.deadline, LOST_SLACK, LOST_SLACK_AFTER_RESTART);
+    let delivered =
+        calls.iter().any(|call| call.is_delivered() && call.answered.is_some_and(|(at, _)| at <= due));
+    let finished =
+        record.outcomes.get(message).is_some_and(|outcomes| outcomes.iter().any(|(at, _)| *at <= due));
+    submission.accepted && !delivered && !finished
+}
+
+/// Returns `true` if a call followed one that may have executed the message, unless its class allows that.
+fn is_sent_again(submission: &Submission, calls: &[&Call]) -> bool {
+    let class = SERVICE_CLASSES[submission.class];
+    let first_possible = calls.iter().find(|call| !call.is_rejected());
+    let Some(first) = first_possible else { return false };
+    let window = class.window + RULE_TOLERANCE;
+    calls.iter().filter(|call| call.arrived > first.arrived).any(|call| match class.effect {
+        "free" => false,
+        "guarded" => call.arrived > first.arrived + window,
+        _ => true,
+    })
+}
+
+fn is_sent_twice_at_once(calls: &[&Call]) -> bool {
+    calls.iter().enumerate().any(|(index, later)| {
+        calls[..index].iter().any(|earlier| earlier.ended().is_none_or(|end| end > later.arrived + CROSSING))
+    })
+}
+
+fn is_sent_after_end(record: &Record, message: &str, calls: &[&Call]) -> bool {
+    let first = record.outcomes.get(message).and_then(|outcomes| outcomes.first());
+    first.is_some_and(|(at, _)| calls.iter().any(|call| call.arrived > *at + CROSSING))
+}
+
+#[cfg(test)]
+#[path = "audit_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/quillhub-fakes/src/laboratory/mod.rs
@@ -0,0 +1,18 @@
+//! Fault laboratory: runs real instance processes against clients, endpoints, discovery and platform on loopback, with a
+//! faulty proxy in front of each endpoint and signals to the processes, and counts from the outside which rules broke.
+//!
+//! A seed determines the whole schedule of a run: load, faults and signals. The time that the system takes to transmit
+//! and to schedule is real, so that two runs of one seed are alike but not identical. The verdict comes only from what
+//! clients, endpoints and platform recorded, never from an instance.
+
+mod audit;
+mod client;
+mod endpoint;
+mod plan;
+mod proxy;
+mod record;
+mod run;
+
+pub use audit::{Verdict, Violation};
+pub use plan::{CopyPlan, CopyShape, CopyTiming, Plan, Restart, ServiceClassPlan};
+pub use run::run;
--- /dev/null
+++ b/crates/quillhub-fakes/src/laboratory/plan.rs
@@ -0,0 +1,161 @@
+//! Plan of a run: load, behaviour of the endpoints, faults and signals, all determined by a seed.
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::ops::Range;
+use std::time::Duration;
+
+/// When a proxy writes a surplus copy of a response.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CopyTiming {
+    /// After a delay drawn uniformly from zero to this maximum.
+    Late(Duration),
+    /// This long after the last byte of the next request on the connection.
+    BehindNextRequest(Duration),
+}
+
+/// What a proxy writes as a surplus response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CopyShape {
+    /// The response once more, unchanged.
+    Identical,
+    /// The response once more, in two writes.
+    TwoPieces,
+    /// The response once more, with status 503 in place of 200 and the reverse.
+    OtherStatus,
+    /// Bytes that are no response.
+    Noise,
+    /// An interim response.
+    Interim,
+    /// The response once more; then the connection is closed.
+    ThenClose,
+    /// The response once more; then the connection is reset.
+    ThenReset,
+}
+
+/// Surplus responses of some endpoints.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CopyPlan {
+    /// One endpoint in this many writes surplus responses.
+    pub one_endpoint_in: usize,
+    /// Share of its responses that are followed by a surplus one, from 0 to 1.
+    pub share: f64,
+    /// Time of the surplus response.
+    pub timing: CopyTiming,
+    /// Content of the surplus response.
+    pub shape: CopyShape,
+}
+
+/// Restart of an instance on its state directory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Restart {
+    /// Time of the signal, from the start of the load.
+    pub at: Duration,
+    /// Index of the instance.
+    pub instance: usize,
+    /// Name of the signal, without `SIG`.
+    pub signal: &'static str,
+}
+
+/// Service class of the messages in a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServiceClassPlan {
+    /// Name, as in the settings.
+    pub name: &'static str,
+    /// Value of the setting `effect`.
+    pub effect: &'static str,
+    /// Deduplication window; zero without one.
+    pub window: Duration,
+}
+
+/// Service classes of every run: idempotent, deduplicated, at most once.
+pub const SERVICE_CLASSES: [ServiceClassPlan; 3] = [
+    ServiceClassPlan { name: "free", effect: "free", window: Duration::ZERO },
+    ServiceClassPlan { name: "keyed", effect: "guarded", window: Duration::from_secs(2) },
+    ServiceClassPlan { name: "once", effect: "single_shot", window: Duration::ZERO },
+];
+
+/// Plan of a run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// Seed of all draws during the run.
+    pub seed: u64,
+    /// Number of instances.
+    pub instances: usize,
+    /// Number of destinations.
+    pub destinations: u64,
+    /// Number of endpoints of each destination.
+    pub endpoints_per_destination: usize,
+    /// Duration of the load.
+    pub load_time: Duration,
+    /// Messages per second and instance.
+    pub rate_per_s: f64,
+    /// Time from submission to deadline.
+    pub time_to_live: Duration,
+    /// Range from which an endpoint draws the time that a call takes.
+    pub service_time: Range<Duration>,
+    /// Share of calls that are rejected with status 503.
+    pub rejected_share: f64,
+    /// Share of calls that fail with status 500.
+    pub failed_share: f64,
+    /// Surplus responses, if any.
+    pub copies: Option<CopyPlan>,
+    /// Restarts, in order of time.
+    pub restarts: Vec<Restart>,
+}
+
+impl Plan {
+    /// Returns the plan without faults that `seed` determines.
+    pub fn without_faults(seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let millis = Duration::from_millis;
+        Self {
+            seed,
+            instances: rng.random_range(2..=3),
+            destinations: rng.random_range(6..=10),
+            endpoints_per_destination: 2,
+            load_time: millis(6_000),
+            rate_per_s: rng.random_range(40.0..80.0),
+            time_to_live: millis(4_000),
+            service_time: millis(30)..millis(rng.random_range(120..250)),
+            rejected_share: rng.random_range(0.03..0.12),
+            failed_share: 0.03,
+            copies: None,
+            restarts: Vec::new(),
+        }
+    }
+
+    /// Returns the plan that `seed` determines, with surplus responses of any timing and shape, and a killed instance
+    /// in one run out of three.
+    pub fn with_surplus_responses(seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(!seed);
+        let timings = [
+            CopyTiming::Late(Duration::from_millis(8)),
+            CopyTiming::Late(Duration::from_millis(60)),
+            CopyTiming::Late(Duration::from_millis(300)),
+            CopyTiming::Late(Duration::from_millis(1_500)),
+            CopyTiming::BehindNextRequest(Duration::from_millis(5)),
+        ];
+        let shapes = [
+            CopyShape::Identical,
+            CopyShape::TwoPieces,
+            CopyShape::OtherStatus,
+            CopyShape::Noise,
+            CopyShape::Interim,
+            CopyShape::ThenClose,
+            CopyShape::ThenReset,
+        ];
+        // Half of the runs have identical copies, as in the incident.
+        let shape = if rng.random::<bool>() { shapes[0] } else { shapes[rng.random_range(0..shapes.len())] };
+        let copies = CopyPlan {
+            one_endpoint_in: rng.random_range(2..=10),
+            share: rng.random_range(0.05..0.5),
+            timing: timings[rng.random_range(0..timings.len())].clone(),
+            shape,
+        };
+        let plan = Self::without_faults(seed);
+        let is_killed = rng.random_range(0..3) == 0;
+        let kill = Restart { at: plan.load_time / 2, instance: 0, signal: "KILL" };
+        Self { copies: Some(copies), restarts: if is_killed { vec![kill] } else { Vec::new() }, ..plan }
+    }
+}
--- /dev/null
+++ b/crates/quillhub-fakes/src/laboratory/record.rs
@@ -0,0 +1,153 @@
+//! Records of a run, as clients, endpoints, proxies and platform made them, and the timeline of one message.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Call that an endpoint received completely.
+#[derive(Clone, Debug)]
+pub(super) struct Call {
+    pub(super) message: String,
+    pub(super) endpoint: usize,
+    /// Number of the endpoint's connection.
+    pub(super) connection: u64,
+    /// Time of the request's last byte.
+    pub(super) arrived: Instant,
+    /// Time and status of the response, written while the connection was open.
+    pub(super) answered: Option<(Instant, u16)>,
+    /// Time at which the connection was closed while the call was out.
+    pub(super) closed: Option<Instant>,
+}
+
+impl Call {
+    /// Returns the time until which the call was out on an open connection; `None` if it still is.
+    pub(super) fn ended(&self) -> Option<Instant> {
+        [self.answered.map(|(at, _)| at), self.closed].into_iter().flatten().min()
+    }
+
+    /// Returns `true` if the endpoint wrote a rejection, so that the message did not take effect.
+    pub(super) fn is_rejected(&self) -> bool {
+        self.answered.is_some_and(|(_, status)| status == 503)
+    }
+
+    /// Returns `true` if the endpoint wrote a response with status 200.
+    pub(super) fn is_delivered(&self) -> bool {
+        self.answered.is_some_and(|(_, status)| status == 200)
+    }
+}
+
+/// Submission of a message.
+#[derive(Clone, Debug)]
+pub(super) struct Submission {
+    /// Index of the message's class in [`super::plan::SERVICE_CLASSES`].
+    pub(super) class: usize,
+    pub(super) instance: usize,
+    pub(super) submitted: Instant,
+    pub(super) deadline: Instant,
+    /// `true` if the client read that the message is accepted.
+    pub(super) accepted: bool,
+}
+
+/// Surplus bytes that a proxy wrote.
+#[derive(Clone, Debug)]
+pub(super) struct Copy {
+    pub(super) endpoint: usize,
+    /// Message whose response was copied.
+    pub(super) of_message: String,
+    /// Message of the last request on the connection.
+    pub(super) before_message: String,
+    pub(super) at: Instant,
+}
+
+/// Everything that was observed in a run.
+#[derive(Debug)]
+pub(super) struct Record {
+    pub(super) started: Instant,
+    pub(super) submissions: BTreeMap<String, Submission>,
+    pub(super) calls: Vec<Call>,
+    /// Time and kind (`true` if rejected) of the final outcomes at the platform.
+    pub(super) outcomes: BTreeMap<String, Vec<(Instant, bool)>>,
+    pub(super) copies: Vec<Copy>,
+    /// Times from the signal to an instance until it is ready again.
+    pub(super) outages: Vec<(usize, Instant, Instant)>,
+}
+
+impl Record {
+    pub(super) fn new(started: Instant) -> Self {
+        Self {
+            started,
+            submissions: BTreeMap::new(),
+            calls: Vec::new(),
+            outcomes: BTreeMap::new(),
+            copies: Vec::new(),
+            outages: Vec::new(),
+        }
+    }
+
+    fn seconds(&self, at: Instant) -> f64 {
+        at.saturating_duration_since(self.started).as_secs_f64()
+    }
+
+    /// Returns the calls of a message, in order of arrival.
+    pub(super) fn calls_of<'a>(&'a self, message: &'a str) -> impl Iterator<Item = &'a Call> {
+        self.calls.iter().filter(move |call| call.message == message)
+    }
+
+    /// Returns what happened to a message, one line for each event, in order of time.
+    pub(super) fn timeline(&self, message: &str) -> String {
+        let mut lines = Vec::new();
+        if let Some(submission) = self.submissions.get(message) {
+            let class = super::plan::SERVICE_CLASSES[submission.class].name;
+            let reply = if submission.accepted { "accepted" } else { "not accepted" };
+            let time_to_live = submission.deadline - submission.submitted;
+            let text =
+                format!("{reply} by instance {}, class {class}, {time_to_live:?} left", submission.instance);
+            lines.push((submission.submitted, text));
+        }
+        for call in self.calls_of(message) {
+            let place = format!("endpoint {} connection {}", call.endpoint, call.connection);
+            lines.push((call.arrived, format!("call at {place}")));
+            if let Some((at, status)) = call.answered {
+                lines.push((at, format!("{status} written by {place}")));
+            }
+            if let Some(at) = call.closed {
+                lines.push((at, format!("closed before the response: {place}")));
+            }
+        }
+        for copy in &self.copies {
+            if copy.before_message == message || copy.of_message == message {
+                let text = format!(
+                    "surplus response of endpoint {} to {}, last request {}",
+                    copy.endpoint, copy.of_message, copy.before_message
+                );
+                lines.push((copy.at, text));
+            }
+        }
+        for (at, rejected) in self.outcomes.get(message).into_iter().flatten() {
+            lines.push((*at, format!("final outcome: {}", if *rejected { "rejected" } else { "abandoned" })));
+        }
+        lines.sort_by_key(|(at, _)| *at);
+        lines.into_iter().fold(format!("message {message}\n"), |mut text, (at, line)| {
+            let _ = writeln!(text, "  {:8.3} {line}", self.seconds(at));
+            text
+        })
+    }
+
+    /// Returns the time by which a message of `instance` with this deadline must be finished: restarts extend it.
+    pub(super) fn due(
+        &self,
+        instance: usize,
+        deadline: Instant,
+        slack: Duration,
+        after_restart: Duration,
+    ) -> Instant {
+        let mut due = deadline + slack;
+        for (restarted, from, until) in &self.outages {
+            if *restarted == instance && *from <= due {
+                due = due.max(*until + after_restart);
+            }
+        }
+        due
+    }
+}
--- /dev/null
+++ b/crates/quillhub-fakes/src/laboratory/run.rs
@@ -0,0 +1,203 @@
+//! A run: starts everything, restarts instances as planned, waits for the last message and returns the verdict.
+
+use super::audit::{Verdict, audit};
+use super::plan::{Plan, SERVICE_CLASSES};
+use super::record::Record;
+use super::{client, endpoint, proxy};
+use crate::accept::accept_each;
+use crate::clients::wait_until_ready;
+use crate::endpoints::ListedEndpoint;
+use crate::platform::{self, Discovery, OutcomeNotification};
+use crate::process::InstanceProcess;
+use crate::scratch::ScratchDirectory;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::task::{JoinSet, spawn_local};
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Time in which an instance must become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time from SIGKILL, or from the end of a process after SIGTERM, to the restart.
+const RESTART_DELAY: Duration = Duration::from_millis(600);
+/// Time after the last deadline for which a run continues, beyond the slack of the rules.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
+/// State of a run that all its tasks share.
+pub(super) struct RunState {
+    pub(super) record: Record,
+    pub(super) rng: Pcg64Mcg,
+    connections: u64,
+}
+
+impl RunState {
+    /// Returns the number of a new connection at an endpoint.
+    pub(super) fn next_connection(&mut self) -> u64 {
+        self.connections += 1;
+        self.connections
+    }
+}
+
+/// State of a run, on one thread.
+pub(super) type SharedRun = Rc<RefCell<RunState>>;
+
+/// Files and address of one instance.
+struct InstanceFiles {
+    listen: SocketAddr,
+    state: ScratchDirectory,
+    files: ScratchDirectory,
+}
+
+impl InstanceFiles {
+    fn start(&self, program: &Path) -> io::Result<InstanceProcess> {
+        let [config, log] = ["config", "log"].map(|name| self.files.0.join(name));
+        InstanceProcess::start_with_log_level(program, "info", &config, &self.state.0, &log)
+    }
+}
+
+/// Runs `plan` with instances of `program` and returns the verdict. The logs are copied to `logs` if that is given.
+///
+/// # Errors
+///
+/// Returns an error if a part of the run cannot be started.
+pub async fn run(program: &Path, plan: &Plan, logs: Option<&Path>) -> io::Result<Verdict> {
+    let state = RunState {
+        record: Record::new(Instant::now()),
+        rng: Pcg64Mcg::seed_from_u64(plan.seed),
+        connections: 0,
+    };
+    let run = Rc::new(RefCell::new(state));
+    let endpoints = start_endpoints(&run, plan).await?;
+    let (sender, mut outcomes) = unbounded_channel::<OutcomeNotification>();
+    let discovery = Discovery::new(&endpoints);
+    let control = platform::start(discovery.clone(), sender).await?;
+    let mut instances = Vec::new();
+    for number in 0..plan.instances {
+        let known = discovery.borrow().list();
+        instances.push(prepare_instance(plan, number, control, known)?);
+    }
+    let processes: io::Result<Vec<_>> = instances.iter().map(|instance| instance.start(program)).collect();
+    let mut processes = processes?;
+    for instance in &instances {
+        if !wait_until_ready(instance.listen, READY_TIMEOUT).await {
+            return Err(io::Error::other("an instance did not become ready"));
+        }
+    }
+    run.borrow_mut().record.started = Instant::now();
+    let recorder = run.clone();
+    spawn_local(async move {
+        while let Some(outcome) = outcomes.recv().await {
+            let outcomes = &mut recorder.borrow_mut().record.outcomes;
+            outcomes.entry(outcome.id).or_default().push((outcome.received_at, outcome.rejected));
+        }
+    });
+    let mut clients = JoinSet::new();
+    for (number, instance) in instances.iter().enumerate() {
+        clients.spawn_local(client::submit(run.clone(), plan.clone(), number, instance.listen));
+    }
+    restart_instances(&run, plan, program, &instances, &mut processes).await?;
+    while clients.join_next().await.is_some() {}
+    sleep(plan.time_to_live + SETTLE_TIME).await;
+    if let Some(logs) = logs {
+        copy_logs(&instances, logs)?;
+    }
+    let verdict = audit(&run.borrow().record);
+    Ok(verdict)
+}
+
+async fn start_endpoints(run: &SharedRun, plan: &Plan) -> io::Result<Vec<ListedEndpoint>> {
+    let mut listed = Vec::new();
+    for number in 0..plan.destinations as usize * plan.endpoints_per_destination {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let (shared, endpoint_plan) = (run.clone(), plan.clone());
+        spawn_local(accept_each(listener, move |stream| {
+            endpoint::serve(shared.clone(), endpoint_plan.clone(), number, stream)
+        }));
+        let proxy_listener = TcpListener::bind("127.0.0.1:0").await?;
+        let proxy_address = proxy_listener.local_addr()?;
+        let copies = plan.copies.clone().filter(|copies| number % copies.one_endpoint_in == 0);
+        let shared = run.clone();
+        spawn_local(accept_each(proxy_listener, move |stream| {
+            proxy::forward(shared.clone(), number, address, copies.clone(), stream)
+        }));
+        listed.push(ListedEndpoint {
+            id: format!("e{number}"),
+            address: proxy_address,
+            zone: "z".into(),
+            kind: "k".into(),
+            destination: 1 + number as u64 % plan.destinations,
+        });
+    }
+    Ok(listed)
+}
+
+fn prepare_instance(
+    plan: &Plan,
+    number: usize,
+    control: SocketAddr,
+    known: Value,
+) -> io::Result<InstanceFiles> {
+    // An address on a host that nothing else binds to, so that the port stays free for a restart.
+    let host = format!("127.0.{}.{}:0", 90 + plan.seed % 100, 1 + number);
+    let listen = std::net::TcpListener::bind(host)?.local_addr()?;
+    let classes: Vec<_> = SERVICE_CLASSES
+        .iter()
+        .map(|class| {
+            json!({"name": class.name, "effect": class.effect, "memorySpanUs": class.window.as_micros() as u64,
+                "aimUs": 1_000_000, "giveUpUs": plan.time_to_live.as_micros() as u64})
+        })
+        .collect();
+    let configuration = json!({"listen": listen.to_string(), "discovery": control.to_string(),
+        "seed": format!("{:x}", plan.seed + number as u64), "known": known,
+        "limits": {"sockets": 512, "disk_mb": 8},
+        "settings": {"nInstances": plan.instances, "zone": "z", "failureDomains": ["z"], "skus": ["k"],
+            "familyInfo": {"maxCalls": 64}, "classes": classes,
+            "limits": {"mostTries": 12, "maxOpen": 512, "retryAfter": true, "maxRetryAfterUs": 1_000_000,
+                "idleCloseUs": 5_000_000, "connectTimeoutUs": 1_000_000}}});
+    let files = ScratchDirectory::new();
+    std::fs::write(files.0.join("config"), configuration.to_string())?;
+    Ok(InstanceFiles { listen, state: ScratchDirectory::new(), files })
+}
+
+/// Sends the planned signals and starts each instance again on its state directory.
+async fn restart_instances(
+    run: &SharedRun,
+    plan: &Plan,
+    program: &Path,
+    instances: &[InstanceFiles],
+    processes: &mut [InstanceProcess],
+) -> io::Result<()> {
+    for restart in &plan.restarts {
+        let started = run.borrow().record.started;
+        sleep_until(started + restart.at).await;
+        let signalled = Instant::now();
+        processes[restart.instance].signal(restart.signal)?;
+        processes[restart.instance].wait_for_exit().await?;
+        sleep(RESTART_DELAY).await;
+        let instance = &instances[restart.instance];
+        processes[restart.instance] = instance.start(program)?;
+        if !wait_until_ready(instance.listen, READY_TIMEOUT).await {
+            return Err(io::Error::other("a restarted instance did not become ready"));
+        }
+        run.borrow_mut().record.outages.push((restart.instance, signalled, Instant::now()));
+    }
+    Ok(())
+}
+
+fn copy_logs(instances: &[InstanceFiles], directory: &Path) -> io::Result<()> {
+    std::fs::create_dir_all(directory)?;
+    for (number, instance) in instances.iter().enumerate() {
+        let target: PathBuf = directory.join(format!("instance-{number}.log"));
+        std::fs::copy(instance.files.0.join("log"), target)?;
+    }
+    Ok(())
+}
--- a/crates/quillhub-fakes/src/lib.rs
+++ b/crates/quillhub-fakes/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod configuration;
 pub mod endpoints;
 pub mod http;
+pub mod laboratory;
 pub mod platform;
 pub mod process;
 pub mod scratch;
--- /dev/null
+++ b/crates/quillhub-server/tests/fault_laboratory.rs
@@ -0,0 +1,44 @@
+//! Runs of the fault laboratory with real processes of this build.
+
+use quillhub_fakes::laboratory::{CopyPlan, CopyShape, CopyTiming, Plan, Verdict, run};
+use quillhub_fakes::scratch::on_one_thread;
+use std::path::Path;
+use std::time::Duration;
+
+/// Runs a plan and checks that faults happened as planned and that no rule broke.
+fn check(plan: &Plan) -> Verdict {
+    let verdict = on_one_thread(run(Path::new(env!("CARGO_BIN_EXE_quillhub")), plan, None)).unwrap();
+    println!("{verdict}");
+    assert!(verdict.delivered > 100, "{verdict}");
+    assert_eq!(verdict.copies > 0, plan.copies.is_some(), "{verdict}");
+    let timelines =
+        verdict.violations.iter().take(3).map(|(violation, text)| format!("{violation:?}: {text}"));
+    assert!(verdict.violations.is_empty(), "{verdict}\n{}", timelines.collect::<String>());
+    verdict
+}
+
+/// Returns a plan in which every second endpoint writes identical copies of four in ten responses.
+fn with_copies(seed: u64, timing: CopyTiming) -> Plan {
+    let copies = CopyPlan { one_endpoint_in: 2, share: 0.4, timing, shape: CopyShape::Identical };
+    Plan { copies: Some(copies), ..Plan::without_faults(seed) }
+}
+
+/// Guards against a laboratory that finds faults where there are none.
+#[test]
+fn a_run_without_faults_breaks_no_rule() {
+    check(&Plan::without_faults(4));
+}
+
+/// Guards against a second copy of a response that arrives during the next call on its connection and is taken for the
+/// response to that call: messages were lost, sent again and attempted twice at once.
+#[test]
+fn copies_of_responses_during_the_next_call_break_no_rule() {
+    check(&with_copies(1, CopyTiming::BehindNextRequest(Duration::from_millis(5))));
+}
+
+/// Guards against copies that arrive at any time after their response, also between two calls or several calls later.
+#[test]
+fn late_copies_of_responses_break_no_rule() {
+    check(&with_copies(2, CopyTiming::Late(Duration::from_millis(300))));
+    check(&with_copies(3, CopyTiming::Late(Duration::from_millis(1_500))));
+}
