--- a/crates/quillhub-bench-adapter/src/reply.rs
+++ b/crates/quillhub-bench-adapter/src/reply.rs
@@ -1,7 +1,7 @@
 //! Driver that encodes the actions of one instance as lines of a reply.
 
 use base64::prelude::*;
-use quillhub::{Driver, LogEvent, MessageId};
+use quillhub::{AttemptPlan, Driver, LogEvent, MessageId};
 use std::fmt::Write;
 use std::time::Duration;
 
@@ -22,9 +22,9 @@
 }
 
 impl Driver for Reply<'_> {
-    fn start_attempt(&mut self, message: MessageId, endpoint: &str, timeout: Duration) {
+    fn start_attempt(&mut self, message: MessageId, endpoint: &str, plan: AttemptPlan) {
         // In the simulator's protocol, a timeout of 0 means no timeout.
-        let timeout = timeout.as_micros().max(1);
+        let timeout = plan.timeout.as_micros().max(1);
         self.add_line("ASSIGN", format_args!(" {message} {endpoint} {timeout}"));
     }
 
--- a/crates/quillhub-experiments/src/baselines.rs
+++ b/crates/quillhub-experiments/src/baselines.rs
@@ -2,8 +2,8 @@
 //! of every endpoint. They serve experiments only.
 
 use quillhub::{
-    AttemptOutcome, AttemptResult, DestinationId, Driver, EndpointState, EndpointUpdate, MessageId,
-    NewMessage, RecoveredAttempts, RetrySafety, ServiceClass,
+    AttemptOutcome, AttemptPlan, AttemptResult, DestinationId, Driver, EndpointState, EndpointUpdate,
+    MessageId, NewMessage, RecoveredAttempts, RetrySafety, ServiceClass,
 };
 use quillhub_simulator::{Decider, DeciderParameters, Input, dispatcher};
 use rand::{RngExt, SeedableRng};
@@ -452,7 +452,7 @@
             let timeout =
                 if self.kind == DeciderKind::Oracle { deadline - now } else { self.settings.attempt_timeout };
             let timeout = timeout.min(deadline - now);
-            driver.start_attempt(id, &name, timeout);
+            driver.start_attempt(id, &name, AttemptPlan::with_timeout(timeout));
             self.in_flight += 1;
             if self.kind == DeciderKind::Budget {
                 self.recent.entry(destination).or_default().record(now, attempts > 0);
--- a/crates/quillhub-scale/src/lightweight.rs
+++ b/crates/quillhub-scale/src/lightweight.rs
@@ -4,8 +4,8 @@
 use crate::settings;
 use crate::thread::MeasuredThread;
 use quillhub::{
-    AttemptOutcome, AttemptResult, Dispatcher, Driver, EndpointState, EndpointUpdate, LogEvent, MessageId,
-    NewMessage,
+    AttemptOutcome, AttemptPlan, AttemptResult, Dispatcher, Driver, EndpointState, EndpointUpdate, LogEvent,
+    MessageId, NewMessage,
 };
 use quillhub_server::MAX_LIST_BYTES;
 use quillhub_server::connection::{ConnectionError, HttpConnection};
@@ -91,7 +91,7 @@
 }
 
 impl Driver for Actions {
-    fn start_attempt(&mut self, id: MessageId, _endpoint: &str, _timeout: Duration) {
+    fn start_attempt(&mut self, id: MessageId, _endpoint: &str, _plan: AttemptPlan) {
         self.attempts.push(id);
     }
     fn reject(&mut self, id: MessageId, _retry_after: Option<Duration>) {
--- a/crates/quillhub-server/src/attempts/mod.rs
+++ b/crates/quillhub-server/src/attempts/mod.rs
@@ -8,9 +8,9 @@
 mod response;
 
 pub use classification::{AttemptError, ClassifiedResult};
-pub use response::Response;
+pub use response::{Response, retry_after};
 
-use crate::connection::HttpConnection;
+use crate::connection::{ConnectionError, HttpConnection};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
@@ -39,12 +39,47 @@
     pub may_send_request: B,
 }
 
-/// End of an attempt: its result, and its connection if that can be reused.
+/// State of a connection that an attempt has used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionState {
+    /// Open, and can carry another call.
+    Reusable,
+    /// Open until the endpoint closes it, as its response announced.
+    Closing,
+    /// Closed by the endpoint, broken, or given up.
+    Closed,
+    /// The response is malformed or incomplete.
+    Malformed,
+    /// Something was received that is not part of the response.
+    Surplus,
+}
+
+impl From<&ConnectionError> for ConnectionState {
+    /// Returns the state of a connection on which no call can continue.
+    fn from(error: &ConnectionError) -> Self {
+        match error {
+            ConnectionError::Malformed => Self::Malformed,
+            ConnectionError::Ended | ConnectionError::Failed(_) => Self::Closed,
+        }
+    }
+}
+
+/// Connection that an attempt has used.
+pub struct UsedConnection {
+    /// Connection.
+    pub connection: HttpConnection,
+    /// State of the connection.
+    pub state: ConnectionState,
+}
+
+/// End of an attempt: its result, and its connections.
 pub struct AttemptEnd {
     /// Response, or the error, which tells which part of the request was sent.
     pub result: Result<Response, AttemptError>,
-    /// Connection of the attempt, if another attempt may use it.
-    pub reusable: Option<HttpConnection>,
+    /// Connection on which the request was sent, or was about to be sent; `None` if there was none.
+    pub connection: Option<UsedConnection>,
+    /// Connections that broke before the last byte of the request and were replaced.
+    pub replaced: Vec<UsedConnection>,
 }
 
 impl AttemptEnd {
@@ -59,26 +94,35 @@
     }
 
     fn failed(error: AttemptError) -> Self {
-        Self { result: Err(error), reusable: None }
+        Self { result: Err(error), connection: None, replaced: Vec::new() }
     }
 }
 
-/// Request whose last byte was written.
-struct SentRequest {
-    connection: HttpConnection,
-    /// `true` if the connection was opened for this attempt.
-    on_new_connection: bool,
-}
-
 /// Request of which at least the last byte was not written, and the connection if it can be reused.
 struct UnsentRequest {
     error: AttemptError,
-    reusable: Option<HttpConnection>,
+    connection: Option<UsedConnection>,
 }
 
 impl From<AttemptError> for UnsentRequest {
     fn from(error: AttemptError) -> Self {
-        Self { error, reusable: None }
+        Self { error, connection: None }
+    }
+}
+
+/// Error of a call without a final status, and the state of its connection.
+struct FailedCall {
+    error: AttemptError,
+    state: ConnectionState,
+}
+
+impl FailedCall {
+    fn broken(error: &ConnectionError) -> Self {
+        Self { error: AttemptError::ConnectionReset, state: error.into() }
+    }
+
+    fn timed_out() -> Self {
+        Self { error: AttemptError::TimedOut, state: ConnectionState::Closed }
     }
 }
 
@@ -128,42 +172,54 @@
     /// but do not end. It may time out an attempt whose response arrived while this process was suspended.
     pub async fn run(mut self) -> AttemptEnd {
         let mut deadline = Deadline::after(self.timeout);
-        let SentRequest { mut connection, on_new_connection } = match self.send(&mut deadline).await {
-            Ok(sent) => sent,
-            Err(UnsentRequest { error, reusable }) => return AttemptEnd { result: Err(error), reusable },
+        let mut replaced = Vec::new();
+        let mut connection = match self.send(&mut deadline, &mut replaced).await {
+            Ok(connection) => connection,
+            Err(UnsentRequest { error, connection }) => {
+                return AttemptEnd { result: Err(error), connection, replaced };
+            }
         };
-        let status = match read_status(&mut connection, &deadline).await {
-            Ok(status) => status,
-            Err(error) => return AttemptEnd::failed(error),
+        let (result, state) = match read_response(&mut connection, &deadline).await {
+            Ok((response, state)) => (Ok(response), state),
+            Err(FailedCall { error, state }) => (Err(error), state),
         };
-        let mut response = Response::with_status(status, deadline.started.elapsed(), on_new_connection);
-        let rest = response.read_rest(&mut connection);
-        let reusable = timeout(deadline.response_timeout(), rest).await.unwrap_or(false);
-        AttemptEnd { result: Ok(response), reusable: reusable.then_some(connection) }
+        AttemptEnd { result, connection: Some(UsedConnection { connection, state }), replaced }
     }
 
-    /// Sends the request. A connection that breaks before the last byte is written is replaced, since the message
-    /// cannot have been executed by then.
-    async fn send(&mut self, deadline: &mut Deadline) -> Result<SentRequest, UnsentRequest> {
+    /// Sends the request. A connection that breaks before the last byte is written is added to `replaced` and replaced,
+    /// since the message cannot have been executed by then.
+    async fn send(
+        &mut self,
+        deadline: &mut Deadline,
+        replaced: &mut Vec<UsedConnection>,
+    ) -> Result<HttpConnection, UnsentRequest> {
         let mut reconnects = 0;
         loop {
-            let pooled = self.pooled.take();
-            let on_new_connection = pooled.is_none();
-            let mut connection = match pooled {
+            let mut connection = match self.pooled.take() {
                 Some(connection) => connection,
                 None => self.connect(deadline).await?,
             };
             let stated_time_left = deadline.whole_milliseconds_left();
             if stated_time_left.is_zero() || !(self.may_send_request)() {
-                return Err(UnsentRequest { error: AttemptError::NotSent, reusable: Some(connection) });
+                let unused = UsedConnection { connection, state: ConnectionState::Reusable };
+                return Err(UnsentRequest { error: AttemptError::NotSent, connection: Some(unused) });
             }
             deadline.shorten_to(stated_time_left);
-            match timeout(deadline.time_left(), connection.write_request(&(self.request)(stated_time_left)))
-                .await
-            {
-                Ok(Ok(())) => return Ok(SentRequest { connection, on_new_connection }),
-                Ok(Err(_)) if reconnects < MAX_RECONNECTS => reconnects += 1,
-                _ => return Err(AttemptError::ConnectFailed.into()),
+            let request = (self.request)(stated_time_left);
+            let state = match timeout(deadline.time_left(), connection.write_request(&request)).await {
+                Ok(Ok(())) => return Ok(connection),
+                Ok(Err(ConnectionError::Malformed)) => ConnectionState::Surplus,
+                Ok(Err(_)) => ConnectionState::Closed,
+                Err(_) => {
+                    let state = ConnectionState::Closed;
+                    let connection = Some(UsedConnection { connection, state });
+                    return Err(UnsentRequest { error: AttemptError::ConnectFailed, connection });
+                }
+            };
+            replaced.push(UsedConnection { connection, state });
+            reconnects += 1;
+            if reconnects > MAX_RECONNECTS {
+                return Err(AttemptError::ConnectFailed.into());
             }
         }
     }
@@ -178,23 +234,38 @@
     }
 }
 
+/// Reads the response, and returns it with the state of the connection after it.
+async fn read_response(
+    connection: &mut HttpConnection,
+    deadline: &Deadline,
+) -> Result<(Response, ConnectionState), FailedCall> {
+    let status = read_status(connection, deadline).await?;
+    let on_new_connection = !connection.ledger.is_used();
+    let mut response = Response::with_status(status, deadline.started.elapsed(), on_new_connection);
+    let rest = response.read_rest(connection);
+    let state = timeout(deadline.response_timeout(), rest).await.unwrap_or(ConnectionState::Malformed);
+    Ok((response, state))
+}
+
 /// Reads the status of the final response. Interim responses are skipped; they may arrive long before it.
-async fn read_status(connection: &mut HttpConnection, deadline: &Deadline) -> Result<u16, AttemptError> {
+async fn read_status(connection: &mut HttpConnection, deadline: &Deadline) -> Result<u16, FailedCall> {
     loop {
         match timeout(deadline.time_left(), connection.response_started()).await {
             Ok(Ok(())) => {}
-            Ok(Err(_)) => return Err(AttemptError::ConnectionReset),
-            Err(_) => return Err(AttemptError::TimedOut),
+            Ok(Err(error)) => return Err(FailedCall::broken(&error)),
+            Err(_) => return Err(FailedCall::timed_out()),
         }
         match timeout(deadline.response_timeout(), connection.status()).await {
-            _ if deadline.time_left().is_zero() => return Err(AttemptError::TimedOut),
+            _ if deadline.time_left().is_zero() => return Err(FailedCall::timed_out()),
             Ok(Ok(100..200)) => {}
             Ok(Ok(status)) => return Ok(status),
-            _ => return Err(AttemptError::ConnectionReset),
+            Ok(Err(error)) => return Err(FailedCall::broken(&error)),
+            Err(_) => return Err(FailedCall::broken(&ConnectionError::Malformed)),
         }
-        let head = timeout(deadline.response_timeout(), connection.any_head()).await;
-        if !matches!(head, Ok(Ok(_))) {
-            return Err(AttemptError::ConnectionReset);
+        match timeout(deadline.response_timeout(), connection.any_head()).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => return Err(FailedCall::broken(&error)),
+            Err(_) => return Err(FailedCall::broken(&ConnectionError::Malformed)),
         }
     }
 }
--- a/crates/quillhub-server/src/attempts/response.rs
+++ b/crates/quillhub-server/src/attempts/response.rs
@@ -1,6 +1,7 @@
 //! Response to a delivery request: its status, and the values of the headers that matter to the dispatcher.
 
-use crate::connection::HttpConnection;
+use super::ConnectionState;
+use crate::connection::{HttpConnection, UnexpectedInput};
 use crate::http;
 use quillhub::LoadReport;
 use std::time::Duration;
@@ -52,29 +53,41 @@
         }
     }
 
-    /// Reads the headers and the body, and returns `true` if the connection can be reused. If the future is dropped
-    /// before it completes, the values of the headers read by then are kept.
-    pub async fn read_rest(&mut self, connection: &mut HttpConnection) -> bool {
-        let Ok(head) = connection.head().await else { return false };
+    /// Reads the headers and the body, and returns the state of the connection. If the future is dropped before it
+    /// completes, the values of the headers read by then are kept.
+    pub async fn read_rest(&mut self, connection: &mut HttpConnection) -> ConnectionState {
+        let Ok(head) = connection.head().await else { return ConnectionState::Malformed };
         self.read_headers(&head);
-        let Ok(framing) = head.framing() else { return false };
+        let Ok(framing) = head.framing() else { return ConnectionState::Malformed };
         if connection.body(framing, MAX_RESPONSE_BODY_BYTES).await.is_err() {
-            return false;
+            return ConnectionState::Malformed;
         }
         self.complete = connection.has_no_surplus() || connection.surplus_is_response();
-        self.complete && framing != http::Framing::ToEnd && head.keeps_alive() && connection.is_idle()
+        if framing == http::Framing::ToEnd {
+            return ConnectionState::Closed;
+        }
+        match connection.unexpected_input() {
+            UnexpectedInput::Bytes => ConnectionState::Surplus,
+            UnexpectedInput::End => ConnectionState::Closed,
+            UnexpectedInput::None if head.keeps_alive() => ConnectionState::Reusable,
+            UnexpectedInput::None => ConnectionState::Closing,
+        }
     }
 
     fn read_headers(&mut self, head: &http::Head) {
-        let retry_after =
-            head.header(RETRY_AFTER_HEADER).and_then(|millis| millis.trim().parse::<f64>().ok());
-        let retry_after = retry_after.and_then(|millis| Duration::try_from_secs_f64(millis / 1e3).ok());
-        self.retry_after = retry_after.filter(|wait| !wait.is_zero());
+        self.retry_after = retry_after(head);
         self.egress_full = head.header(EGRESS_FULL_HEADER).is_some_and(|full| full.trim() == "1");
         self.load_report = head.header(LOAD_REPORT_HEADER).and_then(parse_load_report);
     }
 }
 
+/// Returns the delay in a response's head that the endpoint requests before the next attempt, if any.
+pub fn retry_after(head: &http::Head) -> Option<Duration> {
+    let millis = head.header(RETRY_AFTER_HEADER)?.trim().parse::<f64>().ok()?;
+    let retry_after = Duration::try_from_secs_f64(millis / 1e3).ok()?;
+    (!retry_after.is_zero()).then_some(retry_after)
+}
+
 /// Parses a load report such as `x0=0.4,x1=25`, where `x0` is the share of the rate limit that is left and `x1` the
 /// limit. Returns `None` if a value is missing, malformed or implausible.
 pub(super) fn parse_load_report(text: &str) -> Option<LoadReport> {
--- a/crates/quillhub-server/src/attempts/tests.rs
+++ b/crates/quillhub-server/src/attempts/tests.rs
@@ -17,8 +17,18 @@
 ) -> (Result<Response, AttemptError>, Option<HttpConnection>) {
     let attempt =
         Attempt { pooled, address, connect_timeout: UNREACHED_TIMEOUT, timeout, request, may_send_request };
-    let AttemptEnd { result, reusable } = attempt.run().await;
-    (result, reusable)
+    let AttemptEnd { result, connection, .. } = attempt.run().await;
+    let reusable = connection.filter(|used| used.state == ConnectionState::Reusable);
+    (result, reusable.map(|used| used.connection))
+}
+
+/// Opens a connection that counts as having carried a call.
+async fn used_connection(address: SocketAddr) -> HttpConnection {
+    let mut connection = HttpConnection::open(address).await.unwrap();
+    let terms = quillhub::AttemptPlan::with_timeout(UNREACHED_TIMEOUT).attribution;
+    let call = quillhub::CallId { message: 0, attempt: 0 };
+    connection.ledger.on_response(call, true, &terms, UNREACHED_TIMEOUT, Duration::ZERO);
+    connection
 }
 
 /// Makes one attempt at a fake endpoint that sends `response`. Returns its outcome, whether it finishes the message,
@@ -112,7 +122,7 @@
     ] {
         on_one_thread(async {
             let (address, _requests) = scripted_server(vec![response]).await;
-            let connection = if on_new_connection { None } else { HttpConnection::open(address).await.ok() };
+            let connection = if on_new_connection { None } else { Some(used_connection(address).await) };
             let (result, _) =
                 attempt(connection, address, UNREACHED_TIMEOUT, |_| b"x".to_vec(), || true).await;
             assert_eq!(
--- a/crates/quillhub-server/src/connection.rs
+++ b/crates/quillhub-server/src/connection.rs
@@ -3,13 +3,15 @@
 //! Invariant: consumed input is removed from the buffer, which therefore starts at the first byte not consumed.
 
 use crate::http::{self, Framing, Head};
+use quillhub::ConnectionLedger;
 use socket2::SockRef;
-use std::io::{self, ErrorKind};
+use std::cell::Cell;
+use std::io::{self, ErrorKind, Read};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -52,9 +54,34 @@
 /// to an attempt.
 const LAST_BYTE_DELAY: Duration = Duration::from_millis(3);
 
+/// Maximum number of bytes that are read of unexpected input, of which only the first response matters.
+const MAX_UNEXPECTED_BYTES: usize = 64 * 1024;
+
+thread_local! {
+    static LAST_NUMBER: Cell<u64> = const { Cell::new(0) };
+}
+
+/// Unexpected input on a connection without a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum UnexpectedInput {
+    /// Nothing was received, and the connection is open.
+    None,
+    /// Bytes were received.
+    Bytes,
+    /// The server closed the connection, or it broke.
+    End,
+}
+
 /// Open connection to an HTTP server.
 pub struct HttpConnection {
-    stream: TcpStream,
+    /// Shared with the task that watches the connection while it is idle.
+    stream: Rc<TcpStream>,
+    /// Number of the connection among those that this thread opened.
+    number: u64,
+    /// Calls whose responses may belong to an earlier call.
+    pub(crate) ledger: ConnectionLedger,
+    /// Client id of the message of the last call, for the log.
+    pub(crate) last_client_id: Box<[u8]>,
     buffer: Vec<u8>,
     /// Time limit of each read; `None` if reads may wait without limit.
     read_timeout: Option<Duration>,
@@ -69,7 +96,29 @@
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        Ok(Self { stream, buffer: Vec::new(), read_timeout: None })
+        let number = LAST_NUMBER.get() + 1;
+        LAST_NUMBER.set(number);
+        Ok(Self {
+            stream: Rc::new(stream),
+            number,
+            ledger: ConnectionLedger::default(),
+            last_client_id: Box::default(),
+            buffer: Vec::new(),
+            read_timeout: None,
+        })
+    }
+
+    /// Returns the number of the connection among those that this thread opened.
+    pub(crate) fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Returns a future that completes once input or the end of the connection can be read.
+    pub(crate) fn input(&self) -> impl Future<Output = ()> + 'static {
+        let stream = self.stream.clone();
+        async move {
+            let _ = stream.peek(&mut [0]).await;
+        }
     }
 
     /// Sets the time limit of each further read. A read that receives nothing for `max` fails with
@@ -84,7 +133,17 @@
     ///
     /// Returns an error if the connection is broken.
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.stream.write_all(bytes).await
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            self.stream.writable().await?;
+            match self.stream.try_write(rest) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(written) => rest = &rest[written..],
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
     }
 
     /// Writes a request. The last byte is written after a short delay, and only if the connection is still open then
@@ -107,7 +166,7 @@
 
     async fn read_more(&mut self) -> Result<(), ConnectionError> {
         self.buffer.reserve(MIN_READ_BYTES);
-        let read = self.stream.read_buf(&mut self.buffer);
+        let read = read_some(&self.stream, &mut self.buffer);
         let read = match self.read_timeout {
             Some(max) => timeout(max, read).await.map_err(|_| ConnectionError::Ended)?,
             None => read.await,
@@ -239,7 +298,40 @@
     /// Queries the system, since the runtime updates the readiness of the socket only when it next waits for events.
     pub(crate) fn is_idle(&self) -> bool {
         let blocks = |e: io::Error| e.kind() == ErrorKind::WouldBlock;
-        let peeked = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        let peeked = SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
         self.buffer.is_empty() && peeked.is_err_and(blocks)
     }
+
+    /// Reads what has arrived although no call is in flight. Queries the system, as [`Self::is_idle`] does.
+    pub(crate) fn unexpected_input(&mut self) -> UnexpectedInput {
+        let mut bytes = [0; MIN_READ_BYTES];
+        while self.buffer.len() < MAX_UNEXPECTED_BYTES {
+            match (&*SockRef::from(&*self.stream)).read(&mut bytes) {
+                Ok(length @ 1..) => self.buffer.extend_from_slice(&bytes[..length]),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock && self.buffer.is_empty() => {
+                    return UnexpectedInput::None;
+                }
+                _ if self.buffer.is_empty() => return UnexpectedInput::End,
+                _ => break,
+            }
+        }
+        UnexpectedInput::Bytes
+    }
+
+    /// Returns the head at the start of the input that was read and not consumed, if there is a complete one.
+    pub(crate) fn surplus_head(&self) -> Option<Head> {
+        http::head(&self.buffer).ok().flatten().map(|(head, _)| head)
+    }
+}
+
+/// Reads into `buffer` and returns the number of bytes, which is 0 at the end of the stream.
+async fn read_some(stream: &TcpStream, buffer: &mut Vec<u8>) -> io::Result<usize> {
+    loop {
+        stream.readable().await?;
+        match stream.try_read_buf(buffer) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            read => return read,
+        }
+    }
 }
--- /dev/null
+++ b/crates/quillhub-server/src/instance/attribution.rs
@@ -0,0 +1,256 @@
+//! Attribution of responses on reused connections: keeps the results of attempts until it is known that their responses
+//! are their own, watches idle connections, and reports surplus responses.
+//!
+//! Invariant: the result of an attempt whose response is unattributed is not in the log, so that a restart treats the
+//! message as possibly executed.
+
+use super::{AttemptId, Instance};
+use crate::attempts::{self, ClassifiedResult, ConnectionState, UsedConnection};
+use crate::connection::{HttpConnection, UnexpectedInput};
+use crate::pool::{CallTimes, Watcher};
+use quillhub::{CallId, ConnectionLedger, ConnectionUse, Dispatcher, LedgerUpdate, MessageId};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Results of attempts whose responses are unattributed.
+#[derive(Default)]
+pub(super) struct UnattributedResults(BTreeMap<CallId, (AttemptId, ClassifiedResult)>);
+
+impl UnattributedResults {
+    pub(super) fn insert(&mut self, id: &AttemptId, result: ClassifiedResult) {
+        self.0.insert(id.call(), (id.clone(), result));
+    }
+
+    /// Removes the results of a message that has its final outcome.
+    pub(super) fn remove_message(&mut self, message: MessageId) {
+        self.0.retain(|call, _| call.message != message);
+    }
+}
+
+/// Surplus response from an endpoint.
+struct SurplusResponse {
+    endpoint: String,
+    retry_after: Option<Duration>,
+}
+
+/// Effects of the events on connections, for the log and the dispatcher.
+#[derive(Default)]
+pub(super) struct ConnectionEffects {
+    update: LedgerUpdate,
+    surplus: Vec<SurplusResponse>,
+}
+
+impl ConnectionEffects {
+    fn add(&mut self, update: LedgerUpdate) {
+        self.update.attributed.extend(update.attributed);
+        self.update.overtaken.extend(update.overtaken);
+        self.update.misattributed.extend(update.misattributed);
+    }
+
+    fn is_empty(&self) -> bool {
+        self.update.is_empty() && self.surplus.is_empty()
+    }
+
+    /// Reports the effects to the dispatcher.
+    pub(super) fn report(&self, dispatcher: &mut Dispatcher) {
+        self.update.attributed.iter().for_each(|call| dispatcher.response_attributed(*call));
+        self.update.overtaken.iter().for_each(|call| dispatcher.call_overtaken(*call));
+        self.update.misattributed.iter().for_each(|call| dispatcher.response_misattributed(*call));
+        for surplus in &self.surplus {
+            dispatcher.surplus_response(&surplus.endpoint, surplus.retry_after);
+        }
+    }
+}
+
+/// Response that was read on a connection.
+#[derive(Clone, Copy)]
+pub(super) struct ReadResponse {
+    /// `true` if it delivered the message.
+    pub(super) is_delivery: bool,
+}
+
+impl Instance {
+    /// Takes an idle connection for a call that may be answered until `deadline`.
+    pub(super) fn take_connection(&mut self, endpoint: &str, deadline: Duration) -> Option<HttpConnection> {
+        let taken = self.pool.take(endpoint, CallTimes { now: self.now(), deadline });
+        for connection in taken.unusable {
+            self.handle_input_later(endpoint.to_owned(), connection);
+        }
+        taken.connection
+    }
+
+    /// Closes the oldest idle connections until at most `max` are left.
+    pub(super) fn close_oldest_connections(&mut self, max: usize) {
+        for (endpoint, connection) in self.pool.close_oldest_beyond(max) {
+            self.handle_input_later(endpoint, connection);
+        }
+    }
+
+    /// Handles the input and the end of a connection after the current event.
+    fn handle_input_later(&self, endpoint: String, mut connection: HttpConnection) {
+        let weak = self.weak.clone();
+        spawn_local(async move {
+            let state = match connection.unexpected_input() {
+                UnexpectedInput::Bytes => ConnectionState::Surplus,
+                UnexpectedInput::End | UnexpectedInput::None => ConnectionState::Closed,
+            };
+            if let Some(instance) = weak.upgrade() {
+                let mut instance = instance.borrow_mut();
+                let mut effects = ConnectionEffects::default();
+                instance.end_connection(&endpoint, UsedConnection { connection, state }, &mut effects);
+                instance.apply_effects(effects);
+            }
+        });
+    }
+
+    /// Handles the connections that an attempt has used, and returns the effects, which must be reported to the
+    /// dispatcher after the end of the attempt.
+    pub(super) fn attempt_connections_ended(
+        &mut self,
+        id: &AttemptId,
+        connection: Option<UsedConnection>,
+        replaced: Vec<UsedConnection>,
+        response: Option<ReadResponse>,
+    ) -> ConnectionEffects {
+        let mut effects = ConnectionEffects::default();
+        for used in replaced {
+            self.end_connection(&id.endpoint, used, &mut effects);
+        }
+        let Some(UsedConnection { mut connection, state }) = connection else { return effects };
+        if let Some(ReadResponse { is_delivery }) = response {
+            let now = self.now();
+            let ledger: &mut ConnectionLedger = &mut connection.ledger;
+            let terms = &id.plan.attribution;
+            effects.add(ledger.on_response(id.call(), is_delivery, terms, id.deadline, now));
+        }
+        if let Some(message) = self.messages.get_mut(id.message) {
+            connection.last_client_id.clone_from(&message.client_id);
+        }
+        match state {
+            ConnectionState::Reusable if id.plan.connection != ConnectionUse::Single => {
+                self.park(&id.endpoint, connection, false);
+            }
+            ConnectionState::Reusable | ConnectionState::Closing => {
+                self.park(&id.endpoint, connection, true);
+            }
+            _ => self.end_connection(&id.endpoint, UsedConnection { connection, state }, &mut effects),
+        }
+        effects
+    }
+
+    /// Adds a connection to the pool and watches it. A retired one stays open only until its responses are attributed.
+    fn park(&mut self, endpoint: &str, connection: HttpConnection, is_retired: bool) {
+        let watcher = Some(self.watch(endpoint, &connection));
+        if is_retired {
+            self.pool.put_back_retired(endpoint, connection, watcher);
+        } else {
+            self.close_oldest_connections(self.pool.max_idle().saturating_sub(1));
+            self.pool.put_back(endpoint, connection, watcher);
+        }
+    }
+
+    /// Starts a task that reports unexpected input on an idle connection, and the time at which its responses are
+    /// attributed.
+    fn watch(&self, endpoint: &str, connection: &HttpConnection) -> Watcher {
+        let (weak, endpoint, number) = (self.weak.clone(), endpoint.to_owned(), connection.number());
+        let input = connection.input();
+        let quiet_in = connection.ledger.quiet_at().map(|at| at.saturating_sub(self.now()));
+        let task = spawn_local(async move {
+            tokio::pin!(input);
+            if let Some(wait) = quiet_in {
+                tokio::select! {
+                    biased;
+                    () = &mut input => {}
+                    () = sleep(wait) => {
+                        let Some(instance) = weak.upgrade() else { return };
+                        instance.borrow_mut().connection_quiet(&endpoint, number);
+                    }
+                }
+            }
+            input.await;
+            if let Some(instance) = weak.upgrade() {
+                instance.borrow_mut().idle_connection_input(&endpoint, number);
+            }
+        });
+        Watcher::new(task.abort_handle())
+    }
+
+    /// Handles a connection on which nothing was received for the time after which its responses are attributed.
+    fn connection_quiet(&mut self, endpoint: &str, number: u64) {
+        let now = self.now();
+        let Some(connection) = self.pool.get_mut(endpoint, number) else { return };
+        if !connection.is_idle() {
+            return; // the watcher reports the input
+        }
+        let mut effects = ConnectionEffects::default();
+        effects.add(connection.ledger.on_quiet(now));
+        self.pool.drop_retired();
+        self.apply_effects(effects);
+    }
+
+    /// Handles input on an idle connection, or its end.
+    fn idle_connection_input(&mut self, endpoint: &str, number: u64) {
+        if let Some(connection) = self.pool.remove(endpoint, number) {
+            self.handle_input_later(endpoint.to_owned(), connection);
+        }
+    }
+
+    /// Handles the end of a connection, which is closed.
+    fn end_connection(&mut self, endpoint: &str, used: UsedConnection, effects: &mut ConnectionEffects) {
+        let UsedConnection { mut connection, state } = used;
+        let now = self.now();
+        let update = match state {
+            ConnectionState::Malformed | ConnectionState::Surplus => connection.ledger.on_surplus(),
+            _ => connection.ledger.on_closed(now),
+        };
+        let age = now.saturating_sub(connection.ledger.last_response());
+        let number = connection.number();
+        let last_client_id = String::from_utf8_lossy(&connection.last_client_id);
+        let is_unusual = !update.misattributed.is_empty();
+        if state == ConnectionState::Surplus {
+            let head = connection.surplus_head();
+            let status = head.as_ref().map(|head| head.status);
+            let retry_after = head.as_ref().and_then(attempts::retry_after);
+            tracing::warn!(endpoint, connection = number, ?age, status, %last_client_id, "surplus response");
+            effects.surplus.push(SurplusResponse { endpoint: endpoint.to_owned(), retry_after });
+        } else if is_unusual {
+            tracing::warn!(endpoint, connection = number, ?age, ?state, %last_client_id, "connection ended early");
+        } else {
+            tracing::debug!(endpoint, connection = number, ?age, ?state, "connection ended");
+        }
+        effects.add(update);
+    }
+
+    /// Applies effects that do not belong to the end of an attempt.
+    fn apply_effects(&mut self, effects: ConnectionEffects) {
+        if effects.is_empty() {
+            return;
+        }
+        self.record_effects(&effects);
+        self.handle_event(|dispatcher| effects.report(dispatcher));
+    }
+
+    /// Writes the attributed results to the log, and removes the misattributed ones.
+    pub(super) fn record_effects(&mut self, effects: &ConnectionEffects) {
+        for call in &effects.update.attributed {
+            if let Some((id, classified)) = self.unattributed.0.remove(call) {
+                self.record_attempt(&id, &classified);
+            }
+        }
+        for call in &effects.update.misattributed {
+            let Some((id, classified)) = self.unattributed.0.remove(call) else { continue };
+            let client_id = self.messages.get_mut(call.message).map(|message| &message.client_id[..]);
+            let client_id = String::from_utf8_lossy(client_id.unwrap_or_default());
+            tracing::warn!(
+                message_id = call.message,
+                %client_id,
+                attempt = call.attempt,
+                endpoint = id.endpoint,
+                outcome = ?classified.outcome,
+                "response may belong to an earlier call on its connection"
+            );
+        }
+    }
+}
--- a/crates/quillhub-server/src/instance/driver.rs
+++ b/crates/quillhub-server/src/instance/driver.rs
@@ -5,7 +5,7 @@
 use crate::attempts::{Attempt, AttemptEnd, ClassifiedResult};
 use crate::http;
 use crate::wal::{FinalResult, RecordKind};
-use quillhub::{Dispatcher, Driver, LogEvent, MessageId};
+use quillhub::{AttemptPlan, ConnectionUse, Dispatcher, Driver, LogEvent, MessageId};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -78,7 +78,7 @@
 }
 
 impl Driver for Instance {
-    fn start_attempt(&mut self, id: MessageId, endpoint: &str, timeout: Duration) {
+    fn start_attempt(&mut self, id: MessageId, endpoint: &str, plan: AttemptPlan) {
         let started = Instant::now();
         let written = self.write_acceptance(id);
         let Some(message) = self.messages.get_mut(id) else { return };
@@ -87,20 +87,25 @@
         let request = delivery_request(message, address);
         let recorded = written.is_ok();
         log_failed_write(id, RecordKind::Accepted, written);
-        let pooled = self.pool.take(endpoint);
+        let deadline = self.now() + plan.timeout;
+        let pooled = match plan.connection {
+            ConnectionUse::Pooled => self.take_connection(endpoint, deadline),
+            ConnectionUse::New | ConnectionUse::Single => None,
+        };
         if pooled.is_none() {
             let in_use = self.attempts_in_flight + 1;
-            self.pool.close_oldest_beyond(self.max_connections.saturating_sub(in_use));
+            self.close_oldest_connections(self.max_connections.saturating_sub(in_use));
         }
         tracing::debug!(
             message_id = id,
             attempt,
             endpoint,
-            ?timeout,
-            pooled_connection = pooled.is_some(),
+            timeout = ?plan.timeout,
+            connection_use = ?plan.connection,
+            connection = pooled.as_ref().map(|pooled| pooled.number()),
             "attempt starts"
         );
-        let id = AttemptId { message: id, attempt, endpoint: endpoint.to_owned() };
+        let id = AttemptId { message: id, attempt, endpoint: endpoint.to_owned(), plan, deadline };
         let (weak, attempt_id) = (self.weak.clone(), id.clone());
         let may_send_request = move || {
             weak.upgrade().is_some_and(|instance| instance.borrow_mut().may_send_request(&attempt_id))
@@ -110,7 +115,7 @@
             pooled,
             address,
             connect_timeout,
-            timeout,
+            timeout: plan.timeout,
             request,
             may_send_request,
         });
@@ -126,7 +131,7 @@
     }
 
     fn close_idle_connections(&mut self, endpoint: &str) {
-        self.pool.close_idle(endpoint);
+        self.pool.retire(endpoint);
     }
 
     fn broadcast(&mut self, gossip: &[u8]) {
--- a/crates/quillhub-server/src/instance/mod.rs
+++ b/crates/quillhub-server/src/instance/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! Invariant: an attempt sends its first byte only after the log contains the message and the start of the attempt.
 
+mod attribution;
 mod driver;
 mod messages;
 mod outcome_queue;
@@ -19,9 +20,10 @@
 use crate::gossip::GossipSocket;
 use crate::pool::ConnectionPool;
 use crate::wal::{AppendError, FinalResult, RecordKind, Wal};
+use attribution::{ReadResponse, UnattributedResults};
 use messages::Messages;
 use outcome_queue::OutcomeQueue;
-use quillhub::{AttemptResult, Dispatcher, MessageId};
+use quillhub::{AttemptOutcome, AttemptPlan, AttemptResult, CallId, Dispatcher, MessageId};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
@@ -57,6 +59,8 @@
     /// that may have executed its message.
     clock_offset: Duration,
     messages: Messages,
+    /// Results of attempts whose responses may belong to earlier calls.
+    unattributed: UnattributedResults,
     /// Outcome of the submission being handled, if the dispatcher finished its message immediately.
     immediate_outcome: Option<SubmitOutcome>,
     wal: Wal,
@@ -81,6 +85,15 @@
     /// Number of the attempt among those of the message, counted from 0.
     attempt: u32,
     endpoint: String,
+    plan: AttemptPlan,
+    /// Time on the dispatcher's clock until which the attempt may be answered.
+    deadline: Duration,
+}
+
+impl AttemptId {
+    fn call(&self) -> CallId {
+        CallId { message: self.message, attempt: self.attempt }
+    }
 }
 
 /// Logs an error if a record could not be written. The instance continues to work, but what the record says is known
@@ -101,6 +114,7 @@
                 started: Instant::now(),
                 clock_offset: Duration::ZERO,
                 messages: Messages::default(),
+                unattributed: UnattributedResults::default(),
                 immediate_outcome: None,
                 wal: parts.wal,
                 outcomes: OutcomeQueue::default(),
@@ -178,9 +192,9 @@
         self.pool.address(name)
     }
 
-    /// Closes idle connections that expired or that were closed by their endpoint.
+    /// Closes idle connections that expired.
     pub fn close_expired_connections(&mut self) {
-        self.pool.close_expired();
+        self.pool.drop_retired();
     }
 
     /// Returns the `Notify` that is notified when a final outcome is queued for the platform.
@@ -237,6 +251,7 @@
     /// still being handled, and otherwise to the platform.
     fn finish_undelivered(&mut self, id: MessageId, result: FinalResult) {
         let Some(message) = self.messages.remove(id) else { return };
+        self.unattributed.remove_message(id);
         tracing::debug!(
             message_id = id,
             ?result,
@@ -272,36 +287,49 @@
 
     /// Records the end of an attempt, `elapsed` after its start, and reports it to the dispatcher.
     fn attempt_ended(&mut self, id: &AttemptId, end: AttemptEnd, elapsed: Duration) {
-        let AttemptId { message, attempt, ref endpoint } = *id;
         self.attempts_in_flight -= 1;
-        if let Some(connection) = end.reusable {
-            self.pool.put_back(endpoint, connection);
-        }
-        let classified = ClassifiedResult::classify(&end.result, self.load_reports);
-        let duration = end.result.as_ref().map_or(elapsed, |response| response.latency);
-        let load_report = end.result.ok().and_then(|response| response.load_report);
+        let AttemptEnd { result, connection, replaced } = end;
+        let classified = ClassifiedResult::classify(&result, self.load_reports);
+        let is_unattributed = result.as_ref().is_ok_and(|response| !response.on_new_connection);
+        let duration = result.as_ref().map_or(elapsed, |response| response.latency);
+        let is_delivery = classified.outcome == AttemptOutcome::Delivered;
+        let response = result.is_ok().then_some(ReadResponse { is_delivery });
+        let load_report = result.ok().and_then(|response| response.load_report);
         let load_report = load_report.filter(|_| self.load_reports);
-        let outcome = classified.outcome;
         tracing::debug!(
-            message_id = message,
-            attempt,
-            endpoint,
-            ?outcome,
+            message_id = id.message,
+            attempt = id.attempt,
+            endpoint = id.endpoint,
+            connection = connection.as_ref().map(|used| used.connection.number()),
+            state = ?connection.as_ref().map(|used| used.state),
+            outcome = ?classified.outcome,
             ?duration,
             ?load_report,
+            is_unattributed,
             "attempt ended"
         );
-        self.record_attempt(id, &classified);
-        let finished = classified.finished;
+        let result = AttemptResult {
+            message: id.message,
+            attempt: id.attempt,
+            outcome: classified.outcome,
+            duration,
+            finished: classified.finished,
+            load_report,
+        };
+        if is_unattributed {
+            self.unattributed.insert(id, classified);
+        } else {
+            self.record_attempt(id, &classified);
+        }
+        let effects = self.attempt_connections_ended(id, connection, replaced, response);
+        self.record_effects(&effects);
         self.handle_event(|dispatcher| {
-            dispatcher.attempt_ended(AttemptResult {
-                message,
-                attempt,
-                outcome,
-                duration,
-                finished,
-                load_report,
-            })
+            if is_unattributed {
+                dispatcher.attempt_ended_unattributed(result);
+            } else {
+                dispatcher.attempt_ended(result);
+            }
+            effects.report(dispatcher);
         });
     }
 
--- a/crates/quillhub-server/src/pool.rs
+++ b/crates/quillhub-server/src/pool.rs
@@ -1,29 +1,60 @@
 //! Connection pool: the addresses of the endpoints that discovery lists, and idle connections to them.
 //!
-//! Invariant: only listed endpoints have idle connections. Removing an endpoint closes its connections, and each idle
-//! connection expires.
+//! Invariants: only listed endpoints have reusable idle connections. Removing an endpoint retires its connections, and
+//! each idle connection expires. A retired connection carries no other call; it stays open while responses on it are
+//! unattributed, so that a response that is still outstanding can be noticed.
 
 use crate::connection::HttpConnection;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 /// Divisor of the endpoints' idle timeout: a connection is not used in the last tenth of it, since the endpoint might
 /// close the connection before a request arrives. A tenth is longer than a round trip.
 const IDLE_MARGIN_DIVISOR: u32 = 10;
 
+/// Task that watches an idle connection; aborted when this is dropped.
+pub struct Watcher(AbortHandle);
+
+impl Watcher {
+    /// Creates the owner of a task.
+    pub fn new(task: AbortHandle) -> Self {
+        Self(task)
+    }
+}
+
+impl Drop for Watcher {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// Idle connection.
 struct Idle {
     connection: HttpConnection,
     since: Instant,
+    is_retired: bool,
+    _watcher: Option<Watcher>,
 }
 
-impl Idle {
-    /// Returns `true` if the connection is open and has been idle for less than `idle_timeout`.
-    fn is_usable(&self, idle_timeout: Duration) -> bool {
-        self.since.elapsed() < idle_timeout && self.connection.is_idle()
-    }
+/// Call for which a connection is taken, with times on the dispatcher's clock.
+#[derive(Clone, Copy, Debug)]
+pub struct CallTimes {
+    /// Start of the call.
+    pub now: Duration,
+    /// Time until which the call may be answered.
+    pub deadline: Duration,
+}
+
+/// Result of taking a connection.
+#[derive(Default)]
+pub struct Taken {
+    /// Connection that may carry the call, if there is one.
+    pub connection: Option<HttpConnection>,
+    /// Connections that were found closed or with unexpected input.
+    pub unusable: Vec<HttpConnection>,
 }
 
 /// Addresses of the listed endpoints, and the idle connections to them.
@@ -45,23 +76,24 @@
         Self { addresses: BTreeMap::new(), idle: BTreeMap::new(), idle_timeout, max_idle }
     }
 
-    /// Sets the address of an endpoint. If it had another address, its idle connections are closed.
+    /// Sets the address of an endpoint. If it had another address, its idle connections are retired.
     pub fn endpoint_listed(&mut self, endpoint: &str, address: SocketAddr) {
         if self.addresses.insert(endpoint.into(), address).is_some_and(|before| before != address) {
-            self.idle.remove(endpoint);
+            self.retire(endpoint);
         }
     }
 
-    /// Removes an endpoint and closes its idle connections.
+    /// Removes an endpoint and retires its idle connections.
     pub fn endpoint_removed(&mut self, endpoint: &str) {
         self.addresses.remove(endpoint);
-        self.idle.remove(endpoint);
+        self.retire(endpoint);
     }
 
-    /// Removes the endpoints for which `listed` returns `false`, and closes their idle connections.
+    /// Removes the endpoints for which `listed` returns `false`, and retires their idle connections.
     pub fn keep_only(&mut self, listed: impl Fn(&str) -> bool) {
         self.addresses.retain(|endpoint, _| listed(endpoint));
-        self.idle.retain(|endpoint, _| listed(endpoint));
+        let unlisted: Vec<_> = self.idle.keys().filter(|endpoint| !listed(endpoint)).cloned().collect();
+        unlisted.iter().for_each(|endpoint| self.retire(endpoint));
     }
 
     /// Returns the address of the endpoint, or `None` if it is not listed.
@@ -69,53 +101,100 @@
         self.addresses.get(endpoint).copied()
     }
 
-    /// Removes and returns the idle connection used last that is still usable. Connections used after it, which are not
-    /// usable, are closed.
-    pub fn take(&mut self, endpoint: &str) -> Option<HttpConnection> {
-        let idle = self.idle.get_mut(endpoint)?;
-        while let Some(last) = idle.pop() {
-            if last.is_usable(self.idle_timeout) {
-                return Some(last.connection);
+    /// Removes and returns the idle connection used last that may carry the call. Connections used after it that are
+    /// not usable are returned too.
+    pub fn take(&mut self, endpoint: &str, times: CallTimes) -> Taken {
+        let mut taken = Taken::default();
+        let Some(idle) = self.idle.get_mut(endpoint) else { return taken };
+        for index in (0..idle.len()).rev() {
+            let candidate = &idle[index];
+            if candidate.is_retired || candidate.since.elapsed() >= self.idle_timeout {
+                continue;
+            }
+            if !candidate.connection.is_idle() {
+                taken.unusable.push(idle.remove(index).connection);
+            } else if candidate.connection.ledger.may_carry_until(times.deadline, times.now) {
+                taken.connection = Some(idle.remove(index).connection);
+                break;
             }
         }
-        None
+        taken
+    }
+
+    /// Adds an idle connection. It is retired at once if the endpoint is not listed or the pool holds no connections,
+    /// and [`Self::close_oldest_beyond`] has made room for it otherwise.
+    pub fn put_back(&mut self, endpoint: &str, connection: HttpConnection, watcher: Option<Watcher>) {
+        let is_retired = !self.addresses.contains_key(endpoint) || self.max_idle == 0;
+        self.add(endpoint, connection, watcher, is_retired);
+    }
+
+    /// Adds a connection that carries no other call, until its responses are attributed.
+    pub fn put_back_retired(&mut self, endpoint: &str, connection: HttpConnection, watcher: Option<Watcher>) {
+        self.add(endpoint, connection, watcher, true);
     }
 
-    /// Adds an idle connection, and closes the oldest ones if there are too many. The connection is closed instead if
-    /// the endpoint is not listed.
-    pub fn put_back(&mut self, endpoint: &str, connection: HttpConnection) {
-        if !self.addresses.contains_key(endpoint) || self.max_idle == 0 {
+    fn add(
+        &mut self,
+        endpoint: &str,
+        connection: HttpConnection,
+        watcher: Option<Watcher>,
+        is_retired: bool,
+    ) {
+        if is_retired && connection.ledger.is_settled() {
             return;
         }
-        self.close_oldest_beyond(self.max_idle - 1);
-        let idle = Idle { connection, since: Instant::now() };
+        let idle = Idle { connection, since: Instant::now(), is_retired, _watcher: watcher };
         self.idle.entry(endpoint.into()).or_default().push(idle);
     }
 
-    /// Closes the oldest idle connections until at most `max` are left, to all endpoints together.
-    pub fn close_oldest_beyond(&mut self, max: usize) {
-        if max >= self.max_idle {
-            return; // the pool never holds more than `max_idle`
-        }
+    /// Removes and returns the idle connection of this number, if it is still idle.
+    pub fn remove(&mut self, endpoint: &str, number: u64) -> Option<HttpConnection> {
+        let idle = self.idle.get_mut(endpoint)?;
+        let index = idle.iter().position(|idle| idle.connection.number() == number)?;
+        Some(idle.remove(index).connection)
+    }
+
+    /// Returns the idle connection of this number, if it is still idle.
+    pub fn get_mut(&mut self, endpoint: &str, number: u64) -> Option<&mut HttpConnection> {
+        let idle = self.idle.get_mut(endpoint)?;
+        idle.iter_mut().map(|idle| &mut idle.connection).find(|connection| connection.number() == number)
+    }
+
+    /// Returns the maximum number of idle connections.
+    pub fn max_idle(&self) -> usize {
+        self.max_idle
+    }
+
+    /// Removes the oldest idle connections until at most `max` are left, to all endpoints together. Returns them with
+    /// their endpoints.
+    pub fn close_oldest_beyond(&mut self, max: usize) -> Vec<(String, HttpConnection)> {
+        let mut closed = Vec::new();
         while self.idle.values().map(Vec::len).sum::<usize>() > max {
             let oldest =
                 self.idle.iter().filter_map(|(endpoint, idle)| Some((idle.first()?.since, endpoint)));
             let Some(endpoint) = oldest.min().map(|(_, endpoint)| endpoint.clone()) else { break };
             let Some(idle) = self.idle.get_mut(&endpoint) else { break };
-            idle.remove(0);
+            closed.push((endpoint, idle.remove(0).connection));
         }
+        closed
     }
 
-    /// Closes the endpoint's idle connections.
-    pub fn close_idle(&mut self, endpoint: &str) {
-        self.idle.remove(endpoint);
+    /// Retires the endpoint's idle connections: those without unattributed responses are closed.
+    pub fn retire(&mut self, endpoint: &str) {
+        if let Some(idle) = self.idle.get_mut(endpoint) {
+            idle.iter_mut().for_each(|idle| idle.is_retired = true);
+        }
+        self.drop_retired();
     }
 
-    /// Closes the idle connections that their endpoint has closed, or may close soon.
-    pub fn close_expired(&mut self) {
+    /// Closes the retired connections without unattributed responses, and the expired ones.
+    pub fn drop_retired(&mut self) {
         let idle_timeout = self.idle_timeout;
         self.idle.retain(|_, idle| {
-            idle.retain(|idle| idle.is_usable(idle_timeout));
+            idle.retain(|idle| {
+                let is_needed = !idle.is_retired && idle.since.elapsed() < idle_timeout;
+                is_needed || !idle.connection.ledger.is_settled()
+            });
             !idle.is_empty()
         });
     }
--- a/crates/quillhub-server/src/pool_tests.rs
+++ b/crates/quillhub-server/src/pool_tests.rs
@@ -2,6 +2,11 @@
 use crate::test_support::{UNREACHED_TIMEOUT, on_one_thread};
 use tokio::net::TcpListener;
 
+/// Returns the connection that [`ConnectionPool::take`] returns for a call at the start of the clock.
+fn take(pool: &mut ConnectionPool) -> Option<HttpConnection> {
+    pool.take("e", CallTimes { now: Duration::ZERO, deadline: UNREACHED_TIMEOUT }).connection
+}
+
 #[test]
 fn a_pooled_connection_is_reused_until_it_closes_is_dropped_or_expires() {
     on_one_thread(async {
@@ -9,27 +14,28 @@
         let address = listener.local_addr().unwrap();
         let mut pool = ConnectionPool::new(UNREACHED_TIMEOUT, 2);
         pool.endpoint_listed("e", address);
-        pool.put_back("e", HttpConnection::open(address).await.unwrap());
-        assert!(pool.take("e").is_some() && pool.take("e").is_none());
+        pool.put_back("e", HttpConnection::open(address).await.unwrap(), None);
+        assert!(take(&mut pool).is_some() && take(&mut pool).is_none());
 
-        pool.put_back("e", HttpConnection::open(address).await.unwrap());
-        pool.close_idle("e");
-        assert!(pool.take("e").is_none());
+        pool.put_back("e", HttpConnection::open(address).await.unwrap(), None);
+        pool.retire("e");
+        assert!(take(&mut pool).is_none());
 
         for _ in 0..3 {
-            pool.put_back("e", HttpConnection::open(address).await.unwrap());
+            let _ = pool.close_oldest_beyond(pool.max_idle() - 1);
+            pool.put_back("e", HttpConnection::open(address).await.unwrap(), None);
         }
         assert_eq!(pool.idle["e"].len(), 2);
         pool.endpoint_listed("e", "127.0.0.1:1".parse().unwrap());
-        assert!(pool.take("e").is_none());
+        assert!(take(&mut pool).is_none());
 
-        pool.put_back("gone", HttpConnection::open(address).await.unwrap());
+        pool.put_back("gone", HttpConnection::open(address).await.unwrap(), None);
         assert!(!pool.idle.contains_key("gone"));
 
         let mut short_lived = ConnectionPool::new(Duration::ZERO, 2);
         short_lived.endpoint_listed("e", address);
-        short_lived.put_back("e", HttpConnection::open(address).await.unwrap());
-        assert!(short_lived.take("e").is_none());
+        short_lived.put_back("e", HttpConnection::open(address).await.unwrap(), None);
+        assert!(take(&mut short_lived).is_none());
     });
 }
 
@@ -43,12 +49,12 @@
             let address = listener.local_addr().unwrap();
             let mut pool = ConnectionPool::new(UNREACHED_TIMEOUT, 2);
             pool.endpoint_listed("e", address);
-            pool.put_back("e", HttpConnection::open(address).await.unwrap());
+            pool.put_back("e", HttpConnection::open(address).await.unwrap(), None);
             let mut peer = listener.accept().await.unwrap().0.into_std().unwrap();
             // No await from here on, so that the runtime does not update the readiness of the socket.
             std::io::Write::write_all(&mut peer, received).unwrap();
             let peer = Some(peer).filter(|_| !received.is_empty());
-            assert!(pool.take("e").is_none(), "{}", if peer.is_some() { "surplus input" } else { "closed" });
+            assert!(take(&mut pool).is_none(), "{}", if peer.is_some() { "surplus input" } else { "closed" });
         }
     });
 }
--- a/crates/quillhub-simulator/src/simulation/actions.rs
+++ b/crates/quillhub-simulator/src/simulation/actions.rs
@@ -1,7 +1,7 @@
 //! Actions that a decider requests, collected until the simulation carries them out.
 
 use crate::fact::FinalOutcome;
-use quillhub::{Driver, LogEvent, MessageId};
+use quillhub::{AttemptPlan, Driver, LogEvent, MessageId};
 use std::time::Duration;
 
 /// Action requested by a decider; the methods of [`Driver`] describe each one.
@@ -19,8 +19,8 @@
 pub(super) struct Actions(pub(super) Vec<Action>);
 
 impl Driver for Actions {
-    fn start_attempt(&mut self, message: MessageId, endpoint: &str, timeout: Duration) {
-        self.0.push(Action::StartAttempt { message, endpoint: endpoint.into(), timeout });
+    fn start_attempt(&mut self, message: MessageId, endpoint: &str, plan: AttemptPlan) {
+        self.0.push(Action::StartAttempt { message, endpoint: endpoint.into(), timeout: plan.timeout });
     }
     fn reject(&mut self, message: MessageId, retry_after: Option<Duration>) {
         self.0.push(Action::Finish { message, outcome: FinalOutcome::Rejected { retry_after } });
--- a/crates/quillhub-simulator/tests/auditor.rs
+++ b/crates/quillhub-simulator/tests/auditor.rs
@@ -4,7 +4,8 @@
 //! that rule, and none for the unmodified dispatcher in the same scenario.
 
 use quillhub::{
-    AttemptOutcome, AttemptResult, DestinationId, Driver, EndpointState, EndpointUpdate, LogEvent, MessageId,
+    AttemptOutcome, AttemptPlan, AttemptResult, DestinationId, Driver, EndpointState, EndpointUpdate,
+    LogEvent, MessageId,
 };
 use quillhub_simulator::{Breach, Decider, DeciderParameters, Input, Rule, Scenario, Simulation, dispatcher};
 use std::collections::{BTreeMap, BTreeSet};
@@ -45,8 +46,8 @@
 struct Actions(Vec<Action>);
 
 impl Driver for Actions {
-    fn start_attempt(&mut self, message: MessageId, endpoint: &str, timeout: Duration) {
-        self.0.push(Action::StartAttempt(message, endpoint.into(), timeout));
+    fn start_attempt(&mut self, message: MessageId, endpoint: &str, plan: AttemptPlan) {
+        self.0.push(Action::StartAttempt(message, endpoint.into(), plan.timeout));
     }
     fn reject(&mut self, message: MessageId, retry_after: Option<Duration>) {
         self.0.push(Action::Reject(message, retry_after));
@@ -100,7 +101,7 @@
                     self.inner_numbers.insert((id, *simulation), (copy == 0).then_some(*inner));
                     *simulation += 1;
                     *inner += u32::from(copy == 0);
-                    driver.start_attempt(id, &endpoint, timeout);
+                    driver.start_attempt(id, &endpoint, AttemptPlan::with_timeout(timeout));
                 }
             }
             Action::Reject(id, retry_after) => {
@@ -109,7 +110,7 @@
                     driver.reject(id, retry_after);
                 }
                 if self.flaw == Flaw::AttemptsAfterFinalOutcome {
-                    driver.start_attempt(id, "e1", Duration::from_secs(1));
+                    driver.start_attempt(id, "e1", AttemptPlan::with_timeout(Duration::from_secs(1)));
                 }
             }
             Action::Abandon(id) if self.flaw == Flaw::RejectsAtMostOnce => driver.reject(id, None),
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -7,7 +7,7 @@
 use crate::policy::slow_start::SlowStart;
 use crate::policy::state::State;
 use crate::{
-    AttemptResult, DestinationId, Driver, EndpointUpdate, ListedRateAccuracy, MessageId, NewMessage,
+    AttemptResult, CallId, DestinationId, Driver, EndpointUpdate, ListedRateAccuracy, MessageId, NewMessage,
     RecoveredAttempts, ServiceClass, UnknownServiceClass, gossip,
 };
 use std::collections::BTreeSet;
@@ -17,10 +17,11 @@
 type Rule = fn(&mut State, &mut dyn Driver) -> bool;
 
 /// Rules in the order in which they are tried.
-const RULES: [Rule; 6] = [
+const RULES: [Rule; 7] = [
     State::poll_discovery,
     State::shed_unstorable,
     State::give_up_expired,
+    State::abandon_unattributed,
     State::start_highest_priority,
     State::shed_least_valuable,
     State::close_idle_connections,
@@ -218,6 +219,34 @@
         self.state.attempt_ended(&result);
     }
 
+    /// Handles the end of an attempt whose response was read on a connection that carried an earlier call, so that it may
+    /// belong to that call. The outcome is provisional until the response is attributed or found to be misattributed.
+    pub fn attempt_ended_unattributed(&mut self, result: AttemptResult) {
+        self.state.attempt_ended_unattributed(&result);
+    }
+
+    /// Handles the attribution of a response to its call: the outcome of the attempt is final.
+    pub fn response_attributed(&mut self, call: CallId) {
+        self.state.response_attributed(call);
+    }
+
+    /// Handles a later response on the connection of an unattributed one: the call is no longer being executed, and the
+    /// message may be attempted again if its class allows that after a possible execution.
+    pub fn call_overtaken(&mut self, call: CallId) {
+        self.state.call_overtaken(call);
+    }
+
+    /// Handles a response that may belong to an earlier call, after its connection was closed. The message may have been
+    /// executed, and is pending again if it counted as delivered.
+    pub fn response_misattributed(&mut self, call: CallId) {
+        self.state.response_misattributed(call);
+    }
+
+    /// Handles a surplus response from an endpoint, with the retry-after in it, if any.
+    pub fn surplus_response(&mut self, endpoint: &str, retry_after: Option<Duration>) {
+        self.state.surplus_response(endpoint, retry_after);
+    }
+
     /// Stops handling a message, because its client has disconnected or because it has its final outcome.
     pub fn finish(&mut self, message: MessageId) {
         self.state.finish(message);
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -1,6 +1,6 @@
 //! Interface between a dispatcher and its host: actions that the dispatcher requests, and events that it logs.
 
-use crate::{DestinationId, Health, MessageId};
+use crate::{AttributionTerms, DestinationId, Health, MessageId};
 use std::fmt;
 use std::time::Duration;
 
@@ -40,11 +40,46 @@
     }
 }
 
+/// Use of connections by an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// Uses an idle connection if there is one, and leaves its connection to later attempts.
+    Pooled,
+    /// Opens a new connection and leaves it to later attempts.
+    New,
+    /// Opens a new connection, which carries no other call.
+    Single,
+}
+
+/// Parameters of an attempt. Hosts without connections of their own need only the timeout.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptPlan {
+    /// Time without a response after which the outcome is
+    /// [`AttemptOutcome::TimedOut`](crate::AttemptOutcome::TimedOut).
+    pub timeout: Duration,
+    /// Use of connections.
+    pub connection: ConnectionUse,
+    /// Terms on which the response is attributed to the attempt.
+    pub attribution: AttributionTerms,
+}
+
+impl AttemptPlan {
+    /// Creates the plan of an attempt on any connection, for deciders that make no decisions about connections.
+    pub fn with_timeout(timeout: Duration) -> Self {
+        let attribution = AttributionTerms {
+            quiet_period: timeout,
+            quiet_before_close: timeout,
+            message_deadline: Duration::MAX,
+            rests_unless_delivered: false,
+        };
+        Self { timeout, connection: ConnectionUse::Pooled, attribution }
+    }
+}
+
 /// Actions that a dispatcher requests from its host. Each takes effect at the time of the event being handled.
 pub trait Driver {
-    /// Starts an attempt to deliver `message` to `endpoint`. Without a response within `timeout`, its outcome is
-    /// [`AttemptOutcome::TimedOut`](crate::AttemptOutcome::TimedOut).
-    fn start_attempt(&mut self, message: MessageId, endpoint: &str, timeout: Duration);
+    /// Starts an attempt to deliver `message` to `endpoint`.
+    fn start_attempt(&mut self, message: MessageId, endpoint: &str, plan: AttemptPlan);
     /// Gives `message` the final outcome rejected: it is not known to have been delivered, and the client may submit it
     /// again, preferably after `retry_after`, the suggested delay.
     fn reject(&mut self, message: MessageId, retry_after: Option<Duration>);
--- a/src/gossip_tests.rs
+++ b/src/gossip_tests.rs
@@ -1,8 +1,8 @@
 //! Tests of the gossip wire format: the bytes that are sent once a route has recovered, and the decoding of datagrams.
 
 use crate::{
-    AttemptOutcome, AttemptResult, DestinationId, Dispatcher, Driver, EndpointState, EndpointUpdate,
-    LogEvent, MessageId, NewMessage, RetrySafety, ServiceClass, ValueDecay, gossip, ms,
+    AttemptOutcome, AttemptPlan, AttemptResult, DestinationId, Dispatcher, Driver, EndpointState,
+    EndpointUpdate, LogEvent, MessageId, NewMessage, RetrySafety, ServiceClass, ValueDecay, gossip, ms,
 };
 use std::time::Duration;
 
@@ -22,7 +22,7 @@
 }
 
 impl Driver for RecordingDriver {
-    fn start_attempt(&mut self, _: MessageId, _: &str, _: Duration) {
+    fn start_attempt(&mut self, _: MessageId, _: &str, _: AttemptPlan) {
         self.attempts += 1;
     }
     fn reject(&mut self, _: MessageId, _: Option<Duration>) {}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,13 +16,13 @@
 
 pub use attempt::{AttemptOutcome, AttemptResult, LoadReport};
 pub use dispatcher::Dispatcher;
-pub use driver::{Driver, LogEvent};
+pub use driver::{AttemptPlan, ConnectionUse, Driver, LogEvent};
 pub use endpoint::{EndpointState, EndpointUpdate, ListedRateAccuracy};
 pub use message::{
     DestinationId, MessageId, NewMessage, PossibleExecution, RecoveredAttempts, RetrySafety, ServiceClass,
     UnknownServiceClass, ValueDecay,
 };
-pub use policy::Health;
+pub use policy::{AttributionTerms, CallId, ConnectionLedger, Health, LedgerUpdate};
 
 use std::time::Duration;
 
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -1,5 +1,6 @@
 //! Admission: acceptance of messages, tenant quotas, and the choice of the message to reject when capacity is short.
 
+use super::attribution::UnattributedAttempts;
 use super::state::{PendingMessage, RecordedPossibleExecution, State};
 use crate::{
     DestinationId, Driver, LogEvent, MessageId, NewMessage, RecoveredAttempts, RetrySafety,
@@ -166,6 +167,7 @@
             not_before: Duration::ZERO,
             last_outcome: None,
             first_possible_execution: None,
+            unattributed: UnattributedAttempts::default(),
             is_recovered_unattempted: false,
         };
         self.pending.insert(message.id, pending);
@@ -214,9 +216,9 @@
         match self.class(message).retry_safety {
             RetrySafety::Idempotent => true,
             RetrySafety::Deduplicated { per_zone, .. } => {
-                message.first_possible_execution.is_none() || !per_zone
+                message.first_possible_execution().is_none() || !per_zone
             }
-            RetrySafety::AtMostOnce => message.first_possible_execution.is_none(),
+            RetrySafety::AtMostOnce => message.first_possible_execution().is_none(),
         }
     }
 
--- /dev/null
+++ b/src/policy/attribution.rs
@@ -0,0 +1,223 @@
+//! Attribution: whether a response belongs to the call that it was read for, and what it proves until that is known.
+//!
+//! HTTP/1.1 ties a response to its request by order alone. If an endpoint writes one response too many, the response to
+//! each later call on that connection may be that of the call before. A response on a connection that carried an
+//! earlier call is therefore unattributed until the connection has been quiet for so long that a response that is still
+//! outstanding would have arrived. Until then, a delivered message is kept so that it can be attempted again, and a
+//! rejected one counts as possibly executed and as still out.
+//!
+//! Invariant: an unattributed response ends no message finally, and permits no attempt that its class forbids after a
+//! possible execution.
+
+use super::backoff::{BASE_DELAY, MAX_DELAY, full_jitter};
+use super::state::{Attempt, PendingMessage, RecordedPossibleExecution, State};
+use crate::{
+    AttemptOutcome, AttemptResult, AttributionTerms, CallId, ConnectionUse, Driver, MessageId, RetrySafety,
+    ms,
+};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time for which no connection to an endpoint is used for a second call after a surplus response from it: far longer
+/// than the life of a connection, and short enough for an endpoint that was repaired.
+const DISTRUST_PERIOD: Duration = ms(60_000);
+
+/// Unattributed response of a pending message that was not delivered.
+pub(crate) struct UnattributedAttempt {
+    possible_execution: RecordedPossibleExecution,
+    /// `true` if the endpoint may still be executing the call, so that a retry could make two attempts at once.
+    may_be_in_flight: bool,
+}
+
+/// Unattributed responses of one pending message, by attempt number.
+#[derive(Default)]
+pub(crate) struct UnattributedAttempts(BTreeMap<u32, UnattributedAttempt>);
+
+impl UnattributedAttempts {
+    pub(super) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Returns `true` if the endpoint may still be executing one of the calls.
+    pub(super) fn may_be_in_flight(&self) -> bool {
+        self.0.values().any(|attempt| attempt.may_be_in_flight)
+    }
+
+    /// Returns the first attempt by which the message may have been executed, if any.
+    pub(super) fn first_possible_execution(&self) -> Option<&RecordedPossibleExecution> {
+        self.0.values().map(|attempt| &attempt.possible_execution).min_by_key(|execution| execution.started)
+    }
+}
+
+/// Message whose delivery is unattributed.
+pub(crate) struct UnattributedDelivery {
+    attempt: u32,
+    possible_execution: RecordedPossibleExecution,
+    message: PendingMessage,
+}
+
+/// Messages whose delivery is unattributed, by id.
+#[derive(Default)]
+pub(crate) struct UnattributedDeliveries(BTreeMap<MessageId, UnattributedDelivery>);
+
+impl UnattributedDeliveries {
+    /// Removes and returns a message, or `None` if its delivery is not unattributed.
+    pub(super) fn remove(&mut self, id: MessageId) -> Option<PendingMessage> {
+        self.0.remove(&id).map(|delivery| delivery.message)
+    }
+
+    /// Returns `true` if the delivery by this attempt is unattributed.
+    fn contains(&self, call: CallId) -> bool {
+        self.0.get(&call.message).is_some_and(|delivery| delivery.attempt == call.attempt)
+    }
+
+    /// Returns the earliest deadline of the messages, or `None` if there are none.
+    pub(super) fn next_deadline(&self) -> Option<Duration> {
+        self.0.values().map(|delivery| delivery.message.deadline).min()
+    }
+}
+
+impl State {
+    /// Returns how an attempt at an endpoint may use connections.
+    ///
+    /// Messages with an ordering key get a connection of their own: the next message of the key may only be attempted
+    /// once the response is attributed.
+    pub(super) fn connection_use(
+        &self,
+        message: &PendingMessage,
+        distrusted_until: Duration,
+    ) -> ConnectionUse {
+        if distrusted_until > self.now {
+            ConnectionUse::Single
+        } else if message.ordering_key.is_some() {
+            ConnectionUse::New
+        } else {
+            ConnectionUse::Pooled
+        }
+    }
+
+    /// Returns the terms on which the response to a call of `message` is attributed.
+    pub(super) fn attribution_terms(&self, message: &PendingMessage, timeout: Duration) -> AttributionTerms {
+        let is_at_most_once = self.class(message).retry_safety == RetrySafety::AtMostOnce;
+        let tail = self.latency(message.destination, message.class).map(|latency| latency.tail_bound());
+        let quiet_period = tail.unwrap_or(timeout).min(timeout);
+        AttributionTerms {
+            quiet_period,
+            quiet_before_close: self.typical_latency(message.destination, message.class).min(quiet_period),
+            message_deadline: message.deadline,
+            rests_unless_delivered: is_at_most_once,
+        }
+    }
+
+    /// Handles the end of an attempt whose response is unattributed.
+    pub(crate) fn attempt_ended_unattributed(&mut self, result: &AttemptResult) {
+        let Some(attempt) = self.in_flight.remove(&(result.message, result.attempt)) else { return };
+        if !attempt.added_to_call {
+            self.process_result(&attempt, result);
+        }
+        if let Some(key) = attempt.ordering_key {
+            self.ordering.on_ended(key, result.message, true, self.now);
+        }
+        if result.finished {
+            self.hold_delivery(&attempt, result);
+            return;
+        }
+        let possible_execution = self.possible_execution(&attempt);
+        self.back_off(&attempt, result);
+        if let Some(message) = self.pending.get_mut(&result.message) {
+            let unattributed = UnattributedAttempt { possible_execution, may_be_in_flight: true };
+            message.unattributed.0.insert(result.attempt, unattributed);
+        }
+    }
+
+    /// Keeps a delivered message until its response is attributed.
+    fn hold_delivery(&mut self, attempt: &Attempt, result: &AttemptResult) {
+        let possible_execution = self.possible_execution(attempt);
+        let Some(mut message) = self.pending.remove(&result.message) else { return };
+        message.in_flight -= 1;
+        let delivery = UnattributedDelivery { attempt: result.attempt, possible_execution, message };
+        self.unattributed_deliveries.0.insert(result.message, delivery);
+    }
+
+    fn possible_execution(&self, attempt: &Attempt) -> RecordedPossibleExecution {
+        RecordedPossibleExecution {
+            started: attempt.started,
+            zone: self.zone_of(attempt.destination, &attempt.endpoint),
+        }
+    }
+
+    /// Handles the attribution of a response to its call: its outcome is final.
+    pub(crate) fn response_attributed(&mut self, call: CallId) {
+        if self.unattributed_deliveries.contains(call) {
+            self.finish(call.message);
+        } else if let Some(message) = self.unfinished_mut(call.message) {
+            message.unattributed.0.remove(&call.attempt);
+        }
+    }
+
+    /// Handles a later response on the connection of an unattributed one: the call is no longer being executed.
+    pub(crate) fn call_overtaken(&mut self, call: CallId) {
+        let Some(message) = self.unfinished_mut(call.message) else { return };
+        if let Some(attempt) = message.unattributed.0.get_mut(&call.attempt) {
+            attempt.may_be_in_flight = false;
+        }
+    }
+
+    /// Handles a response that may belong to an earlier call, after its connection was closed: the message may have
+    /// been executed and is not known to be delivered.
+    pub(crate) fn response_misattributed(&mut self, call: CallId) {
+        if self.unattributed_deliveries.contains(call) {
+            self.reopen(call.message);
+        } else if let Some(message) = self.unfinished_mut(call.message)
+            && let Some(attempt) = message.unattributed.0.remove(&call.attempt)
+        {
+            message.may_have_been_executed(attempt.possible_execution);
+        }
+    }
+
+    /// Makes a message pending again whose delivery is not known to be its own.
+    fn reopen(&mut self, id: MessageId) {
+        let Some(delivery) = self.unattributed_deliveries.0.remove(&id) else { return };
+        let mut message = delivery.message;
+        message.backoff_count += 1;
+        message.last_outcome = Some(AttemptOutcome::ConnectionReset);
+        message.not_before =
+            self.now + full_jitter(&mut self.shared.rng, message.backoff_count, BASE_DELAY, MAX_DELAY);
+        message.may_have_been_executed(delivery.possible_execution);
+        self.pending.insert(id, message);
+    }
+
+    /// Returns a message that is pending or whose delivery is unattributed.
+    fn unfinished_mut(&mut self, id: MessageId) -> Option<&mut PendingMessage> {
+        let held = self.unattributed_deliveries.0.get_mut(&id).map(|delivery| &mut delivery.message);
+        held.or(self.pending.get_mut(&id))
+    }
+
+    /// Handles a surplus response: for [`DISTRUST_PERIOD`], each connection to the endpoint carries a single call. A
+    /// retry-after in it is respected, as the response may be that of a call whose place an earlier one took.
+    pub(crate) fn surplus_response(&mut self, endpoint: &str, retry_after: Option<Duration>) {
+        let now = self.now;
+        for destination in self.destinations.values_mut() {
+            let Some(state) = destination.endpoints.get_mut(endpoint) else { continue };
+            state.distrusted_until = now + DISTRUST_PERIOD;
+            if let Some(route) = destination.routes.get_mut(&state.route) {
+                route.limit.on_late_retry_after(now, retry_after.unwrap_or_default());
+            }
+        }
+    }
+
+    /// Rule: abandons the first message whose delivery is still unattributed at its deadline. It is not known to be
+    /// delivered, and a notification of a message that is does no harm.
+    pub(crate) fn abandon_unattributed(&mut self, driver: &mut dyn Driver) -> bool {
+        let expired = self.unattributed_deliveries.0.iter();
+        let expired = expired.filter(|(_, delivery)| delivery.message.deadline <= self.now);
+        let Some(id) = expired.map(|(id, _)| *id).next() else { return false };
+        driver.abandon(id);
+        self.finish(id);
+        true
+    }
+}
+
+#[cfg(test)]
+#[path = "tests/attribution.rs"]
+mod tests;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,8 +5,10 @@
 //! ordered list of rules is in [`crate::dispatcher`]; docs/design.md describes the origin of each mechanism.
 
 mod admission;
+mod attribution;
 mod backoff;
 mod concurrency;
+mod connection_ledger;
 mod connections;
 mod discovery;
 mod expiry;
@@ -21,6 +23,7 @@
 pub(crate) mod state;
 mod verdict;
 
+pub use connection_ledger::{AttributionTerms, CallId, ConnectionLedger, LedgerUpdate};
 pub use outlier::Health;
 
 #[cfg(test)]
--- a/src/policy/rate_limit.rs
+++ b/src/policy/rate_limit.rs
@@ -232,6 +232,11 @@
         self.paused_until = self.paused_until.max(self.retry_after_end + retry_after.mul_f64(extension));
     }
 
+    /// Respects a retry-after in a response that arrived too late to end an attempt.
+    pub(super) fn on_late_retry_after(&mut self, now: Duration, retry_after: Duration) {
+        self.retry_after_end = self.retry_after_end.max(now + retry_after);
+    }
+
     /// Returns `true` if the rest of the retry-after is longer than [`MAX_RATE_LIMIT_REJECTION_PERIOD`].
     pub(super) fn has_long_retry_after(&self, now: Duration) -> bool {
         self.retry_after_end > now + MAX_RATE_LIMIT_REJECTION_PERIOD
--- a/src/policy/scheduling.rs
+++ b/src/policy/scheduling.rs
@@ -4,7 +4,7 @@
 use super::outlier::Health;
 use super::selection::{Candidate, Loads};
 use super::state::{Attempt, Batch, PendingMessage, State};
-use crate::{DestinationId, Driver, MessageId, RetrySafety, ms};
+use crate::{AttemptPlan, DestinationId, Driver, MessageId, RetrySafety, ms};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -101,7 +101,7 @@
         let typical = self.typical_latency(message.destination, message.class);
         let value = self.value_at(message, self.now + typical);
         let class = self.class(message);
-        let failure_tolerance = match &message.first_possible_execution {
+        let failure_tolerance = match message.first_possible_execution() {
             _ if !candidate.is_health_check() => FailureTolerance::NotHealthCheck,
             Some(_) => FailureTolerance::MayHaveBeenExecuted,
             None if class.retry_safety == RetrySafety::Idempotent => FailureTolerance::Idempotent,
@@ -129,11 +129,12 @@
     fn start_attempt(&mut self, id: MessageId, candidate: &Candidate, driver: &mut dyn Driver) {
         let Some(timeout) = self.attempt_timeout(id) else { return };
         let now = self.now;
+        let Some(plan) = self.attempt_plan(id, candidate, timeout) else { return };
         let Some(message) = self.pending.get_mut(&id) else { return };
         let Some(destination) = self.destinations.get_mut(&message.destination) else { return };
         let Some(endpoint) = destination.endpoints.get_mut(&candidate.endpoint) else { return };
         let Some(route) = destination.routes.get_mut(&endpoint.route) else { return };
-        driver.start_attempt(id, &candidate.endpoint, timeout);
+        driver.start_attempt(id, &candidate.endpoint, plan);
         let added_to_call = endpoint.batch.can_add(now);
         if added_to_call {
             endpoint.batch.add();
@@ -157,6 +158,17 @@
         self.register_attempt(id, candidate, added_to_call);
     }
 
+    /// Returns the parameters of an attempt, or `None` if the message or the endpoint is unknown.
+    fn attempt_plan(&self, id: MessageId, candidate: &Candidate, timeout: Duration) -> Option<AttemptPlan> {
+        let message = self.pending.get(&id)?;
+        let endpoint = self.endpoint(message.destination, &candidate.endpoint)?;
+        Some(AttemptPlan {
+            timeout,
+            connection: self.connection_use(message, endpoint.distrusted_until),
+            attribution: self.attribution_terms(message, timeout),
+        })
+    }
+
     /// Registers an attempt as in flight.
     fn register_attempt(&mut self, id: MessageId, candidate: &Candidate, added_to_call: bool) {
         let Some(message) = self.pending.get_mut(&id) else { return };
@@ -204,7 +216,10 @@
         let rules_wait = any_waiting.then(|| self.next_due.saturating_sub(self.now).min(MAX_TIMER_WAIT));
         let idle_close_wait = || self.time_to_next_idle_close();
         let poll_wait = self.discovery.time_until_poll(self.now);
-        let Some(wait) = rules_wait.or_else(idle_close_wait).into_iter().chain(poll_wait).min() else {
+        let held_wait =
+            self.unattributed_deliveries.next_deadline().map(|deadline| deadline.saturating_sub(self.now));
+        let waits = rules_wait.or_else(idle_close_wait).into_iter().chain(poll_wait).chain(held_wait);
+        let Some(wait) = waits.min() else {
             return;
         };
         // Waits are whole milliseconds, and an expired timer is replaced. Prevents messages from being stuck when a
--- a/src/policy/selection.rs
+++ b/src/policy/selection.rs
@@ -205,6 +205,7 @@
     ) -> Option<&'a Candidate> {
         let backoff_is_over = message.not_before <= self.now;
         let is_ready = message.in_flight == 0
+            && !message.unattributed.may_be_in_flight()
             && (backoff_is_over || message.last_attempt_hit_connection_limit())
             && message.attempts < self.max_attempts;
         if !is_ready || !self.is_in_order(id, message) || self.latest_start(message) < self.now {
@@ -234,7 +235,7 @@
     fn required_zone<'a>(&self, message: &'a PendingMessage) -> Option<&'a String> {
         let per_zone =
             matches!(self.class(message).retry_safety, RetrySafety::Deduplicated { per_zone: true, .. });
-        message.first_possible_execution.as_ref().filter(|_| per_zone).map(|first| &first.zone)
+        message.first_possible_execution().filter(|_| per_zone).map(|first| &first.zone)
     }
 }
 
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -5,6 +5,7 @@
 //! modules are methods of [`State`].
 
 use super::admission::{Admission, TenantQuotas};
+use super::attribution::{UnattributedAttempts, UnattributedDeliveries};
 use super::concurrency::{ConcurrencyLimit, Slots};
 use super::connections::IdleConnections;
 use super::discovery::{DiscoveryPolls, KnownDestinations};
@@ -77,6 +78,8 @@
     /// Start of the last attempt; `None` before the first one, and after the connection limit was hit or this instance
     /// closed its idle connections to the endpoint.
     pub(super) last_used: Option<Duration>,
+    /// Time until which each connection to the endpoint carries a single call.
+    pub(super) distrusted_until: Duration,
     pub(super) batch: Batch,
 }
 
@@ -98,6 +101,7 @@
             health,
             budget,
             last_used: None,
+            distrusted_until: Duration::ZERO,
             batch: Batch::default(),
         }
     }
@@ -182,13 +186,29 @@
     /// End of the backoff.
     pub(super) not_before: Duration,
     pub(super) last_outcome: Option<AttemptOutcome>,
-    /// First attempt by which the message may have been executed, if any.
+    /// First attempt by which the message may have been executed, if any, apart from unattributed ones.
     pub(super) first_possible_execution: Option<RecordedPossibleExecution>,
+    /// Attempts without a delivery whose responses may belong to other calls.
+    pub(super) unattributed: UnattributedAttempts,
     /// `true` if the message was recovered after a restart and has never been attempted.
     pub(super) is_recovered_unattempted: bool,
 }
 
 impl PendingMessage {
+    /// Returns the first attempt by which the message may have been executed, if any.
+    pub(super) fn first_possible_execution(&self) -> Option<&RecordedPossibleExecution> {
+        let unattributed = self.unattributed.first_possible_execution();
+        let executions = [self.first_possible_execution.as_ref(), unattributed];
+        executions.into_iter().flatten().min_by_key(|execution| execution.started)
+    }
+
+    /// Records an attempt by which the message may have been executed.
+    pub(super) fn may_have_been_executed(&mut self, execution: RecordedPossibleExecution) {
+        if self.first_possible_execution.as_ref().is_none_or(|first| first.started > execution.started) {
+            self.first_possible_execution = Some(execution);
+        }
+    }
+
     /// Returns `true` if the last attempt was refused because the endpoint held too many connections.
     pub(super) fn last_attempt_hit_connection_limit(&self) -> bool {
         self.last_outcome == Some(AttemptOutcome::ConnectionLimit)
@@ -276,6 +296,7 @@
     pub(super) any_removed: bool,
     pub(crate) ordering: OrderingQueues,
     pub(super) pending: BTreeMap<MessageId, PendingMessage>,
+    pub(super) unattributed_deliveries: UnattributedDeliveries,
     /// Attempts in flight by message and attempt number.
     pub(super) in_flight: BTreeMap<(MessageId, u32), Attempt>,
     pub(crate) shared: Shared,
@@ -319,6 +340,7 @@
             any_removed: false,
             ordering: OrderingQueues::default(),
             pending: BTreeMap::new(),
+            unattributed_deliveries: UnattributedDeliveries::default(),
             in_flight: BTreeMap::new(),
             shared,
             timer: None,
@@ -384,7 +406,7 @@
 
     /// Stops handling a message, because it has its final outcome or its client has disconnected.
     pub(crate) fn finish(&mut self, id: MessageId) {
-        let message = self.pending.remove(&id);
+        let message = self.pending.remove(&id).or_else(|| self.unattributed_deliveries.remove(id));
         if let Some(key) = message.and_then(|message| message.ordering_key) {
             self.ordering.on_finished(key, id, self.now);
         }
--- a/src/policy/tests/support.rs
+++ b/src/policy/tests/support.rs
@@ -2,8 +2,8 @@
 
 use super::state::{Attempt, Endpoint, Route};
 use crate::{
-    AttemptOutcome, AttemptResult, Dispatcher, Driver, EndpointState, EndpointUpdate, LoadReport, LogEvent,
-    MessageId, NewMessage, RetrySafety, ServiceClass, ValueDecay, ms,
+    AttemptOutcome, AttemptPlan, AttemptResult, Dispatcher, Driver, EndpointState, EndpointUpdate,
+    LoadReport, LogEvent, MessageId, NewMessage, RetrySafety, ServiceClass, ValueDecay, ms,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -19,7 +19,7 @@
 pub(super) struct RecordedActions(pub(super) Vec<String>);
 
 impl Driver for RecordedActions {
-    fn start_attempt(&mut self, message: MessageId, endpoint: &str, _: Duration) {
+    fn start_attempt(&mut self, message: MessageId, endpoint: &str, _: AttemptPlan) {
         self.0.push(format!("attempt {message} {endpoint}"));
     }
     fn reject(&mut self, message: MessageId, retry_after: Option<Duration>) {
@@ -48,8 +48,8 @@
 pub(super) struct RecordedTimeouts(pub(super) Vec<Duration>);
 
 impl Driver for RecordedTimeouts {
-    fn start_attempt(&mut self, _: MessageId, _: &str, timeout: Duration) {
-        self.0.push(timeout);
+    fn start_attempt(&mut self, _: MessageId, _: &str, plan: AttemptPlan) {
+        self.0.push(plan.timeout);
     }
     fn reject(&mut self, _: MessageId, _: Option<Duration>) {}
     fn abandon(&mut self, _: MessageId) {}
--- a/src/policy/verdict.rs
+++ b/src/policy/verdict.rs
@@ -285,7 +285,7 @@
 
     /// Starts the message's backoff, and records the attempt if it is the first by which the message may have been
     /// executed.
-    fn back_off(&mut self, attempt: &Attempt, result: &AttemptResult) {
+    pub(super) fn back_off(&mut self, attempt: &Attempt, result: &AttemptResult) {
         let outcome = result.outcome;
         let zone = self.zone_of(attempt.destination, &attempt.endpoint);
         let Some(message) = self.pending.get_mut(&result.message) else { return };
@@ -294,11 +294,8 @@
         message.last_outcome = Some(outcome);
         message.not_before =
             self.now + full_jitter(&mut self.shared.rng, message.backoff_count, BASE_DELAY, MAX_DELAY);
-        let is_first =
-            message.first_possible_execution.as_ref().is_none_or(|first| first.started > attempt.started);
-        if !outcome.known_not_executed() && is_first {
-            message.first_possible_execution =
-                Some(RecordedPossibleExecution { started: attempt.started, zone });
+        if !outcome.known_not_executed() {
+            message.may_have_been_executed(RecordedPossibleExecution { started: attempt.started, zone });
         }
     }
 
