Reused connections: hold each result until no earlier call's response can be outstanding

Cause: HTTP/1.1 ties a response to its call by order alone, so one surplus copy of a response shifts every later one on its connection.

Why this works: the response to the first call of a connection cannot belong to an earlier one. Any other is unattributed until the connection stayed open and quiet until the deadline that its last call stated: had any response been an earlier call's, the last call's own would have come as surplus. Until then a delivery is kept (and is not in the log as finished), a rejection permits no retry before the call is overtaken by a later response, counts as a possible execution, and an at-most-once message waits. A surplus response, or a connection that ends early, makes them possibly executed: retried as their class allows, otherwise abandoned. An endpoint that wrote a surplus response gets one call a connection for 60 s; so do destinations whose idle timeout is shorter than the quiet time, and messages with an ordering key get a new connection.

--- a/crates/quillhub-server/src/attempts/tests.rs
+++ b/crates/quillhub-server/src/attempts/tests.rs
@@ -27,7 +27,7 @@
     let mut connection = HttpConnection::open(address).await.unwrap();
     let terms = quillhub::AttemptPlan::with_timeout(UNREACHED_TIMEOUT).attribution;
     let call = quillhub::CallId { message: 0, attempt: 0 };
-    connection.ledger.on_response(call, true, &terms, UNREACHED_TIMEOUT, Duration::ZERO);
+    connection.ledger.on_response(call, true, &terms, Duration::ZERO);
     connection
 }
 
--- a/crates/quillhub-server/src/configuration.rs
+++ b/crates/quillhub-server/src/configuration.rs
@@ -76,6 +76,7 @@
     let (mut dispatcher, positions) =
         quillhub_settings::dispatcher_from_json(seed, root.require("settings")?.json())?;
     dispatcher.disable_batching(); // HTTP carries one message in each request
+    dispatcher.attribute_by_order();
     let load_reports = positions.remaining_share.is_some() && positions.rate_limit.is_some();
     Ok(ConfiguredDispatcher { dispatcher, load_reports })
 }
--- a/crates/quillhub-server/src/instance/attribution.rs
+++ b/crates/quillhub-server/src/instance/attribution.rs
@@ -23,6 +23,10 @@
         self.0.insert(id.call(), (id.clone(), result));
     }
 
+    pub(super) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Removes the results of a message that has its final outcome.
     pub(super) fn remove_message(&mut self, message: MessageId) {
         self.0.retain(|call, _| call.message != message);
@@ -123,7 +127,7 @@
             let now = self.now();
             let ledger: &mut ConnectionLedger = &mut connection.ledger;
             let terms = &id.plan.attribution;
-            effects.add(ledger.on_response(id.call(), is_delivery, terms, id.deadline, now));
+            effects.add(ledger.on_response(id.call(), is_delivery, terms, now));
         }
         if let Some(message) = self.messages.get_mut(id.message) {
             connection.last_client_id.clone_from(&message.client_id);
--- a/crates/quillhub-server/src/instance/driver.rs
+++ b/crates/quillhub-server/src/instance/driver.rs
@@ -87,9 +87,8 @@
         let request = delivery_request(message, address);
         let recorded = written.is_ok();
         log_failed_write(id, RecordKind::Accepted, written);
-        let deadline = self.now() + plan.timeout;
         let pooled = match plan.connection {
-            ConnectionUse::Pooled => self.take_connection(endpoint, deadline),
+            ConnectionUse::Pooled => self.take_connection(endpoint, plan.attribution.call_deadline),
             ConnectionUse::New | ConnectionUse::Single => None,
         };
         if pooled.is_none() {
@@ -105,7 +104,7 @@
             connection = pooled.as_ref().map(|pooled| pooled.number()),
             "attempt starts"
         );
-        let id = AttemptId { message: id, attempt, endpoint: endpoint.to_owned(), plan, deadline };
+        let id = AttemptId { message: id, attempt, endpoint: endpoint.to_owned(), plan };
         let (weak, attempt_id) = (self.weak.clone(), id.clone());
         let may_send_request = move || {
             weak.upgrade().is_some_and(|instance| instance.borrow_mut().may_send_request(&attempt_id))
--- a/crates/quillhub-server/src/instance/mod.rs
+++ b/crates/quillhub-server/src/instance/mod.rs
@@ -86,8 +86,6 @@
     attempt: u32,
     endpoint: String,
     plan: AttemptPlan,
-    /// Time on the dispatcher's clock until which the attempt may be answered.
-    deadline: Duration,
 }
 
 impl AttemptId {
@@ -349,6 +347,11 @@
         self.attempts_in_flight
     }
 
+    /// Returns `true` if a response may still turn out to belong to an earlier call.
+    pub fn has_unattributed_responses(&self) -> bool {
+        !self.unattributed.is_empty()
+    }
+
     /// Stops all decisions and prevents attempts from starting. Attempts in flight may end, which is still recorded.
     pub fn stop_deciding(&mut self) {
         self.stopping = true;
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -84,6 +84,12 @@
         self.state.shared.connections.set_endpoint_timeout(timeout);
     }
 
+    /// Declares that the host ties responses to calls only by their order on a connection, so that the dispatcher decides
+    /// which connections carry more than one call.
+    pub fn attribute_by_order(&mut self) {
+        self.state.attributes_by_order = true;
+    }
+
     /// Allows or forbids sending gossip to other instances; it is forbidden by default.
     pub fn allow_gossip(&mut self, allowed: bool) {
         self.state.shared.gossip.is_allowed = allowed;
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -67,8 +67,7 @@
     /// Creates the plan of an attempt on any connection, for deciders that make no decisions about connections.
     pub fn with_timeout(timeout: Duration) -> Self {
         let attribution = AttributionTerms {
-            quiet_period: timeout,
-            quiet_before_close: timeout,
+            call_deadline: Duration::MAX,
             message_deadline: Duration::MAX,
             rests_unless_delivered: false,
         };
--- a/src/policy/attribution.rs
+++ b/src/policy/attribution.rs
@@ -10,7 +10,8 @@
 //! possible execution.
 
 use super::backoff::{BASE_DELAY, MAX_DELAY, full_jitter};
-use super::state::{Attempt, PendingMessage, RecordedPossibleExecution, State};
+use super::connection_ledger::TRANSIT_TIME;
+use super::state::{Attempt, Endpoint, PendingMessage, RecordedPossibleExecution, State};
 use crate::{
     AttemptOutcome, AttemptResult, AttributionTerms, CallId, ConnectionUse, Driver, MessageId, RetrySafety,
     ms,
@@ -21,6 +22,9 @@
 /// Time for which no connection to an endpoint is used for a second call after a surplus response from it: far longer
 /// than the life of a connection, and short enough for an endpoint that was repaired.
 const DISTRUST_PERIOD: Duration = ms(60_000);
+/// Time after its deadline at which a message whose delivery is unattributed is abandoned: after the attribution of a
+/// response to a call that ends at the deadline.
+const ABANDON_GRACE: Duration = TRANSIT_TIME.saturating_add(ms(50));
 
 /// Unattributed response of a pending message that was not delivered.
 pub(crate) struct UnattributedAttempt {
@@ -56,6 +60,12 @@
     message: PendingMessage,
 }
 
+impl UnattributedDelivery {
+    fn abandoned_at(&self) -> Duration {
+        self.message.deadline.saturating_add(ABANDON_GRACE)
+    }
+}
+
 /// Messages whose delivery is unattributed, by id.
 #[derive(Default)]
 pub(crate) struct UnattributedDeliveries(BTreeMap<MessageId, UnattributedDelivery>);
@@ -71,23 +81,32 @@
         self.0.get(&call.message).is_some_and(|delivery| delivery.attempt == call.attempt)
     }
 
-    /// Returns the earliest deadline of the messages, or `None` if there are none.
-    pub(super) fn next_deadline(&self) -> Option<Duration> {
-        self.0.values().map(|delivery| delivery.message.deadline).min()
+    /// Returns the time at which the first message is abandoned unless its delivery is attributed, or `None` if there
+    /// are no messages.
+    pub(super) fn next_abandonment(&self) -> Option<Duration> {
+        self.0.values().map(UnattributedDelivery::abandoned_at).min()
     }
 }
 
 impl State {
     /// Returns how an attempt at an endpoint may use connections.
     ///
+    /// A connection carries a single call after a surplus response from its endpoint, and if its idle timeout is so short
+    /// that it would be closed before a response to a second call could be attributed.
+    ///
     /// Messages with an ordering key get a connection of their own: the next message of the key may only be attempted
     /// once the response is attributed.
     pub(super) fn connection_use(
         &self,
         message: &PendingMessage,
-        distrusted_until: Duration,
+        endpoint: &Endpoint,
+        timeout: Duration,
     ) -> ConnectionUse {
-        if distrusted_until > self.now {
+        if !self.attributes_by_order {
+            ConnectionUse::Pooled
+        } else if endpoint.distrusted_until > self.now
+            || !self.shared.connections.are_kept_for(&endpoint.kind, timeout)
+        {
             ConnectionUse::Single
         } else if message.ordering_key.is_some() {
             ConnectionUse::New
@@ -96,16 +115,14 @@
         }
     }
 
-    /// Returns the terms on which the response to a call of `message` is attributed.
+    /// Returns the terms on which the response to a call of `message` that starts now is attributed.
+    ///
+    /// The call's deadline is the one that the request states to the endpoint, so that no response is expected later.
     pub(super) fn attribution_terms(&self, message: &PendingMessage, timeout: Duration) -> AttributionTerms {
-        let is_at_most_once = self.class(message).retry_safety == RetrySafety::AtMostOnce;
-        let tail = self.latency(message.destination, message.class).map(|latency| latency.tail_bound());
-        let quiet_period = tail.unwrap_or(timeout).min(timeout);
         AttributionTerms {
-            quiet_period,
-            quiet_before_close: self.typical_latency(message.destination, message.class).min(quiet_period),
+            call_deadline: self.now + timeout,
             message_deadline: message.deadline,
-            rests_unless_delivered: is_at_most_once,
+            rests_unless_delivered: self.class(message).retry_safety == RetrySafety::AtMostOnce,
         }
     }
 
@@ -206,11 +223,11 @@
         }
     }
 
-    /// Rule: abandons the first message whose delivery is still unattributed at its deadline. It is not known to be
-    /// delivered, and a notification of a message that is does no harm.
+    /// Rule: abandons the first message whose delivery is still unattributed after its deadline. It is not known to be
+    /// delivered, and a notification of a message that is delivered does no harm.
     pub(crate) fn abandon_unattributed(&mut self, driver: &mut dyn Driver) -> bool {
         let expired = self.unattributed_deliveries.0.iter();
-        let expired = expired.filter(|(_, delivery)| delivery.message.deadline <= self.now);
+        let expired = expired.filter(|(_, delivery)| delivery.abandoned_at() <= self.now);
         let Some(id) = expired.map(|(id, _)| *id).next() else { return false };
         driver.abandon(id);
         self.finish(id);
--- a/src/policy/connection_ledger.rs
+++ b/src/policy/connection_ledger.rs
@@ -1,11 +1,15 @@
 //! Connection ledger: the calls of one connection whose responses may belong to an earlier call on it.
 //!
 //! Invariant: a response counts as attributed at once only on a connection that carried no other call; otherwise only
-//! after the connection has been quiet for the time in which an outstanding response would have arrived.
+//! after the connection has stayed open and quiet until the deadline of its last call. If any response so far belonged
+//! to an earlier call, the response to the last call would be outstanding, and would have arrived by then.
 
-use crate::MessageId;
+use crate::{MessageId, ms};
 use std::time::Duration;
 
+/// Time after the deadline of a call in which a response that was written by then arrives.
+pub(super) const TRANSIT_TIME: Duration = ms(50);
+
 /// Identifies one attempt to deliver a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CallId {
@@ -18,12 +22,8 @@
 /// Terms on which the response to a call is attributed; the dispatcher decides them when the attempt starts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AttributionTerms {
-    /// Time after the response in which the response to the same call would arrive if this one belonged to an earlier
-    /// call.
-    pub quiet_period: Duration,
-    /// Time after the response after which the close of the connection by the endpoint shows that no response was
-    /// outstanding.
-    pub quiet_before_close: Duration,
+    /// Time until which the endpoint may respond to the call.
+    pub call_deadline: Duration,
     /// Deadline of the message, by which its response must be attributed.
     pub message_deadline: Duration,
     /// `true` if a response other than a delivery must be attributed before the connection carries another call.
@@ -62,10 +62,9 @@
     is_used: bool,
     unattributed: Vec<UnattributedCall>,
     last_response: Duration,
-    /// Time at which all responses so far are attributed if no input arrives before.
+    /// Time at which all responses so far are attributed if no input arrives before: [`TRANSIT_TIME`] after the deadline
+    /// of the last call.
     quiet_at: Duration,
-    /// Minimum time from the last response to a close by the endpoint that attributes the responses.
-    quiet_before_close: Duration,
     /// `true` if the connection carries no other call before `quiet_at`.
     rests: bool,
 }
@@ -101,16 +100,15 @@
             || !self.rests && self.unattributed.iter().all(|call| deadline <= call.message_deadline)
     }
 
-    /// Records the response to a call at `now`. The call could be answered until `call_deadline`.
+    /// Records the response to a call at `now`.
     ///
-    /// If the response came a quiet period after the one before it, it is not the outstanding response to an earlier
-    /// call, so that the earlier responses are attributed. It may still be a copy of one of them.
+    /// A response after the deadline of the call before it is not that call's, so that the earlier responses are
+    /// attributed. It may still be a copy of one of them.
     pub fn on_response(
         &mut self,
         id: CallId,
         is_delivery: bool,
         terms: &AttributionTerms,
-        call_deadline: Duration,
         now: Duration,
     ) -> LedgerUpdate {
         let mut update = self.on_quiet(now);
@@ -120,8 +118,7 @@
         }
         self.is_used = true;
         self.last_response = now;
-        self.quiet_at = call_deadline.min(now + terms.quiet_period).max(now);
-        self.quiet_before_close = terms.quiet_before_close;
+        self.quiet_at = terms.call_deadline.saturating_add(TRANSIT_TIME).max(now);
         self.rests = terms.rests_unless_delivered && !is_delivery;
         update
     }
@@ -136,11 +133,7 @@
 
     /// Handles the end of the connection at `now`: a response that is outstanding can no longer arrive.
     pub fn on_closed(&mut self, now: Duration) -> LedgerUpdate {
-        if now >= self.quiet_at || now >= self.last_response + self.quiet_before_close {
-            LedgerUpdate { attributed: self.take_unattributed(), ..LedgerUpdate::default() }
-        } else {
-            self.on_surplus()
-        }
+        if now >= self.quiet_at { self.on_quiet(now) } else { self.on_surplus() }
     }
 
     /// Handles a surplus response: each unattributed response may belong to an earlier call.
--- a/src/policy/connections.rs
+++ b/src/policy/connections.rs
@@ -108,6 +108,13 @@
         self.idle_since.contains_key(endpoint)
     }
 
+    /// Returns `true` if idle connections to endpoints of `kind` are kept open for `period` at least, or for an unknown
+    /// time.
+    pub(super) fn are_kept_for(&self, kind: &str, period: Duration) -> bool {
+        let timeout = self.timeouts.get(kind).map_or(self.endpoint_timeout, |timeout| timeout.current);
+        self.endpoint_timeout.is_zero() || timeout >= period
+    }
+
     /// Returns `true` if there is an idle connection to any endpoint of `destination`.
     pub(super) fn has_any_to(&self, destination: DestinationId) -> bool {
         let mut from_destination = self.idle_since.range((destination, String::new())..);
--- a/src/policy/scheduling.rs
+++ b/src/policy/scheduling.rs
@@ -4,7 +4,7 @@
 use super::outlier::Health;
 use super::selection::{Candidate, Loads};
 use super::state::{Attempt, Batch, PendingMessage, State};
-use crate::{AttemptPlan, DestinationId, Driver, MessageId, RetrySafety, ms};
+use crate::{AttemptPlan, ConnectionUse, DestinationId, Driver, MessageId, RetrySafety, ms};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -155,7 +155,7 @@
             endpoint.budget.spend();
         }
         endpoint.last_used = Some(now);
-        self.register_attempt(id, candidate, added_to_call);
+        self.register_attempt(id, candidate, plan.connection, added_to_call);
     }
 
     /// Returns the parameters of an attempt, or `None` if the message or the endpoint is unknown.
@@ -164,13 +164,19 @@
         let endpoint = self.endpoint(message.destination, &candidate.endpoint)?;
         Some(AttemptPlan {
             timeout,
-            connection: self.connection_use(message, endpoint.distrusted_until),
+            connection: self.connection_use(message, endpoint, timeout),
             attribution: self.attribution_terms(message, timeout),
         })
     }
 
     /// Registers an attempt as in flight.
-    fn register_attempt(&mut self, id: MessageId, candidate: &Candidate, added_to_call: bool) {
+    fn register_attempt(
+        &mut self,
+        id: MessageId,
+        candidate: &Candidate,
+        connection: ConnectionUse,
+        added_to_call: bool,
+    ) {
         let Some(message) = self.pending.get_mut(&id) else { return };
         let endpoint = candidate.endpoint.clone();
         let key = (message.destination, endpoint);
@@ -181,6 +187,7 @@
             class: message.class,
             ordering_key: message.ordering_key,
             started: self.now,
+            connection,
             added_to_call,
         };
         self.in_flight.insert((id, message.attempts), attempt);
@@ -216,8 +223,7 @@
         let rules_wait = any_waiting.then(|| self.next_due.saturating_sub(self.now).min(MAX_TIMER_WAIT));
         let idle_close_wait = || self.time_to_next_idle_close();
         let poll_wait = self.discovery.time_until_poll(self.now);
-        let held_wait =
-            self.unattributed_deliveries.next_deadline().map(|deadline| deadline.saturating_sub(self.now));
+        let held_wait = self.unattributed_deliveries.next_abandonment().map(|at| at.saturating_sub(self.now));
         let waits = rules_wait.or_else(idle_close_wait).into_iter().chain(poll_wait).chain(held_wait);
         let Some(wait) = waits.min() else {
             return;
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -16,8 +16,8 @@
 use super::retry_budget::{RetryBudget, RetryCredit};
 use super::slow_start::{SlowStart, SlowStartBudget};
 use crate::{
-    AttemptOutcome, DestinationId, EndpointState, EndpointUpdate, ListedRateAccuracy, LogEvent, MessageId,
-    ServiceClass,
+    AttemptOutcome, ConnectionUse, DestinationId, EndpointState, EndpointUpdate, ListedRateAccuracy,
+    LogEvent, MessageId, ServiceClass,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -231,6 +231,7 @@
     pub(super) class: usize,
     pub(super) ordering_key: Option<u64>,
     pub(super) started: Duration,
+    pub(super) connection: ConnectionUse,
     /// `true` if the message was added to the call of an earlier message, with which it shares the slot and the
     /// outcome; `false` for the first message of a call.
     pub(super) added_to_call: bool,
@@ -297,6 +298,8 @@
     pub(crate) ordering: OrderingQueues,
     pub(super) pending: BTreeMap<MessageId, PendingMessage>,
     pub(super) unattributed_deliveries: UnattributedDeliveries,
+    /// `true` if the host ties responses to calls only by their order on a connection.
+    pub(crate) attributes_by_order: bool,
     /// Attempts in flight by message and attempt number.
     pub(super) in_flight: BTreeMap<(MessageId, u32), Attempt>,
     pub(crate) shared: Shared,
@@ -341,6 +344,7 @@
             ordering: OrderingQueues::default(),
             pending: BTreeMap::new(),
             unattributed_deliveries: UnattributedDeliveries::default(),
+            attributes_by_order: false,
             in_flight: BTreeMap::new(),
             shared,
             timer: None,
--- a/src/policy/tests/attribution.rs
+++ b/src/policy/tests/attribution.rs
@@ -1,1 +1,182 @@
+use super::*;
+use crate::policy::test_support::*;
+use crate::{Dispatcher, ms};
 
+const CALL: CallId = CallId { message: 1, attempt: 0 };
+/// Time at which the backoff and the pause after a rejected first attempt are over.
+const AFTER_BACKOFF: Duration = ms(3_000);
+
+/// Returns a dispatcher with message 1, whose attempt ended with `outcome` on a reused connection at 100 ms.
+fn ended_unattributed(retry_safety: RetrySafety, outcome: AttemptOutcome) -> Dispatcher {
+    let mut dispatcher = dispatcher_for(retry_safety);
+    assert_eq!(submit(&mut dispatcher, 1, None).len(), 1);
+    dispatcher.advance_to(ms(100));
+    let finished = outcome == AttemptOutcome::Delivered;
+    dispatcher.attempt_ended_unattributed(AttemptResult { finished, ..ended(1, 0, outcome) });
+    dispatcher
+}
+
+/// Advances the clock and returns the actions that concern messages.
+fn actions_at(dispatcher: &mut Dispatcher, now: Duration) -> Vec<String> {
+    dispatcher.advance_to(now);
+    let mut actions = actions(dispatcher);
+    actions.retain(|action| !action.starts_with("watch") && !action.starts_with("close"));
+    actions
+}
+
+/// Guards against two attempts at once: the rejection may be that of an earlier call, and this one still executed.
+#[test]
+fn a_rejected_message_is_retried_only_when_its_call_can_no_longer_be_executed() {
+    for class in [RetrySafety::Idempotent, DEDUPLICATED] {
+        let ended = || ended_unattributed(class, rejected());
+        assert!(actions_at(&mut ended(), AFTER_BACKOFF).is_empty());
+        for release in
+            [Dispatcher::call_overtaken, Dispatcher::response_attributed, Dispatcher::response_misattributed]
+        {
+            let mut dispatcher = ended();
+            release(&mut dispatcher, CALL);
+            let actions = actions_at(&mut dispatcher, AFTER_BACKOFF);
+            assert!(actions.iter().any(|action| action.starts_with("attempt 1")), "{actions:?}");
+        }
+    }
+}
+
+/// Guards against a second execution: only an attributed rejection proves that an at-most-once message was not executed.
+#[test]
+fn an_at_most_once_message_is_retried_only_after_an_attributed_rejection() {
+    let ended = || ended_unattributed(RetrySafety::AtMostOnce, rejected());
+    let mut overtaken = ended();
+    overtaken.call_overtaken(CALL);
+    assert!(actions_at(&mut overtaken, AFTER_BACKOFF).is_empty());
+    let mut attributed = ended();
+    attributed.response_attributed(CALL);
+    assert!(actions_at(&mut attributed, AFTER_BACKOFF)[0].starts_with("attempt 1"));
+    let mut misattributed = ended();
+    misattributed.response_misattributed(CALL);
+    assert_eq!(actions_at(&mut misattributed, AFTER_BACKOFF), ["abandon 1"]);
+}
+
+/// Guards against a rejection as a final outcome for a message that the endpoint may be executing.
+#[test]
+fn an_at_most_once_message_whose_rejection_stays_unattributed_is_abandoned_at_its_deadline() {
+    let mut dispatcher = ended_unattributed(RetrySafety::AtMostOnce, rejected());
+    assert!(actions_at(&mut dispatcher, ms(9_000)).is_empty());
+    assert_eq!(actions_at(&mut dispatcher, ms(10_001)), ["abandon 1"]);
+}
+
+/// Guards against lost messages: a response with status 200 may be that of an earlier call.
+#[test]
+fn a_delivered_message_is_pending_again_if_its_response_may_belong_to_an_earlier_call() {
+    for class in [RetrySafety::Idempotent, DEDUPLICATED] {
+        let mut dispatcher = ended_unattributed(class, AttemptOutcome::Delivered);
+        assert!(actions_at(&mut dispatcher, ms(200)).is_empty());
+        dispatcher.response_misattributed(CALL);
+        assert!(actions_at(&mut dispatcher, AFTER_BACKOFF)[0].starts_with("attempt 1"));
+    }
+    let mut dispatcher = ended_unattributed(RetrySafety::AtMostOnce, AttemptOutcome::Delivered);
+    dispatcher.response_misattributed(CALL);
+    assert_eq!(actions_at(&mut dispatcher, AFTER_BACKOFF), ["abandon 1"]);
+}
+
+/// Guards against a retry after the deduplication window of a delivery that turned out to be uncertain.
+#[test]
+fn the_deduplication_window_counts_from_an_attempt_whose_delivery_is_uncertain() {
+    let mut dispatcher = ended_unattributed(DEDUPLICATED, AttemptOutcome::Delivered);
+    dispatcher.advance_to(ms(6_500));
+    dispatcher.response_misattributed(CALL);
+    assert_eq!(actions_at(&mut dispatcher, ms(8_000)), ["reject 1, retry-after: false"]);
+}
+
+#[test]
+fn an_attributed_delivery_is_final() {
+    let mut dispatcher = ended_unattributed(RetrySafety::Idempotent, AttemptOutcome::Delivered);
+    dispatcher.response_attributed(CALL);
+    dispatcher.response_misattributed(CALL);
+    assert!(actions_at(&mut dispatcher, ms(20_000)).is_empty());
+}
+
+/// Guards against a message without a final outcome, should the end of its connection never be reported.
+#[test]
+fn a_delivery_that_stays_unattributed_is_abandoned_after_its_deadline() {
+    let mut dispatcher = ended_unattributed(RetrySafety::Idempotent, AttemptOutcome::Delivered);
+    let deadline = ms(10_001);
+    assert!(actions_at(&mut dispatcher, deadline).is_empty());
+    assert_eq!(actions_at(&mut dispatcher, deadline + ABANDON_GRACE), ["abandon 1"]);
+    assert!(actions_at(&mut dispatcher, ms(20_000)).is_empty());
+}
+
+/// Connection use of each attempt that a driver is asked to start.
+#[derive(Default)]
+struct RecordedUse(Vec<ConnectionUse>);
+
+impl Driver for RecordedUse {
+    fn start_attempt(&mut self, _: MessageId, _: &str, plan: crate::AttemptPlan) {
+        self.0.push(plan.connection);
+    }
+    fn reject(&mut self, _: MessageId, _: Option<Duration>) {}
+    fn abandon(&mut self, _: MessageId) {}
+    fn close_idle_connections(&mut self, _: &str) {}
+    fn broadcast(&mut self, _: &[u8]) {}
+    fn set_timer(&mut self, _: Duration) {}
+    fn watch_endpoints(&mut self) {}
+    fn log(&mut self, _: &crate::LogEvent) {}
+}
+
+/// Returns the connection use of the attempt of a message that is submitted at `now`.
+fn connection_use(dispatcher: &mut Dispatcher, ordering_key: Option<u64>, now: Duration) -> ConnectionUse {
+    let (mut driver, id) = (RecordedUse::default(), now.as_millis() as u64);
+    dispatcher.advance_to(now);
+    let deadline = now + ms(9_000);
+    dispatcher.accept(crate::NewMessage { ordering_key, deadline, ..message(id) }).unwrap();
+    dispatcher.apply_rules(&mut driver);
+    driver.0[0]
+}
+
+/// Guards against the reuse of connections to an endpoint that writes surplus responses.
+#[test]
+fn connections_to_an_endpoint_carry_a_single_call_after_a_surplus_response() {
+    let mut dispatcher = dispatcher_for(RetrySafety::Idempotent);
+    dispatcher.attribute_by_order();
+    assert_eq!(connection_use(&mut dispatcher, None, ms(10)), ConnectionUse::Pooled);
+    ["a", "b"].iter().for_each(|endpoint| dispatcher.surplus_response(endpoint, None));
+    assert_eq!(connection_use(&mut dispatcher, None, ms(20)), ConnectionUse::Single);
+    let trusted_again = ms(20) + DISTRUST_PERIOD;
+    assert_eq!(connection_use(&mut dispatcher, None, trusted_again), ConnectionUse::Pooled);
+}
+
+/// Guards against the next message of an ordering key being sent before the first is known to be executed.
+#[test]
+fn messages_with_an_ordering_key_are_sent_on_new_connections() {
+    let mut dispatcher = dispatcher_for(RetrySafety::Idempotent);
+    dispatcher.attribute_by_order();
+    assert_eq!(connection_use(&mut dispatcher, Some(7), ms(10)), ConnectionUse::New);
+}
+
+/// Guards against responses that can never be attributed, since the connection is closed too early.
+#[test]
+fn connections_carry_a_single_call_while_idle_ones_are_closed_before_an_attempt_timeout() {
+    let mut dispatcher = dispatcher_for(RetrySafety::Idempotent);
+    dispatcher.attribute_by_order();
+    dispatcher.set_endpoint_idle_timeout(ms(60_000));
+    assert_eq!(connection_use(&mut dispatcher, None, ms(10)), ConnectionUse::Pooled);
+    dispatcher.set_endpoint_idle_timeout(ms(100));
+    assert_eq!(connection_use(&mut dispatcher, None, ms(20)), ConnectionUse::Single);
+}
+
+/// Guards against decisions about connections for hosts that know to which call a response belongs.
+#[test]
+fn connections_are_reused_without_restriction_if_the_host_does_not_attribute_by_order() {
+    let mut dispatcher = dispatcher_for(RetrySafety::Idempotent);
+    dispatcher.set_endpoint_idle_timeout(ms(100));
+    dispatcher.surplus_response("a", None);
+    dispatcher.surplus_response("b", None);
+    assert_eq!(connection_use(&mut dispatcher, Some(7), ms(10)), ConnectionUse::Pooled);
+}
+
+/// Guards against calls during a retry-after that arrived as a surplus response, since a copy took its place.
+#[test]
+fn a_retry_after_in_a_surplus_response_is_respected() {
+    let mut dispatcher = dispatcher_for(RetrySafety::Idempotent);
+    dispatcher.surplus_response("a", Some(ms(2_000)));
+    assert_eq!(route(&dispatcher).limit.retry_after_end(), dispatcher.state.now + ms(2_000));
+}
--- a/src/policy/tests/connection_ledger.rs
+++ b/src/policy/tests/connection_ledger.rs
@@ -1,1 +1,96 @@
+use super::*;
 
+/// Deadline of the calls in these tests.
+const CALL_DEADLINE: Duration = ms(2_000);
+/// Time at which the responses to calls with [`CALL_DEADLINE`] are attributed.
+const QUIET_AT: Duration = CALL_DEADLINE.saturating_add(TRANSIT_TIME);
+
+fn call(message: MessageId) -> CallId {
+    CallId { message, attempt: 0 }
+}
+
+fn terms() -> AttributionTerms {
+    AttributionTerms {
+        call_deadline: CALL_DEADLINE,
+        message_deadline: ms(4_000),
+        rests_unless_delivered: false,
+    }
+}
+
+/// Returns the ledger of a connection on which responses to the calls 1 to `count` were read, one every 100 ms.
+fn ledger_of(count: u64) -> ConnectionLedger {
+    let mut ledger = ConnectionLedger::default();
+    for message in 1..=count {
+        ledger.on_response(call(message), true, &terms(), ms(100 * message));
+    }
+    ledger
+}
+
+fn attributed(calls: &[u64]) -> LedgerUpdate {
+    LedgerUpdate { attributed: calls.iter().copied().map(call).collect(), ..LedgerUpdate::default() }
+}
+
+fn misattributed(calls: &[u64]) -> LedgerUpdate {
+    LedgerUpdate { misattributed: calls.iter().copied().map(call).collect(), ..LedgerUpdate::default() }
+}
+
+#[test]
+fn the_response_to_the_first_call_of_a_connection_is_attributed_at_once() {
+    let mut ledger = ledger_of(1);
+    assert!(ledger.is_used() && ledger.is_settled() && ledger.quiet_at().is_none());
+    assert!(ledger.on_surplus().is_empty(), "a later surplus response does not belong to it");
+}
+
+/// Guards against a response that is attributed while the true one may still arrive, however late.
+#[test]
+fn later_responses_are_attributed_once_the_connection_was_quiet_until_the_last_calls_deadline() {
+    let mut ledger = ledger_of(3);
+    assert_eq!(ledger.quiet_at(), Some(QUIET_AT));
+    assert!(ledger.on_quiet(QUIET_AT - ms(1)).is_empty());
+    assert_eq!(ledger.on_quiet(QUIET_AT), attributed(&[2, 3]));
+    assert!(ledger.is_settled());
+}
+
+#[test]
+fn a_surplus_response_makes_all_unattributed_responses_uncertain() {
+    assert_eq!(ledger_of(4).on_surplus(), misattributed(&[2, 3, 4]));
+}
+
+/// Guards against a copy right before the end of a connection: the true response can no longer arrive.
+#[test]
+fn the_end_of_a_connection_attributes_responses_only_after_the_quiet_time() {
+    assert_eq!(ledger_of(2).on_closed(QUIET_AT - ms(1)), misattributed(&[2]));
+    assert_eq!(ledger_of(2).on_closed(QUIET_AT), attributed(&[2]));
+}
+
+#[test]
+fn a_later_response_shows_that_earlier_calls_have_ended_but_not_that_their_responses_are_their_own() {
+    let mut ledger = ledger_of(2);
+    let update = ledger.on_response(call(3), true, &terms(), ms(300));
+    assert_eq!(update, LedgerUpdate { overtaken: vec![call(2)], ..LedgerUpdate::default() });
+    let late_terms = AttributionTerms { call_deadline: ms(9_000), ..terms() };
+    let update = ledger.on_response(call(4), true, &late_terms, QUIET_AT);
+    assert_eq!(update, attributed(&[2, 3]), "no response to call 3 can arrive after its deadline");
+    assert_eq!(ledger.on_surplus(), misattributed(&[4]));
+}
+
+/// Guards against a connection that is never quiet before the deadlines of the messages whose responses it carried.
+#[test]
+fn a_connection_carries_another_call_only_if_earlier_responses_can_be_attributed_after_it() {
+    let ledger = ledger_of(2);
+    assert!(ledger.may_carry_until(ms(4_000), ms(200)));
+    assert!(!ledger.may_carry_until(ms(4_001), ms(200)));
+    assert!(ledger.may_carry_until(ms(4_001), QUIET_AT));
+    assert!(ledger_of(1).may_carry_until(Duration::MAX, ms(100)));
+}
+
+#[test]
+fn a_connection_rests_after_a_response_that_must_be_attributed_before_anything_else() {
+    let resting = AttributionTerms { rests_unless_delivered: true, ..terms() };
+    for (is_delivery, may_carry) in [(true, true), (false, false)] {
+        let mut ledger = ledger_of(1);
+        ledger.on_response(call(2), is_delivery, &resting, ms(200));
+        assert_eq!(ledger.may_carry_until(ms(3_000), ms(300)), may_carry);
+        assert!(ledger.may_carry_until(ms(3_000), QUIET_AT));
+    }
+}
--- a/src/policy/tests/support.rs
+++ b/src/policy/tests/support.rs
@@ -2,8 +2,8 @@
 
 use super::state::{Attempt, Endpoint, Route};
 use crate::{
-    AttemptOutcome, AttemptPlan, AttemptResult, Dispatcher, Driver, EndpointState, EndpointUpdate,
-    LoadReport, LogEvent, MessageId, NewMessage, RetrySafety, ServiceClass, ValueDecay, ms,
+    AttemptOutcome, AttemptPlan, AttemptResult, ConnectionUse, Dispatcher, Driver, EndpointState,
+    EndpointUpdate, LoadReport, LogEvent, MessageId, NewMessage, RetrySafety, ServiceClass, ValueDecay, ms,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -164,6 +164,7 @@
         class: 0,
         ordering_key: None,
         started,
+        connection: ConnectionUse::Pooled,
         added_to_call: false,
     }
 }
--- a/src/policy/verdict.rs
+++ b/src/policy/verdict.rs
@@ -9,7 +9,7 @@
 use super::outlier::{self, Health};
 use super::rate_limit::Rejection;
 use super::state::{Attempt, Destination, Endpoint, RecordedPossibleExecution, Route, Shared, State};
-use crate::{AttemptOutcome, AttemptResult, EndpointState, LogEvent, MessageId, gossip};
+use crate::{AttemptOutcome, AttemptResult, ConnectionUse, EndpointState, LogEvent, MessageId, gossip};
 use std::time::Duration;
 
 /// Effect of an outcome on all endpoints of its route.
@@ -186,10 +186,11 @@
     }
 
     /// Releases the attempt's permit, and records its connection as idle if the endpoint has no other call in flight,
-    /// unless the attempt failed to connect or hit the connection limit.
+    /// unless its connection carries a single call, it failed to connect, or it hit the connection limit.
     fn release(&mut self, outcome: AttemptOutcome, indicates_outage: bool) {
         self.endpoint.concurrency.release(indicates_outage);
-        let closed = matches!(outcome, AttemptOutcome::ConnectFailed | AttemptOutcome::ConnectionLimit);
+        let closed = self.attempt.connection == ConnectionUse::Single
+            || matches!(outcome, AttemptOutcome::ConnectFailed | AttemptOutcome::ConnectionLimit);
         if self.endpoint.concurrency.in_flight() == 0 && !closed {
             let key = (self.attempt.destination, self.attempt.endpoint.clone());
             self.shared.connections.on_idle(key, self.now);
