Final outcomes: a connection for each request to the platform

Each request now has a connection of its own, on which no earlier response can arrive. The new test fails without the change (left: Err(Elapsed)) and passes with it.

--- a/crates/quillhub-server/src/outcomes.rs
+++ b/crates/quillhub-server/src/outcomes.rs
@@ -33,13 +33,6 @@
 /// Status of a response to a request with an outcome that the platform cannot read.
 const STATUS_UNREADABLE: u16 = 400;
 
-/// Response of the platform.
-struct PlatformResponse {
-    status: u16,
-    /// Connection of the request, if it can be reused.
-    reusable: Option<HttpConnection>,
-}
-
 /// Encodes one outcome as a line of JSON.
 fn json_line(outcome: &FinalOutcome) -> String {
     let reference = serde_json::Value::from(String::from_utf8_lossy(&outcome.client_id));
@@ -54,23 +47,18 @@
     }
 }
 
-/// Sends one request with the lines in `body` and reads the response, on `connection` if that is still idle, and on a
-/// new connection otherwise.
-async fn post(
-    connection: Option<HttpConnection>,
-    address: SocketAddr,
-    body: &[u8],
-) -> Result<PlatformResponse, ConnectionError> {
-    let mut connection = match connection.filter(HttpConnection::is_idle) {
-        Some(connection) => connection,
-        None => HttpConnection::open(address).await.map_err(ConnectionError::Failed)?,
-    };
+/// Sends one request with the lines in `body` on a new connection, and returns the status of the response.
+///
+/// Guards against a late copy of an earlier response, which would confirm outcomes that the platform has not read.
+/// Costs a connection for each request.
+async fn post(address: SocketAddr, body: &[u8]) -> Result<u16, ConnectionError> {
+    let mut connection = HttpConnection::open(address).await.map_err(ConnectionError::Failed)?;
     let headers = [("Content-Type", &b"application/x-ndjson"[..])];
     let request = http::request("POST", OUTCOMES_PATH, &address.to_string(), &headers, body);
     connection.write(&request).await.map_err(ConnectionError::Failed)?;
     let head = connection.head().await?;
     connection.body(head.framing()?, MAX_RESPONSE_BODY_BYTES).await?;
-    Ok(PlatformResponse { status: head.status, reusable: head.keeps_alive().then_some(connection) })
+    Ok(head.status)
 }
 
 /// Outcomes of one request.
@@ -84,10 +72,6 @@
 /// State that is kept between requests to the platform.
 struct Sender {
     instance: Rc<RefCell<Instance>>,
-    /// Idle connection to `address`, if there is one.
-    connection: Option<HttpConnection>,
-    /// Address of the last request.
-    address: SocketAddr,
     /// Maximum number of outcomes in the next request; 1 while the sender searches for an unreadable one.
     max_outcomes: usize,
     /// Timeout of the next request.
@@ -102,33 +86,22 @@
         Batch { count: lines.len(), body: lines.concat() }
     }
 
-    /// Takes the idle connection if it is connected to `address`, and stores `address` as that of the last request. A
-    /// connection to another address is closed.
-    fn take_connection(&mut self, address: SocketAddr) -> Option<HttpConnection> {
-        let same_address = address == std::mem::replace(&mut self.address, address);
-        self.connection.take().filter(|_| same_address)
-    }
-
     /// Handles the end of a batch's request: marks its outcomes as confirmed, or prepares the repetition.
-    async fn request_ended(
-        &mut self,
-        batch: &Batch,
-        end: Result<Result<PlatformResponse, ConnectionError>, Elapsed>,
-    ) {
+    async fn request_ended(&mut self, batch: &Batch, end: Result<Result<u16, ConnectionError>, Elapsed>) {
         let Batch { count, ref body } = *batch;
         self.timeout = if end.is_ok() { INITIAL_TIMEOUT } else { (self.timeout * 2).min(MAX_TIMEOUT) };
         match end {
-            Ok(Ok(PlatformResponse { status: STATUS_CONFIRMED, reusable })) => {
+            Ok(Ok(STATUS_CONFIRMED)) => {
                 self.instance.borrow_mut().outcomes_confirmed(count);
-                (self.connection, self.max_outcomes) = (reusable, MAX_OUTCOMES_PER_REQUEST);
+                self.max_outcomes = MAX_OUTCOMES_PER_REQUEST;
             }
             // An unreadable outcome would block all others forever. A request with only this outcome identifies it, and
             // it is dropped.
-            Ok(Ok(PlatformResponse { status: STATUS_UNREADABLE, .. })) if self.max_outcomes == 1 => {
+            Ok(Ok(STATUS_UNREADABLE)) if self.max_outcomes == 1 => {
                 tracing::error!(body, "platform cannot read this final outcome, which is dropped");
                 self.instance.borrow_mut().outcomes_confirmed(count);
             }
-            Ok(Ok(PlatformResponse { status, .. })) => {
+            Ok(Ok(status)) => {
                 tracing::warn!(status, count, "platform did not confirm final outcomes");
                 self.max_outcomes = if status == STATUS_UNREADABLE { 1 } else { MAX_OUTCOMES_PER_REQUEST };
                 sleep(RETRY_PAUSE).await;
@@ -148,14 +121,7 @@
 /// outcomes may never have been read at the old one.
 pub async fn send(instance: Rc<RefCell<Instance>>, mut platform: watch::Receiver<SocketAddr>) {
     let decided = instance.borrow().outcome_decided();
-    let address = *platform.borrow();
-    let mut sender = Sender {
-        instance,
-        connection: None,
-        address,
-        max_outcomes: MAX_OUTCOMES_PER_REQUEST,
-        timeout: INITIAL_TIMEOUT,
-    };
+    let mut sender = Sender { instance, max_outcomes: MAX_OUTCOMES_PER_REQUEST, timeout: INITIAL_TIMEOUT };
     loop {
         let batch = sender.next_batch();
         if batch.count == 0 {
@@ -163,9 +129,8 @@
             continue;
         }
         let address = *platform.borrow_and_update();
-        let connection = sender.take_connection(address);
         tokio::select! {
-            end = timeout(sender.timeout, post(connection, address, batch.body.as_bytes())) => {
+            end = timeout(sender.timeout, post(address, batch.body.as_bytes())) => {
                 sender.request_ended(&batch, end).await;
             }
             Ok(()) = platform.changed() => sender.max_outcomes = MAX_OUTCOMES_PER_REQUEST,
--- a/crates/quillhub-server/src/outcomes_tests.rs
+++ b/crates/quillhub-server/src/outcomes_tests.rs
@@ -100,3 +100,44 @@
         assert!((100..105).contains(&gap().await), "a confirmation resets the timeout");
     });
 }
+
+/// Guards against a late copy of a confirmation that confirms the next batch of outcomes, which the platform has not
+/// processed: their messages would never get a final outcome.
+#[test]
+fn a_copy_of_an_earlier_confirmation_does_not_confirm_other_outcomes() {
+    use quillhub_fakes::http::ServerConnection;
+    const CONFIRMATION: &[u8] = b"HTTP/1.1 204 x\r\n\r\n";
+    let directory = StateDirectory::new();
+    on_one_thread(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (received_sender, mut received) = tokio::sync::mpsc::unbounded_channel();
+        // Each connection is served alone. The request with the first outcome is confirmed. The next request on its
+        // connection gets a copy of that confirmation; the first request on a new connection gets no response.
+        let is_first_connection = std::cell::Cell::new(true);
+        spawn_local(quillhub_fakes::accept::accept_each(listener, move |stream| {
+            let (sender, confirms) = (received_sender.clone(), is_first_connection.replace(false));
+            async move {
+                let mut connection = ServerConnection::new(stream);
+                while let Ok(Some(request)) = connection.next().await {
+                    let _ = sender.send(String::from_utf8_lossy(&request.body).contains("\"b\""));
+                    if confirms {
+                        connection.write(CONFIRMATION).await.unwrap();
+                    }
+                }
+            }
+        }));
+        let instance = instance(&directory, address);
+        let (_platform, address_receiver) = watch::channel(address);
+        spawn_local(send(instance.clone(), address_receiver));
+        instance.borrow_mut().add_outcome(outcome(1, "a", false, None));
+        assert_eq!(received.recv().await, Some(false));
+        while !instance.borrow().all_outcomes_confirmed() {
+            tokio::task::yield_now().await;
+        }
+        instance.borrow_mut().add_outcome(outcome(2, "b", false, None));
+        assert_eq!(received.recv().await, Some(true));
+        let repeated = timeout(Duration::from_secs(5), received.recv()).await;
+        assert_eq!(repeated, Ok(Some(true)), "an unconfirmed outcome is sent again");
+    });
+}
