Idle connections: input before the quiet time is handled when it arrives

The watcher of an idle connection awaited its completed input future again and panicked, so that a surplus response before the quiet time was noticed only when the connection was taken next, and a retry-after in it too late. Found by the new test of a copy that is followed by the true response, which hung before. Five tests of the host's side: a copy followed by 503, 200 or the close, at-most-once, the log, the quiet time, the watcher.

--- a/crates/quillhub-server/src/instance/attribution.rs
+++ b/crates/quillhub-server/src/instance/attribution.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::timeout;
 
 /// Results of attempts whose responses are unattributed.
 #[derive(Default)]
@@ -163,17 +163,19 @@
         let quiet_in = connection.ledger.quiet_at().map(|at| at.saturating_sub(self.now()));
         let task = spawn_local(async move {
             tokio::pin!(input);
-            if let Some(wait) = quiet_in {
-                tokio::select! {
-                    biased;
-                    () = &mut input => {}
-                    () = sleep(wait) => {
-                        let Some(instance) = weak.upgrade() else { return };
-                        instance.borrow_mut().connection_quiet(&endpoint, number);
-                    }
+            let is_quiet = match quiet_in {
+                Some(wait) => timeout(wait, &mut input).await.is_err(),
+                None => {
+                    input.as_mut().await;
+                    false
                 }
+            };
+            if is_quiet {
+                if let Some(instance) = weak.upgrade() {
+                    instance.borrow_mut().connection_quiet(&endpoint, number);
+                }
+                input.await;
             }
-            input.await;
             if let Some(instance) = weak.upgrade() {
                 instance.borrow_mut().idle_connection_input(&endpoint, number);
             }
@@ -258,3 +260,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "attribution_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/quillhub-server/src/instance/attribution_tests.rs
@@ -0,0 +1,165 @@
+use crate::connection::HttpConnection;
+use crate::instance::Instance;
+use crate::test_support::{
+    OK, StateDirectory, instance, on_one_thread, submit, unfinished_in, until_attempts_ended,
+};
+use crate::wal::FinalResult;
+use quillhub_fakes::accept::accept_each;
+use quillhub_fakes::http::ServerConnection;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, yield_now};
+
+const REJECTED: &[u8] = b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n";
+
+/// Endpoint that writes a copy of its first response as soon as it has received the second request on its first
+/// connection, and `then` after [`Endpoint::release`]. It delivers all other messages.
+struct Endpoint {
+    address: SocketAddr,
+    /// Number of the connection and client id of each request.
+    requests: Rc<RefCell<Vec<(usize, String)>>>,
+    release: Rc<Notify>,
+}
+
+impl Endpoint {
+    async fn start(then: &'static [u8]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (requests, release) = (Rc::new(RefCell::new(Vec::new())), Rc::new(Notify::new()));
+        let (received, released, connections) = (requests.clone(), release.clone(), Cell::new(0));
+        spawn_local(accept_each(listener, move |stream| {
+            let (received, released) = (received.clone(), released.clone());
+            let connection = connections.replace(connections.get() + 1);
+            async move {
+                let mut stream = ServerConnection::new(stream);
+                let mut count = 0;
+                while let Ok(Some(request)) = stream.next().await {
+                    received.borrow_mut().push((connection, request.id.unwrap_or_default()));
+                    let _ = stream.write(OK).await;
+                    count += 1;
+                    if (connection, count) == (0, 2) {
+                        released.notified().await;
+                        if then.is_empty() {
+                            return;
+                        }
+                        let _ = stream.write(then).await;
+                    }
+                }
+            }
+        }));
+        Self { address, requests, release }
+    }
+
+    /// Returns the connection numbers of the requests with the client id of the second message, in order.
+    fn connections_of_second(&self) -> Vec<usize> {
+        let requests = self.requests.borrow();
+        let second = &requests[1].1;
+        requests.iter().filter(|(_, id)| id == second).map(|(connection, _)| *connection).collect()
+    }
+}
+
+/// Delivers one message of `class` on a new connection, and another on the same connection, whose response is a copy.
+async fn deliver_two(instance: &RefCell<Instance>, class: &str) {
+    for _ in 0..2 {
+        submit(instance, class);
+        until_attempts_ended(instance).await;
+    }
+}
+
+/// Guards against lost messages: the copy of a delivery is taken for the response to a call that the endpoint rejects, or
+/// right before it closes the connection.
+#[test]
+fn a_message_whose_delivery_was_a_copy_is_sent_again_on_another_connection() {
+    for then in [REJECTED, OK, b""] {
+        for class in ["free", "marked"] {
+            let directory = StateDirectory::new();
+            on_one_thread(async {
+                let endpoint = Endpoint::start(then).await;
+                let instance = instance(&directory, endpoint.address);
+                deliver_two(&instance, class).await;
+                assert_eq!(endpoint.connections_of_second(), [0]);
+                endpoint.release.notify_one();
+                while endpoint.connections_of_second().len() < 2 {
+                    yield_now().await;
+                }
+                assert_eq!(endpoint.connections_of_second(), [0, 1]);
+            });
+        }
+    }
+}
+
+/// Guards against a message that is sent again although it must not be executed twice.
+#[test]
+fn an_at_most_once_message_whose_delivery_was_a_copy_is_abandoned() {
+    let directory = StateDirectory::new();
+    on_one_thread(async {
+        let endpoint = Endpoint::start(REJECTED).await;
+        let instance = instance(&directory, endpoint.address);
+        deliver_two(&instance, "once").await;
+        assert!(instance.borrow().all_outcomes_confirmed());
+        endpoint.release.notify_one();
+        while instance.borrow().all_outcomes_confirmed() {
+            yield_now().await;
+        }
+        let results: Vec<_> =
+            instance.borrow().unconfirmed_outcomes().map(|outcome| outcome.result).collect();
+        assert_eq!(results, [FinalResult::Abandoned]);
+        assert_eq!(endpoint.connections_of_second(), [0]);
+    });
+}
+
+/// Guards against a crash between a copy and the true response: the restarted instance must know the message.
+#[test]
+fn a_delivery_on_a_reused_connection_is_not_finished_in_the_log_before_it_is_attributed() {
+    let directory = StateDirectory::new();
+    on_one_thread(async {
+        let endpoint = Endpoint::start(REJECTED).await;
+        let instance = instance(&directory, endpoint.address);
+        deliver_two(&instance, "free").await;
+        assert!(instance.borrow().has_unattributed_responses());
+    });
+    let unfinished = unfinished_in(&directory);
+    assert_eq!(unfinished.keys().collect::<Vec<_>>(), [&2], "the first message is finished");
+    assert_eq!(unfinished[&2].possible_executions().count(), 1);
+}
+
+/// Guards against deliveries that stay unattributed although their connection was quiet for long enough.
+#[test]
+fn a_delivery_is_finished_once_its_connection_was_quiet() {
+    let directory = StateDirectory::new();
+    on_one_thread(async {
+        let endpoint = Endpoint::start(REJECTED).await;
+        let instance = instance(&directory, endpoint.address);
+        deliver_two(&instance, "free").await;
+        tokio::time::pause();
+        while instance.borrow().has_unattributed_responses() {
+            tokio::time::advance(std::time::Duration::from_millis(100)).await;
+            yield_now().await;
+        }
+        assert!(instance.borrow().is_idle());
+        assert_eq!(endpoint.connections_of_second(), [0]);
+    });
+    assert!(unfinished_in(&directory).is_empty());
+}
+
+/// Guards against input that is not noticed on an idle connection, since its socket is shared with a watcher.
+#[test]
+fn a_watcher_completes_on_input_and_on_the_end_of_its_connection() {
+    on_one_thread(async {
+        for is_closed in [false, true] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let connection = HttpConnection::open(listener.local_addr().unwrap()).await.unwrap();
+            let mut peer = ServerConnection::new(listener.accept().await.unwrap().0);
+            if is_closed {
+                drop(peer);
+                connection.input().await;
+            } else {
+                peer.write(REJECTED).await.unwrap();
+                connection.input().await;
+            }
+        }
+    });
+}
