--- a/crates/quillhub-server/src/instance/mod.rs
+++ b/crates/quillhub-server/src/instance/mod.rs
@@ -20,6 +20,7 @@
 use crate::gossip::GossipSocket;
 use crate::pool::ConnectionPool;
 use crate::wal::{AppendError, FinalResult, RecordKind, Wal};
+use crate::wall_clock::WallClock;
 use attribution::{ReadResponse, UnattributedResults};
 use messages::Messages;
 use outcome_queue::OutcomeQueue;
@@ -28,7 +29,7 @@
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
 use std::rc::{Rc, Weak};
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -38,6 +39,8 @@
     pub dispatcher: Dispatcher,
     /// Write-ahead log in the state directory.
     pub wal: Wal,
+    /// Wall clock of the times in the log.
+    pub wall_clock: WallClock,
     /// Addresses of the endpoints and idle connections to them.
     pub pool: ConnectionPool,
     /// Maximum time for opening a connection to an endpoint.
@@ -64,6 +67,7 @@
     /// Outcome of the submission being handled, if the dispatcher finished its message immediately.
     immediate_outcome: Option<SubmitOutcome>,
     wal: Wal,
+    wall_clock: WallClock,
     outcomes: OutcomeQueue,
     pool: ConnectionPool,
     connect_timeout: Duration,
@@ -115,6 +119,7 @@
                 unattributed: UnattributedResults::default(),
                 immediate_outcome: None,
                 wal: parts.wal,
+                wall_clock: parts.wall_clock,
                 outcomes: OutcomeQueue::default(),
                 pool: parts.pool,
                 connect_timeout: parts.connect_timeout,
@@ -276,8 +281,8 @@
         if self.stopping || !self.dispatcher.as_ref().is_some_and(is_permitted) {
             return false;
         }
-        let written =
-            self.wal.record_attempt_started(id.message, id.attempt, SystemTime::now(), &id.endpoint);
+        let started = self.wall_clock.now();
+        let written = self.wal.record_attempt_started(id.message, id.attempt, started, &id.endpoint);
         let recorded = written.is_ok();
         log_failed_write(id.message, RecordKind::AttemptStarted, written);
         recorded
--- a/crates/quillhub-server/src/instance/recovery.rs
+++ b/crates/quillhub-server/src/instance/recovery.rs
@@ -72,7 +72,7 @@
     /// Restores the messages that were unfinished when the previous process exited. Messages that it had rejected or
     /// abandoned are queued for the platform first.
     pub fn recover(&mut self, messages: BTreeMap<MessageId, LoggedMessage>) {
-        let wall_clock_now = SystemTime::now();
+        let wall_clock_now = self.wall_clock.now();
         let possible_executions = messages.values().flat_map(LoggedMessage::possible_executions);
         let oldest =
             possible_executions.map(|execution| elapsed_since(execution.started, wall_clock_now)).max();
--- a/crates/quillhub-server/src/instance/submission.rs
+++ b/crates/quillhub-server/src/instance/submission.rs
@@ -95,7 +95,8 @@
             return SubmitOutcome::Invalid(InvalidSubmission::UnknownDestination);
         }
         let id = self.wal.allocate_id();
-        let message = logged_message(&submission);
+        let deadline = self.wall_clock.now() + submission.time_to_live;
+        let message = logged_message(&submission, deadline);
         let record = wal::accepted_payload(&message);
         let capacity = self.wal.remaining_capacity().saturating_sub(record.len() as u64);
         self.messages.insert(id, PendingMessage::submitted(message, record));
@@ -152,13 +153,13 @@
     }
 }
 
-/// Returns the message in the form in which the log stores it.
-fn logged_message(submission: &Submission) -> LoggedMessage {
+/// Returns the message in the form in which the log stores it, with its deadline on the wall clock.
+fn logged_message(submission: &Submission, deadline: SystemTime) -> LoggedMessage {
     LoggedMessage {
         service_class: submission.service_class.into(),
         destination: submission.destination,
         ordering_key: submission.ordering_key,
-        deadline: Some(SystemTime::now() + submission.time_to_live),
+        deadline: Some(deadline),
         client_id: submission.client_id.into(),
         idempotency_key: submission.idempotency_key.map(Into::into),
         body: submission.body.into(),
--- a/crates/quillhub-server/src/lib.rs
+++ b/crates/quillhub-server/src/lib.rs
@@ -23,6 +23,7 @@
 #[cfg(test)]
 mod test_support;
 mod wal;
+mod wall_clock;
 
 pub use configuration::ConfigurationError;
 pub use discovery::MAX_LIST_BYTES;
--- a/crates/quillhub-server/src/startup.rs
+++ b/crates/quillhub-server/src/startup.rs
@@ -14,6 +14,7 @@
 use crate::pool::ConnectionPool;
 use crate::shutdown::{self, ClientConnections};
 use crate::wal::{LoggedMessage, Wal};
+use crate::wall_clock::WallClock;
 use quillhub::{Dispatcher, MessageId};
 use quillhub_settings::Setting;
 use std::cell::RefCell;
@@ -165,6 +166,7 @@
     let instance = Instance::new(InstanceParts {
         dispatcher: configuration.dispatcher,
         wal,
+        wall_clock: WallClock::open(state_directory),
         pool: ConnectionPool::new(configuration.idle_timeout, configuration.connections.idle),
         connect_timeout: configuration.connect_timeout,
         gossip: gossip.clone(),
--- a/crates/quillhub-server/src/test_support.rs
+++ b/crates/quillhub-server/src/test_support.rs
@@ -4,6 +4,7 @@
 use crate::instance::{Instance, InstanceParts, Submission, SubmitOutcome};
 use crate::pool::ConnectionPool;
 use crate::wal::{LoggedMessage, Wal, accepted_payload};
+use crate::wall_clock::WallClock;
 use quillhub::{EndpointState, EndpointUpdate, MessageId};
 pub use quillhub_fakes::scratch::{ScratchDirectory as StateDirectory, on_one_thread};
 pub use quillhub_fakes::scripted::{OK, scripted_server, unconnectable_address};
@@ -68,6 +69,7 @@
         let instance = Instance::new(InstanceParts {
             dispatcher,
             wal,
+            wall_clock: WallClock::open(&self.directory.0),
             pool: ConnectionPool::new(UNREACHED_TIMEOUT, 8),
             connect_timeout: UNREACHED_TIMEOUT,
             gossip: None,
