Log: a damaged octet costs its record, not the rest of its segment

Seen in the operators' probe: a damaged octet in a segment lost the rest of that segment silently. Cause: reading stopped at the first frame that is not intact. As the damaged record may have been the start of an attempt, messages accepted before it may have been executed at an unknown time: idempotent ones are retried, others are given up.

--- a/crates/quillhub-server/src/instance/recovery.rs
+++ b/crates/quillhub-server/src/instance/recovery.rs
@@ -59,13 +59,13 @@
     }
 }
 
-/// Returns the time from `start` to `now`, or [`UNKNOWN_ATTEMPT_AGE`] if `start` is later.
+/// Returns the time from `start` to `now`, up to [`UNKNOWN_ATTEMPT_AGE`], which is also returned if `start` is later.
 ///
 /// Guards against a wall clock that was set back in the meantime. The real age of the attempt is then unknown, so that
 /// its deduplication window must be assumed to have passed, and a retry could execute the message twice. May cause a
 /// message to be given up (rejected or abandoned) that a retry would have delivered.
 fn elapsed_since(start: SystemTime, now: SystemTime) -> Duration {
-    now.duration_since(start).unwrap_or(UNKNOWN_ATTEMPT_AGE)
+    now.duration_since(start).unwrap_or(UNKNOWN_ATTEMPT_AGE).min(UNKNOWN_ATTEMPT_AGE)
 }
 
 impl Instance {
--- a/crates/quillhub-server/src/wal/frame.rs
+++ b/crates/quillhub-server/src/wal/frame.rs
@@ -1,7 +1,7 @@
 //! Frames, which enclose the records: length, checksum, record kind, message id, payload.
 //!
-//! Reading a segment stops at the first frame that is incomplete or does not match its checksum. The process was killed
-//! while it wrote that frame, and nothing after it can be trusted.
+//! Bytes that are no intact frame are damaged: a write that was interrupted, or octets that changed on the disk. Reading
+//! continues at the next intact frame.
 
 use quillhub::MessageId;
 use winnow::Parser;
@@ -38,12 +38,47 @@
     encoded
 }
 
-/// Returns the intact frames at the start of a segment's `content`, in order.
-pub fn frames(mut content: &[u8]) -> impl Iterator<Item = Frame<'_>> {
+/// Part of a segment's content.
+#[derive(Debug)]
+pub enum Part<'a> {
+    /// Intact frame.
+    Frame(Frame<'a>),
+    /// Bytes that are no intact frame.
+    Damaged(Damage),
+}
+
+/// Place of damaged bytes in a segment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Damage {
+    /// Number of bytes before the damaged ones.
+    pub offset: usize,
+    /// Number of damaged bytes.
+    pub bytes: usize,
+    /// `true` if no intact frame follows, as after a write that the end of the process interrupted.
+    pub is_at_end: bool,
+}
+
+/// Returns the parts of a segment's `content`, in order.
+pub fn parts(content: &[u8]) -> impl Iterator<Item = Part<'_>> {
+    let mut offset = 0;
     std::iter::from_fn(move || {
-        let frame = first_frame(content)?;
-        content = &content[frame.encoded.len()..];
-        Some(frame)
+        let rest = content.get(offset..).filter(|rest| !rest.is_empty())?;
+        if let Some(frame) = first_frame(rest) {
+            offset += frame.encoded.len();
+            return Some(Part::Frame(frame));
+        }
+        let next = (1..rest.len()).find(|skipped| first_frame(&rest[*skipped..]).is_some());
+        let damage = Damage { offset, bytes: next.unwrap_or(rest.len()), is_at_end: next.is_none() };
+        offset += damage.bytes;
+        Some(Part::Damaged(damage))
+    })
+}
+
+/// Returns the intact frames in a segment's `content`, in order.
+pub fn frames(content: &[u8]) -> impl Iterator<Item = Frame<'_>> {
+    parts(content).filter_map(|part| match part {
+        Part::Frame(frame) => Some(frame),
+        Part::Damaged(_) => None,
     })
 }
 
--- a/crates/quillhub-server/src/wal/mod.rs
+++ b/crates/quillhub-server/src/wal/mod.rs
@@ -263,3 +263,7 @@
 #[cfg(test)]
 #[path = "failure_tests.rs"]
 mod failure_tests;
+
+#[cfg(test)]
+#[path = "damage_tests.rs"]
+mod damage_tests;
--- a/crates/quillhub-server/src/wal/record.rs
+++ b/crates/quillhub-server/src/wal/record.rs
@@ -98,17 +98,23 @@
     pub attempts: BTreeMap<u32, RecordedAttempt>,
     /// Outcome of the message if it was rejected or abandoned, otherwise `None`.
     pub outcome: Option<FinalResult>,
+    /// `true` if records of the message may be missing, so that it may have been executed at an unknown time.
+    pub lacks_records: bool,
 }
 
 impl LoggedMessage {
-    /// Returns the attempts that may have executed the message.
+    /// Returns the attempts that may have executed the message; one at the Unix epoch stands for those whose records may
+    /// be missing.
     pub fn possible_executions(&self) -> impl Iterator<Item = RecordedPossibleExecution<'_>> {
-        self.attempts.values().filter_map(|attempt| match attempt {
+        let missing = RecordedPossibleExecution { started: UNIX_EPOCH, endpoint: "" };
+        let missing = self.lacks_records.then_some(missing);
+        let recorded = self.attempts.values().filter_map(|attempt| match attempt {
             RecordedAttempt::PossiblyExecuted { started, endpoint } => {
                 Some(RecordedPossibleExecution { started: *started, endpoint })
             }
             RecordedAttempt::NotExecuted => None,
-        })
+        });
+        recorded.chain(missing)
     }
 }
 
