--- a/crates/quillhub-server/src/clients/connection.rs
+++ b/crates/quillhub-server/src/clients/connection.rs
@@ -226,7 +226,7 @@
                 (resp::error(error).into(), None)
             }
         };
-        let written = timeout(WRITE_TIMEOUT, stream_io::write_all(&self.stream, &bytes)).await;
+        let written = timeout(WRITE_TIMEOUT, stream_io::write_all(self.stream, &bytes)).await;
         if !matches!(written, Ok(Ok(()))) {
             if let Some(message) = accepted {
                 self.instance.borrow_mut().withdraw(message);
@@ -266,7 +266,7 @@
     /// Writes an error reply, after which the connection closes.
     async fn reply_and_close(&mut self, error: CommandError) -> io::Result<End> {
         sleep(ERROR_PAUSE).await;
-        timeout(WRITE_TIMEOUT, stream_io::write_all(&self.stream, &resp::error(error))).await??;
+        timeout(WRITE_TIMEOUT, stream_io::write_all(self.stream, &resp::error(error))).await??;
         Ok(End::ByServer)
     }
 }
