--- a/crates/quillhub-server/tests/fault_laboratory.rs
+++ b/crates/quillhub-server/tests/fault_laboratory.rs
@@ -1,12 +1,12 @@
 //! Runs of the fault laboratory with real processes of this build.
 
-use quillhub_fakes::laboratory::{CopyPlan, CopyShape, CopyTiming, Plan, Verdict, run};
+use quillhub_fakes::laboratory::{CopyPlan, CopyShape, CopyTiming, Plan, Restart, run};
 use quillhub_fakes::scratch::on_one_thread;
 use std::path::Path;
 use std::time::Duration;
 
 /// Runs a plan and checks that faults happened as planned and that no rule broke.
-fn check(plan: &Plan) -> Verdict {
+fn check(plan: &Plan) {
     let verdict = on_one_thread(run(Path::new(env!("CARGO_BIN_EXE_quillhub")), plan, None)).unwrap();
     println!("{verdict}");
     assert!(verdict.delivered > 100, "{verdict}");
@@ -14,7 +14,6 @@
     let timelines =
         verdict.violations.iter().take(3).map(|(violation, text)| format!("{violation:?}: {text}"));
     assert!(verdict.violations.is_empty(), "{verdict}\n{}", timelines.collect::<String>());
-    verdict
 }
 
 /// Returns a plan in which every second endpoint writes identical copies of four in ten responses.
@@ -43,6 +42,30 @@
     check(&with_copies(3, CopyTiming::Late(Duration::from_millis(1_500))));
 }
 
+/// Guards against surplus responses that are no whole copy: in two pieces, with another status, noise, interim ones, and
+/// copies right before the end of the connection, also across a restart.
+#[test]
+fn surplus_responses_of_any_shape_break_no_rule() {
+    let shapes = [
+        CopyShape::TwoPieces,
+        CopyShape::OtherStatus,
+        CopyShape::Noise,
+        CopyShape::Interim,
+        CopyShape::ThenClose,
+        CopyShape::ThenReset,
+    ];
+    std::thread::scope(|scope| {
+        for (seed, shape) in (10..).zip(shapes) {
+            scope.spawn(move || {
+                let plan = with_copies(seed, CopyTiming::Late(Duration::from_millis(60)));
+                let copies = plan.copies.clone().map(|copies| CopyPlan { shape, ..copies });
+                let kill = Restart { at: plan.load_time / 2, instance: 0, signal: "KILL" };
+                check(&Plan { copies, restarts: vec![kill], ..plan });
+            });
+        }
+    });
+}
+
 /// Guards against reads and writes that Linux shortens: the runtime took a short one for an empty or full socket and
 /// waited for an event that never came.
 #[test]
