Give up at once what attribution cannot change; close settled connections first

Found in reading the change: a message whose attempts are used up, or whose failed attempt may have executed it, waited for the attribution of a rejection although its outcome could not change; idle connections with unattributed responses were closed before settled ones when descriptors were short; the log line of a surplus response lacked the id of the call before.

--- a/crates/quillhub-server/src/connection.rs
+++ b/crates/quillhub-server/src/connection.rs
@@ -81,8 +81,8 @@
     number: u64,
     /// Calls whose responses may belong to an earlier call.
     pub(crate) ledger: ConnectionLedger,
-    /// Client id of the message of the last call, for the log.
-    pub(crate) last_client_id: Box<[u8]>,
+    /// Client ids of the messages of the last two calls, the last one first, for the log.
+    pub(crate) client_ids: [Box<[u8]>; 2],
     buffer: Vec<u8>,
     /// Time limit of each read; `None` if reads may wait without limit.
     read_timeout: Option<Duration>,
@@ -103,7 +103,7 @@
             stream: Rc::new(stream),
             number,
             ledger: ConnectionLedger::default(),
-            last_client_id: Box::default(),
+            client_ids: Default::default(),
             buffer: Vec::new(),
             read_timeout: None,
         })
--- a/crates/quillhub-server/src/instance/attribution.rs
+++ b/crates/quillhub-server/src/instance/attribution.rs
@@ -129,9 +129,8 @@
             let terms = &id.plan.attribution;
             effects.add(ledger.on_response(id.call(), is_delivery, terms, now));
         }
-        if let Some(message) = self.messages.get_mut(id.message) {
-            connection.last_client_id.clone_from(&message.client_id);
-        }
+        connection.client_ids.swap(0, 1);
+        connection.client_ids[0].clone_from(&id.client_id);
         match state {
             ConnectionState::Reusable if id.plan.connection != ConnectionUse::Single => {
                 self.park(&id.endpoint, connection, false);
@@ -213,13 +212,22 @@
         };
         let age = now.saturating_sub(connection.ledger.last_response());
         let number = connection.number();
-        let last_client_id = String::from_utf8_lossy(&connection.last_client_id);
+        let [last_client_id, previous_client_id] =
+            connection.client_ids.each_ref().map(|id| String::from_utf8_lossy(id));
         let is_unusual = !update.misattributed.is_empty();
         if state == ConnectionState::Surplus {
             let head = connection.surplus_head();
             let status = head.as_ref().map(|head| head.status);
             let retry_after = head.as_ref().and_then(attempts::retry_after);
-            tracing::warn!(endpoint, connection = number, ?age, status, %last_client_id, "surplus response");
+            tracing::warn!(
+                endpoint,
+                connection = number,
+                ?age,
+                status,
+                %last_client_id,
+                %previous_client_id,
+                "surplus response"
+            );
             effects.surplus.push(SurplusResponse { endpoint: endpoint.to_owned(), retry_after });
         } else if is_unusual {
             tracing::warn!(endpoint, connection = number, ?age, ?state, %last_client_id, "connection ended early");
--- a/crates/quillhub-server/src/instance/driver.rs
+++ b/crates/quillhub-server/src/instance/driver.rs
@@ -85,6 +85,7 @@
         let attempt = message.begin_attempt();
         let address = self.pool.address(endpoint);
         let request = delivery_request(message, address);
+        let client_id = message.client_id.clone();
         let recorded = written.is_ok();
         log_failed_write(id, RecordKind::Accepted, written);
         let pooled = match plan.connection {
@@ -104,7 +105,7 @@
             connection = pooled.as_ref().map(|pooled| pooled.number()),
             "attempt starts"
         );
-        let id = AttemptId { message: id, attempt, endpoint: endpoint.to_owned(), plan };
+        let id = AttemptId { message: id, attempt, endpoint: endpoint.to_owned(), client_id, plan };
         let (weak, attempt_id) = (self.weak.clone(), id.clone());
         let may_send_request = move || {
             weak.upgrade().is_some_and(|instance| instance.borrow_mut().may_send_request(&attempt_id))
--- a/crates/quillhub-server/src/instance/mod.rs
+++ b/crates/quillhub-server/src/instance/mod.rs
@@ -89,6 +89,8 @@
     /// Number of the attempt among those of the message, counted from 0.
     attempt: u32,
     endpoint: String,
+    /// Client id of the message, for the log.
+    client_id: Box<[u8]>,
     plan: AttemptPlan,
 }
 
--- a/crates/quillhub-server/src/pool.rs
+++ b/crates/quillhub-server/src/pool.rs
@@ -39,6 +39,13 @@
     _watcher: Option<Watcher>,
 }
 
+impl Idle {
+    /// Returns the position of the connection among those to close: settled ones first, then the oldest.
+    fn close_order(&self) -> (bool, Instant) {
+        (!self.connection.ledger.is_settled(), self.since)
+    }
+}
+
 /// Call for which a connection is taken, with times on the dispatcher's clock.
 #[derive(Clone, Copy, Debug)]
 pub struct CallTimes {
@@ -165,16 +172,18 @@
         self.max_idle
     }
 
-    /// Removes the oldest idle connections until at most `max` are left, to all endpoints together. Returns them with
-    /// their endpoints.
+    /// Removes the oldest idle connections until at most `max` are left, to all endpoints together, those without
+    /// unattributed responses first. Returns them with their endpoints.
     pub fn close_oldest_beyond(&mut self, max: usize) -> Vec<(String, HttpConnection)> {
         let mut closed = Vec::new();
         while self.idle.values().map(Vec::len).sum::<usize>() > max {
-            let oldest =
-                self.idle.iter().filter_map(|(endpoint, idle)| Some((idle.first()?.since, endpoint)));
-            let Some(endpoint) = oldest.min().map(|(_, endpoint)| endpoint.clone()) else { break };
+            let connections = self.idle.iter().flat_map(|(endpoint, idle)| {
+                idle.iter().enumerate().map(move |(index, idle)| (idle.close_order(), endpoint, index))
+            });
+            let Some((_, endpoint, index)) = connections.min() else { break };
+            let endpoint = endpoint.clone();
             let Some(idle) = self.idle.get_mut(&endpoint) else { break };
-            closed.push((endpoint, idle.remove(0).connection));
+            closed.push((endpoint, idle.remove(index).connection));
         }
         closed
     }
--- a/src/policy/connection_ledger.rs
+++ b/src/policy/connection_ledger.rs
@@ -7,8 +7,9 @@
 use crate::{MessageId, ms};
 use std::time::Duration;
 
-/// Time after the deadline of a call in which a response that was written by then arrives.
-pub(super) const TRANSIT_TIME: Duration = ms(50);
+/// Time after the deadline of a call in which a response that was written by then arrives and is read, also by a process
+/// that was held up.
+pub(super) const TRANSIT_TIME: Duration = ms(100);
 
 /// Identifies one attempt to deliver a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/policy/expiry.rs
+++ b/src/policy/expiry.rs
@@ -1,6 +1,6 @@
 //! Expiry: latest start of an attempt, and the final outcome of a message that can no longer be attempted.
 
-use super::state::{PendingMessage, State};
+use super::state::{PendingMessage, RecordedPossibleExecution, State};
 use crate::{Driver, MessageId, RetrySafety};
 use std::time::Duration;
 
@@ -11,41 +11,49 @@
     /// executed by an earlier attempt, within the deduplication window. An at-most-once message that may have been
     /// executed must not be attempted again; the result is zero for it.
     pub(super) fn latest_start(&self, message: &PendingMessage) -> Duration {
-        let by_deadline = self.latest_start_by_deadline(message);
-        match (message.first_possible_execution(), self.class(message).retry_safety) {
+        self.latest_start_after(message, message.first_possible_execution())
+    }
+
+    /// Returns the latest time at which another attempt of `message` may start if `first` is the first attempt by which
+    /// it may have been executed.
+    fn latest_start_after(
+        &self,
+        message: &PendingMessage,
+        first: Option<&RecordedPossibleExecution>,
+    ) -> Duration {
+        let typical = self.typical_latency(message.destination, message.class);
+        let by_deadline = message.deadline.saturating_sub(typical);
+        match (first, self.class(message).retry_safety) {
             (None, _) | (_, RetrySafety::Idempotent) => by_deadline,
             // Prevents a retry that arrives or is executed after the deduplication window has passed: like the
             // deadline, the window must cover a typical call. May give up a message whose retry would have been in
             // time.
-            (Some(first), RetrySafety::Deduplicated { window, .. }) => by_deadline.min(
-                (first.started + window)
-                    .saturating_sub(self.typical_latency(message.destination, message.class)),
-            ),
+            (Some(first), RetrySafety::Deduplicated { window, .. }) => {
+                by_deadline.min((first.started + window).saturating_sub(typical))
+            }
             (Some(_), RetrySafety::AtMostOnce) => Duration::ZERO,
         }
     }
 
-    /// Returns the latest time at which an attempt of the typical duration ends by the deadline of `message`.
-    fn latest_start_by_deadline(&self, message: &PendingMessage) -> Duration {
-        let typical = self.typical_latency(message.destination, message.class);
-        message.deadline.saturating_sub(typical)
+    /// Returns the time after which `message` is given up, whatever attempts turn out to be its own: unattributed
+    /// responses may still prove that it was not executed by them.
+    fn give_up_time(&self, message: &PendingMessage) -> Duration {
+        self.latest_start_after(message, message.first_possible_execution.as_ref())
     }
 
-    /// Returns the time after which `message` is given up. While responses to its attempts are unattributed, that is
-    /// determined by its deadline alone, since they may turn out to prove that it was not executed.
-    fn give_up_time(&self, message: &PendingMessage) -> Duration {
-        if message.unattributed.is_empty() {
-            self.latest_start(message)
-        } else {
-            self.latest_start_by_deadline(message)
-        }
+    /// Returns `true` if `message` may only be rejected once its unattributed responses are attributed.
+    fn may_become_rejectable(&self, message: &PendingMessage) -> bool {
+        !message.unattributed.is_empty()
+            && message.first_possible_execution.is_none()
+            && !self.may_reject(message)
     }
 
     /// Returns `true` if `message` has used up its attempts, or no further attempt can start in time.
     fn cannot_be_attempted_again(&self, message: &PendingMessage) -> bool {
         let next_start = self.now.max(message.not_before).max(self.retry_after_end(message.destination));
-        let has_used_up_attempts = message.attempts >= self.max_attempts && message.unattributed.is_empty();
-        has_used_up_attempts || next_start > self.give_up_time(message)
+        let has_used_up_attempts = message.attempts >= self.max_attempts;
+        has_used_up_attempts && !self.may_become_rejectable(message)
+            || next_start > self.give_up_time(message)
     }
 
     /// Rule: gives up the message of the lowest identifier that can no longer be attempted.
--- a/src/policy/tests/attribution.rs
+++ b/src/policy/tests/attribution.rs
@@ -64,6 +64,23 @@
     assert_eq!(actions_at(&mut dispatcher, ms(10_001)), ["abandon 1"]);
 }
 
+/// Guards against a final outcome that waits for an attribution that cannot change it.
+#[test]
+fn a_message_is_given_up_at_once_if_the_attribution_cannot_change_its_outcome() {
+    let mut failed = ended_unattributed(RetrySafety::AtMostOnce, AttemptOutcome::Failed);
+    assert_eq!(actions_at(&mut failed, ms(200)), ["abandon 1"]);
+    for (class, expected) in [
+        (RetrySafety::Idempotent, &["reject 1, retry-after: true"][..]),
+        (DEDUPLICATED, &["reject 1, retry-after: true"]),
+        (RetrySafety::AtMostOnce, &[]),
+    ] {
+        let mut rejected = ended_unattributed(class, rejected());
+        rejected.set_limits(Some(8), Some(100), Some(1));
+        route_mut(&mut rejected).limit.on_late_retry_after(ms(100), ms(1_000));
+        assert_eq!(actions_at(&mut rejected, ms(200)), expected, "{class:?}");
+    }
+}
+
 /// Guards against lost messages: a response with status 200 may be that of an earlier call.
 #[test]
 fn a_delivered_message_is_pending_again_if_its_response_may_belong_to_an_earlier_call() {
