--- a/crates/quillhub-server/src/wal/damage_tests.rs
+++ b/crates/quillhub-server/src/wal/damage_tests.rs
@@ -1,24 +1,11 @@
 //! Tests of damaged segments.
 
+use super::failure_tests::{accept, open, unfinished_ids};
 use super::frame::{Damage, Part, parts};
 use super::record::from_millis;
 use super::*;
 use crate::test_support::{StateDirectory, message};
 
-const BUDGET_BYTES: u64 = 1 << 20;
-
-fn open(directory: &StateDirectory) -> (Wal, BTreeMap<MessageId, LoggedMessage>) {
-    Wal::open(&directory.0, BUDGET_BYTES).unwrap()
-}
-
-fn accept(wal: &mut Wal, id: MessageId) -> Result<(), AppendError> {
-    wal.record_accepted(id, &accepted_payload(&message("once")))
-}
-
-fn unfinished_ids(directory: &StateDirectory) -> Vec<MessageId> {
-    open(directory).1.into_keys().collect()
-}
-
 /// Changes one octet of the first segment.
 fn damage(directory: &StateDirectory, offset: usize) {
     let path = segment::path(&directory.0, 0);
--- a/crates/quillhub-server/src/wal/failure_tests.rs
+++ b/crates/quillhub-server/src/wal/failure_tests.rs
@@ -5,15 +5,18 @@
 
 const BUDGET_BYTES: u64 = 1 << 20;
 
-fn open(directory: &StateDirectory) -> (Wal, BTreeMap<MessageId, LoggedMessage>) {
+/// Opens the log in a directory and returns its unfinished messages.
+pub(super) fn open(directory: &StateDirectory) -> (Wal, BTreeMap<MessageId, LoggedMessage>) {
     Wal::open(&directory.0, BUDGET_BYTES).unwrap()
 }
 
-fn accept(wal: &mut Wal, id: MessageId) -> Result<(), AppendError> {
+/// Records that a message is accepted.
+pub(super) fn accept(wal: &mut Wal, id: MessageId) -> Result<(), AppendError> {
     wal.record_accepted(id, &accepted_payload(&message("once")))
 }
 
-fn unfinished_ids(directory: &StateDirectory) -> Vec<MessageId> {
+/// Returns the ids of the unfinished messages in a directory.
+pub(super) fn unfinished_ids(directory: &StateDirectory) -> Vec<MessageId> {
     open(directory).1.into_keys().collect()
 }
 
--- a/src/policy/tests/attribution.rs
+++ b/src/policy/tests/attribution.rs
@@ -122,31 +122,14 @@
     assert!(actions_at(&mut dispatcher, ms(20_000)).is_empty());
 }
 
-/// Connection use of each attempt that a driver is asked to start.
-#[derive(Default)]
-struct RecordedUse(Vec<ConnectionUse>);
-
-impl Driver for RecordedUse {
-    fn start_attempt(&mut self, _: MessageId, _: &str, plan: crate::AttemptPlan) {
-        self.0.push(plan.connection);
-    }
-    fn reject(&mut self, _: MessageId, _: Option<Duration>) {}
-    fn abandon(&mut self, _: MessageId) {}
-    fn close_idle_connections(&mut self, _: &str) {}
-    fn broadcast(&mut self, _: &[u8]) {}
-    fn set_timer(&mut self, _: Duration) {}
-    fn watch_endpoints(&mut self) {}
-    fn log(&mut self, _: &crate::LogEvent) {}
-}
-
 /// Returns the connection use of the attempt of a message that is submitted at `now`.
 fn connection_use(dispatcher: &mut Dispatcher, ordering_key: Option<u64>, now: Duration) -> ConnectionUse {
-    let (mut driver, id) = (RecordedUse::default(), now.as_millis() as u64);
+    let (mut driver, id) = (RecordedPlans::default(), now.as_millis() as u64);
     dispatcher.advance_to(now);
     let deadline = now + ms(9_000);
     dispatcher.accept(crate::NewMessage { ordering_key, deadline, ..message(id) }).unwrap();
     dispatcher.apply_rules(&mut driver);
-    driver.0[0]
+    driver.0[0].connection
 }
 
 /// Guards against the reuse of connections to an endpoint that writes surplus responses.
--- a/src/policy/tests/latency.rs
+++ b/src/policy/tests/latency.rs
@@ -38,10 +38,10 @@
     assert_eq!(timeouts, (ms(6_000), ms(3_000)));
     (0..MIN_SAMPLES).for_each(|_| few_samples.on_delivery(ms(1), ms(300)));
     assert_eq!(few_samples.attempt_timeout(fallback_tail_bound, 1.0), MIN_ATTEMPT_TIMEOUT);
-    let mut recorded = RecordedTimeouts::default();
+    let mut recorded = RecordedPlans::default();
     dispatcher.accept(NewMessage { deadline: ms(9_001), ..message(1) }).unwrap();
     dispatcher.apply_rules(&mut recorded);
-    assert_eq!(recorded.0, [ms(9_000)]);
+    assert_eq!(recorded.0.iter().map(|plan| plan.timeout).collect::<Vec<_>>(), [ms(9_000)]);
 }
 
 /// Guards against calls whose responses are lost using up the slots: with a fifth of all responses lost, the calls that
--- a/src/policy/tests/support.rs
+++ b/src/policy/tests/support.rs
@@ -43,13 +43,13 @@
     fn log(&mut self, _: &LogEvent) {}
 }
 
-/// Driver that records the timeout of each attempt.
+/// Driver that records the parameters of each attempt.
 #[derive(Default)]
-pub(super) struct RecordedTimeouts(pub(super) Vec<Duration>);
+pub(super) struct RecordedPlans(pub(super) Vec<AttemptPlan>);
 
-impl Driver for RecordedTimeouts {
+impl Driver for RecordedPlans {
     fn start_attempt(&mut self, _: MessageId, _: &str, plan: AttemptPlan) {
-        self.0.push(plan.timeout);
+        self.0.push(plan);
     }
     fn reject(&mut self, _: MessageId, _: Option<Duration>) {}
     fn abandon(&mut self, _: MessageId) {}
