Sockets: an interrupted read or write is repeated

An interrupted read, write or peek counted as the end of its connection. The laboratory's shim interrupts calls, with a test.

--- a/crates/quillhub-fakes/src/laboratory/mod.rs
+++ b/crates/quillhub-fakes/src/laboratory/mod.rs
@@ -17,3 +17,4 @@
 pub use audit::{Verdict, Violation};
 pub use plan::{CopyPlan, CopyShape, CopyTiming, Plan, Restart, ServiceClassPlan};
 pub use run::run;
+pub use shim::ShortIo;
--- a/crates/quillhub-fakes/src/laboratory/plan.rs
+++ b/crates/quillhub-fakes/src/laboratory/plan.rs
@@ -1,5 +1,6 @@
 //! Plan of a run: load, behaviour of the endpoints, faults and signals, all determined by a seed.
 
+use super::shim::ShortIo;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::ops::Range;
@@ -102,8 +103,8 @@
     pub copies: Option<CopyPlan>,
     /// Restarts, in order of time.
     pub restarts: Vec<Restart>,
-    /// Share of the reads and writes on sockets of the instances that are shortened, in percent.
-    pub short_io_percent: u32,
+    /// Reads and writes on sockets of the instances that do not complete, if any.
+    pub short_io: Option<ShortIo>,
 }
 
 impl Plan {
@@ -124,13 +125,14 @@
             failed_share: 0.03,
             copies: None,
             restarts: Vec::new(),
-            short_io_percent: 0,
+            short_io: None,
         }
     }
 
-    /// Returns the plan without other faults that `seed` determines, with shortened reads and writes.
+    /// Returns the plan without other faults that `seed` determines, with shortened and interrupted reads and writes.
     pub fn with_short_io(seed: u64) -> Self {
-        Self { short_io_percent: 6, ..Self::without_faults(seed) }
+        let short_io = ShortIo { shortened_percent: 6, interrupted_percent: 2 };
+        Self { short_io: Some(short_io), ..Self::without_faults(seed) }
     }
 
     /// Returns the plan that `seed` determines, with surplus responses of any timing and shape, and a killed instance
--- a/crates/quillhub-fakes/src/laboratory/run.rs
+++ b/crates/quillhub-fakes/src/laboratory/run.rs
@@ -169,9 +169,9 @@
                 "idleCloseUs": 5_000_000, "connectTimeoutUs": 1_000_000}}});
     let files = ScratchDirectory::new();
     std::fs::write(files.0.join("config"), configuration.to_string())?;
-    let environment = match plan.short_io_percent {
-        0 => Vec::new(),
-        percent => shim::short_io(&files.0, percent, plan.seed + number as u64)?,
+    let environment = match plan.short_io {
+        None => Vec::new(),
+        Some(short_io) => shim::short_io(&files.0, short_io, plan.seed + number as u64)?,
     };
     Ok(InstanceFiles { listen, state: ScratchDirectory::new(), files, environment })
 }
--- a/crates/quillhub-fakes/src/laboratory/shim.rs
+++ b/crates/quillhub-fakes/src/laboratory/shim.rs
@@ -9,11 +9,20 @@
 /// Source of the library that shortens reads and writes on sockets.
 const SHORT_IO_SOURCE: &str = include_str!("short_io.c");
 
-/// Builds the library that shortens reads and writes in `directory`, and returns the environment that makes a process
-/// use it for `percent` of its calls.
+/// Shares of the reads and writes on sockets that do not complete, in percent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ShortIo {
+    /// Share of shortened calls.
+    pub shortened_percent: u32,
+    /// Share of calls that are interrupted (EINTR).
+    pub interrupted_percent: u32,
+}
+
+/// Builds the library that shortens and interrupts reads and writes in `directory`, and returns the environment that
+/// makes a process use it.
 pub(super) fn short_io(
     directory: &Path,
-    percent: u32,
+    plan: ShortIo,
     seed: u64,
 ) -> io::Result<Vec<(&'static str, OsString)>> {
     let (source, library) = (directory.join("short_io.c"), directory.join("short_io.so"));
@@ -28,7 +37,8 @@
     }
     Ok(vec![
         ("LD_PRELOAD", library.into()),
-        ("SHORT_IO_PERCENT", percent.to_string().into()),
+        ("SHORT_IO_PERCENT", plan.shortened_percent.to_string().into()),
+        ("INTERRUPTED_IO_PERCENT", plan.interrupted_percent.to_string().into()),
         ("SHORT_IO_SEED", seed.to_string().into()),
     ])
 }
--- a/crates/quillhub-server/src/clients/socket.rs
+++ b/crates/quillhub-server/src/clients/socket.rs
@@ -1,7 +1,8 @@
 //! Socket operations of client connections: reads without a permanent buffer, and checks for pending input and for the
 //! end of the stream. All are stateless.
 
-use std::io::{self, ErrorKind, Read};
+use crate::stream_io::is_temporary;
+use std::io::{self, Read};
 use std::mem::MaybeUninit;
 use tokio::net::TcpStream;
 
@@ -15,7 +16,7 @@
         stream.readable().await?;
         let mut bytes = [0; READ_BYTES];
         match stream.try_read(&mut bytes) {
-            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(error) if is_temporary(&error) => {}
             Err(error) => return Err(error),
             Ok(length) => {
                 take(&bytes[..length]);
--- a/crates/quillhub-server/src/connection.rs
+++ b/crates/quillhub-server/src/connection.rs
@@ -118,7 +118,7 @@
     pub(crate) fn input(&self) -> impl Future<Output = ()> + 'static {
         let stream = self.stream.clone();
         async move {
-            let _ = stream.peek(&mut [0]).await;
+            while stream.peek(&mut [0]).await.is_err_and(|error| error.kind() == ErrorKind::Interrupted) {}
         }
     }
 
@@ -288,9 +288,12 @@
     ///
     /// Queries the system, since the runtime updates the readiness of the socket only when it next waits for events.
     pub(crate) fn is_idle(&self) -> bool {
-        let blocks = |e: io::Error| e.kind() == ErrorKind::WouldBlock;
-        let peeked = SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
-        self.buffer.is_empty() && peeked.is_err_and(blocks)
+        let peek = || SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
+        let mut peeked = peek();
+        while peeked.as_ref().is_err_and(|error| error.kind() == ErrorKind::Interrupted) {
+            peeked = peek();
+        }
+        self.buffer.is_empty() && peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
     }
 
     /// Reads what has arrived although no call is in flight. Queries the system, as [`Self::is_idle`] does.
--- a/crates/quillhub-server/src/stream_io.rs
+++ b/crates/quillhub-server/src/stream_io.rs
@@ -6,6 +6,12 @@
 use std::io::{self, ErrorKind};
 use tokio::net::TcpStream;
 
+/// Returns `true` if the operation may succeed when it is repeated: the socket was empty or full, or a signal interrupted
+/// the call.
+pub fn is_temporary(error: &io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
+}
+
 /// Waits for input, appends it to `buffer`, and returns its length, which is 0 at the end of the stream.
 ///
 /// # Errors
@@ -15,7 +21,7 @@
     loop {
         stream.readable().await?;
         match stream.try_read_buf(buffer) {
-            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(error) if is_temporary(&error) => {}
             read => return read,
         }
     }
@@ -32,7 +38,7 @@
         match stream.try_write(bytes) {
             Ok(0) => return Err(ErrorKind::WriteZero.into()),
             Ok(written) => bytes = &bytes[written..],
-            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(error) if is_temporary(&error) => {}
             Err(error) => return Err(error),
         }
     }
--- a/crates/quillhub-server/tests/fault_laboratory.rs
+++ b/crates/quillhub-server/tests/fault_laboratory.rs
@@ -1,6 +1,6 @@
 //! Runs of the fault laboratory with real processes of this build.
 
-use quillhub_fakes::laboratory::{CopyPlan, CopyShape, CopyTiming, Plan, Restart, run};
+use quillhub_fakes::laboratory::{CopyPlan, CopyShape, CopyTiming, Plan, Restart, ShortIo, run};
 use quillhub_fakes::scratch::on_one_thread;
 use std::path::Path;
 use std::time::Duration;
@@ -70,6 +70,15 @@
 /// waited for an event that never came.
 #[test]
 fn shortened_reads_and_writes_break_no_rule() {
-    check(&Plan::with_short_io(5));
-    check(&Plan { short_io_percent: 30, ..Plan::with_short_io(6) });
+    for (seed, shortened_percent) in [(5, 6), (6, 30)] {
+        let short_io = ShortIo { shortened_percent, interrupted_percent: 0 };
+        check(&Plan { short_io: Some(short_io), ..Plan::without_faults(seed) });
+    }
+}
+
+/// Guards against interrupted reads and writes (EINTR) that count as a broken connection.
+#[test]
+fn interrupted_reads_and_writes_break_no_rule() {
+    let short_io = ShortIo { shortened_percent: 0, interrupted_percent: 5 };
+    check(&Plan { short_io: Some(short_io), ..Plan::without_faults(7) });
 }
