Distrust only endpoints whose surplus responses come late

A surplus response that comes together with the response before it can cross no call; its connection is closed, as before. Only one that comes more than 5 ms later causes distrust.

--- a/crates/quillhub-server/src/instance/attribution.rs
+++ b/crates/quillhub-server/src/instance/attribution.rs
@@ -36,6 +36,8 @@
 /// Surplus response from an endpoint.
 struct SurplusResponse {
     endpoint: String,
+    /// Time since the response before it.
+    age: Duration,
     retry_after: Option<Duration>,
 }
 
@@ -63,7 +65,7 @@
         self.update.overtaken.iter().for_each(|call| dispatcher.call_overtaken(*call));
         self.update.misattributed.iter().for_each(|call| dispatcher.response_misattributed(*call));
         for surplus in &self.surplus {
-            dispatcher.surplus_response(&surplus.endpoint, surplus.retry_after);
+            dispatcher.surplus_response(&surplus.endpoint, surplus.age, surplus.retry_after);
         }
     }
 }
@@ -228,7 +230,7 @@
                 %previous_client_id,
                 "surplus response"
             );
-            effects.surplus.push(SurplusResponse { endpoint: endpoint.to_owned(), retry_after });
+            effects.surplus.push(SurplusResponse { endpoint: endpoint.to_owned(), age, retry_after });
         } else if is_unusual {
             tracing::warn!(endpoint, connection = number, ?age, ?state, %last_client_id, "connection ended early");
         } else {
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -248,9 +248,10 @@
         self.state.response_misattributed(call);
     }
 
-    /// Handles a surplus response from an endpoint, with the retry-after in it, if any.
-    pub fn surplus_response(&mut self, endpoint: &str, retry_after: Option<Duration>) {
-        self.state.surplus_response(endpoint, retry_after);
+    /// Handles a surplus response from an endpoint, `age` after the response before it on the connection, with the
+    /// retry-after in it, if any.
+    pub fn surplus_response(&mut self, endpoint: &str, age: Duration, retry_after: Option<Duration>) {
+        self.state.surplus_response(endpoint, age, retry_after);
     }
 
     /// Stops handling a message, because its client has disconnected or because it has its final outcome.
--- a/src/policy/attribution.rs
+++ b/src/policy/attribution.rs
@@ -22,6 +22,9 @@
 /// Time for which no connection to an endpoint is used for a second call after a surplus response from it: far longer
 /// than the life of a connection, and short enough for an endpoint that was repaired.
 const DISTRUST_PERIOD: Duration = ms(60_000);
+/// Age of a surplus response up to which it does not cause distrust: it came together with the response before it, so
+/// that no later call could take it for its own. Longer than two reads of one write.
+const MAX_ADJACENT_AGE: Duration = ms(5);
 /// Time after its deadline at which a message whose delivery is unattributed is abandoned: after the attribution of a
 /// response to a call that ends at the deadline.
 const ABANDON_GRACE: Duration = TRANSIT_TIME.saturating_add(ms(50));
@@ -210,13 +213,16 @@
         held.or(self.pending.get_mut(&id))
     }
 
-    /// Handles a surplus response: for [`DISTRUST_PERIOD`], each connection to the endpoint carries a single call. A
-    /// retry-after in it is respected, as the response may be that of a call whose place an earlier one took.
-    pub(crate) fn surplus_response(&mut self, endpoint: &str, retry_after: Option<Duration>) {
+    /// Handles a surplus response, `age` after the response before it: unless it came together with that, each connection
+    /// to the endpoint carries a single call for [`DISTRUST_PERIOD`]. A retry-after in it is respected, as it may be the
+    /// response to a call whose place an earlier one took.
+    pub(crate) fn surplus_response(&mut self, endpoint: &str, age: Duration, retry_after: Option<Duration>) {
         let now = self.now;
         for destination in self.destinations.values_mut() {
             let Some(state) = destination.endpoints.get_mut(endpoint) else { continue };
-            state.distrusted_until = now + DISTRUST_PERIOD;
+            if age > MAX_ADJACENT_AGE {
+                state.distrusted_until = now + DISTRUST_PERIOD;
+            }
             if let Some(route) = destination.routes.get_mut(&state.route) {
                 route.limit.on_late_retry_after(now, retry_after.unwrap_or_default());
             }
