Retry a rejected message after its call's deadline, not after a later response

Callers saw: a deduplicated message attempted twice at once.

Cause: a later response on a connection counted as proof that a call had ended. That holds with one response too many. With two copies and no gap between the calls, each later response belongs to a call two before, and the message was sent again while its call was still to be executed.

Change: a later response proves nothing. A message whose rejection is unattributed is retried once the response is attributed, once its connection is closed, or 100 ms after the deadline that its request states. The signal `overtaken` is gone from the ledger, the dispatcher and the instance.

--- a/crates/quillhub-server/src/instance/attribution.rs
+++ b/crates/quillhub-server/src/instance/attribution.rs
@@ -51,7 +51,6 @@
 impl ConnectionEffects {
     fn add(&mut self, update: LedgerUpdate) {
         self.update.attributed.extend(update.attributed);
-        self.update.overtaken.extend(update.overtaken);
         self.update.misattributed.extend(update.misattributed);
     }
 
@@ -62,7 +61,6 @@
     /// Reports the effects to the dispatcher.
     pub(super) fn report(&self, dispatcher: &mut Dispatcher) {
         self.update.attributed.iter().for_each(|call| dispatcher.response_attributed(*call));
-        self.update.overtaken.iter().for_each(|call| dispatcher.call_overtaken(*call));
         self.update.misattributed.iter().for_each(|call| dispatcher.response_misattributed(*call));
         for surplus in &self.surplus {
             dispatcher.surplus_response(&surplus.endpoint, surplus.age, surplus.retry_after);
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -236,12 +236,6 @@
         self.state.response_attributed(call);
     }
 
-    /// Handles a later response on the connection of an unattributed one: the call is no longer being executed, and the
-    /// message may be attempted again if its class allows that after a possible execution.
-    pub fn call_overtaken(&mut self, call: CallId) {
-        self.state.call_overtaken(call);
-    }
-
     /// Handles a response that may belong to an earlier call, after its connection was closed. The message may have been
     /// executed, and is pending again if it counted as delivered.
     pub fn response_misattributed(&mut self, call: CallId) {
--- a/src/policy/attribution.rs
+++ b/src/policy/attribution.rs
@@ -32,8 +32,8 @@
 /// Unattributed response of a pending message that was not delivered.
 pub(crate) struct UnattributedAttempt {
     possible_execution: RecordedPossibleExecution,
-    /// `true` if the endpoint may still be executing the call, so that a retry could make two attempts at once.
-    may_be_in_flight: bool,
+    /// Time until which the endpoint may be executing the call, so that a retry could make two attempts at once.
+    in_flight_until: Duration,
 }
 
 /// Unattributed responses of one pending message, by attempt number.
@@ -45,9 +45,14 @@
         self.0.is_empty()
     }
 
-    /// Returns `true` if the endpoint may still be executing one of the calls.
-    pub(super) fn may_be_in_flight(&self) -> bool {
-        self.0.values().any(|attempt| attempt.may_be_in_flight)
+    /// Returns the time until which an endpoint may be executing one of the calls, or `None` if there are none.
+    pub(super) fn in_flight_until(&self) -> Option<Duration> {
+        self.0.values().map(|attempt| attempt.in_flight_until).max()
+    }
+
+    /// Returns `true` if an endpoint may be executing one of the calls.
+    pub(super) fn may_be_in_flight(&self, now: Duration) -> bool {
+        self.in_flight_until().is_some_and(|until| until > now)
     }
 
     /// Returns the first attempt by which the message may have been executed, if any.
@@ -143,9 +148,10 @@
             return;
         }
         let possible_execution = self.possible_execution(&attempt);
+        let in_flight_until = attempt.call_deadline.saturating_add(TRANSIT_TIME);
         self.back_off(&attempt, result);
         if let Some(message) = self.pending.get_mut(&result.message) {
-            let unattributed = UnattributedAttempt { possible_execution, may_be_in_flight: true };
+            let unattributed = UnattributedAttempt { possible_execution, in_flight_until };
             message.unattributed.0.insert(result.attempt, unattributed);
         }
     }
@@ -175,14 +181,6 @@
         }
     }
 
-    /// Handles a later response on the connection of an unattributed one: the call is no longer being executed.
-    pub(crate) fn call_overtaken(&mut self, call: CallId) {
-        let Some(message) = self.unfinished_mut(call.message) else { return };
-        if let Some(attempt) = message.unattributed.0.get_mut(&call.attempt) {
-            attempt.may_be_in_flight = false;
-        }
-    }
-
     /// Handles a response that may belong to an earlier call, after its connection was closed: the message may have
     /// been executed and is not known to be delivered.
     pub(crate) fn response_misattributed(&mut self, call: CallId) {
--- a/src/policy/connection_ledger.rs
+++ b/src/policy/connection_ledger.rs
@@ -36,8 +36,6 @@
 pub struct LedgerUpdate {
     /// Calls whose responses are now known to be their own.
     pub attributed: Vec<CallId>,
-    /// Calls whose responses are still unattributed, but which are no longer being executed.
-    pub overtaken: Vec<CallId>,
     /// Calls whose responses may belong to earlier calls; the connection must be closed.
     pub misattributed: Vec<CallId>,
 }
@@ -45,7 +43,7 @@
 impl LedgerUpdate {
     /// Returns `true` if the event has no effect.
     pub fn is_empty(&self) -> bool {
-        self.attributed.is_empty() && self.overtaken.is_empty() && self.misattributed.is_empty()
+        self.attributed.is_empty() && self.misattributed.is_empty()
     }
 }
 
@@ -112,8 +110,7 @@
         terms: &AttributionTerms,
         now: Duration,
     ) -> LedgerUpdate {
-        let mut update = self.on_quiet(now);
-        update.overtaken = self.unattributed.iter().map(|call| call.id).collect();
+        let update = self.on_quiet(now);
         if self.is_used {
             self.unattributed.push(UnattributedCall { id, message_deadline: terms.message_deadline });
         }
--- a/src/policy/scheduling.rs
+++ b/src/policy/scheduling.rs
@@ -4,7 +4,7 @@
 use super::outlier::Health;
 use super::selection::{Candidate, Loads};
 use super::state::{Attempt, Batch, PendingMessage, State};
-use crate::{AttemptPlan, ConnectionUse, DestinationId, Driver, MessageId, RetrySafety, ms};
+use crate::{AttemptPlan, DestinationId, Driver, MessageId, RetrySafety, ms};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -116,10 +116,12 @@
         }
     }
 
-    /// Lowers `next_due` to the earliest end of a backoff or of an ordering pause.
+    /// Lowers `next_due` to the earliest end of a backoff, of an unattributed call or of an ordering pause.
     fn update_next_due(&mut self) {
-        let backoffs = self.pending.values().map(|message| message.not_before).filter(|at| *at > self.now);
-        if let Some(next) = backoffs.chain(self.ordering.next_pause_end(self.now)).min() {
+        let backoffs = self.pending.values().map(|message| message.not_before);
+        let calls = self.pending.values().filter_map(|message| message.unattributed.in_flight_until());
+        let waits = backoffs.chain(calls).filter(|at| *at > self.now);
+        if let Some(next) = waits.chain(self.ordering.next_pause_end(self.now)).min() {
             self.next_due = self.next_due.min(next);
         }
     }
@@ -155,7 +157,7 @@
             endpoint.budget.spend();
         }
         endpoint.last_used = Some(now);
-        self.register_attempt(id, candidate, plan.connection, added_to_call);
+        self.register_attempt(id, candidate, plan, added_to_call);
     }
 
     /// Returns the parameters of an attempt, or `None` if the message or the endpoint is unknown.
@@ -174,7 +176,7 @@
         &mut self,
         id: MessageId,
         candidate: &Candidate,
-        connection: ConnectionUse,
+        plan: AttemptPlan,
         added_to_call: bool,
     ) {
         let Some(message) = self.pending.get_mut(&id) else { return };
@@ -187,7 +189,8 @@
             class: message.class,
             ordering_key: message.ordering_key,
             started: self.now,
-            connection,
+            connection: plan.connection,
+            call_deadline: plan.attribution.call_deadline,
             added_to_call,
         };
         self.in_flight.insert((id, message.attempts), attempt);
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -232,6 +232,8 @@
     pub(super) ordering_key: Option<u64>,
     pub(super) started: Duration,
     pub(super) connection: ConnectionUse,
+    /// Time until which the endpoint may execute the call.
+    pub(super) call_deadline: Duration,
     /// `true` if the message was added to the call of an earlier message, with which it shares the slot and the
     /// outcome; `false` for the first message of a call.
     pub(super) added_to_call: bool,
--- a/src/policy/tests/support.rs
+++ b/src/policy/tests/support.rs
@@ -165,6 +165,7 @@
         ordering_key: None,
         started,
         connection: ConnectionUse::Pooled,
+        call_deadline: Duration::ZERO,
         added_to_call: false,
     }
 }
