Give a message no final outcome while its call may still be executed

Cause: a copy gave the call of an at-most-once message a failure, or that of another message a rejection with no time left for a retry. Since the attribution could not change the outcome, the message was given up at once. The call itself waited in the endpoint's connection behind the one whose response the copy had displaced.

Change: a message of which a call may be in flight, attributed or not, is neither attempted, given up nor shed.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -239,8 +239,9 @@
         if !self.admission.is_nearly_full(self.pending.len()) {
             return false;
         }
-        let waiting =
-            self.pending.iter().filter(|(_, message)| message.in_flight == 0 && self.may_reject(message));
+        let may_be_shed =
+            |message: &PendingMessage| !message.may_be_in_flight(self.now) && self.may_reject(message);
+        let waiting = self.pending.iter().filter(|(_, message)| may_be_shed(message));
         let least_valuable = waiting.min_by(|(id, message), (other_id, other)| {
             let by_recovery = message.is_recovered_unattempted.cmp(&other.is_recovered_unattempted);
             let by_value =
--- a/src/policy/attribution.rs
+++ b/src/policy/attribution.rs
@@ -50,11 +50,6 @@
         self.0.values().map(|attempt| attempt.in_flight_until).max()
     }
 
-    /// Returns `true` if an endpoint may be executing one of the calls.
-    pub(super) fn may_be_in_flight(&self, now: Duration) -> bool {
-        self.in_flight_until().is_some_and(|until| until > now)
-    }
-
     /// Returns the first attempt by which the message may have been executed, if any.
     pub(super) fn first_possible_execution(&self) -> Option<&RecordedPossibleExecution> {
         self.0.values().map(|attempt| &attempt.possible_execution).min_by_key(|execution| execution.started)
--- a/src/policy/expiry.rs
+++ b/src/policy/expiry.rs
@@ -56,13 +56,20 @@
             || next_start > self.give_up_time(message)
     }
 
-    /// Rule: gives up the message of the lowest identifier that can no longer be attempted.
+    /// Returns the time at which `message` is given up unless that changes before: not while an endpoint may be
+    /// executing it.
+    fn next_expiry_check(&self, message: &PendingMessage) -> Duration {
+        self.give_up_time(message).max(message.unattributed.in_flight_until().unwrap_or_default())
+    }
+
+    /// Rule: gives up the message of the lowest identifier that can no longer be attempted and of which no call may be
+    /// in flight.
     pub(crate) fn give_up_expired(&mut self, driver: &mut dyn Driver) -> bool {
-        let mut waiting = self.pending.iter().filter(|(_, message)| message.in_flight == 0);
+        let mut waiting = self.pending.iter().filter(|(_, message)| !message.may_be_in_flight(self.now));
         let expired = waiting.find(|(_, message)| self.cannot_be_attempted_again(message));
         let Some(id) = expired.map(|(id, _)| *id) else {
             let waiting = self.pending.values().filter(|message| message.in_flight == 0);
-            if let Some(next) = waiting.map(|message| self.give_up_time(message)).min() {
+            if let Some(next) = waiting.map(|message| self.next_expiry_check(message)).min() {
                 self.next_due = self.next_due.min(next);
             }
             return false;
--- a/src/policy/scheduling.rs
+++ b/src/policy/scheduling.rs
@@ -79,10 +79,10 @@
 
     /// Returns the candidate endpoints of all destinations for which a message could be attempted now.
     fn candidates_by_destination(&mut self, slots_full: bool) -> BTreeMap<DestinationId, Vec<Candidate>> {
-        let waiting = self
-            .pending
-            .values()
-            .filter(|message| message.in_flight == 0 && self.may_be_attempted_now(message));
+        let is_waiting = |message: &&PendingMessage| {
+            !message.may_be_in_flight(self.now) && self.may_be_attempted_now(message)
+        };
+        let waiting = self.pending.values().filter(is_waiting);
         let waiting: BTreeSet<_> = waiting.map(|message| message.destination).collect();
         let loads: Loads = self.loads();
         waiting.into_iter().map(|id| (id, self.candidates(id, &loads, slots_full))).collect()
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -202,6 +202,14 @@
         executions.into_iter().flatten().min_by_key(|execution| execution.started)
     }
 
+    /// Returns `true` if an endpoint may be executing a call with this message.
+    ///
+    /// The message is then neither attempted nor given a final outcome: the call would be a second one at once, or one
+    /// after the end of the message.
+    pub(super) fn may_be_in_flight(&self, now: Duration) -> bool {
+        self.in_flight > 0 || self.unattributed.in_flight_until().is_some_and(|until| until > now)
+    }
+
     /// Records an attempt by which the message may have been executed.
     pub(super) fn may_have_been_executed(&mut self, execution: RecordedPossibleExecution) {
         if self.first_possible_execution.as_ref().is_none_or(|first| first.started > execution.started) {
