Final outcomes wait for a call at most until the deadline of the message

Change: the wait ends at the deadline of the message, which is the latest one that the request stated to the endpoint. The tests of the abandonment at the deadline have their earlier bound again, to the millisecond.

--- a/src/policy/attribution.rs
+++ b/src/policy/attribution.rs
@@ -32,7 +32,8 @@
 /// Unattributed response of a pending message that was not delivered.
 pub(crate) struct UnattributedAttempt {
     possible_execution: RecordedPossibleExecution,
-    /// Time until which the endpoint may be executing the call, so that a retry could make two attempts at once.
+    /// Time until which the endpoint may be executing the call, so that a retry could make two attempts at once; at most
+    /// the deadline of the message, by which it needs its final outcome.
     in_flight_until: Duration,
 }
 
@@ -146,6 +147,7 @@
         let in_flight_until = attempt.call_deadline.saturating_add(TRANSIT_TIME);
         self.back_off(&attempt, result);
         if let Some(message) = self.pending.get_mut(&result.message) {
+            let in_flight_until = in_flight_until.min(message.deadline);
             let unattributed = UnattributedAttempt { possible_execution, in_flight_until };
             message.unattributed.0.insert(result.attempt, unattributed);
         }
--- a/src/policy/tests/attribution.rs
+++ b/src/policy/tests/attribution.rs
@@ -64,8 +64,8 @@
 #[test]
 fn an_at_most_once_message_whose_rejection_stays_unattributed_is_abandoned_at_its_deadline() {
     let mut dispatcher = ended_unattributed(RetrySafety::AtMostOnce, rejected());
-    assert!(actions_at(&mut dispatcher, MESSAGE_DEADLINE).is_empty());
-    assert_eq!(actions_at(&mut dispatcher, MESSAGE_DEADLINE + TRANSIT_TIME), ["abandon 1"]);
+    assert!(actions_at(&mut dispatcher, MESSAGE_DEADLINE - ms(1)).is_empty());
+    assert_eq!(actions_at(&mut dispatcher, MESSAGE_DEADLINE), ["abandon 1"]);
 }
 
 /// Guards against a call after the final outcome of its message: the endpoint may not have begun it yet. An attribution
@@ -74,8 +74,8 @@
 fn a_message_gets_no_final_outcome_while_its_call_may_be_executed() {
     let in_flight_until = |class| match class {
         RetrySafety::AtMostOnce => MESSAGE_DEADLINE,
-        _ => CALL_DEADLINE,
-    } + TRANSIT_TIME;
+        _ => CALL_DEADLINE + TRANSIT_TIME,
+    };
     for (class, outcome, expected) in [
         (RetrySafety::Idempotent, rejected(), "reject 1, retry-after: true"),
         (DEDUPLICATED, rejected(), "reject 1, retry-after: true"),
