Fault laboratory: wall clocks set before a restart, and failing file operations

Need: the laboratory has to find the clock and the disk on, on real processes; until now only tests within the process did.

Change: two preloaded libraries. One sets the wall clock of a restarted process by seconds or an hour; one makes writes (half of the way or at once), truncations, creations, removals and renames in the state directory fail for a while. Plans `wall-clock` and `storage`, two tests. `Restart::kill` replaces two copies of the same restart.

--- a/crates/quillhub-fakes/src/laboratory/plan.rs
+++ b/crates/quillhub-fakes/src/laboratory/plan.rs
@@ -56,6 +56,24 @@
     pub instance: usize,
     /// Name of the signal, without `SIG`.
     pub signal: &'static str,
+    /// Seconds by which the wall clock is set forward before the restart, or back if negative.
+    pub wall_clock_step_s: i64,
+}
+
+impl Restart {
+    /// Returns the restart of the first instance after SIGKILL.
+    pub fn kill(at: Duration) -> Self {
+        Self { at, instance: 0, signal: "KILL", wall_clock_step_s: 0 }
+    }
+}
+
+/// Operations on the files of the first instance that fail for a while.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StorageFaults {
+    /// Time of the faults, from the start of the load.
+    pub time: Range<Duration>,
+    /// Share of operations that fail, in percent.
+    pub failed_percent: u32,
 }
 
 /// Service class of the messages in a run.
@@ -105,6 +123,8 @@
     pub restarts: Vec<Restart>,
     /// Reads and writes on sockets of the instances that do not complete, if any.
     pub short_io: Option<ShortIo>,
+    /// Failing operations on files, if any.
+    pub storage_faults: Option<StorageFaults>,
 }
 
 impl Plan {
@@ -126,6 +146,7 @@
             copies: None,
             restarts: Vec::new(),
             short_io: None,
+            storage_faults: None,
         }
     }
 
@@ -165,7 +186,30 @@
         };
         let plan = Self::without_faults(seed);
         let is_killed = rng.random_range(0..3) == 0;
-        let kill = Restart { at: plan.load_time / 2, instance: 0, signal: "KILL" };
+        let kill = Restart::kill(plan.load_time / 2);
         Self { copies: Some(copies), restarts: if is_killed { vec![kill] } else { Vec::new() }, ..plan }
     }
+
+    /// Returns the plan that `seed` determines, with an instance that is killed and restarted after its wall clock was
+    /// set by seconds or by an hour, forward or back.
+    pub fn with_wall_clock_step(seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(!seed);
+        let plan = Self::without_faults(seed);
+        let step = [-3_600, -5, 5, 3_600][rng.random_range(0..4)];
+        let kill = Restart { wall_clock_step_s: step, ..Restart::kill(plan.load_time / 2) };
+        Self { restarts: vec![kill], rejected_share: 0.3, ..plan }
+    }
+
+    /// Returns the plan that `seed` determines, with an instance whose file operations fail for a while, and which is
+    /// killed during that time or after it.
+    pub fn with_storage_faults(seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(!seed);
+        let millis = Duration::from_millis;
+        let plan = Self::without_faults(seed);
+        let start = millis(rng.random_range(1_000..2_500));
+        let time = start..start + millis(rng.random_range(100..900));
+        let failed_percent = [30, 60, 100][rng.random_range(0..3)];
+        let kill = Restart::kill(millis(rng.random_range(3_000..4_000)));
+        Self { storage_faults: Some(StorageFaults { time, failed_percent }), restarts: vec![kill], ..plan }
+    }
 }
--- a/crates/quillhub-fakes/src/laboratory/run.rs
+++ b/crates/quillhub-fakes/src/laboratory/run.rs
@@ -3,7 +3,8 @@
 use super::audit::{Verdict, audit};
 use super::plan::{Plan, SERVICE_CLASSES};
 use super::record::Record;
-use super::{client, endpoint, proxy, shim};
+use super::shim::{Environment, switch_storage_faults};
+use super::{client, endpoint, proxy};
 use crate::accept::accept_each;
 use crate::clients::wait_until_ready;
 use crate::endpoints::ListedEndpoint;
@@ -14,7 +15,6 @@
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
 use std::cell::RefCell;
-use std::ffi::OsString;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -56,14 +56,14 @@
     state: ScratchDirectory,
     files: ScratchDirectory,
     /// Environment variables of the process, beyond those of this one.
-    environment: Vec<(&'static str, OsString)>,
+    environment: Environment,
 }
 
 impl InstanceFiles {
     fn start(&self, program: &Path) -> io::Result<InstanceProcess> {
         let [config, log] = ["config", "log"].map(|name| self.files.0.join(name));
         let paths = [&config, &self.state.0, &log].map(PathBuf::as_path);
-        InstanceProcess::start_with_environment(program, "info", paths, &self.environment)
+        InstanceProcess::start_with_environment(program, "info", paths, self.environment.variables())
     }
 }
 
@@ -107,7 +107,9 @@
     for (number, instance) in instances.iter().enumerate() {
         clients.spawn_local(client::submit(run.clone(), plan.clone(), number, instance.listen));
     }
-    restart_instances(&run, plan, program, &instances, &mut processes).await?;
+    let storage_faults = fail_storage(plan, run.borrow().record.started, instances[0].files.0.clone());
+    let restarts = restart_instances(&run, plan, program, &mut instances, &mut processes);
+    tokio::try_join!(storage_faults, restarts)?;
     while clients.join_next().await.is_some() {}
     sleep(plan.time_to_live + SETTLE_TIME).await;
     if let Some(logs) = logs {
@@ -169,11 +171,32 @@
                 "idleCloseUs": 5_000_000, "connectTimeoutUs": 1_000_000}}});
     let files = ScratchDirectory::new();
     std::fs::write(files.0.join("config"), configuration.to_string())?;
-    let environment = match plan.short_io {
-        None => Vec::new(),
-        Some(short_io) => shim::short_io(&files.0, short_io, plan.seed + number as u64)?,
-    };
-    Ok(InstanceFiles { listen, state: ScratchDirectory::new(), files, environment })
+    let state = ScratchDirectory::new();
+    let environment = prepare_environment(plan, number, &files.0, &state.0)?;
+    Ok(InstanceFiles { listen, state, files, environment })
+}
+
+fn prepare_environment(plan: &Plan, number: usize, files: &Path, state: &Path) -> io::Result<Environment> {
+    let (mut environment, seed) = (Environment::default(), plan.seed + number as u64);
+    if let Some(short_io) = plan.short_io {
+        environment.add_short_io(files, short_io, seed)?;
+    }
+    if plan.restarts.iter().any(|restart| restart.wall_clock_step_s != 0) {
+        environment.add_wall_clock(files)?;
+    }
+    if let Some(faults) = plan.storage_faults.as_ref().filter(|_| number == 0) {
+        environment.add_storage_faults(files, state, faults.failed_percent, seed)?;
+    }
+    Ok(environment)
+}
+
+/// Makes operations on the files of the instance with the directory `files` fail at the planned time.
+async fn fail_storage(plan: &Plan, started: Instant, files: PathBuf) -> io::Result<()> {
+    let Some(faults) = &plan.storage_faults else { return Ok(()) };
+    sleep_until(started + faults.time.start).await;
+    switch_storage_faults(&files, true)?;
+    sleep_until(started + faults.time.end).await;
+    switch_storage_faults(&files, false)
 }
 
 /// Sends the planned signals and starts each instance again on its state directory.
@@ -181,7 +204,7 @@
     run: &SharedRun,
     plan: &Plan,
     program: &Path,
-    instances: &[InstanceFiles],
+    instances: &mut [InstanceFiles],
     processes: &mut [InstanceProcess],
 ) -> io::Result<()> {
     for restart in &plan.restarts {
@@ -191,7 +214,8 @@
         processes[restart.instance].signal(restart.signal)?;
         processes[restart.instance].wait_for_exit().await?;
         sleep(RESTART_DELAY).await;
-        let instance = &instances[restart.instance];
+        let instance = &mut instances[restart.instance];
+        instance.environment.set_wall_clock(restart.wall_clock_step_s);
         processes[restart.instance] = instance.start(program)?;
         if !wait_until_ready(instance.listen, READY_TIMEOUT).await {
             return Err(io::Error::other("a restarted instance did not become ready"));
--- a/crates/quillhub-server/tests/fault_laboratory.rs
+++ b/crates/quillhub-server/tests/fault_laboratory.rs
@@ -1,6 +1,8 @@
 //! Runs of the fault laboratory with real processes of this build.
 
-use quillhub_fakes::laboratory::{CopyPlan, CopyShape, CopyTiming, Plan, Restart, ShortIo, run};
+use quillhub_fakes::laboratory::{
+    CopyPlan, CopyShape, CopyTiming, Plan, Restart, ShortIo, StorageFaults, run,
+};
 use quillhub_fakes::scratch::on_one_thread;
 use std::path::Path;
 use std::time::Duration;
@@ -59,8 +61,7 @@
             scope.spawn(move || {
                 let plan = with_copies(seed, CopyTiming::Late(Duration::from_millis(60)));
                 let copies = plan.copies.clone().map(|copies| CopyPlan { shape, ..copies });
-                let kill = Restart { at: plan.load_time / 2, instance: 0, signal: "KILL" };
-                check(&Plan { copies, restarts: vec![kill], ..plan });
+                check(&Plan { copies, restarts: vec![Restart::kill(plan.load_time / 2)], ..plan });
             });
         }
     });
@@ -82,3 +83,34 @@
     let short_io = ShortIo { shortened_percent: 0, interrupted_percent: 5 };
     check(&Plan { short_io: Some(short_io), ..Plan::without_faults(7) });
 }
+
+/// Guards against deadlines and windows that shift with the wall clock: messages were kept beyond their deadlines, given
+/// up untried, or sent again after their deduplication window.
+#[test]
+fn a_wall_clock_that_is_set_before_a_restart_breaks_no_rule() {
+    std::thread::scope(|scope| {
+        for (seed, wall_clock_step_s) in [(20, -3_600), (21, -5), (22, 3_600)] {
+            scope.spawn(move || {
+                let plan = Plan { rejected_share: 0.3, ..Plan::without_faults(seed) };
+                let kill = Restart { wall_clock_step_s, ..Restart::kill(plan.load_time / 2) };
+                check(&Plan { restarts: vec![kill], ..plan });
+            });
+        }
+    });
+}
+
+/// Guards against messages that a restart loses or sends again, since records could not be written, or only in part, or
+/// segments could not be truncated, created or removed for a while.
+#[test]
+fn failing_operations_on_files_break_no_rule() {
+    std::thread::scope(|scope| {
+        for (seed, failed_percent) in [(23, 30), (24, 100)] {
+            scope.spawn(move || {
+                let time = Duration::from_millis(1_500)..Duration::from_millis(2_300);
+                let restarts = vec![Restart::kill(Duration::from_millis(3_500))];
+                let storage_faults = Some(StorageFaults { time, failed_percent });
+                check(&Plan { storage_faults, restarts, ..Plan::without_faults(seed) });
+            });
+        }
+    });
+}
