Repeat operations at startup that fail for a moment; laboratory: failing socket calls

Callers saw: an instance that ended at its start, since one call of socket failed (ENFILE, ENOBUFS).

Cause: binding the client address and the gossip socket, and opening the state directory, were tried once.

Change: they are repeated every 50 ms for up to 5 s if descriptors, memory or the disk fail (EMFILE, ENFILE, ENOBUFS, ENOMEM, ENOSPC, EIO, EINTR), with a warning; an address in use and other lasting errors end the start at once, as before.

The laboratory's new plan `sockets` makes accept, socket and connect fail, and reads and writes report a broken connection (ETIMEDOUT, EHOSTUNREACH and others).

--- a/crates/quillhub-fakes/src/laboratory/mod.rs
+++ b/crates/quillhub-fakes/src/laboratory/mod.rs
@@ -17,4 +17,4 @@
 pub use audit::{Verdict, Violation};
 pub use plan::{CopyPlan, CopyShape, CopyTiming, Plan, Restart, ServiceClassPlan, StorageFaults};
 pub use run::run;
-pub use shim::ShortIo;
+pub use shim::{ShortIo, SocketFaults};
--- a/crates/quillhub-fakes/src/laboratory/plan.rs
+++ b/crates/quillhub-fakes/src/laboratory/plan.rs
@@ -1,6 +1,6 @@
 //! Plan of a run: load, behaviour of the endpoints, faults and signals, all determined by a seed.
 
-use super::shim::ShortIo;
+use super::shim::{ShortIo, SocketFaults};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::ops::Range;
@@ -123,6 +123,8 @@
     pub restarts: Vec<Restart>,
     /// Reads and writes on sockets of the instances that do not complete, if any.
     pub short_io: Option<ShortIo>,
+    /// Failing calls on sockets of the instances, if any.
+    pub socket_faults: Option<SocketFaults>,
     /// Failing operations on files, if any.
     pub storage_faults: Option<StorageFaults>,
 }
@@ -146,6 +148,7 @@
             copies: None,
             restarts: Vec::new(),
             short_io: None,
+            socket_faults: None,
             storage_faults: None,
         }
     }
@@ -156,6 +159,12 @@
         Self { short_io: Some(short_io), ..Self::without_faults(seed) }
     }
 
+    /// Returns the plan without other faults that `seed` determines, with failing calls on sockets.
+    pub fn with_socket_faults(seed: u64) -> Self {
+        let socket_faults = SocketFaults { failed_percent: 5, broken_permille: 5 };
+        Self { socket_faults: Some(socket_faults), ..Self::without_faults(seed) }
+    }
+
     /// Returns the plan that `seed` determines, with surplus responses of any timing and shape, and a killed instance
     /// in one run out of three.
     pub fn with_surplus_responses(seed: u64) -> Self {
--- a/crates/quillhub-fakes/src/laboratory/run.rs
+++ b/crates/quillhub-fakes/src/laboratory/run.rs
@@ -181,6 +181,9 @@
     if let Some(short_io) = plan.short_io {
         environment.add_short_io(files, short_io, seed)?;
     }
+    if let Some(faults) = plan.socket_faults {
+        environment.add_socket_faults(files, faults, seed)?;
+    }
     if plan.restarts.iter().any(|restart| restart.wall_clock_step_s != 0) {
         environment.add_wall_clock(files)?;
     }
--- a/crates/quillhub-fakes/src/laboratory/shim.rs
+++ b/crates/quillhub-fakes/src/laboratory/shim.rs
@@ -20,6 +20,15 @@
     pub interrupted_percent: u32,
 }
 
+/// Shares of the calls on sockets of the instances that fail.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SocketFaults {
+    /// Share of failed calls of accept, socket and connect, in percent.
+    pub failed_percent: u32,
+    /// Share of reads and writes that report a broken connection, in thousandths.
+    pub broken_permille: u32,
+}
+
 /// Environment variables of an instance process.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Environment(Vec<(&'static str, OsString)>);
@@ -69,6 +78,20 @@
         Ok(())
     }
 
+    /// Makes calls on sockets fail.
+    pub(super) fn add_socket_faults(
+        &mut self,
+        directory: &Path,
+        plan: SocketFaults,
+        seed: u64,
+    ) -> io::Result<()> {
+        self.preload(directory, "sockets", include_str!("sockets.c"))?;
+        self.set("SOCKET_FAULT_PERCENT", plan.failed_percent.to_string());
+        self.set("BROKEN_CONNECTION_PERMILLE", plan.broken_permille.to_string());
+        self.set("SOCKET_FAULT_SEED", seed.to_string());
+        Ok(())
+    }
+
     /// Lets the wall clock be set, by [`Self::set_wall_clock`].
     pub(super) fn add_wall_clock(&mut self, directory: &Path) -> io::Result<()> {
         self.preload(directory, "wall_clock", include_str!("wall_clock.c"))
--- a/crates/quillhub-server/src/lib.rs
+++ b/crates/quillhub-server/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod resp;
 mod shutdown;
 mod startup;
+mod startup_retry;
 mod stream_io;
 #[cfg(test)]
 mod test_support;
--- a/crates/quillhub-server/src/startup.rs
+++ b/crates/quillhub-server/src/startup.rs
@@ -13,6 +13,7 @@
 use crate::outcomes;
 use crate::pool::ConnectionPool;
 use crate::shutdown::{self, ClientConnections};
+use crate::startup_retry::retry_while_temporary;
 use crate::wal::{LoggedMessage, Wal};
 use crate::wall_clock::WallClock;
 use quillhub::{Dispatcher, MessageId};
@@ -139,7 +140,8 @@
         receive_gossip(&instance, gossip);
     }
     close_expired_connections(&instance);
-    let listener = TcpListener::bind(listen).await.map_err(ServeError::Listen)?;
+    let listener = retry_while_temporary(async || TcpListener::bind(listen).await).await;
+    let listener = listener.map_err(ServeError::Listen)?;
     tracing::info!(%listen, "serving");
     let clients = accept_clients(&instance, listener, max_clients);
     stop.await;
@@ -156,12 +158,13 @@
 ) -> Result<OpenedInstance, ServeError> {
     let gossip = match configuration.gossip {
         Some(GossipAddresses { listen, all, own }) => {
-            let socket = GossipSocket::open(listen, all, own).await;
+            let socket = retry_while_temporary(async || GossipSocket::open(listen, all, own).await).await;
             Some(Rc::new(socket.map_err(ServeError::GossipAddress)?))
         }
         None => None,
     };
-    let opened = Wal::open(state_directory, configuration.state_bytes);
+    let open = async || Wal::open(state_directory, configuration.state_bytes);
+    let opened = retry_while_temporary(open).await;
     let (wal, recovered) = opened.map_err(ServeError::StateDirectory)?;
     let instance = Instance::new(InstanceParts {
         dispatcher: configuration.dispatcher,
--- a/crates/quillhub-server/tests/fault_laboratory.rs
+++ b/crates/quillhub-server/tests/fault_laboratory.rs
@@ -1,7 +1,7 @@
 //! Runs of the fault laboratory with real processes of this build.
 
 use quillhub_fakes::laboratory::{
-    CopyPlan, CopyShape, CopyTiming, Plan, Restart, ShortIo, StorageFaults, run,
+    CopyPlan, CopyShape, CopyTiming, Plan, Restart, ShortIo, SocketFaults, StorageFaults, run,
 };
 use quillhub_fakes::scratch::on_one_thread;
 use std::path::Path;
@@ -84,6 +84,14 @@
     check(&Plan { short_io: Some(short_io), ..Plan::without_faults(7) });
 }
 
+/// Guards against an instance that refuses to start, stops accepting clients or counts calls wrongly since a call on a
+/// socket failed: accept, socket and connect for a moment, reads and writes on a broken connection.
+#[test]
+fn failing_calls_on_sockets_break_no_rule() {
+    let socket_faults = Some(SocketFaults { failed_percent: 20, broken_permille: 5 });
+    check(&Plan { socket_faults, ..Plan::without_faults(25) });
+}
+
 /// Guards against deadlines and windows that shift with the wall clock: messages were kept beyond their deadlines, given
 /// up untried, or sent again after their deduplication window.
 #[test]
