Fault laboratory: several kinds of faults at once, pauses, and series of restarts

Change: plan `all-faults` draws copies, short reads and writes, failing socket calls, a failing disk, pauses of up to 150 ms (SIGSTOP, SIGCONT) and one to three restarts (SIGKILL, SIGTERM) with the wall clock set.

--- a/crates/quillhub-fakes/src/laboratory/mod.rs
+++ b/crates/quillhub-fakes/src/laboratory/mod.rs
@@ -15,6 +15,6 @@
 mod shim;
 
 pub use audit::{Verdict, Violation};
-pub use plan::{CopyPlan, CopyShape, CopyTiming, Plan, Restart, ServiceClassPlan, StorageFaults};
+pub use plan::{CopyPlan, CopyShape, CopyTiming, Pause, Plan, Restart, ServiceClassPlan, StorageFaults};
 pub use run::run;
 pub use shim::{ShortIo, SocketFaults};
--- a/crates/quillhub-fakes/src/laboratory/plan.rs
+++ b/crates/quillhub-fakes/src/laboratory/plan.rs
@@ -67,6 +67,17 @@
     }
 }
 
+/// Pause of an instance by SIGSTOP and SIGCONT.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pause {
+    /// Time of SIGSTOP, from the start of the load.
+    pub at: Duration,
+    /// Index of the instance.
+    pub instance: usize,
+    /// Time until SIGCONT.
+    pub length: Duration,
+}
+
 /// Operations on the files of the first instance that fail for a while.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StorageFaults {
@@ -94,6 +105,9 @@
     ServiceClassPlan { name: "once", effect: "single_shot", window: Duration::ZERO },
 ];
 
+/// Maximum time for which an instance is paused, which it must bear without breaking a rule.
+const MAX_PAUSE: Duration = Duration::from_millis(150);
+
 /// Plan of a run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
@@ -121,6 +135,8 @@
     pub copies: Option<CopyPlan>,
     /// Restarts, in order of time.
     pub restarts: Vec<Restart>,
+    /// Pauses, in order of time.
+    pub pauses: Vec<Pause>,
     /// Reads and writes on sockets of the instances that do not complete, if any.
     pub short_io: Option<ShortIo>,
     /// Failing calls on sockets of the instances, if any.
@@ -147,6 +163,7 @@
             failed_share: 0.03,
             copies: None,
             restarts: Vec::new(),
+            pauses: Vec::new(),
             short_io: None,
             socket_faults: None,
             storage_faults: None,
@@ -221,4 +238,45 @@
         let kill = Restart::kill(millis(rng.random_range(3_000..4_000)));
         Self { storage_faults: Some(StorageFaults { time, failed_percent }), restarts: vec![kill], ..plan }
     }
+
+    /// Returns the plan that `seed` determines, with several kinds of faults at once, pauses, and a series of restarts.
+    pub fn with_all_faults(seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(!seed);
+        let plan = Self::without_faults(seed);
+        let mut restarts: Vec<_> =
+            (0..rng.random_range(1..=3)).map(|_| draw_restart(&mut rng, &plan)).collect();
+        restarts.sort_by_key(|restart| restart.at);
+        let mut pauses: Vec<_> = (0..rng.random_range(0..=6)).map(|_| draw_pause(&mut rng, &plan)).collect();
+        pauses.sort_by_key(|pause| pause.at);
+        let short_io = ShortIo { shortened_percent: 3, interrupted_percent: 1 };
+        let socket_faults = SocketFaults { failed_percent: 2, broken_permille: 1 };
+        Self {
+            copies: Self::with_surplus_responses(seed).copies.filter(|_| rng.random()),
+            short_io: rng.random::<bool>().then_some(short_io),
+            socket_faults: rng.random::<bool>().then_some(socket_faults),
+            storage_faults: Self::with_storage_faults(seed).storage_faults.filter(|_| rng.random()),
+            restarts,
+            pauses,
+            ..plan
+        }
+    }
+}
+
+/// Draws the restart of an instance during the load, with the wall clock set in two of three.
+fn draw_restart(rng: &mut Pcg64Mcg, plan: &Plan) -> Restart {
+    Restart {
+        at: plan.load_time.mul_f64(rng.random_range(0.2..0.9)),
+        instance: rng.random_range(0..plan.instances),
+        signal: if rng.random_range(0..3) == 0 { "TERM" } else { "KILL" },
+        wall_clock_step_s: [0, 0, -3_600, -5, 5, 3_600][rng.random_range(0..6)],
+    }
+}
+
+/// Draws a pause of an instance during the load.
+fn draw_pause(rng: &mut Pcg64Mcg, plan: &Plan) -> Pause {
+    Pause {
+        at: plan.load_time.mul_f64(rng.random()),
+        instance: rng.random_range(0..plan.instances),
+        length: MAX_PAUSE.mul_f64(rng.random()),
+    }
 }
--- a/crates/quillhub-server/tests/fault_laboratory.rs
+++ b/crates/quillhub-server/tests/fault_laboratory.rs
@@ -122,3 +122,10 @@
         }
     });
 }
+
+/// Guards against faults that break a rule only together: surplus responses, shortened and failing system calls, a failing
+/// disk, pauses, a wall clock that is set, and a series of restarts.
+#[test]
+fn several_kinds_of_faults_at_once_break_no_rule() {
+    check(&Plan::with_all_faults(29));
+}
