Unattributed results: remove those of one message without a walk over all

Left over from the last reading of the fix: each abandonment walked all held results. The results are ordered by message, so that a range finds those of one. The tests of the instance pass.

--- a/crates/quillhub-server/src/instance/attribution.rs
+++ b/crates/quillhub-server/src/instance/attribution.rs
@@ -29,7 +29,9 @@
 
     /// Removes the results of a message that has its final outcome.
     pub(super) fn remove_message(&mut self, message: MessageId) {
-        self.0.retain(|call, _| call.message != message);
+        let [first, last] = [0, u32::MAX].map(|attempt| CallId { message, attempt });
+        let calls: Vec<_> = self.0.range(first..=last).map(|(call, _)| *call).collect();
+        calls.iter().for_each(|call| drop(self.0.remove(call)));
     }
 }
 
