Policy: one start of a backoff, and one walk over the pending messages for the next wake-up

A delivery that is pending again set the same three fields as a message whose attempt has ended: both call PendingMessage::start_backoff. The end of an attempt built the record that State::possible_execution returns. The next wake-up walked all pending messages twice, now once; the end of unattributed calls is a time, zero without any, as its three callers treat it.

No behaviour changes.

--- a/src/policy/attribution.rs
+++ b/src/policy/attribution.rs
@@ -9,7 +9,6 @@
 //! Invariant: an unattributed response ends no message finally, and permits no attempt that its class forbids after a
 //! possible execution.
 
-use super::backoff::{BASE_DELAY, MAX_DELAY, full_jitter};
 use super::connection_ledger::TRANSIT_TIME;
 use super::state::{Attempt, Endpoint, PendingMessage, RecordedPossibleExecution, State};
 use crate::{
@@ -46,9 +45,9 @@
         self.0.is_empty()
     }
 
-    /// Returns the time until which an endpoint may be executing one of the calls, or `None` if there are none.
-    pub(super) fn in_flight_until(&self) -> Option<Duration> {
-        self.0.values().map(|attempt| attempt.in_flight_until).max()
+    /// Returns the time until which an endpoint may be executing one of the calls; zero if there are none.
+    pub(super) fn in_flight_until(&self) -> Duration {
+        self.0.values().map(|attempt| attempt.in_flight_until).max().unwrap_or_default()
     }
 
     /// Returns the first attempt by which the message may have been executed, if any.
@@ -162,7 +161,8 @@
         self.unattributed_deliveries.0.insert(result.message, delivery);
     }
 
-    fn possible_execution(&self, attempt: &Attempt) -> RecordedPossibleExecution {
+    /// Returns the attempt as one by which its message may have been executed.
+    pub(super) fn possible_execution(&self, attempt: &Attempt) -> RecordedPossibleExecution {
         RecordedPossibleExecution {
             started: attempt.started,
             zone: self.zone_of(attempt.destination, &attempt.endpoint),
@@ -194,10 +194,7 @@
     fn reopen(&mut self, id: MessageId) {
         let Some(delivery) = self.unattributed_deliveries.0.remove(&id) else { return };
         let mut message = delivery.message;
-        message.backoff_count += 1;
-        message.last_outcome = Some(AttemptOutcome::ConnectionReset);
-        message.not_before =
-            self.now + full_jitter(&mut self.shared.rng, message.backoff_count, BASE_DELAY, MAX_DELAY);
+        message.start_backoff(AttemptOutcome::ConnectionReset, self.now, &mut self.shared.rng);
         message.may_have_been_executed(delivery.possible_execution);
         self.pending.insert(id, message);
     }
--- a/src/policy/expiry.rs
+++ b/src/policy/expiry.rs
@@ -59,7 +59,7 @@
     /// Returns the time at which `message` is given up unless that changes before: not while an endpoint may be
     /// executing it.
     fn next_expiry_check(&self, message: &PendingMessage) -> Duration {
-        self.give_up_time(message).max(message.unattributed.in_flight_until().unwrap_or_default())
+        self.give_up_time(message).max(message.unattributed.in_flight_until())
     }
 
     /// Rule: gives up the message of the lowest identifier that can no longer be attempted and of which no call may be
--- a/src/policy/scheduling.rs
+++ b/src/policy/scheduling.rs
@@ -118,9 +118,9 @@
 
     /// Lowers `next_due` to the earliest end of a backoff, of an unattributed call or of an ordering pause.
     fn update_next_due(&mut self) {
-        let backoffs = self.pending.values().map(|message| message.not_before);
-        let calls = self.pending.values().filter_map(|message| message.unattributed.in_flight_until());
-        let waits = backoffs.chain(calls).filter(|at| *at > self.now);
+        let waits_of =
+            |message: &PendingMessage| [message.not_before, message.unattributed.in_flight_until()];
+        let waits = self.pending.values().flat_map(waits_of).filter(|at| *at > self.now);
         if let Some(next) = waits.chain(self.ordering.next_pause_end(self.now)).min() {
             self.next_due = self.next_due.min(next);
         }
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -6,6 +6,7 @@
 
 use super::admission::{Admission, TenantQuotas};
 use super::attribution::{UnattributedAttempts, UnattributedDeliveries};
+use super::backoff::{BASE_DELAY, MAX_DELAY, full_jitter};
 use super::concurrency::{ConcurrencyLimit, Slots};
 use super::connections::IdleConnections;
 use super::discovery::{DiscoveryPolls, KnownDestinations};
@@ -207,7 +208,7 @@
     /// The message is then neither attempted nor given a final outcome: the call would be a second one at once, or one
     /// after the end of the message.
     pub(super) fn may_be_in_flight(&self, now: Duration) -> bool {
-        self.in_flight > 0 || self.unattributed.in_flight_until().is_some_and(|until| until > now)
+        self.in_flight > 0 || self.unattributed.in_flight_until() > now
     }
 
     /// Records an attempt by which the message may have been executed.
@@ -217,6 +218,13 @@
         }
     }
 
+    /// Starts the backoff after an attempt that ended with `outcome` and did not finish the message.
+    pub(super) fn start_backoff(&mut self, outcome: AttemptOutcome, now: Duration, rng: &mut Pcg64Mcg) {
+        self.backoff_count += u32::from(outcome != AttemptOutcome::NotSent);
+        self.last_outcome = Some(outcome);
+        self.not_before = now + full_jitter(rng, self.backoff_count, BASE_DELAY, MAX_DELAY);
+    }
+
     /// Returns `true` if the last attempt was refused because the endpoint held too many connections.
     pub(super) fn last_attempt_hit_connection_limit(&self) -> bool {
         self.last_outcome == Some(AttemptOutcome::ConnectionLimit)
--- a/src/policy/verdict.rs
+++ b/src/policy/verdict.rs
@@ -4,11 +4,10 @@
 //! endpoint's health and the slow-start budgets of the route's endpoints are updated. Gossip about recoveries at other
 //! instances is handled here too.
 
-use super::backoff::{BASE_DELAY, MAX_DELAY, full_jitter};
 use super::latency::LatencyWindow;
 use super::outlier::{self, Health};
 use super::rate_limit::Rejection;
-use super::state::{Attempt, Destination, Endpoint, RecordedPossibleExecution, Route, Shared, State};
+use super::state::{Attempt, Destination, Endpoint, Route, Shared, State};
 use crate::{AttemptOutcome, AttemptResult, ConnectionUse, EndpointState, LogEvent, MessageId, gossip};
 use std::time::Duration;
 
@@ -287,16 +286,12 @@
     /// Starts the message's backoff, and records the attempt if it is the first by which the message may have been
     /// executed.
     pub(super) fn back_off(&mut self, attempt: &Attempt, result: &AttemptResult) {
-        let outcome = result.outcome;
-        let zone = self.zone_of(attempt.destination, &attempt.endpoint);
+        let possible_execution = self.possible_execution(attempt);
         let Some(message) = self.pending.get_mut(&result.message) else { return };
         message.in_flight -= 1;
-        message.backoff_count += u32::from(outcome != AttemptOutcome::NotSent);
-        message.last_outcome = Some(outcome);
-        message.not_before =
-            self.now + full_jitter(&mut self.shared.rng, message.backoff_count, BASE_DELAY, MAX_DELAY);
-        if !outcome.known_not_executed() {
-            message.may_have_been_executed(RecordedPossibleExecution { started: attempt.started, zone });
+        message.start_backoff(result.outcome, self.now, &mut self.shared.rng);
+        if !result.outcome.known_not_executed() {
+            message.may_have_been_executed(possible_execution);
         }
     }
 
