Fault laboratory: one header for the preloaded libraries, one list of copy shapes

The libraries had their draws three times, and the lookup of the replaced function and the test for TCP sockets twice: they stand in preload.h, with one variable for the seed. The plan and the test of shapes listed the shapes twice: CopyShape::ALL. Two builders of the auditor's tests added the same call.

The draws of each library and the plans of each seed stay as they were, and so do all assertions.

--- a/crates/quillhub-fakes/src/laboratory/audit_tests.rs
+++ b/crates/quillhub-fakes/src/laboratory/audit_tests.rs
@@ -25,34 +25,23 @@
 
     /// Records a call with the time and status of its response.
     fn answered(mut self, arrived: u64, answered: u64, status: u16) -> Self {
-        let (arrived, answered) = (self.at(arrived), Some((self.at(answered), status)));
-        let connection = self.0.calls.len() as u64;
-        self.0.calls.push(Call {
-            message: "m".into(),
-            endpoint: 0,
-            connection,
-            arrived,
-            answered,
-            closed: None,
-        });
+        let answered = Some((self.at(answered), status));
+        self.add_call(arrived, answered, None);
         self
     }
 
     /// Records a call whose connection is closed before its response.
     fn closed(mut self, arrived: u64, closed: u64) -> Self {
-        let (arrived, closed) = (self.at(arrived), Some(self.at(closed)));
-        let connection = self.0.calls.len() as u64;
-        self.0.calls.push(Call {
-            message: "m".into(),
-            endpoint: 0,
-            connection,
-            arrived,
-            answered: None,
-            closed,
-        });
+        let closed = Some(self.at(closed));
+        self.add_call(arrived, None, closed);
         self
     }
 
+    fn add_call(&mut self, arrived: u64, answered: Option<(Instant, u16)>, closed: Option<Instant>) {
+        let (arrived, connection) = (self.at(arrived), self.0.calls.len() as u64);
+        self.0.calls.push(Call { message: "m".into(), endpoint: 0, connection, arrived, answered, closed });
+    }
+
     /// Records a final outcome at the platform.
     fn finished(mut self, at: u64) -> Self {
         let at = self.at(at);
--- a/crates/quillhub-fakes/src/laboratory/plan.rs
+++ b/crates/quillhub-fakes/src/laboratory/plan.rs
@@ -34,6 +34,19 @@
     ThenReset,
 }
 
+impl CopyShape {
+    /// All shapes.
+    pub const ALL: [Self; 7] = [
+        Self::Identical,
+        Self::TwoPieces,
+        Self::OtherStatus,
+        Self::Noise,
+        Self::Interim,
+        Self::ThenClose,
+        Self::ThenReset,
+    ];
+}
+
 /// Surplus responses of some endpoints.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CopyPlan {
@@ -193,15 +206,7 @@
             CopyTiming::Late(Duration::from_millis(1_500)),
             CopyTiming::BehindNextRequest(Duration::from_millis(5)),
         ];
-        let shapes = [
-            CopyShape::Identical,
-            CopyShape::TwoPieces,
-            CopyShape::OtherStatus,
-            CopyShape::Noise,
-            CopyShape::Interim,
-            CopyShape::ThenClose,
-            CopyShape::ThenReset,
-        ];
+        let shapes = CopyShape::ALL;
         // Half of the runs have identical copies, as in the incident.
         let shape = if rng.random::<bool>() { shapes[0] } else { shapes[rng.random_range(0..shapes.len())] };
         let copies = CopyPlan {
--- a/crates/quillhub-fakes/src/laboratory/run.rs
+++ b/crates/quillhub-fakes/src/laboratory/run.rs
@@ -183,18 +183,18 @@
 }
 
 fn prepare_environment(plan: &Plan, number: usize, files: &Path, state: &Path) -> io::Result<Environment> {
-    let (mut environment, seed) = (Environment::default(), plan.seed + number as u64);
+    let mut environment = Environment::new(plan.seed + number as u64);
     if let Some(short_io) = plan.short_io {
-        environment.add_short_io(files, short_io, seed)?;
+        environment.add_short_io(files, short_io)?;
     }
     if let Some(faults) = plan.socket_faults {
-        environment.add_socket_faults(files, faults, seed)?;
+        environment.add_socket_faults(files, faults)?;
     }
     if plan.restarts.iter().any(|restart| restart.wall_clock_step_s != 0) {
         environment.add_wall_clock(files)?;
     }
     if let Some(faults) = plan.storage_faults.as_ref().filter(|_| number == 0) {
-        environment.add_storage_faults(files, state, faults.failed_percent, seed)?;
+        environment.add_storage_faults(files, state, faults.failed_percent)?;
     }
     Ok(environment)
 }
--- a/crates/quillhub-fakes/src/laboratory/shim.rs
+++ b/crates/quillhub-fakes/src/laboratory/shim.rs
@@ -30,7 +30,7 @@
 }
 
 /// Environment variables of an instance process.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Environment(Vec<(&'static str, OsString)>);
 
 impl Environment {
@@ -44,10 +44,16 @@
         self.0.push((name, value.into()));
     }
 
+    /// Creates an environment whose faults are determined by `seed`.
+    pub(super) fn new(seed: u64) -> Self {
+        Self(vec![("FAULT_SEED", seed.to_string().into())])
+    }
+
     /// Builds a library from `source` in `directory` and has it preloaded.
     fn preload(&mut self, directory: &Path, name: &str, source: &str) -> io::Result<()> {
         let [source_path, library] = ["c", "so"].map(|kind| directory.join(name).with_extension(kind));
         std::fs::write(&source_path, source)?;
+        std::fs::write(directory.join("preload.h"), include_str!("preload.h"))?;
         let status = Command::new("cc")
             .args(["-O1", "-Wall", "-Werror", "-shared", "-fPIC", "-o"])
             .args([&library, &source_path])
@@ -70,25 +76,18 @@
     }
 
     /// Shortens and interrupts reads and writes on sockets.
-    pub(super) fn add_short_io(&mut self, directory: &Path, plan: ShortIo, seed: u64) -> io::Result<()> {
+    pub(super) fn add_short_io(&mut self, directory: &Path, plan: ShortIo) -> io::Result<()> {
         self.preload(directory, "short_io", include_str!("short_io.c"))?;
         self.set("SHORT_IO_PERCENT", plan.shortened_percent.to_string());
         self.set("INTERRUPTED_IO_PERCENT", plan.interrupted_percent.to_string());
-        self.set("SHORT_IO_SEED", seed.to_string());
         Ok(())
     }
 
     /// Makes calls on sockets fail.
-    pub(super) fn add_socket_faults(
-        &mut self,
-        directory: &Path,
-        plan: SocketFaults,
-        seed: u64,
-    ) -> io::Result<()> {
+    pub(super) fn add_socket_faults(&mut self, directory: &Path, plan: SocketFaults) -> io::Result<()> {
         self.preload(directory, "sockets", include_str!("sockets.c"))?;
         self.set("SOCKET_FAULT_PERCENT", plan.failed_percent.to_string());
         self.set("BROKEN_CONNECTION_PERMILLE", plan.broken_permille.to_string());
-        self.set("SOCKET_FAULT_SEED", seed.to_string());
         Ok(())
     }
 
@@ -103,20 +102,18 @@
         self.set("WALL_CLOCK_OFFSET_S", offset_s.to_string());
     }
 
-    /// Makes `failed_percent` of the operations on files in `state` fail while [`Self::switch_storage_faults`] has
+    /// Makes `failed_percent` of the operations on files in `state` fail while [`switch_storage_faults`] has
     /// turned this on.
     pub(super) fn add_storage_faults(
         &mut self,
         directory: &Path,
         state: &Path,
         failed_percent: u32,
-        seed: u64,
     ) -> io::Result<()> {
         self.preload(directory, "storage", include_str!("storage.c"))?;
         self.set("STORAGE_FAULT_DIRECTORY", state);
         self.set("STORAGE_FAULT_PERCENT", failed_percent.to_string());
         self.set("STORAGE_FAULT_SWITCH", storage_switch(directory));
-        self.set("STORAGE_FAULT_SEED", seed.to_string());
         Ok(())
     }
 }
--- a/crates/quillhub-fakes/src/laboratory/sockets.c
+++ b/crates/quillhub-fakes/src/laboratory/sockets.c
@@ -1,47 +1,21 @@
 /* Preloaded library that makes some calls on Internet sockets fail for a moment, as Linux documents: accept, socket and
  * connect, and reads and writes on connections that break.
  *
- * SOCKET_FAULT_PERCENT is the share of failed calls of accept, socket and connect, BROKEN_CONNECTION_PERMILLE that of
- * reads and writes on connections, and SOCKET_FAULT_SEED determines which. */
-#define _GNU_SOURCE
-#include <dlfcn.h>
-#include <errno.h>
-#include <netinet/in.h>
-#include <stdlib.h>
-#include <sys/socket.h>
-#include <unistd.h>
+ * SOCKET_FAULT_PERCENT is the share of failed calls of accept, socket and connect, and BROKEN_CONNECTION_PERMILLE that of
+ * reads and writes on connections. */
+#include "preload.h"
 
 #define COUNT(list) (sizeof(list) / sizeof *(list))
-#define NEXT(name, type)                                                       \
-    static type;                                                               \
-    if (next == NULL) next = dlsym(RTLD_NEXT, name)
 /* Fails the calling function with one of the errors if the share says so. */
 #define MAY_FAIL(variable, scale, ...)                                         \
     do {                                                                       \
         static const int errors[] = {__VA_ARGS__};                             \
-        if (draw() % (scale) < strtoull(getenv(variable), NULL, 10)) {         \
+        if (draw() % (scale) < (unsigned long long)setting(variable)) {        \
             errno = errors[draw() % COUNT(errors)];                            \
             return -1;                                                         \
         }                                                                      \
     } while (0)
 
-static unsigned long long state;
-
-static unsigned long long draw(void) {
-    if (state == 0) state = strtoull(getenv("SOCKET_FAULT_SEED"), NULL, 10) * 2 + 1;
-    state = state * 6364136223846793005ULL + 1442695040888963407ULL;
-    return state >> 33;
-}
-
-/* Returns whether the descriptor is a TCP connection or socket of IPv4. */
-static int is_tcp(int fd) {
-    int domain = 0, type = 0;
-    socklen_t length = sizeof domain;
-    if (getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &length) != 0) return 0;
-    length = sizeof type;
-    return getsockopt(fd, SOL_SOCKET, SO_TYPE, &type, &length) == 0 && domain == AF_INET && type == SOCK_STREAM;
-}
-
 int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags) {
     NEXT("accept4", int (*next)(int, struct sockaddr *, socklen_t *, int));
     MAY_FAIL("SOCKET_FAULT_PERCENT", 100, ECONNABORTED, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPROTO, EINTR);
--- a/crates/quillhub-fakes/src/laboratory/storage.c
+++ b/crates/quillhub-fakes/src/laboratory/storage.c
@@ -1,35 +1,19 @@
 /* Preloaded library that makes some operations on the files of a directory fail, as a full or damaged disk does: writes,
  * half of the way or at once, truncations, creations, removals and renames. (An instance calls no sync.)
  *
- * STORAGE_FAULT_DIRECTORY is the directory, STORAGE_FAULT_PERCENT the share of operations that fail while the file
- * STORAGE_FAULT_SWITCH exists, and STORAGE_FAULT_SEED determines which. */
-#define _GNU_SOURCE
-#include <dlfcn.h>
-#include <errno.h>
+ * STORAGE_FAULT_DIRECTORY is the directory, and STORAGE_FAULT_PERCENT the share of operations that fail while the file
+ * STORAGE_FAULT_SWITCH exists. */
+#include "preload.h"
 #include <fcntl.h>
 #include <limits.h>
 #include <stdarg.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
-#include <unistd.h>
-
-#define NEXT(name, type)                                                       \
-    static type;                                                               \
-    if (next == NULL) next = dlsym(RTLD_NEXT, name)
-
-static unsigned long long state;
-
-static unsigned long long draw(void) {
-    if (state == 0) state = strtoull(getenv("STORAGE_FAULT_SEED"), NULL, 10) * 2 + 1;
-    state = state * 6364136223846793005ULL + 1442695040888963407ULL;
-    return state >> 33;
-}
 
 static int is_hit(void) {
     if (access(getenv("STORAGE_FAULT_SWITCH"), F_OK) != 0) return 0;
-    return draw() % 100 < strtoull(getenv("STORAGE_FAULT_PERCENT"), NULL, 10);
+    return draw() % 100 < (unsigned long long)setting("STORAGE_FAULT_PERCENT");
 }
 
 static int is_in_directory(const char *path) {
--- a/crates/quillhub-server/tests/fault_laboratory.rs
+++ b/crates/quillhub-server/tests/fault_laboratory.rs
@@ -48,14 +48,7 @@
 /// copies right before the end of the connection, also across a restart.
 #[test]
 fn surplus_responses_of_any_shape_break_no_rule() {
-    let shapes = [
-        CopyShape::TwoPieces,
-        CopyShape::OtherStatus,
-        CopyShape::Noise,
-        CopyShape::Interim,
-        CopyShape::ThenClose,
-        CopyShape::ThenReset,
-    ];
+    let shapes = CopyShape::ALL.into_iter().filter(|shape| *shape != CopyShape::Identical);
     std::thread::scope(|scope| {
         for (seed, shape) in (10..).zip(shapes) {
             scope.spawn(move || {
