Rejection: it proves nothing until nothing more can follow it

The instance retried at-most-once messages, or told their clients that trying again is harmless.

Cause: `Response::read_rest` decided from the buffer at hand whether the response is complete, before it read what else had arrived, and took surplus that begins like a response for a harmless copy. And the result of the first call of a connection was recorded as not executed at once, so that a later surplus took nothing back. The same held for 429, 504, X-Egress-Full and 410, which finishes a message.

Change: a rejection on a new connection is provisional like a response on a used one, with an uncertainty of its own (completeness): it becomes proof when the connection has been quiet until 100 ms after the deadline that the call stated, or when the endpoint has ended the connection and all that it wrote was read. Until then an at-most-once message gets no retry and no rejection; a deduplicated one counts as possibly executed and is retried within its window; the log does not say "not executed", so that a recovery decides the same. A 410 finishes a message only then. Any byte behind a rejection makes it ambiguous, whatever it looks like. A reset is no longer taken for the end of a connection.

Why it works: the endpoint writes no more for a call after the deadline that the call stated, nor after it has ended the connection. Any surplus before that is read on the open connection and takes the result back.

One expectation in attempts/tests.rs was wrong and is stricter now: a 429 with the start of a second response behind it is ambiguous. The test of the longest BUSY reply relied on the instance closing a connection that the endpoint said it would close; the endpoint ends it now.

--- a/crates/quillhub-server/src/attempts/classification.rs
+++ b/crates/quillhub-server/src/attempts/classification.rs
@@ -1,7 +1,7 @@
 //! Classification of an attempt's result: the outcome for the dispatcher, and whether the message is finished.
 
 use super::Response;
-use quillhub::AttemptOutcome;
+use quillhub::{AttemptOutcome, ResponseMeaning};
 use std::io;
 
 /// System error: the process has no file descriptor left.
@@ -53,6 +53,16 @@
 }
 
 impl ClassifiedResult {
+    /// Returns what the response says of the message; for an attempt with a response.
+    pub fn meaning(&self) -> ResponseMeaning {
+        match self.outcome {
+            AttemptOutcome::Delivered => ResponseMeaning::Delivered,
+            _ if self.finished => ResponseMeaning::Over,
+            outcome if outcome.known_not_executed() => ResponseMeaning::NotExecuted,
+            _ => ResponseMeaning::PossiblyExecuted,
+        }
+    }
+
     /// Classifies the result of an attempt; `load_reports` is `true` if endpoints send load reports in their responses.
     pub fn classify(result: &Result<Response, AttemptError>, load_reports: bool) -> Self {
         let outcome = match result {
--- a/crates/quillhub-server/src/attempts/mod.rs
+++ b/crates/quillhub-server/src/attempts/mod.rs
@@ -46,7 +46,9 @@
     Reusable,
     /// Open until the endpoint closes it, as its response announced.
     Closing,
-    /// Closed by the endpoint, broken, or given up.
+    /// Closed by the endpoint after a response, and all that it wrote was read.
+    Ended,
+    /// Closed by the endpoint during a call, broken, or given up.
     Closed,
     /// The response is malformed or incomplete.
     Malformed,
--- a/crates/quillhub-server/src/attempts/response.rs
+++ b/crates/quillhub-server/src/attempts/response.rs
@@ -24,8 +24,8 @@
 pub struct Response {
     /// Status code in the status line.
     pub status: u16,
-    /// `true` if the whole response was read, its framing is valid, and nothing but a duplicate response follows it.
-    /// Only then a status proves that the message was not executed.
+    /// `true` if the whole response was read, its framing is valid, and nothing that was received by then follows it.
+    /// Only then, and if nothing follows it later, a status proves that the message was not executed.
     pub complete: bool,
     /// Time from the start of the attempt until the status line was read.
     pub latency: Duration,
@@ -62,16 +62,19 @@
         if connection.body(framing, MAX_RESPONSE_BODY_BYTES).await.is_err() {
             return ConnectionState::Malformed;
         }
-        self.complete = connection.has_no_surplus() || connection.surplus_is_response();
         if framing == http::Framing::ToEnd {
-            return ConnectionState::Closed;
+            self.complete = true;
+            return ConnectionState::Ended;
         }
-        match connection.unexpected_input() {
+        let state = match connection.unexpected_input() {
             UnexpectedInput::Bytes => ConnectionState::Surplus,
-            UnexpectedInput::End => ConnectionState::Closed,
+            UnexpectedInput::End => ConnectionState::Ended,
+            UnexpectedInput::Failed => ConnectionState::Closed,
             UnexpectedInput::None if head.keeps_alive() => ConnectionState::Reusable,
             UnexpectedInput::None => ConnectionState::Closing,
-        }
+        };
+        self.complete = state != ConnectionState::Surplus;
+        state
     }
 
     fn read_headers(&mut self, head: &http::Head) {
--- a/crates/quillhub-server/src/attempts/tests.rs
+++ b/crates/quillhub-server/src/attempts/tests.rs
@@ -27,7 +27,7 @@
     let mut connection = HttpConnection::open(address).await.unwrap();
     let terms = quillhub::AttemptPlan::with_timeout(UNREACHED_TIMEOUT).attribution;
     let call = quillhub::CallId { message: 0, attempt: 0 };
-    connection.ledger.on_response(call, true, &terms, Duration::ZERO);
+    connection.ledger.on_response(call, quillhub::ResponseMeaning::Delivered, &terms, Duration::ZERO);
     connection
 }
 
@@ -133,8 +133,8 @@
     }
 }
 
-/// A rejection that is taken from a corrupted response would let a message be sent again that may have been executed. A
-/// duplicate response after a complete one does not corrupt it.
+/// A rejection that is taken from a corrupted response would let a message be sent again that may have been executed.
+/// Whatever follows a response may be the rest of a corrupted one, also if it begins like another response.
 #[test]
 fn a_corrupted_response_never_shows_that_the_message_was_not_executed() {
     let wait = Some(Duration::from_millis(1500));
@@ -165,7 +165,7 @@
         ),
         (
             b"HTTP/1.1 429 x\r\nX-Backoff-Ms: 1500\r\nContent-Length: 0\r\n\r\nHTTP/1.1 429 x\r\n",
-            AttemptOutcome::Rejected { retry_after: wait },
+            AttemptOutcome::AmbiguousRejection { retry_after: wait },
             false,
         ),
         (
@@ -190,6 +190,22 @@
     }
 }
 
+/// Guards against a rejection that counts as complete since only one octet, the start of another response or bytes after
+/// the last chunk follow it.
+#[test]
+fn a_rejection_with_any_bytes_behind_it_never_shows_that_the_message_was_not_executed() {
+    let ambiguous = AttemptOutcome::AmbiguousRejection { retry_after: None };
+    for (response, outcome) in [
+        (&b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\nH"[..], ambiguous),
+        (b"HTTP/1.1 503 x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nx", ambiguous),
+        (b"HTTP/1.1 503 x\r\nX-Egress-Full: 1\r\nContent-Length: 0\r\n\r\nHTTP/1.1 503 x\r\n", ambiguous),
+        (b"HTTP/1.1 410 x\r\nContent-Length: 0\r\n\r\nHTTP/1.1 \0", AttemptOutcome::ConnectionReset),
+    ] {
+        let text = String::from_utf8_lossy(response);
+        assert_eq!(classify_response(response), (outcome, false, false), "{text}");
+    }
+}
+
 #[test]
 fn the_error_of_an_attempt_without_a_response_tells_which_part_of_its_request_was_sent() {
     on_one_thread(async {
--- a/crates/quillhub-server/src/connection.rs
+++ b/crates/quillhub-server/src/connection.rs
@@ -69,8 +69,10 @@
     None,
     /// Bytes were received.
     Bytes,
-    /// The server closed the connection, or it broke.
+    /// The server closed the connection.
     End,
+    /// The connection broke, possibly before all that the server wrote was received.
+    Failed,
 }
 
 /// Open connection to an HTTP server.
@@ -201,16 +203,6 @@
         self.read_parsed(|bytes| Ok(http::status(bytes)?.map(|status| (status, 0)))).await
     }
 
-    /// Returns `true` if nothing was read beyond the last response.
-    pub(crate) fn has_no_surplus(&self) -> bool {
-        self.buffer.is_empty()
-    }
-
-    /// Returns `true` if the input that was read beyond the last response starts like another response.
-    pub(crate) fn surplus_is_response(&self) -> bool {
-        self.buffer.starts_with(b"HTTP/1.")
-    }
-
     /// Reads the head of the next final response; interim responses are skipped.
     ///
     /// # Errors
@@ -306,7 +298,8 @@
                 Err(error) if error.kind() == ErrorKind::WouldBlock && self.buffer.is_empty() => {
                     return UnexpectedInput::None;
                 }
-                _ if self.buffer.is_empty() => return UnexpectedInput::End,
+                Ok(_) if self.buffer.is_empty() => return UnexpectedInput::End,
+                Err(_) if self.buffer.is_empty() => return UnexpectedInput::Failed,
                 _ => break,
             }
         }
--- a/crates/quillhub-server/src/instance/attribution.rs
+++ b/crates/quillhub-server/src/instance/attribution.rs
@@ -1,5 +1,5 @@
-//! Attribution of responses on reused connections: keeps the results of attempts until it is known that their responses
-//! are their own, watches idle connections, and reports surplus responses.
+//! Attribution of responses: keeps the results of attempts until it is known that their responses are their own and
+//! complete, watches idle connections, and reports surplus responses.
 //!
 //! Invariant: the result of an attempt whose response is unattributed is not in the log, so that a restart treats the
 //! message as possibly executed.
@@ -8,19 +8,29 @@
 use crate::attempts::{self, ClassifiedResult, ConnectionState, UsedConnection};
 use crate::connection::{HttpConnection, UnexpectedInput};
 use crate::pool::{CallTimes, Watcher};
-use quillhub::{CallId, ConnectionLedger, ConnectionUse, Dispatcher, LedgerUpdate, MessageId};
+use quillhub::{
+    CallId, ConnectionLedger, ConnectionUse, Dispatcher, LedgerUpdate, MessageId, ResponseMeaning,
+    Uncertainty,
+};
 use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+/// Result of an attempt whose response is unattributed.
+struct UnattributedResult {
+    id: AttemptId,
+    classified: ClassifiedResult,
+    uncertainty: Uncertainty,
+}
+
 /// Results of attempts whose responses are unattributed.
 #[derive(Default)]
-pub(super) struct UnattributedResults(BTreeMap<CallId, (AttemptId, ClassifiedResult)>);
+pub(super) struct UnattributedResults(BTreeMap<CallId, UnattributedResult>);
 
 impl UnattributedResults {
-    pub(super) fn insert(&mut self, id: &AttemptId, result: ClassifiedResult) {
-        self.0.insert(id.call(), (id.clone(), result));
+    pub(super) fn insert(&mut self, id: &AttemptId, classified: ClassifiedResult, uncertainty: Uncertainty) {
+        self.0.insert(id.call(), UnattributedResult { id: id.clone(), classified, uncertainty });
     }
 
     pub(super) fn is_empty(&self) -> bool {
@@ -70,13 +80,6 @@
     }
 }
 
-/// Response that was read on a connection.
-#[derive(Clone, Copy)]
-pub(super) struct ReadResponse {
-    /// `true` if it delivered the message.
-    pub(super) is_delivery: bool,
-}
-
 impl Instance {
     /// Takes an idle connection for a call that may be answered until `deadline`.
     pub(super) fn take_connection(&mut self, endpoint: &str, deadline: Duration) -> Option<HttpConnection> {
@@ -100,7 +103,8 @@
         spawn_local(async move {
             let state = match connection.unexpected_input() {
                 UnexpectedInput::Bytes => ConnectionState::Surplus,
-                UnexpectedInput::End | UnexpectedInput::None => ConnectionState::Closed,
+                UnexpectedInput::End => ConnectionState::Ended,
+                UnexpectedInput::Failed | UnexpectedInput::None => ConnectionState::Closed,
             };
             if let Some(instance) = weak.upgrade() {
                 let mut instance = instance.borrow_mut();
@@ -118,18 +122,17 @@
         id: &AttemptId,
         connection: Option<UsedConnection>,
         replaced: Vec<UsedConnection>,
-        response: Option<ReadResponse>,
+        response: Option<ResponseMeaning>,
     ) -> ConnectionEffects {
         let mut effects = ConnectionEffects::default();
         for used in replaced {
             self.end_connection(&id.endpoint, used, &mut effects);
         }
         let Some(UsedConnection { mut connection, state }) = connection else { return effects };
-        if let Some(ReadResponse { is_delivery }) = response {
+        if let Some(meaning) = response {
             let now = self.now();
             let ledger: &mut ConnectionLedger = &mut connection.ledger;
-            let terms = &id.plan.attribution;
-            effects.add(ledger.on_response(id.call(), is_delivery, terms, now));
+            effects.add(ledger.on_response(id.call(), meaning, &id.plan.attribution, now));
         }
         connection.client_ids.swap(0, 1);
         connection.client_ids[0].clone_from(&id.client_id);
@@ -208,15 +211,17 @@
     fn end_connection(&mut self, endpoint: &str, used: UsedConnection, effects: &mut ConnectionEffects) {
         let UsedConnection { mut connection, state } = used;
         let now = self.now();
+        let has_uncertain_call = connection.ledger.has_uncertain_call();
         let update = match state {
             ConnectionState::Malformed | ConnectionState::Surplus => connection.ledger.on_surplus(),
+            ConnectionState::Ended => connection.ledger.on_ended(now),
             _ => connection.ledger.on_closed(now),
         };
         let age = now.saturating_sub(connection.ledger.last_response());
         let number = connection.number();
         let [last_client_id, previous_client_id] =
             connection.client_ids.each_ref().map(|id| String::from_utf8_lossy(id));
-        let is_unusual = !update.misattributed.is_empty();
+        let is_unusual = has_uncertain_call && !update.misattributed.is_empty();
         if state == ConnectionState::Surplus {
             let head = connection.surplus_head();
             let status = head.as_ref().map(|head| head.status);
@@ -251,22 +256,34 @@
     /// Writes the attributed results to the log, and removes the misattributed ones.
     pub(super) fn record_effects(&mut self, effects: &ConnectionEffects) {
         for call in &effects.update.attributed {
-            if let Some((id, classified)) = self.unattributed.0.remove(call) {
-                self.record_attempt(&id, &classified);
+            if let Some(result) = self.unattributed.0.remove(call) {
+                self.record_attempt(&result.id, &result.classified);
             }
         }
         for call in &effects.update.misattributed {
-            let Some((id, classified)) = self.unattributed.0.remove(call) else { continue };
-            let client_id = self.messages.get_mut(call.message).map(|message| &message.client_id[..]);
-            let client_id = String::from_utf8_lossy(client_id.unwrap_or_default());
-            tracing::warn!(
-                message_id = call.message,
-                %client_id,
-                attempt = call.attempt,
-                endpoint = id.endpoint,
-                outcome = ?classified.outcome,
-                "response may belong to an earlier call on its connection"
-            );
+            let Some(result) = self.unattributed.0.remove(call) else { continue };
+            let UnattributedResult { id, classified, uncertainty } = result;
+            let client_id = String::from_utf8_lossy(&id.client_id);
+            let (attempt, endpoint, outcome) = (call.attempt, id.endpoint, classified.outcome);
+            match uncertainty {
+                Uncertainty::Call => tracing::warn!(
+                    message_id = call.message,
+                    %client_id,
+                    attempt,
+                    endpoint,
+                    ?outcome,
+                    "response may belong to an earlier call on its connection"
+                ),
+                // Frequent: each rejection on a connection that is closed before its quiet time.
+                Uncertainty::Completeness => tracing::debug!(
+                    message_id = call.message,
+                    %client_id,
+                    attempt,
+                    endpoint,
+                    ?outcome,
+                    "rejection proves nothing: more may have followed it"
+                ),
+            }
         }
     }
 }
@@ -274,3 +291,7 @@
 #[cfg(test)]
 #[path = "attribution_tests.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "rejection_tests.rs"]
+mod rejection_tests;
--- a/crates/quillhub-server/src/instance/mod.rs
+++ b/crates/quillhub-server/src/instance/mod.rs
@@ -21,10 +21,10 @@
 use crate::pool::ConnectionPool;
 use crate::wal::{AppendError, FinalResult, RecordKind, Wal};
 use crate::wall_clock::WallClock;
-use attribution::{ReadResponse, UnattributedResults};
+use attribution::UnattributedResults;
 use messages::Messages;
 use outcome_queue::OutcomeQueue;
-use quillhub::{AttemptOutcome, AttemptPlan, AttemptResult, CallId, Dispatcher, MessageId};
+use quillhub::{AttemptPlan, AttemptResult, CallId, Dispatcher, MessageId};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
@@ -62,7 +62,7 @@
     /// that may have executed its message.
     clock_offset: Duration,
     messages: Messages,
-    /// Results of attempts whose responses may belong to earlier calls.
+    /// Results of attempts whose responses are unattributed.
     unattributed: UnattributedResults,
     /// Outcome of the submission being handled, if the dispatcher finished its message immediately.
     immediate_outcome: Option<SubmitOutcome>,
@@ -296,10 +296,12 @@
         self.attempts_in_flight -= 1;
         let AttemptEnd { result, connection, replaced } = end;
         let classified = ClassifiedResult::classify(&result, self.load_reports);
-        let is_unattributed = result.as_ref().is_ok_and(|response| !response.on_new_connection);
         let duration = result.as_ref().map_or(elapsed, |response| response.latency);
-        let is_delivery = classified.outcome == AttemptOutcome::Delivered;
-        let response = result.is_ok().then_some(ReadResponse { is_delivery });
+        let response = result.is_ok().then(|| classified.meaning());
+        let uncertainty = connection
+            .as_ref()
+            .zip(response)
+            .and_then(|(used, meaning)| used.connection.ledger.uncertainty(meaning, &id.plan.attribution));
         let load_report = result.ok().and_then(|response| response.load_report);
         let load_report = load_report.filter(|_| self.load_reports);
         tracing::debug!(
@@ -311,7 +313,7 @@
             outcome = ?classified.outcome,
             ?duration,
             ?load_report,
-            is_unattributed,
+            ?uncertainty,
             "attempt ended"
         );
         let result = AttemptResult {
@@ -322,18 +324,16 @@
             finished: classified.finished,
             load_report,
         };
-        if is_unattributed {
-            self.unattributed.insert(id, classified);
-        } else {
-            self.record_attempt(id, &classified);
+        match uncertainty {
+            Some(uncertainty) => self.unattributed.insert(id, classified, uncertainty),
+            None => self.record_attempt(id, &classified),
         }
         let effects = self.attempt_connections_ended(id, connection, replaced, response);
         self.record_effects(&effects);
         self.handle_event(|dispatcher| {
-            if is_unattributed {
-                dispatcher.attempt_ended_unattributed(result);
-            } else {
-                dispatcher.attempt_ended(result);
+            match uncertainty {
+                Some(uncertainty) => dispatcher.attempt_ended_unattributed(result, uncertainty),
+                None => dispatcher.attempt_ended(result),
             }
             effects.report(dispatcher);
         });
--- a/crates/quillhub-server/tests/replies.rs
+++ b/crates/quillhub-server/tests/replies.rs
@@ -199,7 +199,8 @@
         let rejection =
             "HTTP/1.1 429 -\r\nX-Backoff-Ms: 50000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
         attempt.write_all(rejection.as_bytes()).await.unwrap();
-        // The instance closes the connection once it has read the response.
+        // The rejection is proof once the endpoint ends the connection; the instance closes it too when it has read that.
+        attempt.shutdown().await.unwrap();
         assert_eq!(attempt.read(&mut [0]).await.unwrap(), 0);
         assert_reply_when_full(instance.listen, 1, b"-BUSY 1500\r\n").await;
     };
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -8,7 +8,7 @@
 use crate::policy::state::State;
 use crate::{
     AttemptResult, CallId, DestinationId, Driver, EndpointUpdate, ListedRateAccuracy, MessageId, NewMessage,
-    RecoveredAttempts, ServiceClass, UnknownServiceClass, gossip,
+    RecoveredAttempts, ServiceClass, Uncertainty, UnknownServiceClass, gossip,
 };
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -225,10 +225,10 @@
         self.state.attempt_ended(&result);
     }
 
-    /// Handles the end of an attempt whose response was read on a connection that carried an earlier call, so that it may
-    /// belong to that call. The outcome is provisional until the response is attributed or found to be misattributed.
-    pub fn attempt_ended_unattributed(&mut self, result: AttemptResult) {
-        self.state.attempt_ended_unattributed(&result);
+    /// Handles the end of an attempt whose response may belong to an earlier call on its connection, or may not be
+    /// complete. The outcome is provisional until the response is attributed or found to be misattributed.
+    pub fn attempt_ended_unattributed(&mut self, result: AttemptResult, uncertainty: Uncertainty) {
+        self.state.attempt_ended_unattributed(&result, uncertainty);
     }
 
     /// Handles the attribution of a response to its call: the outcome of the attempt is final.
@@ -236,8 +236,8 @@
         self.state.response_attributed(call);
     }
 
-    /// Handles a response that may belong to an earlier call, after its connection was closed. The message may have been
-    /// executed, and is pending again if it counted as delivered.
+    /// Handles a response that may belong to an earlier call or is malformed, after its connection was closed. The
+    /// message may have been executed, and is pending again if it counted as delivered.
     pub fn response_misattributed(&mut self, call: CallId) {
         self.state.response_misattributed(call);
     }
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -70,6 +70,7 @@
             call_deadline: Duration::MAX,
             message_deadline: Duration::MAX,
             rests_unless_delivered: false,
+            needs_proof: false,
         };
         Self { timeout, connection: ConnectionUse::Pooled, attribution }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,7 +22,9 @@
     DestinationId, MessageId, NewMessage, PossibleExecution, RecoveredAttempts, RetrySafety, ServiceClass,
     UnknownServiceClass, ValueDecay,
 };
-pub use policy::{AttributionTerms, CallId, ConnectionLedger, Health, LedgerUpdate};
+pub use policy::{
+    AttributionTerms, CallId, ConnectionLedger, Health, LedgerUpdate, ResponseMeaning, Uncertainty,
+};
 
 use std::time::Duration;
 
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -240,7 +240,7 @@
             return false;
         }
         let may_be_shed =
-            |message: &PendingMessage| !message.may_be_in_flight(self.now) && self.may_reject(message);
+            |message: &PendingMessage| !message.is_undecided(self.now) && self.may_reject(message);
         let waiting = self.pending.iter().filter(|(_, message)| may_be_shed(message));
         let least_valuable = waiting.min_by(|(id, message), (other_id, other)| {
             let by_recovery = message.is_recovered_unattempted.cmp(&other.is_recovered_unattempted);
--- a/src/policy/attribution.rs
+++ b/src/policy/attribution.rs
@@ -1,4 +1,5 @@
-//! Attribution: whether a response belongs to the call that it was read for, and what it proves until that is known.
+//! Attribution: whether a response belongs to the call that it was read for and is complete, and what it proves until
+//! that is known.
 //!
 //! HTTP/1.1 ties a response to its request by order alone. If an endpoint writes one response too many, the response to
 //! each later call on that connection may be that of the call before. A response on a connection that carried an
@@ -6,6 +7,10 @@
 //! outstanding would have arrived. Until then, a delivered message is kept so that it can be attempted again, and a
 //! rejected one counts as possibly executed and as still out.
 //!
+//! The response to the first call of a connection is its own, but as long as the endpoint may write more, it may turn
+//! out to be malformed, and the message to have been executed. A rejection is therefore unattributed too until the
+//! connection has been quiet for that long or the endpoint has ended it. A status of 200 stands whatever follows it.
+//!
 //! Invariant: an unattributed response ends no message finally, and permits no attempt that its class forbids after a
 //! possible execution.
 
@@ -13,7 +18,7 @@
 use super::state::{Attempt, Endpoint, PendingMessage, RecordedPossibleExecution, State};
 use crate::{
     AttemptOutcome, AttemptResult, AttributionTerms, CallId, ConnectionUse, Driver, MessageId, RetrySafety,
-    ms,
+    Uncertainty, ms,
 };
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -31,9 +36,9 @@
 /// Unattributed response of a pending message that was not delivered.
 pub(crate) struct UnattributedAttempt {
     possible_execution: RecordedPossibleExecution,
-    /// Time until which the endpoint may be executing the call, so that a retry could make two attempts at once; at most
-    /// the deadline of the message, by which it needs its final outcome.
-    in_flight_until: Duration,
+    /// Time until which the message gets no retry and no final outcome, at most its deadline: the endpoint may be
+    /// executing the call, so that a retry could make two attempts at once, or the attribution decides on both.
+    waits_until: Duration,
 }
 
 /// Unattributed responses of one pending message, by attempt number.
@@ -45,9 +50,9 @@
         self.0.is_empty()
     }
 
-    /// Returns the time until which an endpoint may be executing one of the calls; zero if there are none.
-    pub(super) fn in_flight_until(&self) -> Duration {
-        self.0.values().map(|attempt| attempt.in_flight_until).max().unwrap_or_default()
+    /// Returns the time until which the message waits for one of the attributions; zero if there are none.
+    pub(super) fn waits_until(&self) -> Duration {
+        self.0.values().map(|attempt| attempt.waits_until).max().unwrap_or_default()
     }
 
     /// Returns the first attempt by which the message may have been executed, if any.
@@ -122,32 +127,42 @@
     ///
     /// The call's deadline is the one that the request states to the endpoint, so that no response is expected later.
     pub(super) fn attribution_terms(&self, message: &PendingMessage, timeout: Duration) -> AttributionTerms {
+        let retry_safety = self.class(message).retry_safety;
         AttributionTerms {
             call_deadline: self.now + timeout,
             message_deadline: message.deadline,
-            rests_unless_delivered: self.class(message).retry_safety == RetrySafety::AtMostOnce,
+            rests_unless_delivered: retry_safety == RetrySafety::AtMostOnce,
+            needs_proof: retry_safety != RetrySafety::Idempotent,
         }
     }
 
     /// Handles the end of an attempt whose response is unattributed.
-    pub(crate) fn attempt_ended_unattributed(&mut self, result: &AttemptResult) {
+    ///
+    /// If only its completeness is uncertain, the endpoint has ended the call, and a message that may be executed again
+    /// is retried without waiting.
+    pub(crate) fn attempt_ended_unattributed(&mut self, result: &AttemptResult, uncertainty: Uncertainty) {
         let Some(attempt) = self.in_flight.remove(&(result.message, result.attempt)) else { return };
         if !attempt.added_to_call {
             self.process_result(&attempt, result);
         }
         if let Some(key) = attempt.ordering_key {
-            self.ordering.on_ended(key, result.message, true, self.now);
+            let may_still_be_executed = uncertainty == Uncertainty::Call;
+            self.ordering.on_ended(key, result.message, may_still_be_executed, self.now);
         }
         if result.finished {
             self.hold_delivery(&attempt, result);
             return;
         }
         let possible_execution = self.possible_execution(&attempt);
-        let in_flight_until = attempt.call_deadline.saturating_add(TRANSIT_TIME);
+        let may_be_executed_again = self.classes[attempt.class].class.retry_safety != RetrySafety::AtMostOnce;
+        let waits_until = match uncertainty {
+            Uncertainty::Completeness if may_be_executed_again => self.now,
+            _ => attempt.call_deadline.saturating_add(TRANSIT_TIME),
+        };
         self.back_off(&attempt, result);
         if let Some(message) = self.pending.get_mut(&result.message) {
-            let in_flight_until = in_flight_until.min(message.deadline);
-            let unattributed = UnattributedAttempt { possible_execution, in_flight_until };
+            let waits_until = waits_until.min(message.deadline);
+            let unattributed = UnattributedAttempt { possible_execution, waits_until };
             message.unattributed.0.insert(result.attempt, unattributed);
         }
     }
@@ -178,8 +193,9 @@
         }
     }
 
-    /// Handles a response that may belong to an earlier call, after its connection was closed: the message may have
-    /// been executed and is not known to be delivered.
+    /// Handles a response that may belong to an earlier call or is malformed, after its connection was closed: the
+    /// message may have been executed and is not known to be delivered. Its ordering key pauses, as after any malformed
+    /// rejection.
     pub(crate) fn response_misattributed(&mut self, call: CallId) {
         if self.unattributed_deliveries.contains(call) {
             self.reopen(call.message);
@@ -187,6 +203,9 @@
             && let Some(attempt) = message.unattributed.0.remove(&call.attempt)
         {
             message.may_have_been_executed(attempt.possible_execution);
+            if let Some(key) = message.ordering_key {
+                self.ordering.pause_others(key, call.message, self.now);
+            }
         }
     }
 
--- a/src/policy/connection_ledger.rs
+++ b/src/policy/connection_ledger.rs
@@ -1,8 +1,11 @@
-//! Connection ledger: the calls of one connection whose responses may belong to an earlier call on it.
+//! Connection ledger: the calls of one connection whose responses may belong to an earlier call on it, or may not be
+//! all that the endpoint writes for them.
 //!
-//! Invariant: a response counts as attributed at once only on a connection that carried no other call; otherwise only
-//! after the connection has stayed open and quiet until the deadline of its last call. If any response so far belonged
-//! to an earlier call, the response to the last call would be outstanding, and would have arrived by then.
+//! Invariant: a response counts as attributed at once only on a connection that carried no other call, and only if no
+//! further byte can change what it says. Any other response is attributed once the connection has stayed open and quiet
+//! until the deadline of its last call: a response that is outstanding, or the rest of a malformed one, would have
+//! arrived by then. The response to the only call of a connection is also attributed once the endpoint ends the
+//! connection, as it then has written all that it will write.
 
 use crate::{MessageId, ms};
 use std::time::Duration;
@@ -20,6 +23,29 @@
     pub attempt: u32,
 }
 
+/// What the response to a call says of its message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResponseMeaning {
+    /// The message was delivered. The status alone says so, whatever follows it.
+    Delivered,
+    /// The message was not executed, and is not to be attempted again.
+    Over,
+    /// The message was not executed.
+    NotExecuted,
+    /// The message may have been executed.
+    PossiblyExecuted,
+}
+
+/// What is not known of an unattributed response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Uncertainty {
+    /// It may be the response to an earlier call on its connection, and its own call may still be executed.
+    Call,
+    /// It is the response to its call, but more bytes may follow. It would then be malformed, and would not prove that
+    /// the message was not executed.
+    Completeness,
+}
+
 /// Terms on which the response to a call is attributed; the dispatcher decides them when the attempt starts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AttributionTerms {
@@ -29,14 +55,16 @@
     pub message_deadline: Duration,
     /// `true` if a response other than a delivery must be attributed before the connection carries another call.
     pub rests_unless_delivered: bool,
+    /// `true` if the class of the message allows more after a response which proves that it was not executed.
+    pub needs_proof: bool,
 }
 
 /// Effects of an event on the calls of a connection whose responses were unattributed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LedgerUpdate {
-    /// Calls whose responses are now known to be their own.
+    /// Calls whose responses are now known to be their own, and complete.
     pub attributed: Vec<CallId>,
-    /// Calls whose responses may belong to earlier calls; the connection must be closed.
+    /// Calls whose responses may belong to earlier calls or be malformed; the connection must be closed.
     pub misattributed: Vec<CallId>,
 }
 
@@ -52,6 +80,7 @@
 struct UnattributedCall {
     id: CallId,
     message_deadline: Duration,
+    uncertainty: Uncertainty,
 }
 
 /// Calls of one connection whose responses are unattributed.
@@ -79,6 +108,11 @@
         self.unattributed.is_empty()
     }
 
+    /// Returns `true` if a response may belong to an earlier call.
+    pub fn has_uncertain_call(&self) -> bool {
+        self.unattributed.iter().any(|call| call.uncertainty == Uncertainty::Call)
+    }
+
     /// Returns the time at which the unattributed responses are attributed if no input arrives before, or `None` if
     /// there are none.
     pub fn quiet_at(&self) -> Option<Duration> {
@@ -99,6 +133,19 @@
             || !self.rests && self.unattributed.iter().all(|call| deadline <= call.message_deadline)
     }
 
+    /// Returns what would not be known of a response that is read now, or `None` if it would be attributed at once.
+    pub fn uncertainty(&self, meaning: ResponseMeaning, terms: &AttributionTerms) -> Option<Uncertainty> {
+        if self.is_used {
+            return Some(Uncertainty::Call);
+        }
+        let is_proof = match meaning {
+            ResponseMeaning::Delivered | ResponseMeaning::PossiblyExecuted => false,
+            ResponseMeaning::Over => true,
+            ResponseMeaning::NotExecuted => terms.needs_proof,
+        };
+        is_proof.then_some(Uncertainty::Completeness)
+    }
+
     /// Records the response to a call at `now`.
     ///
     /// A response after the deadline of the call before it is not that call's, so that the earlier responses are
@@ -106,18 +153,19 @@
     pub fn on_response(
         &mut self,
         id: CallId,
-        is_delivery: bool,
+        meaning: ResponseMeaning,
         terms: &AttributionTerms,
         now: Duration,
     ) -> LedgerUpdate {
         let update = self.on_quiet(now);
-        if self.is_used {
-            self.unattributed.push(UnattributedCall { id, message_deadline: terms.message_deadline });
+        if let Some(uncertainty) = self.uncertainty(meaning, terms) {
+            let message_deadline = terms.message_deadline;
+            self.unattributed.push(UnattributedCall { id, message_deadline, uncertainty });
         }
         self.is_used = true;
         self.last_response = now;
         self.quiet_at = terms.call_deadline.saturating_add(TRANSIT_TIME).max(now);
-        self.rests = terms.rests_unless_delivered && !is_delivery;
+        self.rests = terms.rests_unless_delivered && meaning != ResponseMeaning::Delivered;
         update
     }
 
@@ -129,12 +177,21 @@
         LedgerUpdate { attributed: self.take_unattributed(), ..LedgerUpdate::default() }
     }
 
-    /// Handles the end of the connection at `now`: a response that is outstanding can no longer arrive.
+    /// Handles the end of the connection by the endpoint at `now`, without a call in flight, after all that it wrote was
+    /// read: the response to the only call is complete. Any other may have taken the place of one that is outstanding.
+    pub fn on_ended(&mut self, now: Duration) -> LedgerUpdate {
+        if let [UnattributedCall { uncertainty: Uncertainty::Completeness, .. }] = self.unattributed[..] {
+            return LedgerUpdate { attributed: self.take_unattributed(), ..LedgerUpdate::default() };
+        }
+        self.on_closed(now)
+    }
+
+    /// Handles any other end of the connection at `now`: what is outstanding can no longer arrive.
     pub fn on_closed(&mut self, now: Duration) -> LedgerUpdate {
         if now >= self.quiet_at { self.on_quiet(now) } else { self.on_surplus() }
     }
 
-    /// Handles a surplus response: each unattributed response may belong to an earlier call.
+    /// Handles surplus input: each unattributed response may belong to an earlier call, or be malformed.
     pub fn on_surplus(&mut self) -> LedgerUpdate {
         LedgerUpdate { misattributed: self.take_unattributed(), ..LedgerUpdate::default() }
     }
--- a/src/policy/expiry.rs
+++ b/src/policy/expiry.rs
@@ -59,13 +59,13 @@
     /// Returns the time at which `message` is given up unless that changes before: not while an endpoint may be
     /// executing it.
     fn next_expiry_check(&self, message: &PendingMessage) -> Duration {
-        self.give_up_time(message).max(message.unattributed.in_flight_until())
+        self.give_up_time(message).max(message.unattributed.waits_until())
     }
 
     /// Rule: gives up the message of the lowest identifier that can no longer be attempted and of which no call may be
     /// in flight.
     pub(crate) fn give_up_expired(&mut self, driver: &mut dyn Driver) -> bool {
-        let mut waiting = self.pending.iter().filter(|(_, message)| !message.may_be_in_flight(self.now));
+        let mut waiting = self.pending.iter().filter(|(_, message)| !message.is_undecided(self.now));
         let expired = waiting.find(|(_, message)| self.cannot_be_attempted_again(message));
         let Some(id) = expired.map(|(id, _)| *id) else {
             let waiting = self.pending.values().filter(|message| message.in_flight == 0);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -23,7 +23,9 @@
 pub(crate) mod state;
 mod verdict;
 
-pub use connection_ledger::{AttributionTerms, CallId, ConnectionLedger, LedgerUpdate};
+pub use connection_ledger::{
+    AttributionTerms, CallId, ConnectionLedger, LedgerUpdate, ResponseMeaning, Uncertainty,
+};
 pub use outlier::Health;
 
 #[cfg(test)]
--- a/src/policy/scheduling.rs
+++ b/src/policy/scheduling.rs
@@ -79,9 +79,8 @@
 
     /// Returns the candidate endpoints of all destinations for which a message could be attempted now.
     fn candidates_by_destination(&mut self, slots_full: bool) -> BTreeMap<DestinationId, Vec<Candidate>> {
-        let is_waiting = |message: &&PendingMessage| {
-            !message.may_be_in_flight(self.now) && self.may_be_attempted_now(message)
-        };
+        let is_waiting =
+            |message: &&PendingMessage| !message.is_undecided(self.now) && self.may_be_attempted_now(message);
         let waiting = self.pending.values().filter(is_waiting);
         let waiting: BTreeSet<_> = waiting.map(|message| message.destination).collect();
         let loads: Loads = self.loads();
@@ -118,8 +117,7 @@
 
     /// Lowers `next_due` to the earliest end of a backoff, of an unattributed call or of an ordering pause.
     fn update_next_due(&mut self) {
-        let waits_of =
-            |message: &PendingMessage| [message.not_before, message.unattributed.in_flight_until()];
+        let waits_of = |message: &PendingMessage| [message.not_before, message.unattributed.waits_until()];
         let waits = self.pending.values().flat_map(waits_of).filter(|at| *at > self.now);
         if let Some(next) = waits.chain(self.ordering.next_pause_end(self.now)).min() {
             self.next_due = self.next_due.min(next);
--- a/src/policy/selection.rs
+++ b/src/policy/selection.rs
@@ -204,7 +204,7 @@
         candidates: &'a [Candidate],
     ) -> Option<&'a Candidate> {
         let backoff_is_over = message.not_before <= self.now;
-        let is_ready = !message.may_be_in_flight(self.now)
+        let is_ready = !message.is_undecided(self.now)
             && (backoff_is_over || message.last_attempt_hit_connection_limit())
             && message.attempts < self.max_attempts;
         if !is_ready || !self.is_in_order(id, message) || self.latest_start(message) < self.now {
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -203,12 +203,13 @@
         executions.into_iter().flatten().min_by_key(|execution| execution.started)
     }
 
-    /// Returns `true` if an endpoint may be executing a call with this message.
+    /// Returns `true` if an attempt of this message is in flight, or if the attribution of a response to one decides on
+    /// what follows.
     ///
-    /// The message is then neither attempted nor given a final outcome: the call would be a second one at once, or one
-    /// after the end of the message.
-    pub(super) fn may_be_in_flight(&self, now: Duration) -> bool {
-        self.in_flight > 0 || self.unattributed.in_flight_until() > now
+    /// The message is then neither attempted nor given a final outcome: an endpoint may be executing a call, so that the
+    /// next one would be a second at once, and the call one after the end of the message.
+    pub(super) fn is_undecided(&self, now: Duration) -> bool {
+        self.in_flight > 0 || self.unattributed.waits_until() > now
     }
 
     /// Records an attempt by which the message may have been executed.
--- a/src/policy/tests/attribution.rs
+++ b/src/policy/tests/attribution.rs
@@ -12,11 +12,17 @@
 
 /// Returns a dispatcher with message 1, whose attempt ended with `outcome` on a reused connection at 100 ms.
 fn ended_unattributed(retry_safety: RetrySafety, outcome: AttemptOutcome) -> Dispatcher {
+    ended_with(retry_safety, outcome, Uncertainty::Call)
+}
+
+/// Returns a dispatcher with message 1, whose attempt ended with `outcome` at 100 ms, of which `uncertainty` remains.
+fn ended_with(retry_safety: RetrySafety, outcome: AttemptOutcome, uncertainty: Uncertainty) -> Dispatcher {
     let mut dispatcher = dispatcher_for(retry_safety);
     assert_eq!(submit(&mut dispatcher, 1, None).len(), 1);
     dispatcher.advance_to(ms(100));
     let finished = outcome == AttemptOutcome::Delivered;
-    dispatcher.attempt_ended_unattributed(AttemptResult { finished, ..ended(1, 0, outcome) });
+    let result = AttemptResult { finished, ..ended(1, 0, outcome) };
+    dispatcher.attempt_ended_unattributed(result, uncertainty);
     dispatcher
 }
 
@@ -50,22 +56,53 @@
 /// Guards against a second execution: only an attributed rejection proves that an at-most-once message was not executed.
 #[test]
 fn an_at_most_once_message_is_retried_only_after_an_attributed_rejection() {
-    let ended = || ended_unattributed(RetrySafety::AtMostOnce, rejected());
-    assert!(actions_at(&mut ended(), ms(9_000)).is_empty());
-    let mut attributed = ended();
-    attributed.response_attributed(CALL);
-    assert!(actions_at(&mut attributed, AFTER_BACKOFF)[0].starts_with("attempt 1"));
-    let mut misattributed = ended();
-    misattributed.response_misattributed(CALL);
-    assert_eq!(actions_at(&mut misattributed, AFTER_BACKOFF), ["abandon 1"]);
+    for uncertainty in [Uncertainty::Call, Uncertainty::Completeness] {
+        let ended = || ended_with(RetrySafety::AtMostOnce, rejected(), uncertainty);
+        assert!(actions_at(&mut ended(), ms(9_000)).is_empty());
+        let mut attributed = ended();
+        attributed.response_attributed(CALL);
+        assert!(actions_at(&mut attributed, AFTER_BACKOFF)[0].starts_with("attempt 1"));
+        let mut misattributed = ended();
+        misattributed.response_misattributed(CALL);
+        assert_eq!(actions_at(&mut misattributed, AFTER_BACKOFF), ["abandon 1"]);
+    }
 }
 
-/// Guards against a rejection as a final outcome for a message that the endpoint may be executing.
+/// Guards against a rejection as a final outcome for a message that the endpoint may be executing, or has executed.
 #[test]
 fn an_at_most_once_message_whose_rejection_stays_unattributed_is_abandoned_at_its_deadline() {
-    let mut dispatcher = ended_unattributed(RetrySafety::AtMostOnce, rejected());
-    assert!(actions_at(&mut dispatcher, MESSAGE_DEADLINE - ms(1)).is_empty());
-    assert_eq!(actions_at(&mut dispatcher, MESSAGE_DEADLINE), ["abandon 1"]);
+    for uncertainty in [Uncertainty::Call, Uncertainty::Completeness] {
+        let mut dispatcher = ended_with(RetrySafety::AtMostOnce, rejected(), uncertainty);
+        assert!(actions_at(&mut dispatcher, MESSAGE_DEADLINE - ms(1)).is_empty());
+        assert_eq!(actions_at(&mut dispatcher, MESSAGE_DEADLINE), ["abandon 1"]);
+    }
+}
+
+/// Guards against a wait that no class needs: the endpoint has ended the call, and a second execution does no harm.
+#[test]
+fn a_message_that_may_be_executed_again_is_retried_before_its_rejection_is_known_to_be_complete() {
+    for class in [RetrySafety::Idempotent, DEDUPLICATED] {
+        let mut dispatcher = ended_with(class, rejected(), Uncertainty::Completeness);
+        let actions = actions_at(&mut dispatcher, CALL_DEADLINE);
+        assert!(actions.iter().any(|action| action.starts_with("attempt 1")), "{class:?}: {actions:?}");
+    }
+}
+
+/// Guards against a retry after the deduplication window of a rejected attempt: more may follow the rejection, and the
+/// message may have been executed.
+#[test]
+fn the_deduplication_window_counts_from_an_attempt_whose_rejection_may_be_incomplete() {
+    let latest_start = |dispatcher: &Dispatcher| {
+        let state = &dispatcher.state;
+        state.latest_start(&state.pending[&1])
+    };
+    let mut dispatcher = ended_with(DEDUPLICATED, rejected(), Uncertainty::Completeness);
+    let within_window = latest_start(&dispatcher);
+    dispatcher.response_attributed(CALL);
+    assert!(within_window < latest_start(&dispatcher), "{within_window:?}");
+    let mut malformed = ended_with(DEDUPLICATED, rejected(), Uncertainty::Completeness);
+    malformed.response_misattributed(CALL);
+    assert_eq!(latest_start(&malformed), within_window);
 }
 
 /// Guards against a call after the final outcome of its message: the endpoint may not have begun it yet. An attribution
--- a/src/policy/tests/connection_ledger.rs
+++ b/src/policy/tests/connection_ledger.rs
@@ -14,6 +14,7 @@
         call_deadline: CALL_DEADLINE,
         message_deadline: ms(4_000),
         rests_unless_delivered: false,
+        needs_proof: true,
     }
 }
 
@@ -21,7 +22,7 @@
 fn ledger_of(count: u64) -> ConnectionLedger {
     let mut ledger = ConnectionLedger::default();
     for message in 1..=count {
-        ledger.on_response(call(message), true, &terms(), ms(100 * message));
+        ledger.on_response(call(message), ResponseMeaning::Delivered, &terms(), ms(100 * message));
     }
     ledger
 }
@@ -66,9 +67,10 @@
 #[test]
 fn a_later_response_proves_nothing_of_earlier_ones_before_the_deadline_of_the_last_call() {
     let mut ledger = ledger_of(2);
-    assert!(ledger.on_response(call(3), true, &terms(), QUIET_AT - ms(1)).is_empty());
+    let delivered = ResponseMeaning::Delivered;
+    assert!(ledger.on_response(call(3), delivered, &terms(), QUIET_AT - ms(1)).is_empty());
     let late_terms = AttributionTerms { call_deadline: ms(9_000), ..terms() };
-    let update = ledger.on_response(call(4), true, &late_terms, QUIET_AT);
+    let update = ledger.on_response(call(4), delivered, &late_terms, QUIET_AT);
     assert_eq!(update, attributed(&[2, 3]), "no response to call 3 can arrive after its deadline");
     assert_eq!(ledger.on_surplus(), misattributed(&[4]));
 }
@@ -86,10 +88,61 @@
 #[test]
 fn a_connection_rests_after_a_response_that_must_be_attributed_before_anything_else() {
     let resting = AttributionTerms { rests_unless_delivered: true, ..terms() };
-    for (is_delivery, may_carry) in [(true, true), (false, false)] {
+    for (meaning, may_carry) in [(ResponseMeaning::Delivered, true), (ResponseMeaning::NotExecuted, false)] {
         let mut ledger = ledger_of(1);
-        ledger.on_response(call(2), is_delivery, &resting, ms(200));
+        ledger.on_response(call(2), meaning, &resting, ms(200));
         assert_eq!(ledger.may_carry_until(ms(3_000), ms(300)), may_carry);
         assert!(ledger.may_carry_until(ms(3_000), QUIET_AT));
     }
 }
+
+/// Returns the ledger of a connection whose only call, 1, got a response with `meaning` at 100 ms.
+fn ledger_after_first(meaning: ResponseMeaning, terms: &AttributionTerms) -> ConnectionLedger {
+    let mut ledger = ConnectionLedger::default();
+    ledger.on_response(call(1), meaning, terms, ms(100));
+    ledger
+}
+
+/// Guards against a rejection that proves that its message was not executed while the endpoint may still write bytes that
+/// make it malformed, however late.
+#[test]
+fn a_rejection_of_the_first_call_is_attributed_once_nothing_more_can_follow_it() {
+    for meaning in [ResponseMeaning::NotExecuted, ResponseMeaning::Over] {
+        let rejected = || ledger_after_first(meaning, &terms());
+        assert_eq!(rejected().quiet_at(), Some(QUIET_AT));
+        assert!(rejected().on_quiet(QUIET_AT - ms(1)).is_empty());
+        assert_eq!(rejected().on_quiet(QUIET_AT), attributed(&[1]));
+        assert_eq!(rejected().on_surplus(), misattributed(&[1]));
+        assert_eq!(rejected().on_closed(QUIET_AT - ms(1)), misattributed(&[1]));
+        assert_eq!(
+            rejected().on_ended(ms(101)),
+            attributed(&[1]),
+            "the endpoint has written all it will write"
+        );
+    }
+}
+
+/// Guards against the end of a connection as a proof for a rejection that another call followed: its response may have
+/// been the rest of the first one.
+#[test]
+fn the_end_of_a_connection_proves_only_the_response_to_its_only_call() {
+    let mut ledger = ledger_after_first(ResponseMeaning::NotExecuted, &terms());
+    ledger.on_response(call(2), ResponseMeaning::Delivered, &terms(), ms(200));
+    assert_eq!(ledger.on_ended(QUIET_AT - ms(1)), misattributed(&[1, 2]));
+    assert_eq!(ledger_of(2).on_ended(QUIET_AT - ms(1)), misattributed(&[2]));
+}
+
+/// Guards against connections that wait for a proof that changes nothing: a status of 200 or 500 means the same whatever
+/// follows it, and an idempotent message may be sent again without one.
+#[test]
+fn the_response_to_the_first_call_is_attributed_at_once_if_nothing_can_change_what_it_allows() {
+    let idempotent = AttributionTerms { needs_proof: false, ..terms() };
+    for (meaning, terms) in [
+        (ResponseMeaning::Delivered, terms()),
+        (ResponseMeaning::PossiblyExecuted, terms()),
+        (ResponseMeaning::NotExecuted, idempotent),
+    ] {
+        assert!(ledger_after_first(meaning, &terms).is_settled(), "{meaning:?}");
+    }
+    assert!(!ledger_after_first(ResponseMeaning::Over, &idempotent).is_settled());
+}
