Fault laboratory: rejections with bytes behind them, and two more counts

The auditor reports at-most-once messages that are rejected although they may have been executed, and counts messages that are abandoned although an endpoint delivered them in time.

--- a/crates/quillhub-fakes/src/http.rs
+++ b/crates/quillhub-fakes/src/http.rs
@@ -3,6 +3,7 @@
 use crate::traffic::{ConnectionTraffic, Traffic};
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -29,6 +30,8 @@
     pub id: Option<String>,
     /// Value of the `Idempotency-Key` header, if any.
     pub idempotency_key: Option<String>,
+    /// Value of the `X-Deadline` header, if any: the time in which the client expects the response.
+    pub time_left: Option<Duration>,
     /// Body, empty without a `Content-Length` header.
     pub body: Vec<u8>,
 }
@@ -90,7 +93,7 @@
 
     /// Closes the connection with a TCP reset.
     pub fn reset(self) {
-        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(std::time::Duration::ZERO));
+        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
     }
 }
 
@@ -122,6 +125,7 @@
         path: request.path.unwrap_or_default().into(),
         id: value("x-request-id"),
         idempotency_key: value("idempotency-key"),
+        time_left: value("x-deadline").and_then(|text| Duration::try_from_secs_f64(text.parse().ok()?).ok()),
         body: read[head..used].to_vec(),
     };
     Ok(Some((request, used)))
--- a/crates/quillhub-fakes/src/laboratory/audit.rs
+++ b/crates/quillhub-fakes/src/laboratory/audit.rs
@@ -26,6 +26,8 @@
     TwoAtOnce,
     /// Sent after its final outcome.
     SentAfterEnd,
+    /// Rejected, so that its client may submit it again, although it may have been executed and must not be twice.
+    RejectedAfterExecution,
 }
 
 /// Verdict on a run.
@@ -35,6 +37,9 @@
     pub accepted: usize,
     /// Number of messages for which an endpoint wrote status 200.
     pub delivered: usize,
+    /// Number of messages that were abandoned although an endpoint wrote status 200 for them before their deadline. No
+    /// rule forbids it, but their clients are told wrongly.
+    pub abandoned_after_delivery: usize,
     /// Number of calls.
     pub calls: usize,
     /// Number of surplus responses that were written.
@@ -54,12 +59,14 @@
 
 impl fmt::Display for Verdict {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        let Self { accepted, delivered, calls, copies, connections, .. } = self;
+        let Self { accepted, delivered, abandoned_after_delivery, calls, copies, connections, .. } = self;
         write!(f, "accepted {accepted}, delivered {delivered}, calls {calls}, connections {connections}, ")?;
+        write!(f, "abandoned after a delivery {abandoned_after_delivery}, ")?;
         write!(f, "surplus responses {copies}, lost {}, ", self.count(Violation::Lost))?;
         write!(f, "sent again {}, ", self.count(Violation::SentAgain))?;
         write!(f, "two at once {}, ", self.count(Violation::TwoAtOnce))?;
-        write!(f, "sent after the end {}", self.count(Violation::SentAfterEnd))
+        write!(f, "sent after the end {}, ", self.count(Violation::SentAfterEnd))?;
+        write!(f, "rejected after execution {}", self.count(Violation::RejectedAfterExecution))
     }
 }
 
@@ -74,11 +81,17 @@
         let calls: Vec<_> = record.calls_of(message).collect();
         verdict.accepted += usize::from(submission.accepted);
         verdict.delivered += usize::from(calls.iter().any(|call| call.is_delivered()));
+        verdict.abandoned_after_delivery +=
+            usize::from(is_abandoned_after_delivery(record, message, submission, &calls));
         let checks = [
             (Violation::Lost, is_lost(record, message, submission, &calls)),
             (Violation::SentAgain, is_sent_again(submission, &calls)),
             (Violation::TwoAtOnce, is_sent_twice_at_once(&calls)),
             (Violation::SentAfterEnd, is_sent_after_end(record, message, &calls)),
+            (
+                Violation::RejectedAfterExecution,
+                is_rejected_after_execution(record, message, submission, &calls),
+            ),
         ];
         for (violation, _) in checks.into_iter().filter(|(_, found)| *found) {
             verdict.violations.push((violation, record.timeline(message)));
@@ -120,6 +133,30 @@
     first.is_some_and(|(at, _)| calls.iter().any(|call| call.arrived > *at + CROSSING))
 }
 
+fn is_rejected_after_execution(
+    record: &Record,
+    message: &str,
+    submission: &Submission,
+    calls: &[&Call],
+) -> bool {
+    let must_not_be_executed_twice = SERVICE_CLASSES[submission.class].effect == "single_shot";
+    let rejected = record.outcomes.get(message).into_iter().flatten().find(|(_, rejected)| *rejected);
+    must_not_be_executed_twice
+        && rejected.is_some_and(|(at, _)| calls.iter().any(|call| !call.is_rejected() && call.arrived < *at))
+}
+
+fn is_abandoned_after_delivery(
+    record: &Record,
+    message: &str,
+    submission: &Submission,
+    calls: &[&Call],
+) -> bool {
+    let mut delivered = calls.iter().filter(|call| call.is_delivered());
+    let in_time = delivered.any(|call| call.answered.is_some_and(|(at, _)| at <= submission.deadline));
+    let outcomes = record.outcomes.get(message);
+    in_time && outcomes.is_some_and(|outcomes| outcomes.iter().any(|(_, rejected)| !rejected))
+}
+
 #[cfg(test)]
 #[path = "audit_tests.rs"]
 mod tests;
--- a/crates/quillhub-fakes/src/laboratory/audit_tests.rs
+++ b/crates/quillhub-fakes/src/laboratory/audit_tests.rs
@@ -30,6 +30,12 @@
         self
     }
 
+    /// Makes the last call one that was executed and got a malformed response.
+    fn spoilt(mut self) -> Self {
+        self.0.calls.last_mut().unwrap().spoilt = true;
+        self
+    }
+
     /// Records a call whose connection is closed before its response.
     fn closed(mut self, arrived: u64, closed: u64) -> Self {
         let closed = Some(self.at(closed));
@@ -38,14 +44,20 @@
     }
 
     fn add_call(&mut self, arrived: u64, answered: Option<(Instant, u16)>, closed: Option<Instant>) {
-        let (arrived, connection) = (self.at(arrived), self.0.calls.len() as u64);
-        self.0.calls.push(Call { message: "m".into(), endpoint: 0, connection, arrived, answered, closed });
+        let (message, connection) = ("m".into(), self.0.calls.len() as u64);
+        let (arrived, spoilt) = (self.at(arrived), false);
+        self.0.calls.push(Call { message, endpoint: 0, connection, arrived, answered, closed, spoilt });
+    }
+
+    /// Records that the message is abandoned.
+    fn finished(self, at: u64) -> Self {
+        self.finished_as(at, false)
     }
 
     /// Records a final outcome at the platform.
-    fn finished(mut self, at: u64) -> Self {
+    fn finished_as(mut self, at: u64, rejected: bool) -> Self {
         let at = self.at(at);
-        self.0.outcomes.entry("m".into()).or_default().push((at, false));
+        self.0.outcomes.entry("m".into()).or_default().push((at, rejected));
         self
     }
 
@@ -79,6 +91,31 @@
     assert_eq!(after_window.violations(), [Violation::SentAgain]);
 }
 
+/// Guards against an audit that takes a malformed rejection for one of a message that was not executed.
+#[test]
+fn a_message_was_executed_by_a_call_with_a_malformed_rejection() {
+    let sent_again = Builder::new(ONCE).answered(10, 50, 503).spoilt().answered(100, 150, 200);
+    assert_eq!(sent_again.violations(), [Violation::SentAgain]);
+    let rejected =
+        |class| Builder::new(class).answered(10, 50, 503).spoilt().finished_as(100, true).violations();
+    assert_eq!(rejected(ONCE), [Violation::RejectedAfterExecution]);
+    assert_eq!(rejected(KEYED), []);
+    assert_eq!(rejected(FREE), []);
+    assert_eq!(Builder::new(ONCE).answered(10, 50, 503).spoilt().finished(100).violations(), []);
+    assert_eq!(Builder::new(ONCE).answered(10, 50, 503).finished_as(100, true).violations(), []);
+    assert_eq!(Builder::new(ONCE).finished_as(100, true).violations(), []);
+}
+
+/// Guards against an audit that does not count messages that are abandoned although an endpoint delivered them in time.
+#[test]
+fn messages_that_are_abandoned_after_a_delivery_in_time_are_counted() {
+    let abandoned = |builder: Builder| audit(&builder.0).abandoned_after_delivery;
+    assert_eq!(abandoned(Builder::new(FREE).answered(10, 50, 200).finished(4_100)), 1);
+    assert_eq!(abandoned(Builder::new(FREE).answered(10, 4_050, 200).finished(4_100)), 0);
+    assert_eq!(abandoned(Builder::new(FREE).answered(10, 50, 200).finished_as(4_100, true)), 0);
+    assert_eq!(abandoned(Builder::new(FREE).answered(10, 50, 200)), 0);
+}
+
 /// Guards against an audit that misses overlapping attempts, whose end is the response or the close.
 #[test]
 fn two_calls_are_out_at_once_until_the_first_is_answered_or_closed() {
--- a/crates/quillhub-fakes/src/laboratory/mod.rs
+++ b/crates/quillhub-fakes/src/laboratory/mod.rs
@@ -15,6 +15,9 @@
 mod shim;
 
 pub use audit::{Verdict, Violation};
-pub use plan::{CopyPlan, CopyShape, CopyTiming, Pause, Plan, Restart, ServiceClassPlan, StorageFaults};
+pub use plan::{
+    CopyPlan, CopyShape, CopyTiming, Pause, Plan, Restart, ServiceClassPlan, SpoiltRejectionPlan,
+    StorageFaults,
+};
 pub use run::run;
 pub use shim::{ShortIo, SocketFaults};
--- a/crates/quillhub-fakes/src/laboratory/plan.rs
+++ b/crates/quillhub-fakes/src/laboratory/plan.rs
@@ -60,6 +60,16 @@
     pub shape: CopyShape,
 }
 
+/// Rejections that are malformed, as more bytes follow them than they announce. The endpoint executes these calls.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SpoiltRejectionPlan {
+    /// Share of all calls that get such a response, from 0 to 1.
+    pub share: f64,
+    /// Maximum time from the announced end of the response to the surplus, at most until the deadline that the call
+    /// states. The time is zero for a third of the responses, otherwise up to 10 ms or up to this maximum.
+    pub max_delay: Duration,
+}
+
 /// Restart of an instance on its state directory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Restart {
@@ -146,6 +156,8 @@
     pub failed_share: f64,
     /// Surplus responses, if any.
     pub copies: Option<CopyPlan>,
+    /// Malformed rejections, if any.
+    pub spoilt_rejections: Option<SpoiltRejectionPlan>,
     /// Restarts, in order of time.
     pub restarts: Vec<Restart>,
     /// Pauses, in order of time.
@@ -175,6 +187,7 @@
             rejected_share: rng.random_range(0.03..0.12),
             failed_share: 0.03,
             copies: None,
+            spoilt_rejections: None,
             restarts: Vec::new(),
             pauses: Vec::new(),
             short_io: None,
@@ -221,6 +234,22 @@
         Self { copies: Some(copies), restarts: if is_killed { vec![kill] } else { Vec::new() }, ..plan }
     }
 
+    /// Returns the plan that `seed` determines, with malformed rejections, a killed instance in one run out of three, and
+    /// surplus responses as well in one out of four.
+    pub fn with_spoilt_rejections(seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(!seed);
+        let share = rng.random_range(0.05..0.25);
+        let max_delay = [100, 1_000, 4_000][rng.random_range(0..3)];
+        let spoilt_rejections = SpoiltRejectionPlan { share, max_delay: Duration::from_millis(max_delay) };
+        let has_copies = rng.random_range(0..4) == 0;
+        let plan = Self::with_surplus_responses(seed);
+        Self {
+            spoilt_rejections: Some(spoilt_rejections),
+            copies: plan.copies.clone().filter(|_| has_copies),
+            ..plan
+        }
+    }
+
     /// Returns the plan that `seed` determines, with an instance that is killed and restarted after its wall clock was
     /// set by seconds or by an hour, forward or back.
     pub fn with_wall_clock_step(seed: u64) -> Self {
@@ -257,6 +286,7 @@
         let socket_faults = SocketFaults { failed_percent: 2, broken_permille: 1 };
         Self {
             copies: Self::with_surplus_responses(seed).copies.filter(|_| rng.random()),
+            spoilt_rejections: Self::with_spoilt_rejections(seed).spoilt_rejections.filter(|_| rng.random()),
             short_io: rng.random::<bool>().then_some(short_io),
             socket_faults: rng.random::<bool>().then_some(socket_faults),
             storage_faults: Self::with_storage_faults(seed).storage_faults.filter(|_| rng.random()),
--- a/crates/quillhub-fakes/src/laboratory/record.rs
+++ b/crates/quillhub-fakes/src/laboratory/record.rs
@@ -18,6 +18,8 @@
     pub(super) answered: Option<(Instant, u16)>,
     /// Time at which the connection was closed while the call was out.
     pub(super) closed: Option<Instant>,
+    /// `true` if the call was executed, and its response is malformed.
+    pub(super) spoilt: bool,
 }
 
 impl Call {
@@ -26,9 +28,9 @@
         [self.answered.map(|(at, _)| at), self.closed].into_iter().flatten().min()
     }
 
-    /// Returns `true` if the endpoint wrote a rejection, so that the message did not take effect.
+    /// Returns `true` if the endpoint wrote a whole rejection, so that the message did not take effect.
     pub(super) fn is_rejected(&self) -> bool {
-        self.answered.is_some_and(|(_, status)| status == 503)
+        !self.spoilt && self.answered.is_some_and(|(_, status)| status == 503)
     }
 
     /// Returns `true` if the endpoint wrote a response with status 200.
@@ -109,7 +111,8 @@
             let place = format!("endpoint {} connection {}", call.endpoint, call.connection);
             lines.push((call.arrived, format!("call at {place}")));
             if let Some((at, status)) = call.answered {
-                lines.push((at, format!("{status} written by {place}")));
+                let spoilt = if call.spoilt { ", executed, with more to follow" } else { "" };
+                lines.push((at, format!("{status} written by {place}{spoilt}")));
             }
             if let Some(at) = call.closed {
                 lines.push((at, format!("closed before the response: {place}")));
--- a/crates/quillhub-server/tests/fault_laboratory.rs
+++ b/crates/quillhub-server/tests/fault_laboratory.rs
@@ -1,7 +1,8 @@
 //! Runs of the fault laboratory with real processes of this build.
 
 use quillhub_fakes::laboratory::{
-    CopyPlan, CopyShape, CopyTiming, Plan, Restart, ShortIo, SocketFaults, StorageFaults, run,
+    CopyPlan, CopyShape, CopyTiming, Plan, Restart, ShortIo, SocketFaults, SpoiltRejectionPlan,
+    StorageFaults, run,
 };
 use quillhub_fakes::scratch::on_one_thread;
 use std::path::Path;
@@ -60,6 +61,24 @@
     });
 }
 
+/// Guards against a rejection that counts as proof although the endpoint executed the call and writes more bytes behind the
+/// response, at once or up to the deadline of the call: at-most-once messages were sent again, or their clients were told
+/// that trying again is harmless, also across a restart.
+#[test]
+fn rejections_with_bytes_behind_them_break_no_rule() {
+    std::thread::scope(|scope| {
+        for (seed, max_delay) in [(30, 100), (31, 4_000)] {
+            scope.spawn(move || {
+                let max_delay = Duration::from_millis(max_delay);
+                let spoilt_rejections = Some(SpoiltRejectionPlan { share: 0.2, max_delay });
+                let plan = Plan::without_faults(seed);
+                let restarts = vec![Restart::kill(plan.load_time / 2)];
+                check(&Plan { spoilt_rejections, restarts, ..plan });
+            });
+        }
+    });
+}
+
 /// Guards against reads and writes that Linux shortens: the runtime took a short one for an empty or full socket and
 /// waited for an event that never came.
 #[test]
