Final outcomes: a 400 with bytes behind it drops no outcome

The status was taken as proof although bytes behind the announced end may make the response malformed; the message would end without an outcome.

Change: a 400 with bytes behind it fails the request, which is repeated; repeating does no harm. A 204 confirms whatever follows it: it is a positive answer, and a platform that adds a body would block all others.

--- a/crates/quillhub-server/src/outcomes.rs
+++ b/crates/quillhub-server/src/outcomes.rs
@@ -1,7 +1,7 @@
 //! Sends the final outcomes of undelivered messages to the platform, oldest first, and repeats each until the platform
 //! confirms it or reports that it cannot read it.
 
-use crate::connection::{ConnectionError, HttpConnection};
+use crate::connection::{ConnectionError, HttpConnection, UnexpectedInput};
 use crate::http;
 use crate::instance::{FinalOutcome, Instance};
 use crate::wal::FinalResult;
@@ -58,6 +58,10 @@
     connection.write(&request).await.map_err(ConnectionError::Failed)?;
     let head = connection.head().await?;
     connection.body(head.framing()?, MAX_RESPONSE_BODY_BYTES).await?;
+    // Prevents a malformed response from dropping an outcome. A confirmation stands whatever follows it.
+    if head.status == STATUS_UNREADABLE && connection.unexpected_input() == UnexpectedInput::Bytes {
+        return Err(ConnectionError::Malformed);
+    }
     Ok(head.status)
 }
 
--- a/crates/quillhub-server/src/outcomes_tests.rs
+++ b/crates/quillhub-server/src/outcomes_tests.rs
@@ -46,6 +46,30 @@
     });
 }
 
+/// Guards against a final outcome that is dropped, since a malformed response begins like one that says it is unreadable.
+#[test]
+fn an_outcome_is_not_dropped_if_bytes_follow_the_response_that_says_it_is_unreadable() {
+    let directory = StateDirectory::new();
+    on_one_thread(async {
+        let unreadable = b"HTTP/1.1 400 x\r\nContent-Length: 0\r\n\r\n";
+        let spoilt = b"HTTP/1.1 400 x\r\nContent-Length: 0\r\n\r\nand more";
+        let confirmed = b"HTTP/1.1 204 x\r\n\r\n";
+        let (address, mut requests) = scripted_server(vec![unreadable, spoilt, confirmed]).await;
+        let instance = instance(&directory, address);
+        instance.borrow_mut().add_outcome(outcome(1, "a", false, None));
+        let (_platform, address_receiver) = watch::channel(address);
+        spawn_local(send(instance.clone(), address_receiver));
+        while !instance.borrow().all_outcomes_confirmed() {
+            tokio::task::yield_now().await;
+        }
+        let mut count = 0;
+        while requests.try_recv().is_ok() {
+            count += 1;
+        }
+        assert_eq!(count, 3, "only the last response confirms the outcome");
+    });
+}
+
 /// The platform at the old address may never have read a request that it did not confirm.
 #[test]
 fn unconfirmed_outcomes_are_sent_to_the_new_address_of_the_platform() {
