Revert "Responsiveness: silence proves nothing of an endpoint that has stopped answering"

The price of responses that are taken back after lost responses is real, so the mechanism does not land; the bound stays.

--- a/crates/quillhub-bench-adapter/src/adapter.rs
+++ b/crates/quillhub-bench-adapter/src/adapter.rs
@@ -66,7 +66,6 @@
             duration: ended.duration,
             finished: ended.finished,
             load_report,
-            connection: None,
         });
     }
 
--- a/crates/quillhub-scale/src/lightweight.rs
+++ b/crates/quillhub-scale/src/lightweight.rs
@@ -160,7 +160,6 @@
                     duration: Duration::from_millis(1),
                     finished: delivered,
                     load_report: None,
-                    connection: None,
                 });
             });
             attempts.extend(more.1);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,8 +23,7 @@
     UnknownServiceClass, ValueDecay,
 };
 pub use policy::{
-    AttributionTerms, CallId, ConnectionId, ConnectionLedger, Health, LedgerUpdate, ResponseMeaning,
-    Uncertainty,
+    AttributionTerms, CallId, ConnectionLedger, Health, LedgerUpdate, ResponseMeaning, Uncertainty,
 };
 
 use std::time::Duration;
--- a/src/policy/attribution.rs
+++ b/src/policy/attribution.rs
@@ -14,10 +14,7 @@
 //! Invariant: an unattributed response ends no message finally, and permits no attempt that its class forbids after a
 //! possible execution.
 
-use super::backoff::BASE_DELAY;
 use super::connection_ledger::TRANSIT_TIME;
-use super::latency::LatencyWindow;
-use super::responsiveness::ProvisionalResponse;
 use super::state::{Attempt, Endpoint, PendingMessage, RecordedPossibleExecution, State};
 use crate::{
     AttemptOutcome, AttemptResult, AttributionTerms, CallId, ConnectionUse, Driver, MessageId, RetrySafety,
@@ -145,12 +142,9 @@
     /// is retried without waiting.
     pub(crate) fn attempt_ended_unattributed(&mut self, result: &AttemptResult, uncertainty: Uncertainty) {
         let Some(attempt) = self.in_flight.remove(&(result.message, result.attempt)) else { return };
-        let is_early = self.is_earlier_than_recent(&attempt, result.duration);
         if !attempt.added_to_call {
             self.process_result(&attempt, result);
-            self.observe_responsiveness(&attempt, result, uncertainty == Uncertainty::Completeness);
         }
-        self.add_provisional(&attempt, result, uncertainty, is_early);
         if let Some(key) = attempt.ordering_key {
             let may_still_be_executed = uncertainty == Uncertainty::Call;
             self.ordering.on_ended(key, result.message, may_still_be_executed, self.now);
@@ -173,35 +167,6 @@
         }
     }
 
-    /// Returns `true` if a call took less time than any recent one of its class at its destination: a copy that the endpoint
-    /// wrote before it received the call takes less than the way there and back.
-    fn is_earlier_than_recent(&self, attempt: &Attempt, duration: Duration) -> bool {
-        let latency = self.latency(attempt.destination, attempt.class);
-        latency.and_then(LatencyWindow::shortest).is_some_and(|shortest| duration < shortest)
-    }
-
-    /// Adds the response to the provisional ones. Nothing depends on it if its message has its final outcome.
-    ///
-    /// A delivery that `is_early` is repeated if no later call is answered, as late as its class allows.
-    fn add_provisional(
-        &mut self,
-        attempt: &Attempt,
-        result: &AttemptResult,
-        uncertainty: Uncertainty,
-        is_early: bool,
-    ) {
-        let message = self.pending.get(&result.message);
-        let deadline = message.map_or(self.now, |message| message.deadline);
-        let retry_at = message.filter(|_| result.finished && is_early).and_then(|message| {
-            let execution = self.possible_execution(attempt);
-            let latest_start = self.latest_start_after(message, Some(&execution));
-            latest_start.checked_sub(BASE_DELAY).filter(|time| *time > attempt.call_deadline + TRANSIT_TIME)
-        });
-        let call = CallId { message: result.message, attempt: result.attempt };
-        let times = (deadline, retry_at);
-        self.provisional.add(call, ProvisionalResponse::new(attempt, times, uncertainty, result.connection));
-    }
-
     /// Keeps a delivered message until its response is attributed.
     fn hold_delivery(&mut self, attempt: &Attempt, result: &AttemptResult) {
         let possible_execution = self.possible_execution(attempt);
@@ -219,9 +184,8 @@
         }
     }
 
-    /// Makes the outcome of a call final.
-    pub(super) fn attribute(&mut self, call: CallId) {
-        self.provisional.remove(call);
+    /// Handles the attribution of a response to its call: its outcome is final.
+    pub(crate) fn response_attributed(&mut self, call: CallId) {
         if self.unattributed_deliveries.contains(call) {
             self.finish(call.message);
         } else if let Some(message) = self.unfinished_mut(call.message) {
@@ -233,7 +197,6 @@
     /// message may have been executed and is not known to be delivered. Its ordering key pauses, as after any malformed
     /// rejection.
     pub(crate) fn response_misattributed(&mut self, call: CallId) {
-        self.provisional.remove(call);
         if self.unattributed_deliveries.contains(call) {
             self.reopen(call.message);
         } else if let Some(message) = self.unfinished_mut(call.message)
--- a/src/policy/latency.rs
+++ b/src/policy/latency.rs
@@ -68,11 +68,6 @@
         self.samples.back().map(|sample| sample.duration)
     }
 
-    /// Returns the shortest recent duration, if there is one.
-    pub(super) fn shortest(&self) -> Option<Duration> {
-        self.samples.iter().map(|sample| sample.duration).min()
-    }
-
     /// Returns [`TIMEOUT_FACTOR`] times the longest recent duration, which the calls of a healthy destination stay
     /// below.
     pub(super) fn tail_bound(&self) -> Duration {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -16,7 +16,6 @@
 mod ordering;
 mod outlier;
 mod rate_limit;
-mod responsiveness;
 mod retry_budget;
 mod scheduling;
 mod selection;
@@ -25,7 +24,7 @@
 mod verdict;
 
 pub use connection_ledger::{
-    AttributionTerms, CallId, ConnectionId, ConnectionLedger, LedgerUpdate, ResponseMeaning, Uncertainty,
+    AttributionTerms, CallId, ConnectionLedger, LedgerUpdate, ResponseMeaning, Uncertainty,
 };
 pub use outlier::Health;
 
--- a/src/policy/tests/attribution.rs
+++ b/src/policy/tests/attribution.rs
@@ -26,12 +26,6 @@
     dispatcher
 }
 
-/// Attributes the response to a call: its connection was quiet, and no later call is to be waited for.
-fn attribute(dispatcher: &mut Dispatcher, call: CallId) {
-    dispatcher.connection_quiet(call);
-    dispatcher.stop_waiting_for_evidence();
-}
-
 /// Advances the clock and returns the actions that concern messages.
 fn actions_at(dispatcher: &mut Dispatcher, now: Duration) -> Vec<String> {
     dispatcher.advance_to(now);
@@ -50,7 +44,7 @@
         let mut after_deadline = ended();
         let actions = actions_at(&mut after_deadline, in_flight_until);
         assert!(actions.iter().any(|action| action.starts_with("attempt 1")), "{class:?}: {actions:?}");
-        for release in [attribute, Dispatcher::response_misattributed] {
+        for release in [Dispatcher::response_attributed, Dispatcher::response_misattributed] {
             let mut dispatcher = ended();
             release(&mut dispatcher, CALL);
             let actions = actions_at(&mut dispatcher, AFTER_BACKOFF);
@@ -66,7 +60,7 @@
         let ended = || ended_with(RetrySafety::AtMostOnce, rejected(), uncertainty);
         assert!(actions_at(&mut ended(), ms(9_000)).is_empty());
         let mut attributed = ended();
-        attribute(&mut attributed, CALL);
+        attributed.response_attributed(CALL);
         assert!(actions_at(&mut attributed, AFTER_BACKOFF)[0].starts_with("attempt 1"));
         let mut misattributed = ended();
         misattributed.response_misattributed(CALL);
@@ -104,8 +98,7 @@
     };
     let mut dispatcher = ended_with(DEDUPLICATED, rejected(), Uncertainty::Completeness);
     let within_window = latest_start(&dispatcher);
-    attribute(&mut dispatcher, CALL);
-    let _ = actions(&mut dispatcher);
+    dispatcher.response_attributed(CALL);
     assert!(within_window < latest_start(&dispatcher), "{within_window:?}");
     let mut malformed = ended_with(DEDUPLICATED, rejected(), Uncertainty::Completeness);
     malformed.response_misattributed(CALL);
@@ -166,8 +159,7 @@
 #[test]
 fn an_attributed_delivery_is_final() {
     let mut dispatcher = ended_unattributed(RetrySafety::Idempotent, AttemptOutcome::Delivered);
-    attribute(&mut dispatcher, CALL);
-    assert!(actions(&mut dispatcher).iter().all(|action| !action.contains(" 1")));
+    dispatcher.response_attributed(CALL);
     dispatcher.response_misattributed(CALL);
     assert!(actions_at(&mut dispatcher, ms(20_000)).is_empty());
 }
