--- a/crates/quillhub-bench-adapter/src/adapter.rs
+++ b/crates/quillhub-bench-adapter/src/adapter.rs
@@ -66,6 +66,7 @@
             duration: ended.duration,
             finished: ended.finished,
             load_report,
+            connection: None,
         });
     }
 
--- a/crates/quillhub-fakes/src/laboratory/endpoint.rs
+++ b/crates/quillhub-fakes/src/laboratory/endpoint.rs
@@ -4,7 +4,7 @@
 //! endpoint itself writes the surplus of malformed rejections.
 
 use super::plan::{Plan, SpoiltRejectionPlan};
-use super::record::Call;
+use super::record::{Call, Copy};
 use super::run::SharedRun;
 use crate::http::{Request, parse_request};
 use rand::RngExt;
@@ -40,12 +40,17 @@
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let connection = run.borrow_mut().next_connection();
-    let mut unparsed = Vec::new();
+    let hang = plan.hangs.as_ref().and_then(|hangs| hangs.time_of(endpoint));
+    let (mut unparsed, mut last_response) = (Vec::new(), None);
     loop {
         while let Some((request, used)) = parse_request(&unparsed)? {
             unparsed.drain(..used);
             let call = ReceivedCall::new(&run, Place { endpoint, connection }, request);
-            call.answer(&run, &plan, &mut stream, &mut unparsed).await?;
+            let elapsed = run.borrow().record.started.elapsed();
+            if hang.as_ref().is_some_and(|hang| hang.contains(&elapsed)) {
+                return call.hang(&run, &plan, &mut stream, last_response).await;
+            }
+            last_response = Some(call.answer(&run, &plan, &mut stream, &mut unparsed).await?);
         }
         if stream.read_buf(&mut unparsed).await? == 0 {
             return Ok(());
@@ -129,7 +134,7 @@
         plan: &Plan,
         stream: &mut TcpStream,
         unparsed: &mut Vec<u8>,
-    ) -> io::Result<()> {
+    ) -> io::Result<LastResponse> {
         let (response, service_time) = {
             let rng = &mut run.borrow_mut().rng;
             let response = PlannedResponse::draw(plan, rng);
@@ -154,8 +159,55 @@
             read_until(latest.map_or(at, |latest| at.min(latest)), stream, unparsed).await?;
             stream.write_all(surplus).await?;
         }
-        Ok(())
+        Ok(LastResponse { call: self.index, bytes: response.encode() })
+    }
+
+    /// Leaves the call without an answer until its connection is closed, after a copy of the response before it, if planned.
+    async fn hang(
+        &self,
+        run: &SharedRun,
+        plan: &Plan,
+        stream: &mut TcpStream,
+        last_response: Option<LastResponse>,
+    ) -> io::Result<()> {
+        let copy = plan.hangs.as_ref().zip(last_response).and_then(|(hangs, last)| {
+            let rng = &mut run.borrow_mut().rng;
+            let delay = hangs.max_copy_delay.mul_f64(rng.random());
+            (rng.random::<f64>() < hangs.copied_share).then_some((last, delay))
+        });
+        let ended = async {
+            let mut unparsed = Vec::new();
+            if let Some((last, delay)) = copy {
+                read_until(Instant::now() + delay, stream, &mut unparsed).await?;
+                stream.write_all(&last.bytes).await?;
+                self.record_copy(run, &last);
+            }
+            while !matches!(stream.read_buf(&mut unparsed).await, Ok(0) | Err(_)) {}
+            Ok(())
+        };
+        let result = ended.await;
+        run.borrow_mut().record.calls[self.index].closed = Some(Instant::now());
+        result
     }
+
+    fn record_copy(&self, run: &SharedRun, last: &LastResponse) {
+        let record = &mut run.borrow_mut().record;
+        let message_of = |call: usize| record.calls[call].message.clone();
+        let copy = Copy {
+            endpoint: record.calls[self.index].endpoint,
+            of_message: message_of(last.call),
+            before_message: message_of(self.index),
+            at: Instant::now(),
+        };
+        record.copies.push(copy);
+    }
+}
+
+/// Last response on a connection.
+struct LastResponse {
+    /// Index of its call among the calls in the record.
+    call: usize,
+    bytes: Vec<u8>,
 }
 
 /// Reads what arrives until `at`.
--- a/crates/quillhub-fakes/src/laboratory/mod.rs
+++ b/crates/quillhub-fakes/src/laboratory/mod.rs
@@ -16,7 +16,7 @@
 
 pub use audit::{Verdict, Violation};
 pub use plan::{
-    CopyPlan, CopyShape, CopyTiming, Pause, Plan, Restart, ServiceClassPlan, SpoiltRejectionPlan,
+    CopyPlan, CopyShape, CopyTiming, HangPlan, Pause, Plan, Restart, ServiceClassPlan, SpoiltRejectionPlan,
     StorageFaults,
 };
 pub use run::run;
--- a/crates/quillhub-fakes/src/laboratory/plan.rs
+++ b/crates/quillhub-fakes/src/laboratory/plan.rs
@@ -70,6 +70,31 @@
     pub max_delay: Duration,
 }
 
+/// Endpoints that stop answering for a while: a call that arrives meanwhile is read and never answered, and its
+/// connection stays open. On some connections a copy of the last response arrives behind the first such call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HangPlan {
+    /// One endpoint in this many hangs, one after the other.
+    pub one_endpoint_in: usize,
+    /// Time for which the first endpoint hangs, from the start of the load.
+    pub time: Range<Duration>,
+    /// Share of the connections with a copy, from 0 to 1.
+    pub copied_share: f64,
+    /// Maximum time from the last byte of a call to the copy.
+    pub max_copy_delay: Duration,
+}
+
+impl HangPlan {
+    /// Time from the start of one endpoint's hang to that of the next one's.
+    const STAGGER: Duration = Duration::from_millis(150);
+
+    /// Returns the time for which an endpoint hangs, from the start of the load, if it does.
+    pub(super) fn time_of(&self, endpoint: usize) -> Option<Range<Duration>> {
+        let offset = Self::STAGGER * (endpoint / self.one_endpoint_in) as u32;
+        (endpoint % self.one_endpoint_in == 0).then(|| self.time.start + offset..self.time.end + offset)
+    }
+}
+
 /// Restart of an instance on its state directory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Restart {
@@ -158,6 +183,8 @@
     pub copies: Option<CopyPlan>,
     /// Malformed rejections, if any.
     pub spoilt_rejections: Option<SpoiltRejectionPlan>,
+    /// Endpoints that stop answering, if any.
+    pub hangs: Option<HangPlan>,
     /// Restarts, in order of time.
     pub restarts: Vec<Restart>,
     /// Pauses, in order of time.
@@ -188,6 +215,7 @@
             failed_share: 0.03,
             copies: None,
             spoilt_rejections: None,
+            hangs: None,
             restarts: Vec::new(),
             pauses: Vec::new(),
             short_io: None,
@@ -250,6 +278,23 @@
         }
     }
 
+    /// Returns the plan that `seed` determines, with copies of responses before endpoints stop answering, a killed instance
+    /// in one run out of three, and surplus responses as well in one out of four.
+    pub fn with_copies_before_hangs(seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(!seed);
+        let millis = Duration::from_millis;
+        let start = millis(rng.random_range(800..2_500));
+        let hangs = HangPlan {
+            one_endpoint_in: rng.random_range(2..=5),
+            time: start..start + millis(rng.random_range(2_500..8_000)),
+            copied_share: rng.random_range(0.3..1.0),
+            max_copy_delay: millis([8, 60, 300][rng.random_range(0..3)]),
+        };
+        let has_copies = rng.random_range(0..4) == 0;
+        let plan = Self::with_surplus_responses(seed);
+        Self { hangs: Some(hangs), copies: plan.copies.clone().filter(|_| has_copies), ..plan }
+    }
+
     /// Returns the plan that `seed` determines, with an instance that is killed and restarted after its wall clock was
     /// set by seconds or by an hour, forward or back.
     pub fn with_wall_clock_step(seed: u64) -> Self {
@@ -287,6 +332,7 @@
         Self {
             copies: Self::with_surplus_responses(seed).copies.filter(|_| rng.random()),
             spoilt_rejections: Self::with_spoilt_rejections(seed).spoilt_rejections.filter(|_| rng.random()),
+            hangs: Self::with_copies_before_hangs(seed).hangs.filter(|_| rng.random_range(0..4) == 0),
             short_io: rng.random::<bool>().then_some(short_io),
             socket_faults: rng.random::<bool>().then_some(socket_faults),
             storage_faults: Self::with_storage_faults(seed).storage_faults.filter(|_| rng.random()),
--- a/crates/quillhub-fakes/src/laboratory/run.rs
+++ b/crates/quillhub-fakes/src/laboratory/run.rs
@@ -62,17 +62,21 @@
     files: ScratchDirectory,
     /// Environment variables of the process, beyond those of this one.
     environment: Environment,
+    /// Level of the log.
+    log_level: &'static str,
 }
 
 impl InstanceFiles {
     fn start(&self, program: &Path) -> io::Result<InstanceProcess> {
+        let log_level = self.log_level;
         let [config, log] = ["config", "log"].map(|name| self.files.0.join(name));
         let paths = [&config, &self.state.0, &log].map(PathBuf::as_path);
-        InstanceProcess::start_with_environment(program, "info", paths, self.environment.variables())
+        InstanceProcess::start_with_environment(program, log_level, paths, self.environment.variables())
     }
 }
 
-/// Runs `plan` with instances of `program` and returns the verdict. The logs are copied to `logs` if that is given.
+/// Runs `plan` with instances of `program` and returns the verdict. The logs, at level `debug`, are copied to `logs` if
+/// that is given.
 ///
 /// # Errors
 ///
@@ -91,7 +95,8 @@
     let mut instances = Vec::new();
     for number in 0..plan.instances {
         let known = discovery.borrow().list();
-        instances.push(prepare_instance(plan, number, control, known)?);
+        let log_level = if logs.is_some() { "debug" } else { "info" };
+        instances.push(prepare_instance(plan, number, control, known, log_level)?);
     }
     let processes = instances.iter().map(|instance| instance.start(program).map(Some));
     let processes = RefCell::new(processes.collect::<io::Result<_>>()?);
@@ -157,6 +162,7 @@
     number: usize,
     control: SocketAddr,
     known: Value,
+    log_level: &'static str,
 ) -> io::Result<InstanceFiles> {
     // An address on a host that nothing else binds to, so that the port stays free for a restart.
     let host = format!("127.0.{}.{}:0", 90 + plan.seed % 100, 1 + number);
@@ -179,7 +185,7 @@
     std::fs::write(files.0.join("config"), configuration.to_string())?;
     let state = ScratchDirectory::new();
     let environment = prepare_environment(plan, number, &files.0, &state.0)?;
-    Ok(InstanceFiles { listen, state, files, environment })
+    Ok(InstanceFiles { listen, state, files, environment, log_level })
 }
 
 fn prepare_environment(plan: &Plan, number: usize, files: &Path, state: &Path) -> io::Result<Environment> {
--- a/crates/quillhub-scale/src/lightweight.rs
+++ b/crates/quillhub-scale/src/lightweight.rs
@@ -160,6 +160,7 @@
                     duration: Duration::from_millis(1),
                     finished: delivered,
                     load_report: None,
+                    connection: None,
                 });
             });
             attempts.extend(more.1);
--- a/crates/quillhub-server/src/instance/attribution.rs
+++ b/crates/quillhub-server/src/instance/attribution.rs
@@ -18,10 +18,12 @@
 use tokio::time::timeout;
 
 /// Result of an attempt whose response is unattributed.
-struct UnattributedResult {
-    id: AttemptId,
-    classified: ClassifiedResult,
-    uncertainty: Uncertainty,
+pub(super) struct UnattributedResult {
+    pub(super) id: AttemptId,
+    pub(super) classified: ClassifiedResult,
+    pub(super) uncertainty: Uncertainty,
+    /// Number of the connection on which the response was read.
+    pub(super) connection: u64,
 }
 
 /// Results of attempts whose responses are unattributed.
@@ -29,8 +31,30 @@
 pub(super) struct UnattributedResults(BTreeMap<CallId, UnattributedResult>);
 
 impl UnattributedResults {
-    pub(super) fn insert(&mut self, id: &AttemptId, classified: ClassifiedResult, uncertainty: Uncertainty) {
-        self.0.insert(id.call(), UnattributedResult { id: id.clone(), classified, uncertainty });
+    pub(super) fn insert(&mut self, result: UnattributedResult) {
+        self.0.insert(result.id.call(), result);
+    }
+
+    /// Returns the calls whose responses were read on a connection.
+    fn calls_on(&self, connection: u64) -> Vec<CallId> {
+        let on_connection = self.0.iter().filter(|(_, result)| result.connection == connection);
+        on_connection.map(|(call, _)| *call).collect()
+    }
+
+    /// Returns the calls of which a response may still be outstanding on a connection, although it was quiet.
+    fn uncertain_calls_on(&self, connection: u64) -> Vec<CallId> {
+        let is_uncertain = |result: &UnattributedResult| {
+            result.connection == connection && result.uncertainty == Uncertainty::Call
+        };
+        self.0.iter().filter(|(_, result)| is_uncertain(result)).map(|(call, _)| *call).collect()
+    }
+
+    /// Returns the endpoints and connections on which an attempt of the message may still be out.
+    fn connections_of(&self, message: MessageId) -> Vec<(String, u64)> {
+        let [first, last] = [0, u32::MAX].map(|attempt| CallId { message, attempt });
+        let results = self.0.range(first..=last).map(|(_, result)| result);
+        let may_be_out = results.filter(|result| result.uncertainty == Uncertainty::Call);
+        may_be_out.map(|result| (result.id.endpoint.clone(), result.connection)).collect()
     }
 
     pub(super) fn is_empty(&self) -> bool {
@@ -62,7 +86,7 @@
 
 impl ConnectionEffects {
     fn add(&mut self, update: LedgerUpdate) {
-        self.update.attributed.extend(update.attributed);
+        self.update.quiet.extend(update.quiet);
         self.update.misattributed.extend(update.misattributed);
     }
 
@@ -72,7 +96,7 @@
 
     /// Reports the effects to the dispatcher.
     pub(super) fn report(&self, dispatcher: &mut Dispatcher) {
-        self.update.attributed.iter().for_each(|call| dispatcher.response_attributed(*call));
+        self.update.quiet.iter().for_each(|call| dispatcher.connection_quiet(*call));
         self.update.misattributed.iter().for_each(|call| dispatcher.response_misattributed(*call));
         for surplus in &self.surplus {
             dispatcher.surplus_response(&surplus.endpoint, surplus.age, surplus.retry_after);
@@ -125,10 +149,17 @@
         response: Option<ResponseMeaning>,
     ) -> ConnectionEffects {
         let mut effects = ConnectionEffects::default();
+        let is_replaced = !replaced.is_empty();
         for used in replaced {
             self.end_connection(&id.endpoint, used, &mut effects);
         }
-        let Some(UsedConnection { mut connection, state }) = connection else { return effects };
+        let Some(UsedConnection { mut connection, state }) = connection else {
+            // The connection of an aborted attempt is closed, with whatever was outstanding on it.
+            if let Some(connection) = id.pooled.filter(|_| !is_replaced) {
+                effects.update.misattributed.extend(self.unattributed.calls_on(connection));
+            }
+            return effects;
+        };
         if let Some(meaning) = response {
             let now = self.now();
             let ledger: &mut ConnectionLedger = &mut connection.ledger;
@@ -212,7 +243,7 @@
         let UsedConnection { mut connection, state } = used;
         let now = self.now();
         let has_uncertain_call = connection.ledger.has_uncertain_call();
-        let update = match state {
+        let mut update = match state {
             ConnectionState::Malformed | ConnectionState::Surplus => connection.ledger.on_surplus(),
             ConnectionState::Ended => connection.ledger.on_ended(now),
             _ => connection.ledger.on_closed(now),
@@ -223,6 +254,8 @@
             connection.client_ids.each_ref().map(|id| String::from_utf8_lossy(id));
         let is_unusual = has_uncertain_call && !update.misattributed.is_empty();
         if state == ConnectionState::Surplus {
+            // An endpoint that had stopped answering does so again: the quiet time of the connection proved nothing.
+            update.misattributed.extend(self.unattributed.uncertain_calls_on(number));
             let head = connection.surplus_head();
             let status = head.as_ref().map(|head| head.status);
             let retry_after = head.as_ref().and_then(attempts::retry_after);
@@ -253,39 +286,75 @@
         self.handle_event(|dispatcher| effects.report(dispatcher));
     }
 
-    /// Writes the attributed results to the log, and removes the misattributed ones.
+    /// Removes the misattributed results.
     pub(super) fn record_effects(&mut self, effects: &ConnectionEffects) {
-        for call in &effects.update.attributed {
-            if let Some(result) = self.unattributed.0.remove(call) {
-                self.record_attempt(&result.id, &result.classified);
+        effects.update.misattributed.iter().for_each(|call| self.remove_misattributed(*call));
+    }
+
+    /// Writes the result of a call whose response is attributed to the log.
+    pub(super) fn record_attributed(&mut self, call: CallId) {
+        if let Some(result) = self.unattributed.0.remove(&call) {
+            self.record_attempt(&result.id, &result.classified);
+        }
+    }
+
+    /// Removes the result of a call whose response is misattributed.
+    fn remove_misattributed(&mut self, call: CallId) {
+        let Some(result) = self.unattributed.0.remove(&call) else { return };
+        let UnattributedResult { id, classified, uncertainty, .. } = result;
+        let client_id = String::from_utf8_lossy(&id.client_id);
+        let (attempt, endpoint, outcome) = (call.attempt, id.endpoint, classified.outcome);
+        match uncertainty {
+            Uncertainty::Call => tracing::warn!(
+                message_id = call.message,
+                %client_id,
+                attempt,
+                endpoint,
+                ?outcome,
+                "response may belong to an earlier call on its connection"
+            ),
+            // Frequent: each rejection on a connection that is closed before its quiet time.
+            Uncertainty::Completeness => tracing::debug!(
+                message_id = call.message,
+                %client_id,
+                attempt,
+                endpoint,
+                ?outcome,
+                "rejection proves nothing: more may have followed it"
+            ),
+        }
+    }
+
+    /// Removes the result of a call that may still be out, since its endpoint has stopped answering, and closes its
+    /// connection, so that the call is not out beside a retry. A call that waits behind it is aborted.
+    pub(super) fn end_unanswered_call(&mut self, call: CallId) {
+        if let Some(result) = self.unattributed.0.get(&call) {
+            let (endpoint, connection) = (result.id.endpoint.clone(), result.connection);
+            match self.pooled_attempts.get(&connection) {
+                Some(attempt) => attempt.abort(),
+                None => self.close_idle_connection(endpoint, connection),
             }
         }
-        for call in &effects.update.misattributed {
-            let Some(result) = self.unattributed.0.remove(call) else { continue };
-            let UnattributedResult { id, classified, uncertainty } = result;
-            let client_id = String::from_utf8_lossy(&id.client_id);
-            let (attempt, endpoint, outcome) = (call.attempt, id.endpoint, classified.outcome);
-            match uncertainty {
-                Uncertainty::Call => tracing::warn!(
-                    message_id = call.message,
-                    %client_id,
-                    attempt,
-                    endpoint,
-                    ?outcome,
-                    "response may belong to an earlier call on its connection"
-                ),
-                // Frequent: each rejection on a connection that is closed before its quiet time.
-                Uncertainty::Completeness => tracing::debug!(
-                    message_id = call.message,
-                    %client_id,
-                    attempt,
-                    endpoint,
-                    ?outcome,
-                    "rejection proves nothing: more may have followed it"
-                ),
+        self.remove_misattributed(call);
+    }
+
+    /// Closes the connections on which an earlier attempt of a message may still be out, before it is attempted again.
+    /// Those that are not quiet stay open, as other responses on them are still to be attributed.
+    pub(super) fn close_quiet_connections_of(&mut self, message: MessageId) {
+        let now = self.now();
+        for (endpoint, number) in self.unattributed.connections_of(message) {
+            let connection = self.pool.get_mut(&endpoint, number);
+            if connection.is_some_and(|connection| connection.ledger.is_quiet(now)) {
+                self.close_idle_connection(endpoint, number);
             }
         }
     }
+
+    fn close_idle_connection(&mut self, endpoint: String, number: u64) {
+        if let Some(connection) = self.pool.remove(&endpoint, number) {
+            self.handle_input_later(endpoint, connection);
+        }
+    }
 }
 
 #[cfg(test)]
--- a/crates/quillhub-server/src/instance/attribution_tests.rs
+++ b/crates/quillhub-server/src/instance/attribution_tests.rs
@@ -132,25 +132,60 @@
     assert_eq!(unfinished[&2].possible_executions().count(), 1);
 }
 
+/// Lets paused time pass until no response is unattributed.
+async fn until_attributed(instance: &RefCell<Instance>) {
+    tokio::time::pause();
+    while instance.borrow().has_unattributed_responses() {
+        tokio::time::advance(TIME_STEP).await;
+        yield_now().await;
+    }
+    tokio::time::resume();
+}
+
 /// Guards against deliveries that stay unattributed although their connection was quiet for long enough.
 #[test]
-fn a_delivery_is_finished_once_its_connection_was_quiet() {
+fn a_delivery_is_finished_by_its_deadline_if_its_connection_was_quiet() {
     let directory = StateDirectory::new();
     on_one_thread(async {
         let endpoint = Endpoint::start(REJECTED).await;
         let instance = instance(&directory, endpoint.address);
-        deliver_two(&instance, "free").await;
-        tokio::time::pause();
-        while instance.borrow().has_unattributed_responses() {
-            tokio::time::advance(Duration::from_millis(100)).await;
-            yield_now().await;
-        }
+        deliver_two(&instance, "once").await;
+        until_attributed(&instance).await;
         assert!(instance.borrow().is_idle());
         assert_eq!(endpoint.connections_of_second(), [0]);
     });
     assert!(unfinished_in(&directory).is_empty());
 }
 
+/// Guards against a lost message and a call behind one that is never answered: the endpoint stops answering after a copy,
+/// and the next call on the connection shows it.
+#[test]
+fn a_delivery_is_taken_back_if_the_next_call_on_its_connection_is_not_answered() {
+    for (class, count) in [("free", 2), ("once", 1)] {
+        let directory = StateDirectory::new();
+        on_one_thread(async {
+            let (address, requests) = start_scripted_endpoint(&[OK, OK]).await;
+            let instance = instance(&directory, address);
+            deliver_two(&instance, class).await;
+            let second = requests.borrow()[1].1.clone();
+            submit(&instance, "free");
+            tokio::time::pause();
+            while instance.borrow().has_unattributed_responses() {
+                tokio::time::advance(TIME_STEP).await;
+                yield_now().await;
+            }
+            tokio::time::resume();
+            let count_of_second = || requests.borrow().iter().filter(|(_, id)| *id == second).count();
+            while count_of_second() < count || instance.borrow().attempts_in_flight() > 0 {
+                yield_now().await;
+            }
+            assert_eq!(count_of_second(), count, "{class}");
+            let outcomes: Vec<_> = instance.borrow().unconfirmed_outcomes().map(|it| it.result).collect();
+            assert_eq!(outcomes.contains(&FinalResult::Abandoned), class == "once");
+        });
+    }
+}
+
 /// Guards against two attempts at once: with two copies on a connection, a later response does not show that a call whose
 /// response was a rejection is no longer executed. Only the end of the connection does, or the deadline of the call.
 #[test]
--- a/crates/quillhub-server/src/instance/driver.rs
+++ b/crates/quillhub-server/src/instance/driver.rs
@@ -5,7 +5,7 @@
 use crate::attempts::{Attempt, AttemptEnd, ClassifiedResult};
 use crate::http;
 use crate::wal::{FinalResult, RecordKind};
-use quillhub::{AttemptPlan, ConnectionUse, Dispatcher, Driver, LogEvent, MessageId};
+use quillhub::{AttemptPlan, CallId, ConnectionUse, Dispatcher, Driver, LogEvent, MessageId};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -42,14 +42,17 @@
     {
         self.attempts_in_flight += 1;
         let weak = self.weak.clone();
+        let task = spawn_local(async move {
+            match attempt {
+                Some(attempt) => attempt.run().await,
+                None => AttemptEnd::not_sent(),
+            }
+        });
+        if let Some(connection) = id.pooled {
+            self.pooled_attempts.insert(connection, task.abort_handle());
+        }
         spawn_local(async move {
-            let task = spawn_local(async move {
-                match attempt {
-                    Some(attempt) => attempt.run().await,
-                    None => AttemptEnd::not_sent(),
-                }
-            });
-            // A panic in the attempt's task ends only that attempt. The message may have been executed.
+            // A panic in the attempt's task, or its abortion, ends only that attempt. The message may have been executed.
             let end = task.await.unwrap_or_else(|_| AttemptEnd::connection_reset());
             if let Some(instance) = weak.upgrade() {
                 instance.borrow_mut().attempt_ended(&id, end, started.elapsed());
@@ -80,6 +83,7 @@
 impl Driver for Instance {
     fn start_attempt(&mut self, id: MessageId, endpoint: &str, plan: AttemptPlan) {
         let started = Instant::now();
+        self.close_quiet_connections_of(id);
         let written = self.write_acceptance(id);
         let Some(message) = self.messages.get_mut(id) else { return };
         let attempt = message.begin_attempt();
@@ -105,7 +109,9 @@
             connection = pooled.as_ref().map(|pooled| pooled.number()),
             "attempt starts"
         );
-        let id = AttemptId { message: id, attempt, endpoint: endpoint.to_owned(), client_id, plan };
+        let endpoint = endpoint.to_owned();
+        let pooled_number = pooled.as_ref().map(|pooled| pooled.number());
+        let id = AttemptId { message: id, attempt, endpoint, client_id, plan, pooled: pooled_number };
         let (weak, attempt_id) = (self.weak.clone(), id.clone());
         let may_send_request = move || {
             weak.upgrade().is_some_and(|instance| instance.borrow_mut().may_send_request(&attempt_id))
@@ -130,6 +136,14 @@
         self.finish_undelivered(id, FinalResult::Abandoned);
     }
 
+    fn response_attributed(&mut self, call: CallId) {
+        self.record_attributed(call);
+    }
+
+    fn response_misattributed(&mut self, call: CallId) {
+        self.end_unanswered_call(call);
+    }
+
     fn close_idle_connections(&mut self, endpoint: &str) {
         self.pool.retire(endpoint);
     }
--- a/crates/quillhub-server/src/instance/mod.rs
+++ b/crates/quillhub-server/src/instance/mod.rs
@@ -21,16 +21,18 @@
 use crate::pool::ConnectionPool;
 use crate::wal::{AppendError, FinalResult, RecordKind, Wal};
 use crate::wall_clock::WallClock;
-use attribution::UnattributedResults;
+use attribution::{UnattributedResult, UnattributedResults};
 use messages::Messages;
 use outcome_queue::OutcomeQueue;
-use quillhub::{AttemptPlan, AttemptResult, CallId, Dispatcher, MessageId};
+use quillhub::{AttemptPlan, AttemptResult, CallId, ConnectionId, Dispatcher, MessageId};
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 /// Components from which [`Instance::new`] creates an instance.
@@ -62,6 +64,8 @@
     /// that may have executed its message.
     clock_offset: Duration,
     messages: Messages,
+    /// Attempts in flight on pooled connections, by the number of the connection.
+    pooled_attempts: BTreeMap<u64, AbortHandle>,
     /// Results of attempts whose responses are unattributed.
     unattributed: UnattributedResults,
     /// Outcome of the submission being handled, if the dispatcher finished its message immediately.
@@ -92,6 +96,8 @@
     /// Client id of the message, for the log.
     client_id: Box<[u8]>,
     plan: AttemptPlan,
+    /// Number of the pooled connection that the attempt was given, if any.
+    pooled: Option<u64>,
 }
 
 impl AttemptId {
@@ -118,6 +124,7 @@
                 started: Instant::now(),
                 clock_offset: Duration::ZERO,
                 messages: Messages::default(),
+                pooled_attempts: BTreeMap::new(),
                 unattributed: UnattributedResults::default(),
                 immediate_outcome: None,
                 wal: parts.wal,
@@ -152,7 +159,9 @@
         let handled = catch_unwind(AssertUnwindSafe(|| {
             dispatcher.advance_to(now);
             let result = event(&mut dispatcher);
-            if !self.stopping {
+            if self.stopping {
+                dispatcher.settle_responses(self);
+            } else {
                 dispatcher.apply_rules(self);
             }
             result
@@ -294,10 +303,14 @@
     /// Records the end of an attempt, `elapsed` after its start, and reports it to the dispatcher.
     fn attempt_ended(&mut self, id: &AttemptId, end: AttemptEnd, elapsed: Duration) {
         self.attempts_in_flight -= 1;
+        if let Some(connection) = id.pooled {
+            self.pooled_attempts.remove(&connection);
+        }
         let AttemptEnd { result, connection, replaced } = end;
         let classified = ClassifiedResult::classify(&result, self.load_reports);
         let duration = result.as_ref().map_or(elapsed, |response| response.latency);
         let response = result.is_ok().then(|| classified.meaning());
+        let number = connection.as_ref().map(|used| used.connection.number());
         let uncertainty = connection
             .as_ref()
             .zip(response)
@@ -323,9 +336,13 @@
             duration,
             finished: classified.finished,
             load_report,
+            connection: number.map(ConnectionId),
         };
-        match uncertainty {
-            Some(uncertainty) => self.unattributed.insert(id, classified, uncertainty),
+        match uncertainty.zip(number) {
+            Some((uncertainty, connection)) => {
+                let id = id.clone();
+                self.unattributed.insert(UnattributedResult { id, classified, uncertainty, connection });
+            }
             None => self.record_attempt(id, &classified),
         }
         let effects = self.attempt_connections_ended(id, connection, replaced, response);
@@ -364,6 +381,12 @@
     pub fn stop_deciding(&mut self) {
         self.stopping = true;
     }
+
+    /// Attributes the responses on connections that were quiet and that nothing speaks against, as no later call will show
+    /// whether their endpoints still answer.
+    pub fn stop_waiting_for_evidence(&mut self) {
+        self.handle_event(Dispatcher::stop_waiting_for_evidence);
+    }
 }
 
 #[cfg(test)]
--- a/crates/quillhub-server/src/instance/tests.rs
+++ b/crates/quillhub-server/src/instance/tests.rs
@@ -143,6 +143,7 @@
         duration: TIME_TO_LIVE,
         finished: false,
         load_report: None,
+        connection: None,
     };
     type Change = Box<dyn Fn(&mut Instance)>;
     let changes: [(&str, Change); 5] = [
--- a/crates/quillhub-server/src/shutdown.rs
+++ b/crates/quillhub-server/src/shutdown.rs
@@ -17,6 +17,8 @@
 const ACCEPT_DEADLINE: Duration = Duration::from_millis(500);
 /// Deadline for decisions of the dispatcher on pending messages.
 const DECISION_DEADLINE: Duration = Duration::from_millis(2_000);
+/// Deadline for attempts in flight to show whether the endpoints still answer.
+const EVIDENCE_DEADLINE: Duration = Duration::from_millis(2_900);
 /// Deadline for the end of attempts in flight, and for the attribution of their responses.
 const ATTEMPT_DEADLINE: Duration = Duration::from_millis(3_000);
 /// Deadline for sending final outcomes to the platform and replies to clients, 400 ms before the process is killed.
@@ -52,6 +54,9 @@
     // A delivery that is not attributed when the process exits is repeated after the restart.
     let nothing_in_flight =
         || instance.borrow().attempts_in_flight() == 0 && !instance.borrow().has_unattributed_responses();
+    let nothing_unanswered = || instance.borrow().attempts_in_flight() == 0;
+    wait_until(requested + EVIDENCE_DEADLINE, nothing_unanswered).await;
+    instance.borrow_mut().stop_waiting_for_evidence();
     wait_until(requested + ATTEMPT_DEADLINE, nothing_in_flight).await;
     // Also waits for client connections within a command, whose `COMMAND_TIMEOUT` expires before this deadline.
     let nothing_left = || instance.borrow().all_outcomes_confirmed() && clients.all_closed();
--- a/crates/quillhub-server/tests/fault_laboratory.rs
+++ b/crates/quillhub-server/tests/fault_laboratory.rs
@@ -1,7 +1,7 @@
 //! Runs of the fault laboratory with real processes of this build.
 
 use quillhub_fakes::laboratory::{
-    CopyPlan, CopyShape, CopyTiming, Plan, Restart, ShortIo, SocketFaults, SpoiltRejectionPlan,
+    CopyPlan, CopyShape, CopyTiming, HangPlan, Plan, Restart, ShortIo, SocketFaults, SpoiltRejectionPlan,
     StorageFaults, run,
 };
 use quillhub_fakes::scratch::on_one_thread;
@@ -13,7 +13,7 @@
     let verdict = on_one_thread(run(Path::new(env!("CARGO_BIN_EXE_quillhub")), plan, None)).unwrap();
     println!("{verdict}");
     assert!(verdict.delivered > 100, "{verdict}");
-    assert_eq!(verdict.copies > 0, plan.copies.is_some(), "{verdict}");
+    assert_eq!(verdict.copies > 0, plan.copies.is_some() || plan.hangs.is_some(), "{verdict}");
     let timelines =
         verdict.violations.iter().take(3).map(|(violation, text)| format!("{violation:?}: {text}"));
     assert!(verdict.violations.is_empty(), "{verdict}\n{}", timelines.collect::<String>());
@@ -79,6 +79,28 @@
     });
 }
 
+/// Guards against the copy of a response in the place of one that never comes, since the endpoint has stopped answering:
+/// silence on the connection counted as proof, and the message was lost, also across a restart.
+#[test]
+fn copies_of_responses_before_endpoints_hang_break_no_rule() {
+    std::thread::scope(|scope| {
+        for (seed, max_copy_delay) in [(32, 8), (33, 300)] {
+            scope.spawn(move || {
+                let hangs = Some(HangPlan {
+                    one_endpoint_in: 3,
+                    time: Duration::from_millis(1_500)..Duration::from_millis(9_000),
+                    copied_share: 1.0,
+                    max_copy_delay: Duration::from_millis(max_copy_delay),
+                });
+                // Few endpoints, so that each gets calls all the time, which show that it does not answer.
+                let plan = Plan { destinations: 3, ..Plan::without_faults(seed) };
+                let restarts = vec![Restart::kill(plan.load_time / 2)];
+                check(&Plan { hangs, restarts, ..plan });
+            });
+        }
+    });
+}
+
 /// Guards against reads and writes that Linux shortens: the runtime took a short one for an empty or full socket and
 /// waited for an event that never came.
 #[test]
--- a/crates/quillhub-simulator/src/simulation/calls.rs
+++ b/crates/quillhub-simulator/src/simulation/calls.rs
@@ -213,6 +213,7 @@
             duration,
             finished,
             load_report: end.load_report,
+            connection: None,
         };
         self.process_inputs(instance, &[Input::AttemptEnded(result)]);
     }
--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -1,5 +1,6 @@
 //! Attempts to deliver a message, their outcomes, and the load reports in responses.
 
+use crate::ConnectionId;
 use crate::MessageId;
 use std::time::Duration;
 
@@ -65,4 +66,7 @@
     pub finished: bool,
     /// Load report in the response, if any.
     pub load_report: Option<LoadReport>,
+    /// Connection on which the request was sent; `None` if there was none, or if the host knows by other means which
+    /// response belongs to a call.
+    pub connection: Option<ConnectionId>,
 }
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -17,7 +17,8 @@
 type Rule = fn(&mut State, &mut dyn Driver) -> bool;
 
 /// Rules in the order in which they are tried.
-const RULES: [Rule; 7] = [
+const RULES: [Rule; 8] = [
+    State::settle_response,
     State::poll_discovery,
     State::shed_unstorable,
     State::give_up_expired,
@@ -231,9 +232,23 @@
         self.state.attempt_ended_unattributed(&result, uncertainty);
     }
 
-    /// Handles the attribution of a response to its call: the outcome of the attempt is final.
-    pub fn response_attributed(&mut self, call: CallId) {
-        self.state.response_attributed(call);
+    /// Handles the quiet time of a connection: no response to `call` is outstanding on it, and nothing more can follow the
+    /// one that was read, unless the endpoint has stopped answering. The dispatcher reports
+    /// [`Driver::response_attributed`] once the outcome of the attempt is final.
+    pub fn connection_quiet(&mut self, call: CallId) {
+        self.state.connection_quiet(call);
+    }
+
+    /// Settles the responses of which it is known whether they are their calls' own, and does nothing else, for a host
+    /// that is about to exit.
+    pub fn settle_responses(&mut self, driver: &mut dyn Driver) {
+        while self.state.settle_response(driver) {}
+    }
+
+    /// Handles that no further call will be made: the responses on quiet connections are their calls' own unless something
+    /// suggests that they are copies.
+    pub fn stop_waiting_for_evidence(&mut self) {
+        self.state.stop_waiting_for_evidence();
     }
 
     /// Handles a response that may belong to an earlier call or is malformed, after its connection was closed. The
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -1,6 +1,6 @@
 //! Interface between a dispatcher and its host: actions that the dispatcher requests, and events that it logs.
 
-use crate::{AttributionTerms, DestinationId, Health, MessageId};
+use crate::{AttributionTerms, CallId, DestinationId, Health, MessageId};
 use std::fmt;
 use std::time::Duration;
 
@@ -86,6 +86,12 @@
     /// Gives `message` the final outcome abandoned: it is not known to have been delivered, but may have been
     /// executed.
     fn abandon(&mut self, message: MessageId);
+    /// Records that the response to `call`, which was provisional, is its own and complete: the outcome is final. Does
+    /// nothing by default, for hosts that know which response belongs to a call.
+    fn response_attributed(&mut self, _call: CallId) {}
+    /// Records that the response to `call`, which was provisional, may belong to another call. The call may still be out on
+    /// its connection, which is to be closed. Does nothing by default.
+    fn response_misattributed(&mut self, _call: CallId) {}
     /// Closes the instance's idle connections to `endpoint`.
     fn close_idle_connections(&mut self, endpoint: &str);
     /// Sends a gossip datagram to every other instance, without any guarantee of delivery.
--- a/src/gossip_tests.rs
+++ b/src/gossip_tests.rs
@@ -45,6 +45,7 @@
         duration: ms(1),
         finished: outcome == AttemptOutcome::Delivered,
         load_report: None,
+        connection: None,
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,7 +23,8 @@
     UnknownServiceClass, ValueDecay,
 };
 pub use policy::{
-    AttributionTerms, CallId, ConnectionLedger, Health, LedgerUpdate, ResponseMeaning, Uncertainty,
+    AttributionTerms, CallId, ConnectionId, ConnectionLedger, Health, LedgerUpdate, ResponseMeaning,
+    Uncertainty,
 };
 
 use std::time::Duration;
--- a/src/policy/attribution.rs
+++ b/src/policy/attribution.rs
@@ -14,7 +14,9 @@
 //! Invariant: an unattributed response ends no message finally, and permits no attempt that its class forbids after a
 //! possible execution.
 
+use super::backoff::BASE_DELAY;
 use super::connection_ledger::TRANSIT_TIME;
+use super::responsiveness::{ProvisionalResponse, ProvisionalTimes};
 use super::state::{Attempt, Endpoint, PendingMessage, RecordedPossibleExecution, State};
 use crate::{
     AttemptOutcome, AttemptResult, AttributionTerms, CallId, ConnectionUse, Driver, MessageId, RetrySafety,
@@ -103,11 +105,11 @@
     /// that it would be closed before a response to a second call could be attributed.
     ///
     /// Messages with an ordering key get a connection of their own: the next message of the key may only be attempted
-    /// once the response is attributed.
+    /// once the response is attributed. So do calls to an endpoint that may have stopped answering after a copy.
     pub(super) fn connection_use(
         &self,
         message: &PendingMessage,
-        endpoint: &Endpoint,
+        (name, endpoint): (&str, &Endpoint),
         timeout: Duration,
     ) -> ConnectionUse {
         if !self.attributes_by_order {
@@ -116,7 +118,7 @@
             || !self.shared.connections.are_kept_for(&endpoint.kind, timeout)
         {
             ConnectionUse::Single
-        } else if message.ordering_key.is_some() {
+        } else if message.ordering_key.is_some() || self.needs_certain_answer(message.destination, name) {
             ConnectionUse::New
         } else {
             ConnectionUse::Pooled
@@ -142,9 +144,13 @@
     /// is retried without waiting.
     pub(crate) fn attempt_ended_unattributed(&mut self, result: &AttemptResult, uncertainty: Uncertainty) {
         let Some(attempt) = self.in_flight.remove(&(result.message, result.attempt)) else { return };
+        let latency = self.latency(attempt.destination, attempt.class);
+        let is_early = latency.is_some_and(|latency| latency.is_early(result.duration));
         if !attempt.added_to_call {
             self.process_result(&attempt, result);
+            self.observe_responsiveness(&attempt, result, uncertainty == Uncertainty::Completeness);
         }
+        self.add_provisional(&attempt, result, uncertainty, is_early);
         if let Some(key) = attempt.ordering_key {
             let may_still_be_executed = uncertainty == Uncertainty::Call;
             self.ordering.on_ended(key, result.message, may_still_be_executed, self.now);
@@ -167,6 +173,35 @@
         }
     }
 
+    /// Adds the response to the provisional ones. It needs no evidence if its message has its final outcome, as nothing
+    /// depends on it.
+    fn add_provisional(
+        &mut self,
+        attempt: &Attempt,
+        result: &AttemptResult,
+        uncertainty: Uncertainty,
+        is_early: bool,
+    ) {
+        let message = self.pending.get(&result.message);
+        let uncertainty = if message.is_some() { uncertainty } else { Uncertainty::Completeness };
+        let latest_retry = message.filter(|_| result.finished).and_then(|message| {
+            let execution = self.possible_execution(attempt);
+            self.latest_start_after(message, Some(&execution)).checked_sub(BASE_DELAY)
+        });
+        let deadline = message.map_or(Duration::MAX, |message| message.deadline);
+        let tail_bound = self.tail_bound(attempt.destination, attempt.class);
+        let times = ProvisionalTimes {
+            started: attempt.started,
+            expected_by: attempt.call_deadline.min(attempt.started + tail_bound),
+            retry_at: latest_retry.filter(|time| *time > attempt.call_deadline + TRANSIT_TIME),
+            delivery_deadline: message.filter(|_| result.finished).map(|message| message.deadline),
+            expires_at: deadline.saturating_add(ABANDON_GRACE),
+        };
+        let call = CallId { message: result.message, attempt: result.attempt };
+        let response = ProvisionalResponse::new(attempt, times, uncertainty, (result.connection, is_early));
+        self.provisional.add(call, response);
+    }
+
     /// Keeps a delivered message until its response is attributed.
     fn hold_delivery(&mut self, attempt: &Attempt, result: &AttemptResult) {
         let possible_execution = self.possible_execution(attempt);
@@ -184,8 +219,9 @@
         }
     }
 
-    /// Handles the attribution of a response to its call: its outcome is final.
-    pub(crate) fn response_attributed(&mut self, call: CallId) {
+    /// Makes the outcome of a call final.
+    pub(super) fn attribute(&mut self, call: CallId) {
+        self.provisional.remove(call);
         if self.unattributed_deliveries.contains(call) {
             self.finish(call.message);
         } else if let Some(message) = self.unfinished_mut(call.message) {
@@ -197,6 +233,7 @@
     /// message may have been executed and is not known to be delivered. Its ordering key pauses, as after any malformed
     /// rejection.
     pub(crate) fn response_misattributed(&mut self, call: CallId) {
+        self.provisional.remove(call);
         if self.unattributed_deliveries.contains(call) {
             self.reopen(call.message);
         } else if let Some(message) = self.unfinished_mut(call.message)
@@ -226,9 +263,10 @@
 
     /// Handles a surplus response, `age` after the response before it: unless it came together with that, each connection
     /// to the endpoint carries a single call for [`DISTRUST_PERIOD`]. A retry-after in it is respected, as it may be the
-    /// response to a call whose place an earlier one took.
+    /// response to a call whose place an earlier one took. Responses of all endpoints may then be copies.
     pub(crate) fn surplus_response(&mut self, endpoint: &str, age: Duration, retry_after: Option<Duration>) {
         let now = self.now;
+        self.suspect_copies_for(DISTRUST_PERIOD);
         for destination in self.destinations.values_mut() {
             let Some(state) = destination.endpoints.get_mut(endpoint) else { continue };
             if age > MAX_ADJACENT_AGE {
--- a/src/policy/connection_ledger.rs
+++ b/src/policy/connection_ledger.rs
@@ -23,6 +23,10 @@
     pub attempt: u32,
 }
 
+/// Number of a connection among those of one instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ConnectionId(pub u64);
+
 /// What the response to a call says of its message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseMeaning {
@@ -62,8 +66,9 @@
 /// Effects of an event on the calls of a connection whose responses were unattributed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LedgerUpdate {
-    /// Calls whose responses are now known to be their own, and complete.
-    pub attributed: Vec<CallId>,
+    /// Calls on whose connection no response can be outstanding, and after whose responses nothing more can follow,
+    /// unless the endpoint has stopped answering.
+    pub quiet: Vec<CallId>,
     /// Calls whose responses may belong to earlier calls or be malformed; the connection must be closed.
     pub misattributed: Vec<CallId>,
 }
@@ -71,7 +76,7 @@
 impl LedgerUpdate {
     /// Returns `true` if the event has no effect.
     pub fn is_empty(&self) -> bool {
-        self.attributed.is_empty() && self.misattributed.is_empty()
+        self.quiet.is_empty() && self.misattributed.is_empty()
     }
 }
 
@@ -119,6 +124,12 @@
         (!self.is_settled()).then_some(self.quiet_at)
     }
 
+    /// Returns `true` if no response can be outstanding on the connection at `now`, unless the endpoint has stopped
+    /// answering.
+    pub fn is_quiet(&self, now: Duration) -> bool {
+        self.is_settled() || now >= self.quiet_at
+    }
+
     /// Returns the time of the last response.
     pub fn last_response(&self) -> Duration {
         self.last_response
@@ -128,8 +139,7 @@
     ///
     /// The responses so far can then still be attributed before the deadlines of their messages, after the call.
     pub fn may_carry_until(&self, deadline: Duration, now: Duration) -> bool {
-        self.is_settled()
-            || now >= self.quiet_at
+        self.is_quiet(now)
             || !self.rests && self.unattributed.iter().all(|call| deadline <= call.message_deadline)
     }
 
@@ -174,14 +184,14 @@
         if now < self.quiet_at {
             return LedgerUpdate::default();
         }
-        LedgerUpdate { attributed: self.take_unattributed(), ..LedgerUpdate::default() }
+        LedgerUpdate { quiet: self.take_unattributed(), ..LedgerUpdate::default() }
     }
 
     /// Handles the end of the connection by the endpoint at `now`, without a call in flight, after all that it wrote was
     /// read: the response to the only call is complete. Any other may have taken the place of one that is outstanding.
     pub fn on_ended(&mut self, now: Duration) -> LedgerUpdate {
         if let [UnattributedCall { uncertainty: Uncertainty::Completeness, .. }] = self.unattributed[..] {
-            return LedgerUpdate { attributed: self.take_unattributed(), ..LedgerUpdate::default() };
+            return LedgerUpdate { quiet: self.take_unattributed(), ..LedgerUpdate::default() };
         }
         self.on_closed(now)
     }
--- a/src/policy/expiry.rs
+++ b/src/policy/expiry.rs
@@ -16,7 +16,7 @@
 
     /// Returns the latest time at which another attempt of `message` may start if `first` is the first attempt by which
     /// it may have been executed.
-    fn latest_start_after(
+    pub(super) fn latest_start_after(
         &self,
         message: &PendingMessage,
         first: Option<&RecordedPossibleExecution>,
--- a/src/policy/latency.rs
+++ b/src/policy/latency.rs
@@ -25,11 +25,19 @@
 /// Multiple of the typical duration above which a call is slow.
 const SLOW_FACTOR: f64 = 4.0;
 
+/// Share of the shortest recent duration below which a response came sooner than the endpoint can have answered.
+const EARLY_SHARE: f64 = 0.75;
+
+/// Number of samples from which on their shortest duration is close to the shortest possible one.
+const MIN_SAMPLES_OF_EARLY: usize = 10;
+
 /// Duration of one delivered call.
 #[derive(Clone, Copy)]
 struct Sample {
     delivered_at: Duration,
     duration: Duration,
+    /// `true` if it was shorter than a call can be, judged by those before it.
+    is_early: bool,
 }
 
 /// Recent durations of the delivered calls of one service class, at one destination or at all destinations.
@@ -42,7 +50,8 @@
 
 impl LatencyWindow {
     pub(super) fn on_delivery(&mut self, now: Duration, duration: Duration) {
-        self.samples.push_back(Sample { delivered_at: now, duration });
+        let is_early = self.is_early(duration);
+        self.samples.push_back(Sample { delivered_at: now, duration, is_early });
         self.samples.retain(|sample| sample.delivered_at + MAX_SAMPLE_AGE > now);
         if self.samples.len() > MAX_SAMPLES {
             self.samples.pop_front();
@@ -68,6 +77,14 @@
         self.samples.back().map(|sample| sample.duration)
     }
 
+    /// Returns `true` if a response after `duration` came sooner than the recent ones allow: it may be a copy that the
+    /// endpoint wrote before it received the call. Early ones among the recent ones, and few ones, show nothing.
+    pub(super) fn is_early(&self, duration: Duration) -> bool {
+        let possible = self.samples.iter().filter(|sample| !sample.is_early).map(|sample| sample.duration);
+        let has_enough_samples = possible.clone().count() >= MIN_SAMPLES_OF_EARLY;
+        has_enough_samples && possible.min().is_some_and(|shortest| duration < shortest.mul_f64(EARLY_SHARE))
+    }
+
     /// Returns [`TIMEOUT_FACTOR`] times the longest recent duration, which the calls of a healthy destination stay
     /// below.
     pub(super) fn tail_bound(&self) -> Duration {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -16,6 +16,7 @@
 mod ordering;
 mod outlier;
 mod rate_limit;
+mod responsiveness;
 mod retry_budget;
 mod scheduling;
 mod selection;
@@ -24,7 +25,7 @@
 mod verdict;
 
 pub use connection_ledger::{
-    AttributionTerms, CallId, ConnectionLedger, LedgerUpdate, ResponseMeaning, Uncertainty,
+    AttributionTerms, CallId, ConnectionId, ConnectionLedger, LedgerUpdate, ResponseMeaning, Uncertainty,
 };
 pub use outlier::Health;
 
--- /dev/null
+++ b/src/policy/responsiveness.rs
@@ -0,0 +1,395 @@
+//! Responsiveness: whether an endpoint still answers calls, which decides what the silence on a connection proves.
+//!
+//! A response on a reused connection may be a copy of an earlier one. If so, the response to the last call is
+//! outstanding, and silence until the deadline of that call shows that it is not, unless the endpoint has stopped
+//! answering: it is silent then too. The silence therefore counts only together with what other calls show.
+//!
+//! Invariant: a response of this table is attributed only after its connection was quiet. If anything suggests that it may
+//! be a copy, it is attributed only once another call shows that the endpoint still answered; without that, its message is
+//! attempted again as late as possible, or ended as abandoned.
+
+use super::connections::EndpointKey;
+use super::latency::{ASSUMED_LATENCY, LatencyWindow};
+use super::state::{Attempt, State};
+use crate::{AttemptOutcome, AttemptResult, CallId, ConnectionId, DestinationId, Driver, Uncertainty};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Number of later responses on a connection after which a response counts as followed: a single copy, and a second one in
+/// a row, do not suffice.
+const MIN_FOLLOWING_RESPONSES: u32 = 2;
+
+/// Times of a call whose response is unattributed.
+#[derive(Clone, Copy)]
+pub(super) struct ProvisionalTimes {
+    /// Start of the call.
+    pub(super) started: Duration,
+    /// Time by which the endpoint has responded to the call if it answers as it usually does.
+    pub(super) expected_by: Duration,
+    /// Latest time at which the message can be attempted again; `None` if it cannot.
+    pub(super) retry_at: Option<Duration>,
+    /// Deadline of a delivered message, at which a response that nothing speaks against is attributed; `None` if the
+    /// message was not delivered.
+    pub(super) delivery_deadline: Option<Duration>,
+    /// Time at which the message has its final outcome, whatever is known of the response.
+    pub(super) expires_at: Duration,
+}
+
+/// Unattributed response.
+pub(crate) struct ProvisionalResponse {
+    uncertainty: Uncertainty,
+    endpoint: EndpointKey,
+    times: ProvisionalTimes,
+    connection: Option<ConnectionId>,
+    /// `true` if it came sooner than the endpoint can have answered.
+    is_early: bool,
+    /// `true` once the connection was quiet until the deadline of its last call.
+    is_quiet: bool,
+    /// Number of later responses on its connection.
+    following: u32,
+    /// `true` once a later call has shown that the endpoint may have stopped answering.
+    is_refuted: bool,
+}
+
+impl ProvisionalResponse {
+    pub(super) fn new(
+        attempt: &Attempt,
+        times: ProvisionalTimes,
+        uncertainty: Uncertainty,
+        (connection, is_early): (Option<ConnectionId>, bool),
+    ) -> Self {
+        Self {
+            uncertainty,
+            endpoint: (attempt.destination, attempt.endpoint.clone()),
+            times,
+            connection,
+            is_early,
+            is_quiet: false,
+            following: 0,
+            is_refuted: false,
+        }
+    }
+
+    /// Handles a later response on its connection: the endpoint answers in order, so that enough of them show that it has
+    /// answered this call too.
+    fn on_following_response(&mut self) {
+        self.following += 1;
+    }
+
+    /// Returns `true` if it takes another call to show that the endpoint has answered this one.
+    fn needs_evidence(&self) -> bool {
+        self.uncertainty == Uncertainty::Call && self.following < MIN_FOLLOWING_RESPONSES
+    }
+}
+
+/// Call in flight at an endpoint with provisional responses.
+struct CallInFlight<'a> {
+    endpoint: &'a EndpointKey,
+    started: Duration,
+    /// `true` if it has been in flight for longer than calls at a healthy endpoint take.
+    is_overdue: bool,
+}
+
+/// What is known of a provisional response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Settlement {
+    /// It is its call's own.
+    Attributed,
+    /// It may not be its call's own, and the message can still be attempted again.
+    Misattributed,
+    /// Nothing, and the message has its final outcome.
+    Expired,
+}
+
+/// What the calls to an endpoint show about whether it answers.
+#[derive(Default)]
+struct Evidence {
+    /// Start of the last call that was answered, by connection.
+    last_answered: BTreeMap<ConnectionId, Duration>,
+    /// Start of the last call that was certainly answered: the first one of its connection, or one with an answered call
+    /// behind it on its connection, of whose two responses a copy can be only one.
+    certainly_answered: Duration,
+}
+
+impl Evidence {
+    /// Handles the response to a call that started at `started`.
+    fn on_answer(&mut self, started: Duration, connection: ConnectionId, is_own: bool) {
+        let before = self.last_answered.insert(connection, started);
+        let certain = if is_own { Some(started) } else { before };
+        self.certainly_answered = self.certainly_answered.max(certain.unwrap_or_default());
+    }
+
+    /// Returns `true` if the endpoint certainly answered a call that started after `time`.
+    fn has_answer_after(&self, time: Duration) -> bool {
+        self.certainly_answered > time
+    }
+}
+
+/// Provisional responses of all endpoints, and the evidence on them.
+#[derive(Default)]
+pub(crate) struct ProvisionalResponses {
+    responses: BTreeMap<CallId, ProvisionalResponse>,
+    /// Evidence by endpoint, for endpoints with provisional responses.
+    evidence: BTreeMap<EndpointKey, Evidence>,
+    /// Time until which any response may be a copy, as copies were received recently.
+    copies_suspected_until: Duration,
+    /// `true` once no further call will be made.
+    is_stopping: bool,
+}
+
+impl ProvisionalResponses {
+    /// Adds a response that was read.
+    pub(super) fn add(&mut self, call: CallId, response: ProvisionalResponse) {
+        self.evidence.entry(response.endpoint.clone()).or_default();
+        self.responses.insert(call, response);
+    }
+
+    /// Removes the response to a call, if it is provisional, and the evidence that concerns no other response.
+    pub(super) fn remove(&mut self, call: CallId) {
+        let Some(response) = self.responses.remove(&call) else { return };
+        let same_endpoint = self.responses.values().filter(|other| other.endpoint == response.endpoint);
+        let Some(oldest) = same_endpoint.map(|other| other.times.started).min() else {
+            self.evidence.remove(&response.endpoint);
+            return;
+        };
+        if let Some(evidence) = self.evidence.get_mut(&response.endpoint) {
+            evidence.last_answered.retain(|_, started| *started >= oldest);
+        }
+    }
+
+    /// Handles the quiet time of the connection with the response to `call`.
+    fn on_quiet(&mut self, call: CallId) {
+        if let Some(response) = self.responses.get_mut(&call) {
+            response.is_quiet = true;
+        }
+    }
+
+    /// Handles the response to a call that started at `started`; `is_own` is `true` if it is known to be its call's own.
+    fn on_answer(
+        &mut self,
+        endpoint: &EndpointKey,
+        started: Duration,
+        connection: ConnectionId,
+        is_own: bool,
+    ) {
+        let Some(evidence) = self.evidence.get_mut(endpoint) else { return };
+        evidence.on_answer(started, connection, is_own);
+        let on_connection = self
+            .responses
+            .values_mut()
+            .filter(|response| response.connection == Some(connection) && response.times.started < started);
+        on_connection.for_each(|response| response.on_following_response());
+    }
+
+    /// Handles the timeout of a call that started at `started`.
+    ///
+    /// If no call that started later was certainly answered, the endpoint may have been silent since its last certain
+    /// answer, and each unattributed response to a call after that may have been a copy. Otherwise this holds only for
+    /// the connection of the call.
+    fn on_timeout(&mut self, endpoint: &EndpointKey, started: Duration, connection: ConnectionId) {
+        let Some(evidence) = self.evidence.get(endpoint) else { return };
+        let is_answering = evidence.has_answer_after(started);
+        for response in self.responses.values_mut().filter(|response| response.endpoint == *endpoint) {
+            let is_silent_since = !is_answering && !evidence.has_answer_after(response.times.started);
+            let may_be_a_copy = is_silent_since || response.connection == Some(connection);
+            response.is_refuted |= may_be_a_copy && response.uncertainty == Uncertainty::Call;
+        }
+    }
+
+    /// Returns a response of which all is known at `now` that will be known, if there is one, given the calls in flight.
+    fn find_settled(&self, now: Duration, in_flight: &[CallInFlight]) -> Option<(CallId, Settlement)> {
+        self.responses
+            .iter()
+            .find_map(|(call, response)| Some((*call, self.settlement(response, now, in_flight)?)))
+    }
+
+    fn settlement(
+        &self,
+        response: &ProvisionalResponse,
+        now: Duration,
+        in_flight: &[CallInFlight],
+    ) -> Option<Settlement> {
+        let is_proven =
+            !response.needs_evidence() || !response.is_refuted && self.is_answering(response, in_flight);
+        if response.is_quiet && is_proven {
+            return Some(Settlement::Attributed);
+        }
+        if response.is_quiet && self.may_be_copy(response, now, in_flight) {
+            if response.times.retry_at.is_some_and(|retry_at| retry_at <= now) {
+                return Some(Settlement::Misattributed);
+            }
+        } else if response.is_quiet
+            && response.times.delivery_deadline.is_some_and(|deadline| self.is_stopping || deadline <= now)
+        {
+            return Some(Settlement::Attributed);
+        }
+        (response.times.expires_at <= now).then_some(Settlement::Expired)
+    }
+
+    /// Returns `true` if anything suggests that the response is a copy and its endpoint has stopped answering: a later call
+    /// is unanswered, it or an earlier one came too soon, or copies were received recently.
+    fn may_be_copy(&self, response: &ProvisionalResponse, now: Duration, in_flight: &[CallInFlight]) -> bool {
+        response.is_refuted
+            || now < self.copies_suspected_until
+            || self.is_behind_early_response(response)
+            || self.is_later_call_overdue(response, in_flight)
+    }
+
+    /// Returns `true` if the response, or one to an earlier call at its endpoint that is not proven, came sooner than the
+    /// endpoint can have answered.
+    fn is_behind_early_response(&self, response: &ProvisionalResponse) -> bool {
+        self.responses.values().any(|earlier| {
+            earlier.endpoint == response.endpoint
+                && earlier.is_early
+                && earlier.needs_evidence()
+                && earlier.times.started <= response.times.started
+        })
+    }
+
+    /// Returns `true` if a later call has been waiting for longer than calls at a healthy endpoint take, and no call that
+    /// started after it was certainly answered.
+    fn is_later_call_overdue(&self, response: &ProvisionalResponse, in_flight: &[CallInFlight]) -> bool {
+        let evidence = &self.evidence[&response.endpoint];
+        in_flight.iter().any(|call| {
+            *call.endpoint == response.endpoint
+                && call.is_overdue
+                && call.started >= response.times.started
+                && !evidence.has_answer_after(call.started)
+        })
+    }
+
+    /// Returns `true` if the endpoint has certainly answered a call that started after this one should have been
+    /// answered, and none in between is overdue.
+    fn is_answering(&self, response: &ProvisionalResponse, in_flight: &[CallInFlight]) -> bool {
+        let evidence = &self.evidence[&response.endpoint];
+        let between = response.times.started..evidence.certainly_answered;
+        let is_overdue = |call: &CallInFlight| {
+            *call.endpoint == response.endpoint && call.is_overdue && between.contains(&call.started)
+        };
+        evidence.has_answer_after(response.times.expected_by) && !in_flight.iter().any(is_overdue)
+    }
+
+    /// Returns `true` if a response of the endpoint, whose connection was quiet, may be a copy, and a certain answer would
+    /// show that it is none.
+    fn needs_certain_answer(&self, endpoint: &EndpointKey, now: Duration) -> bool {
+        let mut responses = self.responses.values();
+        responses.any(|response| {
+            response.endpoint == *endpoint
+                && response.is_quiet
+                && response.needs_evidence()
+                && self.may_be_copy(response, now, &[])
+        })
+    }
+
+    /// Returns the time after `now` at which the next response may be settled without further evidence, or `None` if
+    /// there is none.
+    pub(super) fn next_deadline(&self, now: Duration) -> Option<Duration> {
+        let times = |response: &ProvisionalResponse| {
+            let ProvisionalTimes { retry_at, delivery_deadline, expires_at, .. } = response.times;
+            [retry_at, delivery_deadline, Some(expires_at)]
+        };
+        let times = self.responses.values().flat_map(times).flatten();
+        times.filter(|time| *time > now).min()
+    }
+}
+
+impl State {
+    /// Handles the quiet time of the connection with the response to `call`.
+    pub(crate) fn connection_quiet(&mut self, call: CallId) {
+        self.provisional.on_quiet(call);
+    }
+
+    /// Records what the end of a call shows about whether its endpoint answers. `is_own` is `true` unless its response, if
+    /// there is one, may belong to an earlier call.
+    ///
+    /// A timeout shows nothing if the call waited for less time than calls at a healthy endpoint may take.
+    pub(super) fn observe_responsiveness(&mut self, attempt: &Attempt, result: &AttemptResult, is_own: bool) {
+        let Some(connection) = result.connection else { return };
+        let endpoint = (attempt.destination, attempt.endpoint.clone());
+        let waited = attempt.call_deadline.saturating_sub(attempt.started);
+        match result.outcome {
+            AttemptOutcome::Delivered
+            | AttemptOutcome::Failed
+            | AttemptOutcome::Rejected { .. }
+            | AttemptOutcome::AmbiguousRejection { .. }
+            | AttemptOutcome::ConnectionLimit => {
+                self.provisional.on_answer(&endpoint, attempt.started, connection, is_own);
+            }
+            AttemptOutcome::TimedOut if waited >= self.tail_bound(attempt.destination, attempt.class) => {
+                self.provisional.on_timeout(&endpoint, attempt.started, connection);
+            }
+            AttemptOutcome::TimedOut
+            | AttemptOutcome::ConnectFailed
+            | AttemptOutcome::ConnectionReset
+            | AttemptOutcome::Cancelled
+            | AttemptOutcome::NotSent => {}
+        }
+    }
+
+    /// Returns the calls in flight at endpoints with provisional responses.
+    fn calls_beside_provisional(&self) -> Vec<CallInFlight<'_>> {
+        let attempts = self.in_flight.values().filter_map(|attempt| {
+            let key = (attempt.destination, attempt.endpoint.clone());
+            let (endpoint, _) = self.provisional.evidence.get_key_value(&key)?;
+            let is_overdue = self.now.saturating_sub(attempt.started)
+                >= self.tail_bound(attempt.destination, attempt.class);
+            Some(CallInFlight { endpoint, started: attempt.started, is_overdue })
+        });
+        attempts.collect()
+    }
+
+    /// Returns the time that a call of a service class stays below at a healthy endpoint of a destination.
+    pub(super) fn tail_bound(&self, destination: DestinationId, class: usize) -> Duration {
+        self.latency(destination, class).map_or(ASSUMED_LATENCY, LatencyWindow::tail_bound)
+    }
+
+    /// Returns `true` if a call to the endpoint should have a connection of its own, so that its response is certainly its
+    /// own and shows whether an earlier one may have been a copy.
+    pub(super) fn needs_certain_answer(&self, destination: DestinationId, endpoint: &str) -> bool {
+        self.provisional.needs_certain_answer(&(destination, endpoint.to_owned()), self.now)
+    }
+
+    /// Handles a surplus response: other copies may have passed for responses.
+    pub(super) fn suspect_copies_for(&mut self, period: Duration) {
+        self.provisional.copies_suspected_until = self.now.saturating_add(period);
+    }
+
+    /// Attributes the responses that nothing speaks against, as the process is about to end and no later call will show
+    /// more.
+    pub(crate) fn stop_waiting_for_evidence(&mut self) {
+        self.provisional.is_stopping = true;
+    }
+
+    /// Rule: settles the first provisional response of which all is known that will be known.
+    ///
+    /// It is its call's own if its connection was quiet, and if a later response followed on the connection, or the
+    /// endpoint has certainly answered a later call and none in between is overdue. If only its completeness was
+    /// uncertain, the quiet is enough. Otherwise, if it may be a copy, its message is attempted again as late as possible,
+    /// or else ended as abandoned at its deadline: it is not known to be delivered, and a notification of a message that
+    /// is delivered does no harm. A delivery that nothing speaks against is attributed at the deadline of its message.
+    pub(crate) fn settle_response(&mut self, driver: &mut dyn Driver) -> bool {
+        let in_flight = self.calls_beside_provisional();
+        let Some((call, settlement)) = self.provisional.find_settled(self.now, &in_flight) else {
+            if let Some(next) = self.provisional.next_deadline(self.now) {
+                self.next_due = self.next_due.min(next);
+            }
+            return false;
+        };
+        match settlement {
+            Settlement::Attributed => {
+                self.attribute(call);
+                driver.response_attributed(call);
+            }
+            Settlement::Misattributed => {
+                self.response_misattributed(call);
+                driver.response_misattributed(call);
+            }
+            Settlement::Expired => self.provisional.remove(call),
+        }
+        true
+    }
+}
+
+#[cfg(test)]
+#[path = "tests/responsiveness.rs"]
+mod tests;
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -14,6 +14,7 @@
 use super::ordering::OrderingQueues;
 use super::outlier::{EndpointHealth, FailureStreak, HealthChecks};
 use super::rate_limit::RouteLimit;
+use super::responsiveness::ProvisionalResponses;
 use super::retry_budget::{RetryBudget, RetryCredit};
 use super::slow_start::{SlowStart, SlowStartBudget};
 use crate::{
@@ -317,6 +318,7 @@
     pub(crate) ordering: OrderingQueues,
     pub(super) pending: BTreeMap<MessageId, PendingMessage>,
     pub(super) unattributed_deliveries: UnattributedDeliveries,
+    pub(super) provisional: ProvisionalResponses,
     /// `true` if the host ties responses to calls only by their order on a connection.
     pub(crate) attributes_by_order: bool,
     /// Attempts in flight by message and attempt number.
@@ -363,6 +365,7 @@
             ordering: OrderingQueues::default(),
             pending: BTreeMap::new(),
             unattributed_deliveries: UnattributedDeliveries::default(),
+            provisional: ProvisionalResponses::default(),
             attributes_by_order: false,
             in_flight: BTreeMap::new(),
             shared,
--- a/src/policy/tests/attribution.rs
+++ b/src/policy/tests/attribution.rs
@@ -1,14 +1,19 @@
 use super::*;
 use crate::policy::test_support::*;
-use crate::{Dispatcher, ms};
+use crate::{ConnectionId, Dispatcher, ms};
 
 const CALL: CallId = CallId { message: 1, attempt: 0 };
 /// Deadline of the first attempt, which starts at 1 ms and for which no latency is known.
 const CALL_DEADLINE: Duration = ms(2_001);
 /// Deadline of the message, which is that of the first attempt too if the message is at-most-once.
 const MESSAGE_DEADLINE: Duration = ms(10_001);
-/// Time at which the backoff and the pause after a rejected first attempt are over.
-const AFTER_BACKOFF: Duration = ms(3_000);
+/// Time at which the backoff after a rejected first attempt is over, and the route may be called again after [`LATER_MESSAGE`].
+const AFTER_BACKOFF: Duration = ms(4_000);
+
+/// Message whose answer shows that the endpoint still answers, and the start of its call, after the endpoint should have
+/// answered the first one.
+const LATER_MESSAGE: MessageId = 2;
+const LATER: Duration = ms(2_000);
 
 /// Returns a dispatcher with message 1, whose attempt ended with `outcome` on a reused connection at 100 ms.
 fn ended_unattributed(retry_safety: RetrySafety, outcome: AttemptOutcome) -> Dispatcher {
@@ -26,6 +31,17 @@
     dispatcher
 }
 
+/// Attributes the response to a call: its connection was quiet, and the endpoint certainly answered a call that started at
+/// [`LATER`].
+fn attribute(dispatcher: &mut Dispatcher, call: CallId) {
+    dispatcher.connection_quiet(call);
+    dispatcher.advance_to(LATER);
+    let started = submit(dispatcher, LATER_MESSAGE, None);
+    assert!(started.iter().any(|action| action.starts_with("attempt 2")), "{started:?}");
+    let result = AttemptResult { connection: Some(ConnectionId(2)), ..delivered(LATER_MESSAGE, 0) };
+    dispatcher.attempt_ended(result);
+}
+
 /// Advances the clock and returns the actions that concern messages.
 fn actions_at(dispatcher: &mut Dispatcher, now: Duration) -> Vec<String> {
     dispatcher.advance_to(now);
@@ -44,7 +60,7 @@
         let mut after_deadline = ended();
         let actions = actions_at(&mut after_deadline, in_flight_until);
         assert!(actions.iter().any(|action| action.starts_with("attempt 1")), "{class:?}: {actions:?}");
-        for release in [Dispatcher::response_attributed, Dispatcher::response_misattributed] {
+        for release in [attribute, Dispatcher::response_misattributed] {
             let mut dispatcher = ended();
             release(&mut dispatcher, CALL);
             let actions = actions_at(&mut dispatcher, AFTER_BACKOFF);
@@ -60,7 +76,7 @@
         let ended = || ended_with(RetrySafety::AtMostOnce, rejected(), uncertainty);
         assert!(actions_at(&mut ended(), ms(9_000)).is_empty());
         let mut attributed = ended();
-        attributed.response_attributed(CALL);
+        attribute(&mut attributed, CALL);
         assert!(actions_at(&mut attributed, AFTER_BACKOFF)[0].starts_with("attempt 1"));
         let mut misattributed = ended();
         misattributed.response_misattributed(CALL);
@@ -98,7 +114,8 @@
     };
     let mut dispatcher = ended_with(DEDUPLICATED, rejected(), Uncertainty::Completeness);
     let within_window = latest_start(&dispatcher);
-    dispatcher.response_attributed(CALL);
+    attribute(&mut dispatcher, CALL);
+    let _ = actions(&mut dispatcher);
     assert!(within_window < latest_start(&dispatcher), "{within_window:?}");
     let mut malformed = ended_with(DEDUPLICATED, rejected(), Uncertainty::Completeness);
     malformed.response_misattributed(CALL);
@@ -159,7 +176,8 @@
 #[test]
 fn an_attributed_delivery_is_final() {
     let mut dispatcher = ended_unattributed(RetrySafety::Idempotent, AttemptOutcome::Delivered);
-    dispatcher.response_attributed(CALL);
+    attribute(&mut dispatcher, CALL);
+    assert!(actions(&mut dispatcher).iter().all(|action| !action.contains(" 1")));
     dispatcher.response_misattributed(CALL);
     assert!(actions_at(&mut dispatcher, ms(20_000)).is_empty());
 }
--- a/src/policy/tests/connection_ledger.rs
+++ b/src/policy/tests/connection_ledger.rs
@@ -27,8 +27,8 @@
     ledger
 }
 
-fn attributed(calls: &[u64]) -> LedgerUpdate {
-    LedgerUpdate { attributed: calls.iter().copied().map(call).collect(), ..LedgerUpdate::default() }
+fn quiet(calls: &[u64]) -> LedgerUpdate {
+    LedgerUpdate { quiet: calls.iter().copied().map(call).collect(), ..LedgerUpdate::default() }
 }
 
 fn misattributed(calls: &[u64]) -> LedgerUpdate {
@@ -48,7 +48,7 @@
     let mut ledger = ledger_of(3);
     assert_eq!(ledger.quiet_at(), Some(QUIET_AT));
     assert!(ledger.on_quiet(QUIET_AT - ms(1)).is_empty());
-    assert_eq!(ledger.on_quiet(QUIET_AT), attributed(&[2, 3]));
+    assert_eq!(ledger.on_quiet(QUIET_AT), quiet(&[2, 3]));
     assert!(ledger.is_settled());
 }
 
@@ -61,7 +61,7 @@
 #[test]
 fn the_end_of_a_connection_attributes_responses_only_after_the_quiet_time() {
     assert_eq!(ledger_of(2).on_closed(QUIET_AT - ms(1)), misattributed(&[2]));
-    assert_eq!(ledger_of(2).on_closed(QUIET_AT), attributed(&[2]));
+    assert_eq!(ledger_of(2).on_closed(QUIET_AT), quiet(&[2]));
 }
 
 #[test]
@@ -71,7 +71,7 @@
     assert!(ledger.on_response(call(3), delivered, &terms(), QUIET_AT - ms(1)).is_empty());
     let late_terms = AttributionTerms { call_deadline: ms(9_000), ..terms() };
     let update = ledger.on_response(call(4), delivered, &late_terms, QUIET_AT);
-    assert_eq!(update, attributed(&[2, 3]), "no response to call 3 can arrive after its deadline");
+    assert_eq!(update, quiet(&[2, 3]), "no response to call 3 can arrive after its deadline");
     assert_eq!(ledger.on_surplus(), misattributed(&[4]));
 }
 
@@ -111,14 +111,10 @@
         let rejected = || ledger_after_first(meaning, &terms());
         assert_eq!(rejected().quiet_at(), Some(QUIET_AT));
         assert!(rejected().on_quiet(QUIET_AT - ms(1)).is_empty());
-        assert_eq!(rejected().on_quiet(QUIET_AT), attributed(&[1]));
+        assert_eq!(rejected().on_quiet(QUIET_AT), quiet(&[1]));
         assert_eq!(rejected().on_surplus(), misattributed(&[1]));
         assert_eq!(rejected().on_closed(QUIET_AT - ms(1)), misattributed(&[1]));
-        assert_eq!(
-            rejected().on_ended(ms(101)),
-            attributed(&[1]),
-            "the endpoint has written all it will write"
-        );
+        assert_eq!(rejected().on_ended(ms(101)), quiet(&[1]), "the endpoint has written all it will write");
     }
 }
 
--- a/src/policy/tests/support.rs
+++ b/src/policy/tests/support.rs
@@ -137,7 +137,15 @@
 
 /// Returns the result of an attempt after which its message stays pending.
 pub(super) fn ended(message: MessageId, attempt: u32, outcome: AttemptOutcome) -> AttemptResult {
-    AttemptResult { message, attempt, outcome, duration: ms(9), finished: false, load_report: None }
+    AttemptResult {
+        message,
+        attempt,
+        outcome,
+        duration: ms(9),
+        finished: false,
+        load_report: None,
+        connection: None,
+    }
 }
 
 /// Returns the result of an attempt that delivered its message.
--- a/src/policy/verdict.rs
+++ b/src/policy/verdict.rs
@@ -271,6 +271,7 @@
         let outcome = result.outcome;
         if !attempt.added_to_call {
             self.process_result(&attempt, result);
+            self.observe_responsiveness(&attempt, result, true);
         }
         if let Some(key) = attempt.ordering_key {
             let is_processed = matches!(outcome, AttemptOutcome::Delivered | AttemptOutcome::Failed);
