Connections: a reset that a peek has reported is no end of the connection

Callers saw: an at-most-once message whose rejection was followed by a reset of its connection was sent again at once, although the reset may have overtaken bytes behind the rejection, which would show that it was executed.

Cause: Linux reports a reset once, and then an end. The watch of an idle connection and the check before its use peek, and took the report; the read that tells an end from a failure found an end then.

Change: the connection keeps whether a failure was reported.

--- a/crates/quillhub-server/src/connection.rs
+++ b/crates/quillhub-server/src/connection.rs
@@ -87,6 +87,9 @@
     /// Client ids of the messages of the last two calls, the last one first, for the log.
     pub(crate) client_ids: [Box<[u8]>; 2],
     buffer: Vec<u8>,
+    /// `true` once the system has reported that the connection broke. It reports that only once, also to a peek, and then
+    /// an end like that by the server.
+    is_broken: Rc<Cell<bool>>,
     /// Where the time of the last input is recorded, if anybody needs it.
     progress: Option<Progress>,
 }
@@ -108,6 +111,7 @@
             ledger: ConnectionLedger::default(),
             client_ids: Default::default(),
             buffer: Vec::new(),
+            is_broken: Rc::default(),
             progress: None,
         })
     }
@@ -119,9 +123,14 @@
 
     /// Returns a future that completes once input or the end of the connection can be read.
     pub(crate) fn input(&self) -> impl Future<Output = ()> + 'static {
-        let stream = self.stream.clone();
+        let (stream, is_broken) = (self.stream.clone(), self.is_broken.clone());
         async move {
-            while stream.peek(&mut [0]).await.is_err_and(|error| error.kind() == ErrorKind::Interrupted) {}
+            loop {
+                match stream.peek(&mut [0]).await {
+                    Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                    peeked => return is_broken.set(is_broken.get() || peeked.is_err()),
+                }
+            }
         }
     }
 
@@ -283,7 +292,9 @@
         while peeked.as_ref().is_err_and(|error| error.kind() == ErrorKind::Interrupted) {
             peeked = peek();
         }
-        self.buffer.is_empty() && peeked.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+        let is_empty = peeked.as_ref().is_err_and(|error| error.kind() == ErrorKind::WouldBlock);
+        self.is_broken.set(self.is_broken.get() || peeked.is_err() && !is_empty);
+        self.buffer.is_empty() && is_empty
     }
 
     /// Reads what has arrived although no call is in flight. Queries the system, as [`Self::is_idle`] does.
@@ -296,7 +307,8 @@
                 Err(error) if error.kind() == ErrorKind::WouldBlock && self.buffer.is_empty() => {
                     return UnexpectedInput::None;
                 }
-                Ok(_) if self.buffer.is_empty() => return UnexpectedInput::End,
+                Ok(_) if self.buffer.is_empty() && !self.is_broken.get() => return UnexpectedInput::End,
+                Ok(_) if self.buffer.is_empty() => return UnexpectedInput::Failed,
                 Err(_) if self.buffer.is_empty() => return UnexpectedInput::Failed,
                 _ => break,
             }
--- a/crates/quillhub-server/src/instance/rejection_tests.rs
+++ b/crates/quillhub-server/src/instance/rejection_tests.rs
@@ -44,6 +44,7 @@
 enum Then {
     Writes(&'static [u8]),
     Closes,
+    Resets,
 }
 
 /// Endpoint that writes `first` to the first request, and does something more after [`Endpoint::release`]. It delivers all
@@ -75,6 +76,7 @@
                     match then {
                         Then::Writes(surplus) => drop(stream.write(surplus).await),
                         Then::Closes => return,
+                        Then::Resets => return stream.reset(),
                     }
                 }
             }
@@ -171,6 +173,26 @@
     }
 }
 
+/// Guards against a reset that is read as the end of the connection: it may overtake bytes that the endpoint wrote behind a
+/// rejection.
+#[test]
+fn a_reset_of_the_connection_is_no_proof_of_a_rejection() {
+    for rejection in REJECTIONS {
+        let directory = StateDirectory::new();
+        on_one_thread(async {
+            let endpoint = Endpoint::start(rejection, Then::Resets).await;
+            let instance = instance(&directory, endpoint.address);
+            submit(&instance, "once");
+            until_attempts_ended(&instance).await;
+            endpoint.release.notify_one();
+            tokio::time::pause();
+            pass(OBSERVATION).await;
+            let found = (endpoint.requests.get(), results(&instance));
+            assert_eq!(found, (1, vec![FinalResult::Abandoned]), "{}", String::from_utf8_lossy(rejection));
+        });
+    }
+}
+
 /// Guards against a restart between a rejection and the bytes behind it: the new process would take the message for one
 /// that was not executed.
 #[test]
