Tests: each instance listens on a loopback host of its own

`scratch::unused_address` takes a host for each process and address, as process_signals.rs did, and serves replies.rs, scenario.rs and process_signals.rs now. The assertions are the same.

--- a/crates/quillhub-fakes/src/scratch.rs
+++ b/crates/quillhub-fakes/src/scratch.rs
@@ -1,6 +1,7 @@
-//! Temporary directories, and a single-threaded runtime like that of an instance.
+//! Temporary directories, loopback addresses, and a single-threaded runtime like that of an instance.
 
 use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
 use tokio::task::LocalSet;
@@ -48,6 +49,19 @@
     }
 }
 
+/// Returns an unused address on a loopback host that no other test binds to, in this process or another one, so that the
+/// port stays free until the caller binds to it.
+///
+/// Panics if the system has no free port.
+pub fn unused_address() -> SocketAddr {
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    // The host's number has 22 bits, of which the process id takes 16. The hosts from 127.64.0.0 on are for these tests.
+    let number = std::process::id() << 6 | NUMBER.fetch_add(1, Ordering::Relaxed) & 0x3f;
+    let [_, high, middle, low] = (number & 0x3f_ffff).to_be_bytes();
+    let host = Ipv4Addr::new(127, 64 | high, middle, low);
+    TcpListener::bind((host, 0)).and_then(|listener| listener.local_addr()).expect("a port is free")
+}
+
 /// Runs `future` with its local tasks on the current thread, on a runtime like that of an instance.
 pub fn on_one_thread<T>(future: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/crates/quillhub-server/tests/instance/mod.rs
+++ b/crates/quillhub-server/tests/instance/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)] // each test uses only a part of this module
 
-use quillhub_fakes::scratch::ScratchDirectory;
+use quillhub_fakes::scratch::{ScratchDirectory, unused_address};
 use quillhub_server::ServeError;
 use serde_json::{Value, json};
 use std::future::pending;
@@ -48,11 +48,6 @@
     }
 }
 
-/// Returns a loopback address that is not in use at the moment.
-fn unused_address() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 /// Returns a complete list of the endpoints of [`DESTINATION`], named `e1`, `e2` and so on.
 pub fn endpoint_list(endpoints: &[SocketAddr]) -> Value {
     let row = |(number, address): (usize, &SocketAddr)| json!({"id": format!("e{}", number + 1), "host_port": address.to_string(), "cell": DESTINATION, "phase": "up"});
--- a/crates/quillhub-server/tests/process_signals.rs
+++ b/crates/quillhub-server/tests/process_signals.rs
@@ -7,14 +7,13 @@
 use quillhub_fakes::clients::{command, send_command, wait_until_ready};
 use quillhub_fakes::http::ServerConnection;
 use quillhub_fakes::process::InstanceProcess;
-use quillhub_fakes::scratch::{ScratchDirectory, on_one_thread};
+use quillhub_fakes::scratch::{ScratchDirectory, on_one_thread, unused_address};
 use quillhub_fakes::scripted::unconnectable_address;
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -150,13 +149,6 @@
         "limits": {"mostTries": 9, "maxOpen": 9}, "classes": classes}})
 }
 
-/// Returns an unused address on a host that nothing else binds to, so that the port stays free.
-fn unused_address() -> SocketAddr {
-    static NUMBER: AtomicU8 = AtomicU8::new(1);
-    let host = format!("127.0.83.{}:0", NUMBER.fetch_add(1, Ordering::Relaxed));
-    std::net::TcpListener::bind(host).unwrap().local_addr().unwrap()
-}
-
 /// Submits a message of a service class and checks that it is accepted.
 async fn submit(listen: SocketAddr, class: &str) {
     let fields = format!("c={class},d=12000,k=5c,dest=9");
--- a/crates/quillhub-server/tests/scenario.rs
+++ b/crates/quillhub-server/tests/scenario.rs
@@ -101,7 +101,7 @@
         let discovery = Discovery::new(&listed);
         let platform_address = platform::start(discovery.clone(), outcome_sender).await.unwrap();
         platform::schedule_faults(scenario, 7, started, &discovery);
-        let listen = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let listen = scratch::unused_address();
         let known = discovery.borrow().list();
         let text = configuration::instance(scenario, 7, listen, platform_address, known, 256).to_string();
         quillhub_server::check(&text).unwrap();
