Attempts: the time of a slow log write is taken from the call

Cause: `Attempt::send` took the time left, then wrote the log, and only then set the deadline to that time left from now on.

Change: the time left is taken after the write, so that the time stated to the endpoint, the call and the ledger agree.

--- a/crates/quillhub-server/src/attempts/mod.rs
+++ b/crates/quillhub-server/src/attempts/mod.rs
@@ -201,8 +201,10 @@
                 Some(connection) => connection,
                 None => self.connect(deadline).await?,
             };
+            let may_send = !deadline.whole_milliseconds_left().is_zero() && (self.may_send_request)();
+            // After the call above, which writes the log: the time that it takes must not move the deadline.
             let stated_time_left = deadline.whole_milliseconds_left();
-            if stated_time_left.is_zero() || !(self.may_send_request)() {
+            if stated_time_left.is_zero() || !may_send {
                 let unused = UsedConnection { connection, state: ConnectionState::Reusable };
                 return Err(UnsentRequest { error: AttemptError::NotSent, connection: Some(unused) });
             }
--- a/crates/quillhub-server/src/attempts/tests.rs
+++ b/crates/quillhub-server/src/attempts/tests.rs
@@ -379,3 +379,28 @@
         assert!((95..=98).contains(&left), "{left} ms");
     });
 }
+
+/// Guards against a slow log write that moves the deadline of a call to later: the endpoint was told of time that was over,
+/// and the call outlived the deadline by which its response is attributed.
+#[test]
+fn a_slow_log_write_takes_its_time_from_the_call() {
+    const TIMEOUT: Duration = Duration::from_millis(600);
+    const WRITE_TIME: Duration = Duration::from_millis(250);
+    let slow_write = || {
+        std::thread::sleep(WRITE_TIME); // the write blocks this thread
+        true
+    };
+    on_one_thread(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (stated, started) = (std::cell::Cell::new(None), Instant::now());
+        let request = |time_left| {
+            stated.set(Some(time_left));
+            b"x".to_vec()
+        };
+        let (result, _) = attempt(None, address, TIMEOUT, request, slow_write).await;
+        assert!(matches!(result, Err(AttemptError::TimedOut)), "{result:?}");
+        assert!(stated.get().unwrap() <= TIMEOUT - WRITE_TIME, "{stated:?}");
+        assert!(started.elapsed() < TIMEOUT + WRITE_TIME / 2, "{:?}", started.elapsed());
+    });
+}
