Laboratory: failing calls on sockets leave a gap in each fifth of a second

Calls fail only in the first 110 ms of each 200 ms now, so that a request that is repeated every 50 ms fails for no longer than that.

--- a/crates/quillhub-fakes/src/laboratory/shim.rs
+++ b/crates/quillhub-fakes/src/laboratory/shim.rs
@@ -23,7 +23,7 @@
 /// Shares of the calls on sockets of the instances that fail.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SocketFaults {
-    /// Share of failed calls of accept, socket and connect, in percent.
+    /// Share of failed calls of accept, socket and connect, in percent, during the first 110 ms of every 200 ms.
     pub failed_percent: u32,
     /// Share of reads and writes that report a broken connection, in thousandths.
     pub broken_permille: u32,
