Log: what ends a message, why it is attempted again, why a connection is closed

Change: at level info, a line for each 410 (message, client id, attempt, endpoint, connection, whether proven, outcome), for each later attempt with the outcome of the one before, for each message that is rejected or abandoned after its acceptance, and for each connection that is closed, with a reason. The end of attempts has a file of its own (instance/attempt_results.rs). No decision changes.

--- a/crates/quillhub-server/src/instance/attribution.rs
+++ b/crates/quillhub-server/src/instance/attribution.rs
@@ -69,6 +69,23 @@
     }
 }
 
+/// Reason for which this instance takes a connection out of the pool, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CloseReason {
+    /// The call on it has ended, and it cannot carry another one.
+    CallEnded,
+    /// Input or the end of the stream arrived while it was idle.
+    IdleInput,
+    /// It was found closed or with input when a call was to use it.
+    Unusable,
+    /// Another connection needs its place.
+    Evicted,
+    /// A message is attempted again whose earlier call may still be out on it.
+    EarlierCall,
+    /// A call on it may never have been answered.
+    Unanswered,
+}
+
 /// Surplus response from an endpoint.
 struct SurplusResponse {
     endpoint: String,
@@ -109,7 +126,7 @@
     pub(super) fn take_connection(&mut self, endpoint: &str, deadline: Duration) -> Option<HttpConnection> {
         let taken = self.pool.take(endpoint, CallTimes { now: self.now(), deadline });
         for connection in taken.unusable {
-            self.handle_input_later(endpoint.to_owned(), connection);
+            self.close_later(endpoint.to_owned(), connection, CloseReason::Unusable);
         }
         taken.connection
     }
@@ -117,12 +134,12 @@
     /// Closes the oldest idle connections until at most `max` are left.
     pub(super) fn close_oldest_connections(&mut self, max: usize) {
         for (endpoint, connection) in self.pool.close_oldest_beyond(max) {
-            self.handle_input_later(endpoint, connection);
+            self.close_later(endpoint, connection, CloseReason::Evicted);
         }
     }
 
-    /// Handles the input and the end of a connection after the current event.
-    fn handle_input_later(&self, endpoint: String, mut connection: HttpConnection) {
+    /// Handles the input and the end of a connection, which is closed, after the current event.
+    fn close_later(&self, endpoint: String, mut connection: HttpConnection, reason: CloseReason) {
         let weak = self.weak.clone();
         spawn_local(async move {
             let state = match connection.unexpected_input() {
@@ -133,7 +150,8 @@
             if let Some(instance) = weak.upgrade() {
                 let mut instance = instance.borrow_mut();
                 let mut effects = ConnectionEffects::default();
-                instance.end_connection(&endpoint, UsedConnection { connection, state }, &mut effects);
+                let used = UsedConnection { connection, state };
+                instance.end_connection(&endpoint, used, reason, &mut effects);
                 instance.apply_effects(effects);
             }
         });
@@ -151,7 +169,7 @@
         let mut effects = ConnectionEffects::default();
         let is_replaced = !replaced.is_empty();
         for used in replaced {
-            self.end_connection(&id.endpoint, used, &mut effects);
+            self.end_connection(&id.endpoint, used, CloseReason::CallEnded, &mut effects);
         }
         let Some(UsedConnection { mut connection, state }) = connection else {
             // The connection of an aborted attempt is closed, with whatever was outstanding on it.
@@ -174,7 +192,10 @@
             ConnectionState::Reusable | ConnectionState::Closing => {
                 self.park(&id.endpoint, connection, true);
             }
-            _ => self.end_connection(&id.endpoint, UsedConnection { connection, state }, &mut effects),
+            _ => {
+                let used = UsedConnection { connection, state };
+                self.end_connection(&id.endpoint, used, CloseReason::CallEnded, &mut effects);
+            }
         }
         effects
     }
@@ -234,12 +255,18 @@
     /// Handles input on an idle connection, or its end.
     fn idle_connection_input(&mut self, endpoint: &str, number: u64) {
         if let Some(connection) = self.pool.remove(endpoint, number) {
-            self.handle_input_later(endpoint.to_owned(), connection);
+            self.close_later(endpoint.to_owned(), connection, CloseReason::IdleInput);
         }
     }
 
     /// Handles the end of a connection, which is closed.
-    fn end_connection(&mut self, endpoint: &str, used: UsedConnection, effects: &mut ConnectionEffects) {
+    fn end_connection(
+        &mut self,
+        endpoint: &str,
+        used: UsedConnection,
+        reason: CloseReason,
+        effects: &mut ConnectionEffects,
+    ) {
         let UsedConnection { mut connection, state } = used;
         let now = self.now();
         let has_uncertain_call = connection.ledger.has_uncertain_call();
@@ -266,13 +293,22 @@
                 status,
                 %last_client_id,
                 %previous_client_id,
+                ?reason,
                 "surplus response"
             );
             effects.surplus.push(SurplusResponse { endpoint: endpoint.to_owned(), age, retry_after });
         } else if is_unusual {
-            tracing::warn!(endpoint, connection = number, ?age, ?state, %last_client_id, "connection ended early");
+            tracing::warn!(
+                endpoint,
+                connection = number,
+                ?age,
+                ?state,
+                ?reason,
+                %last_client_id,
+                "connection ended early"
+            );
         } else {
-            tracing::debug!(endpoint, connection = number, ?age, ?state, "connection ended");
+            tracing::info!(endpoint, connection = number, ?age, ?state, ?reason, "connection ended");
         }
         effects.add(update);
     }
@@ -294,6 +330,10 @@
     /// Writes the result of a call whose response is attributed to the log.
     pub(super) fn record_attributed(&mut self, call: CallId) {
         if let Some(result) = self.unattributed.0.remove(&call) {
+            if result.classified.meaning() == ResponseMeaning::Over {
+                let client_id = String::from_utf8_lossy(&result.id.client_id);
+                tracing::info!(message_id = call.message, %client_id, "message is over: its response is proven");
+            }
             self.record_attempt(&result.id, &result.classified);
         }
     }
@@ -313,8 +353,7 @@
                 ?outcome,
                 "response may belong to an earlier call on its connection"
             ),
-            // Frequent: each rejection on a connection that is closed before its quiet time.
-            Uncertainty::Completeness => tracing::debug!(
+            Uncertainty::Completeness => tracing::info!(
                 message_id = call.message,
                 %client_id,
                 attempt,
@@ -331,8 +370,11 @@
         if let Some(result) = self.unattributed.0.get(&call) {
             let (endpoint, connection) = (result.id.endpoint.clone(), result.connection);
             match self.pooled_attempts.get(&connection) {
-                Some(attempt) => attempt.abort(),
-                None => self.close_idle_connection(endpoint, connection),
+                Some(attempt) => {
+                    tracing::info!(connection, endpoint, "attempt aborted: an earlier call may still be out");
+                    attempt.abort();
+                }
+                None => self.close_idle_connection(endpoint, connection, CloseReason::Unanswered),
             }
         }
         self.remove_misattributed(call);
@@ -345,14 +387,14 @@
         for (endpoint, number) in self.unattributed.connections_of(message) {
             let connection = self.pool.get_mut(&endpoint, number);
             if connection.is_some_and(|connection| connection.ledger.is_quiet(now)) {
-                self.close_idle_connection(endpoint, number);
+                self.close_idle_connection(endpoint, number, CloseReason::EarlierCall);
             }
         }
     }
 
-    fn close_idle_connection(&mut self, endpoint: String, number: u64) {
+    fn close_idle_connection(&mut self, endpoint: String, number: u64, reason: CloseReason) {
         if let Some(connection) = self.pool.remove(&endpoint, number) {
-            self.handle_input_later(endpoint, connection);
+            self.close_later(endpoint, connection, reason);
         }
     }
 }
--- a/crates/quillhub-server/src/instance/driver.rs
+++ b/crates/quillhub-server/src/instance/driver.rs
@@ -2,7 +2,7 @@
 
 use super::messages::PendingMessage;
 use super::{AttemptId, Instance, log_failed_write};
-use crate::attempts::{Attempt, AttemptEnd, ClassifiedResult};
+use crate::attempts::{Attempt, AttemptEnd};
 use crate::http;
 use crate::wal::{FinalResult, RecordKind};
 use quillhub::{AttemptPlan, CallId, ConnectionUse, Dispatcher, Driver, LogEvent, MessageId};
@@ -59,25 +59,6 @@
             }
         });
     }
-
-    /// Records in the log that an attempt finished its message or is known not to have executed it.
-    pub(super) fn record_attempt(&mut self, id: &AttemptId, classified: &ClassifiedResult) {
-        if !self.messages.contains(id.message) {
-            return;
-        }
-        if classified.finished {
-            log_failed_write(id.message, RecordKind::Finished, self.wal.record_finished(id.message));
-            if let Some(message) = self.messages.remove(id.message) {
-                self.messages.retain_client_id(self.now(), message.client_id);
-            }
-        } else if classified.outcome.known_not_executed() {
-            log_failed_write(
-                id.message,
-                RecordKind::NotExecuted,
-                self.wal.record_not_executed(id.message, id.attempt),
-            );
-        }
-    }
 }
 
 impl Driver for Instance {
@@ -86,7 +67,7 @@
         self.close_quiet_connections_of(id);
         let written = self.write_acceptance(id);
         let Some(message) = self.messages.get_mut(id) else { return };
-        let attempt = message.begin_attempt();
+        let (attempt, last_outcome) = (message.begin_attempt(), message.last_outcome);
         let address = self.pool.address(endpoint);
         let request = delivery_request(message, address);
         let client_id = message.client_id.clone();
@@ -109,6 +90,10 @@
             connection = pooled.as_ref().map(|pooled| pooled.number()),
             "attempt starts"
         );
+        if attempt > 0 {
+            let client_id = String::from_utf8_lossy(&client_id);
+            tracing::info!(message_id = id, %client_id, attempt, endpoint, ?last_outcome, "message is attempted again");
+        }
         let endpoint = endpoint.to_owned();
         let pooled_number = pooled.as_ref().map(|pooled| pooled.number());
         let id = AttemptId { message: id, attempt, endpoint, client_id, plan, pooled: pooled_number };
--- a/crates/quillhub-server/src/instance/messages.rs
+++ b/crates/quillhub-server/src/instance/messages.rs
@@ -4,7 +4,7 @@
 //! is finished, unless the message is withdrawn.
 
 use crate::wal::LoggedMessage;
-use quillhub::MessageId;
+use quillhub::{AttemptOutcome, MessageId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +23,8 @@
     pub body: Rc<[u8]>,
     /// Number of attempts made so far.
     pub attempts: u32,
+    /// Outcome of the attempt that ended last, for the log; `None` before the first one and after a restart.
+    pub last_outcome: Option<AttemptOutcome>,
     /// Payload of the record of the message's acceptance; `None` once the record is written.
     pub unwritten_acceptance: Option<Vec<u8>>,
 }
@@ -40,6 +42,7 @@
             idempotency_key: message.idempotency_key.map(Into::into),
             body: message.body.into(),
             attempts: message.attempts.last_key_value().map_or(0, |(last, _)| last + 1),
+            last_outcome: None,
             unwritten_acceptance: None,
         }
     }
--- a/crates/quillhub-server/src/instance/mod.rs
+++ b/crates/quillhub-server/src/instance/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! Invariant: an attempt sends its first byte only after the log contains the message and the start of the attempt.
 
+mod attempt_results;
 mod attribution;
 mod driver;
 mod messages;
@@ -16,15 +17,14 @@
 pub use outcome_queue::FinalOutcome;
 pub use submission::{InvalidSubmission, Submission, SubmitOutcome};
 
-use crate::attempts::{AttemptEnd, ClassifiedResult};
 use crate::gossip::GossipSocket;
 use crate::pool::ConnectionPool;
 use crate::wal::{AppendError, FinalResult, RecordKind, Wal};
 use crate::wall_clock::WallClock;
-use attribution::{UnattributedResult, UnattributedResults};
+use attribution::UnattributedResults;
 use messages::Messages;
 use outcome_queue::OutcomeQueue;
-use quillhub::{AttemptPlan, AttemptResult, CallId, ConnectionId, Dispatcher, MessageId};
+use quillhub::{AttemptPlan, CallId, Dispatcher, MessageId};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -267,95 +267,19 @@
     fn finish_undelivered(&mut self, id: MessageId, result: FinalResult) {
         let Some(message) = self.messages.remove(id) else { return };
         self.unattributed.remove_message(id);
-        tracing::debug!(
-            message_id = id,
-            ?result,
-            attempts = message.attempts,
-            "message is rejected or abandoned"
-        );
+        let attempts = message.attempts;
         if message.unwritten_acceptance.is_some() {
+            tracing::debug!(message_id = id, ?result, "message is rejected or abandoned at once");
             self.immediate_outcome = Some(result.into());
             return;
         }
+        let client_id = String::from_utf8_lossy(&message.client_id);
+        let last_outcome = message.last_outcome;
+        tracing::info!(message_id = id, %client_id, ?result, attempts, ?last_outcome, "message is rejected or abandoned");
         log_failed_write(id, RecordKind::OutcomeDecided, self.wal.record_outcome_decided(id, result));
         self.outcomes.add(FinalOutcome { message: id, client_id: message.client_id, result });
     }
 
-    /// Returns `true` if the attempt may send its request; to be called before its first byte. The log then records
-    /// that the message may have been executed.
-    ///
-    /// Returns `false` if the dispatcher no longer permits the attempt, if the record cannot be written, or if the
-    /// process is about to exit. In the last case, the exit would interrupt the attempt and leave unknown whether the
-    /// message was executed; the next process makes the attempt instead.
-    fn may_send_request(&mut self, id: &AttemptId) -> bool {
-        let now = self.now();
-        let is_permitted = |dispatcher: &Dispatcher| dispatcher.may_send_request(id.message, id.attempt, now);
-        if self.stopping || !self.dispatcher.as_ref().is_some_and(is_permitted) {
-            return false;
-        }
-        let started = self.wall_clock.now();
-        let written = self.wal.record_attempt_started(id.message, id.attempt, started, &id.endpoint);
-        let recorded = written.is_ok();
-        log_failed_write(id.message, RecordKind::AttemptStarted, written);
-        recorded
-    }
-
-    /// Records the end of an attempt, `elapsed` after its start, and reports it to the dispatcher.
-    fn attempt_ended(&mut self, id: &AttemptId, end: AttemptEnd, elapsed: Duration) {
-        self.attempts_in_flight -= 1;
-        if let Some(connection) = id.pooled {
-            self.pooled_attempts.remove(&connection);
-        }
-        let AttemptEnd { result, connection, replaced } = end;
-        let classified = ClassifiedResult::classify(&result, self.load_reports);
-        let duration = result.as_ref().map_or(elapsed, |response| response.latency);
-        let response = result.is_ok().then(|| classified.meaning());
-        let number = connection.as_ref().map(|used| used.connection.number());
-        let uncertainty = connection
-            .as_ref()
-            .zip(response)
-            .and_then(|(used, meaning)| used.connection.ledger.uncertainty(meaning, &id.plan.attribution));
-        let load_report = result.ok().and_then(|response| response.load_report);
-        let load_report = load_report.filter(|_| self.load_reports);
-        tracing::debug!(
-            message_id = id.message,
-            attempt = id.attempt,
-            endpoint = id.endpoint,
-            connection = connection.as_ref().map(|used| used.connection.number()),
-            state = ?connection.as_ref().map(|used| used.state),
-            outcome = ?classified.outcome,
-            ?duration,
-            ?load_report,
-            ?uncertainty,
-            "attempt ended"
-        );
-        let result = AttemptResult {
-            message: id.message,
-            attempt: id.attempt,
-            outcome: classified.outcome,
-            duration,
-            finished: classified.finished,
-            load_report,
-            connection: number.map(ConnectionId),
-        };
-        match uncertainty.zip(number) {
-            Some((uncertainty, connection)) => {
-                let id = id.clone();
-                self.unattributed.insert(UnattributedResult { id, classified, uncertainty, connection });
-            }
-            None => self.record_attempt(id, &classified),
-        }
-        let effects = self.attempt_connections_ended(id, connection, replaced, response);
-        self.record_effects(&effects);
-        self.handle_event(|dispatcher| {
-            match uncertainty {
-                Some(uncertainty) => dispatcher.attempt_ended_unattributed(result, uncertainty),
-                None => dispatcher.attempt_ended(result),
-            }
-            effects.report(dispatcher);
-        });
-    }
-
     /// Returns `true` if no attempt is in flight, no message is pending, and the platform has confirmed every final
     /// outcome.
     pub fn is_idle(&self) -> bool {
--- a/crates/quillhub-server/src/instance/tests.rs
+++ b/crates/quillhub-server/src/instance/tests.rs
@@ -6,7 +6,7 @@
     scripted_server, silent_endpoint, submission, submit, submit_body, unfinished_in, until_attempts_ended,
     until_idle,
 };
-use quillhub::{AttemptOutcome, Driver, EndpointState};
+use quillhub::{AttemptOutcome, AttemptResult, Driver, EndpointState};
 
 /// Guards against a request that lacks the message's ids or changes its body, and against a delivered message that
 /// stays pending and is sent again after a restart.
--- a/crates/quillhub-server/src/pool.rs
+++ b/crates/quillhub-server/src/pool.rs
@@ -44,6 +44,25 @@
     fn close_order(&self) -> (bool, Instant) {
         (!self.connection.ledger.is_settled(), self.since)
     }
+
+    /// Returns `true` if the connection stays open, and logs otherwise why it is closed.
+    fn is_kept(&self, idle_timeout: Duration, endpoint: &str) -> bool {
+        let idle_time = self.since.elapsed();
+        let is_expired = idle_time >= idle_timeout;
+        let is_kept = !self.is_retired && !is_expired || !self.connection.ledger.is_settled();
+        if !is_kept {
+            let (connection, is_retired) = (self.connection.number(), self.is_retired);
+            tracing::info!(
+                endpoint,
+                connection,
+                ?idle_time,
+                is_retired,
+                is_expired,
+                "idle connection closed"
+            );
+        }
+        is_kept
+    }
 }
 
 /// Call for which a connection is taken, with times on the dispatcher's clock.
@@ -199,11 +218,8 @@
     /// Closes the retired connections without unattributed responses, and the expired ones.
     pub fn drop_retired(&mut self) {
         let idle_timeout = self.idle_timeout;
-        self.idle.retain(|_, idle| {
-            idle.retain(|idle| {
-                let is_needed = !idle.is_retired && idle.since.elapsed() < idle_timeout;
-                is_needed || !idle.connection.ledger.is_settled()
-            });
+        self.idle.retain(|endpoint, idle| {
+            idle.retain(|idle| idle.is_kept(idle_timeout, endpoint));
             !idle.is_empty()
         });
     }
