--- a/crates/quillhub-fakes/src/laboratory/audit.rs
+++ b/crates/quillhub-fakes/src/laboratory/audit.rs
@@ -1,9 +1,11 @@
 //! Verdict on a run: which messages broke which rule, according to the records of clients, endpoints and platform.
 
 use super::plan::SERVICE_CLASSES;
-use super::record::{Call, Record, Submission};
+use super::record::{Call, Copy, Record, Submission};
+use super::response::STATUS_EXHAUSTED;
 use std::fmt;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Time after its deadline by which a message must be finished.
 const LOST_SLACK: Duration = Duration::from_millis(300);
@@ -12,6 +14,8 @@
 /// Tolerance for events at two sockets whose order the instance cannot control: the close of one connection and a
 /// request on another, or a request that crosses a final outcome.
 const CROSSING: Duration = Duration::from_millis(20);
+/// Time in which an instance reads a response, and what a process that ends within it may not have read.
+const READ_TIME: Duration = Duration::from_millis(100);
 /// Tolerance of each time limit of the rules.
 const RULE_TOLERANCE: Duration = Duration::from_millis(50);
 
@@ -26,6 +30,10 @@
     TwoAtOnce,
     /// Sent after its final outcome.
     SentAfterEnd,
+    /// Sent after an endpoint wrote status 410 for it, which says that it is over.
+    SentAfterOver,
+    /// Sent after the first call of a connection delivered it, whose response can be no other call's.
+    SentAfterDelivery,
     /// Rejected, so that its client may submit it again, although it may have been executed and must not be twice.
     RejectedAfterExecution,
 }
@@ -40,6 +48,13 @@
     /// Number of messages that were abandoned although an endpoint wrote status 200 for them before their deadline. No
     /// rule forbids it, but their clients are told wrongly.
     pub abandoned_after_delivery: usize,
+    /// Number of messages for which an endpoint wrote status 410.
+    pub over: usize,
+    /// Number of messages that were accepted and not delivered, and on whose connection a copy of a response with status
+    /// 410 arrived during their call, without one of their own.
+    pub undelivered_after_copied_over: usize,
+    /// Number of messages that were called again after an endpoint wrote status 504 for them.
+    pub called_after_exhausted: usize,
     /// Number of calls.
     pub calls: usize,
     /// Number of surplus responses that were written.
@@ -61,11 +76,15 @@
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         let Self { accepted, delivered, abandoned_after_delivery, calls, copies, connections, .. } = self;
         write!(f, "accepted {accepted}, delivered {delivered}, calls {calls}, connections {connections}, ")?;
-        write!(f, "abandoned after a delivery {abandoned_after_delivery}, ")?;
+        write!(f, "abandoned after a delivery {abandoned_after_delivery}, over {}, ", self.over)?;
+        write!(f, "undelivered after a copied 410 {}, ", self.undelivered_after_copied_over)?;
+        write!(f, "called after 504 {}, ", self.called_after_exhausted)?;
         write!(f, "surplus responses {copies}, lost {}, ", self.count(Violation::Lost))?;
         write!(f, "sent again {}, ", self.count(Violation::SentAgain))?;
         write!(f, "two at once {}, ", self.count(Violation::TwoAtOnce))?;
         write!(f, "sent after the end {}, ", self.count(Violation::SentAfterEnd))?;
+        write!(f, "sent after 410 {}, ", self.count(Violation::SentAfterOver))?;
+        write!(f, "sent after a proven delivery {}, ", self.count(Violation::SentAfterDelivery))?;
         write!(f, "rejected after execution {}", self.count(Violation::RejectedAfterExecution))
     }
 }
@@ -83,11 +102,17 @@
         verdict.delivered += usize::from(calls.iter().any(|call| call.is_delivered()));
         verdict.abandoned_after_delivery +=
             usize::from(is_abandoned_after_delivery(record, message, submission, &calls));
+        verdict.over += usize::from(calls.iter().any(|call| call.over_since().is_some()));
+        verdict.undelivered_after_copied_over +=
+            usize::from(is_undelivered_after_copied_over(record, message, submission, &calls));
+        verdict.called_after_exhausted += usize::from(is_called_after_exhausted(&calls));
         let checks = [
             (Violation::Lost, is_lost(record, message, submission, &calls)),
             (Violation::SentAgain, is_sent_again(submission, &calls)),
             (Violation::TwoAtOnce, is_sent_twice_at_once(&calls)),
             (Violation::SentAfterEnd, is_sent_after_end(record, message, &calls)),
+            (Violation::SentAfterOver, is_sent_after_over(record, submission, &calls)),
+            (Violation::SentAfterDelivery, is_sent_after_delivery(record, submission, &calls)),
             (
                 Violation::RejectedAfterExecution,
                 is_rejected_after_execution(record, message, submission, &calls),
@@ -104,9 +129,10 @@
     let due = record.due(submission.instance, submission.deadline, LOST_SLACK, LOST_SLACK_AFTER_RESTART);
     let delivered =
         calls.iter().any(|call| call.is_delivered() && call.answered.is_some_and(|(at, _)| at <= due));
+    let is_over = calls.iter().any(|call| !call.spoilt && call.over_since().is_some());
     let finished =
         record.outcomes.get(message).is_some_and(|outcomes| outcomes.iter().any(|(at, _)| *at <= due));
-    submission.accepted && !delivered && !finished
+    submission.accepted && !delivered && !finished && !is_over
 }
 
 /// Returns `true` if a call followed one that may have executed the message, unless its class allows that.
@@ -133,6 +159,49 @@
     first.is_some_and(|(at, _)| calls.iter().any(|call| call.arrived > *at + CROSSING))
 }
 
+/// Returns `true` if a call arrived later than an instance needs to read a response that was written at one of `ends`,
+/// unless its process ended before it can have read that.
+fn is_sent_after(
+    record: &Record,
+    submission: &Submission,
+    calls: &[&Call],
+    mut ends: impl Iterator<Item = Instant>,
+) -> bool {
+    ends.any(|at| {
+        !record.may_be_unread(submission.instance, at, READ_TIME)
+            && calls.iter().any(|call| call.arrived > at + READ_TIME)
+    })
+}
+
+fn is_sent_after_over(record: &Record, submission: &Submission, calls: &[&Call]) -> bool {
+    is_sent_after(record, submission, calls, calls.iter().filter_map(|call| call.over_since()))
+}
+
+fn is_sent_after_delivery(record: &Record, submission: &Submission, calls: &[&Call]) -> bool {
+    let proven = calls.iter().filter(|call| call.is_first && call.is_delivered());
+    let ends = proven.filter_map(|call| call.answered.map(|(at, _)| at));
+    is_sent_after(record, submission, calls, ends)
+}
+
+fn is_called_after_exhausted(calls: &[&Call]) -> bool {
+    let is_exhausted = |call: &&&Call| call.answered.is_some_and(|(_, status)| status == STATUS_EXHAUSTED);
+    let ends = calls.iter().filter(is_exhausted).filter_map(|call| call.ended());
+    ends.min().is_some_and(|first| calls.iter().any(|call| call.arrived > first))
+}
+
+fn is_undelivered_after_copied_over(
+    record: &Record,
+    message: &str,
+    submission: &Submission,
+    calls: &[&Call],
+) -> bool {
+    let is_copied =
+        |copy: &&Copy| copy.is_over && copy.before_message == message && copy.of_message != message;
+    submission.accepted
+        && !calls.iter().any(|call| call.is_delivered() || call.over_since().is_some())
+        && record.copies.iter().any(|copy| is_copied(&copy))
+}
+
 fn is_rejected_after_execution(
     record: &Record,
     message: &str,
--- a/crates/quillhub-fakes/src/laboratory/audit_tests.rs
+++ b/crates/quillhub-fakes/src/laboratory/audit_tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use tokio::time::Instant;
+use crate::laboratory::record::Outage;
 
 const ONCE: usize = 2;
 const KEYED: usize = 1;
@@ -36,6 +36,19 @@
         self
     }
 
+    /// Makes the last call one on a connection that carried another call before.
+    fn on_used_connection(mut self) -> Self {
+        self.0.calls.last_mut().unwrap().is_first = false;
+        self
+    }
+
+    /// Records that the process of the instance was told to end, and when it had ended.
+    fn restarted(mut self, signalled: u64, ended: u64) -> Self {
+        let (signalled, ended, ready) = (self.at(signalled), self.at(ended), self.at(ended + 700));
+        self.0.outages.push(Outage { instance: 0, signalled, ended, ready });
+        self
+    }
+
     /// Records a call whose connection is closed before its response.
     fn closed(mut self, arrived: u64, closed: u64) -> Self {
         let closed = Some(self.at(closed));
@@ -45,8 +58,17 @@
 
     fn add_call(&mut self, arrived: u64, answered: Option<(Instant, u16)>, closed: Option<Instant>) {
         let (message, connection) = ("m".into(), self.0.calls.len() as u64);
-        let (arrived, spoilt) = (self.at(arrived), false);
-        self.0.calls.push(Call { message, endpoint: 0, connection, arrived, answered, closed, spoilt });
+        let (arrived, spoilt, is_first) = (self.at(arrived), false, true);
+        self.0.calls.push(Call {
+            message,
+            endpoint: 0,
+            connection,
+            arrived,
+            answered,
+            closed,
+            spoilt,
+            is_first,
+        });
     }
 
     /// Records that the message is abandoned.
@@ -137,3 +159,41 @@
     );
     assert_eq!(Builder::new(FREE).answered(10, 40, 503).finished(50).violations(), []);
 }
+
+/// Guards against an audit that misses a call after a response that says that the message is over, whole or not.
+#[test]
+fn a_call_after_a_410_is_reported_unless_the_process_ended_before_it_read_that() {
+    let called_again = || Builder::new(FREE).answered(10, 50, 410).answered(200, 250, 200);
+    assert_eq!(called_again().violations(), [Violation::SentAfterOver]);
+    let spoilt = Builder::new(FREE).answered(10, 50, 410).spoilt().answered(200, 250, 200);
+    assert_eq!(spoilt.violations(), [Violation::SentAfterOver]);
+    assert_eq!(Builder::new(FREE).answered(10, 50, 410).answered(140, 150, 200).violations(), []);
+    assert_eq!(called_again().restarted(100, 105).violations(), []);
+    assert_eq!(called_again().restarted(60, 155).violations(), [Violation::SentAfterOver]);
+    assert_eq!(called_again().restarted(20, 45).violations(), [Violation::SentAfterOver]);
+}
+
+/// Guards against an audit that takes a message which is over for a lost one, or a malformed 410 for the end of a message.
+#[test]
+fn a_message_is_not_lost_after_a_whole_410() {
+    assert_eq!(Builder::new(FREE).answered(10, 50, 410).violations(), []);
+    assert_eq!(Builder::new(FREE).answered(10, 50, 410).spoilt().violations(), [Violation::Lost]);
+    assert_eq!(Builder::new(ONCE).answered(10, 50, 410).finished_as(100, true).violations(), []);
+}
+
+/// Guards against an audit that misses a repetition of a message whose delivery is certain. On a used connection it is not.
+#[test]
+fn a_call_after_a_delivery_by_the_first_call_of_a_connection_is_reported() {
+    let called_again = Builder::new(FREE).answered(10, 50, 200).answered(200, 250, 200);
+    assert_eq!(called_again.violations(), [Violation::SentAfterDelivery]);
+    let unproven = Builder::new(FREE).answered(10, 50, 200).on_used_connection().answered(200, 250, 200);
+    assert_eq!(unproven.violations(), []);
+}
+
+/// Guards against an audit that does not count calls after a response which says that no attempt is left.
+#[test]
+fn messages_that_are_called_after_a_504_are_counted() {
+    let called = |builder: Builder| audit(&builder.0).called_after_exhausted;
+    assert_eq!(called(Builder::new(FREE).answered(10, 50, 504).answered(200, 250, 200)), 1);
+    assert_eq!(called(Builder::new(FREE).answered(10, 50, 503).answered(200, 250, 504)), 0);
+}
--- a/crates/quillhub-fakes/src/laboratory/endpoint.rs
+++ b/crates/quillhub-fakes/src/laboratory/endpoint.rs
@@ -1,36 +1,25 @@
 //! Endpoint of a run: answers each call after a random time, and records what it received and wrote.
 //!
 //! Invariant: the endpoint writes one response for each call. Surplus responses come from the proxy in front of it, but the
-//! endpoint itself writes the surplus of malformed rejections.
+//! endpoint itself writes the surplus of malformed responses.
 
-use super::plan::{Plan, SpoiltRejectionPlan};
+use super::plan::Plan;
 use super::record::{Call, Copy};
+use super::response::{Ending, PlannedResponse, is_over};
 use super::run::SharedRun;
 use crate::http::{Request, parse_request};
 use rand::RngExt;
-use rand_pcg::Pcg64Mcg;
+use socket2::SockRef;
 use std::io;
-use std::ops::RangeInclusive;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
-/// Lengths of the announced body of a malformed rejection, so that its end falls on any place in the reads of an instance.
-const SPOILT_BODY_BYTES: RangeInclusive<usize> = 0..=2_100;
-/// Maximum delay of a surplus that follows closely.
-const CLOSE_DELAY: Duration = Duration::from_millis(10);
 /// Reserve before the deadline of a call, up to which a surplus is written.
 const DEADLINE_RESERVE: Duration = Duration::from_millis(10);
-/// What may follow the announced end of a malformed rejection.
-const SURPLUS: [&[u8]; 5] = [
-    b" and more",
-    b"H",
-    b"HTTP/1.1 503 -\r\nConte",
-    b"HTTP/1.1 503 -\r\nContent-Length: 0\r\n\r\n",
-    b"HTTP/1.1 \0",
-];
-
+/// Time for which a connection may rest if the plan does not limit it; longer than any run.
+const UNLIMITED_REST: Duration = Duration::from_secs(3_600);
 /// Serves one connection until it is closed.
 pub(super) async fn serve(
     run: SharedRun,
@@ -50,56 +39,54 @@
             if hang.as_ref().is_some_and(|hang| hang.contains(&elapsed)) {
                 return call.hang(&run, &plan, &mut stream, last_response).await;
             }
-            last_response = Some(call.answer(&run, &plan, &mut stream, &mut unparsed).await?);
+            let (response, ending) = call.answer(&run, &plan, &mut stream, &mut unparsed).await?;
+            last_response = Some(response);
+            let (delay, is_reset) = match ending {
+                Ending::StaysOpen => continue,
+                Ending::ClosedAfter(delay) => (delay, false),
+                Ending::ResetAfter(delay) => (delay, true),
+            };
+            read_until(Instant::now() + delay, &mut stream, &mut unparsed).await?;
+            record_unanswered(&run, endpoint, connection, &mut unparsed)?;
+            return if is_reset { SockRef::from(&stream).set_linger(Some(Duration::ZERO)) } else { Ok(()) };
         }
-        if stream.read_buf(&mut unparsed).await? == 0 {
+        let Ok(read) = timeout_at(rest_end(&run, &plan), stream.read_buf(&mut unparsed)).await else {
+            return Ok(());
+        };
+        if read? == 0 {
             return Ok(());
         }
     }
 }
 
-/// Where a call arrived.
-struct Place {
-    endpoint: usize,
-    connection: u64,
+/// Returns the time at which the endpoint closes a connection that rests from now on.
+fn rest_end(run: &SharedRun, plan: &Plan) -> Instant {
+    let rest = match &plan.rest_before_close {
+        Some(range) => run.borrow_mut().rng.random_range(range.clone()),
+        None => UNLIMITED_REST,
+    };
+    Instant::now() + rest
 }
 
-/// Response of an endpoint to one call.
-struct PlannedResponse {
-    status: u16,
-    body: Vec<u8>,
-    /// Bytes that follow the announced end of the response, and the delay after which they do.
-    surplus: Option<(&'static [u8], Duration)>,
-}
-
-impl PlannedResponse {
-    fn draw(plan: &Plan, rng: &mut Pcg64Mcg) -> Self {
-        let draw = rng.random::<f64>();
-        let status = match draw {
-            _ if draw < plan.rejected_share => 503,
-            _ if draw < plan.rejected_share + plan.failed_share => 500,
-            _ => 200,
-        };
-        let whole = Self { status, body: b"ok".to_vec(), surplus: None };
-        match &plan.spoilt_rejections {
-            Some(spoilt) if rng.random::<f64>() < spoilt.share => Self::draw_spoilt(spoilt, rng),
-            _ => whole,
-        }
-    }
-
-    fn draw_spoilt(plan: &SpoiltRejectionPlan, rng: &mut Pcg64Mcg) -> Self {
-        let max_delay = [Duration::ZERO, CLOSE_DELAY, plan.max_delay][rng.random_range(0..3)];
-        let delay = max_delay.mul_f64(rng.random());
-        let surplus = SURPLUS[rng.random_range(0..SURPLUS.len())];
-        let body = vec![b'x'; rng.random_range(SPOILT_BODY_BYTES)];
-        Self { status: 503, body, surplus: Some((surplus, delay)) }
+/// Records the calls that arrived on a connection before it is closed, and that get no response.
+fn record_unanswered(
+    run: &SharedRun,
+    endpoint: usize,
+    connection: u64,
+    unparsed: &mut Vec<u8>,
+) -> io::Result<()> {
+    while let Some((request, used)) = parse_request(unparsed)? {
+        unparsed.drain(..used);
+        let call = ReceivedCall::new(run, Place { endpoint, connection }, request);
+        run.borrow_mut().record.calls[call.index].closed = Some(Instant::now());
     }
+    Ok(())
+}
 
-    fn encode(&self) -> Vec<u8> {
-        let Self { status, body, .. } = self;
-        let head = format!("HTTP/1.1 {status} -\r\nContent-Length: {}\r\n\r\n", body.len());
-        [head.as_bytes(), body].concat()
-    }
+/// Where a call arrived.
+struct Place {
+    endpoint: usize,
+    connection: u64,
 }
 
 /// Call that was received completely.
@@ -115,6 +102,7 @@
         let Place { endpoint, connection } = place;
         let (arrived, message) = (Instant::now(), request.id.unwrap_or_default());
         let calls = &mut run.borrow_mut().record.calls;
+        let is_first = !calls.iter().rev().any(|call| call.connection == connection);
         calls.push(Call {
             message,
             endpoint,
@@ -123,6 +111,7 @@
             answered: None,
             closed: None,
             spoilt: false,
+            is_first,
         });
         Self { index: calls.len() - 1, deadline: request.time_left.map(|left| arrived + left) }
     }
@@ -134,32 +123,31 @@
         plan: &Plan,
         stream: &mut TcpStream,
         unparsed: &mut Vec<u8>,
-    ) -> io::Result<LastResponse> {
+    ) -> io::Result<(LastResponse, Ending)> {
         let (response, service_time) = {
             let rng = &mut run.borrow_mut().rng;
             let response = PlannedResponse::draw(plan, rng);
             (response, rng.random_range(plan.service_time.clone()))
         };
-        let is_executed = response.surplus.is_some();
-        run.borrow_mut().record.calls[self.index].spoilt = is_executed;
+        let service_time = if response.is_immediate { Duration::ZERO } else { service_time };
+        run.borrow_mut().record.calls[self.index].spoilt = response.is_spoilt;
         if let Err(error) = read_until(Instant::now() + service_time, stream, unparsed).await {
             run.borrow_mut().record.calls[self.index].closed = Some(Instant::now());
             return Err(error);
         }
-        let mut bytes = response.encode();
-        let delayed = response.surplus.filter(|(_, delay)| !delay.is_zero());
-        if let (Some((surplus, _)), None) = (response.surplus, delayed) {
-            bytes.extend_from_slice(surplus);
-        }
-        stream.write_all(&bytes).await?;
-        run.borrow_mut().record.calls[self.index].answered = Some((Instant::now(), response.status));
-        if let Some((surplus, delay)) = delayed {
-            let latest = self.deadline.map(|deadline| deadline - DEADLINE_RESERVE);
-            let at = Instant::now() + delay;
-            read_until(latest.map_or(at, |latest| at.min(latest)), stream, unparsed).await?;
-            stream.write_all(surplus).await?;
+        let latest = self.deadline.map(|deadline| deadline - DEADLINE_RESERVE);
+        for (number, piece) in response.pieces.iter().enumerate() {
+            if !piece.delay.is_zero() {
+                let at = Instant::now() + piece.delay;
+                read_until(latest.map_or(at, |latest| at.min(latest)), stream, unparsed).await?;
+            }
+            stream.write_all(&piece.bytes).await?;
+            if number == response.status_piece {
+                run.borrow_mut().record.calls[self.index].answered = Some((Instant::now(), response.status));
+            }
         }
-        Ok(LastResponse { call: self.index, bytes: response.encode() })
+        let bytes = response.first_piece();
+        Ok((LastResponse { call: self.index, bytes }, response.ending))
     }
 
     /// Leaves the call without an answer until its connection is closed, after a copy of the response before it, if planned.
@@ -198,6 +186,7 @@
             of_message: message_of(last.call),
             before_message: message_of(self.index),
             at: Instant::now(),
+            is_over: is_over(&last.bytes),
         };
         record.copies.push(copy);
     }
--- a/crates/quillhub-fakes/src/laboratory/mod.rs
+++ b/crates/quillhub-fakes/src/laboratory/mod.rs
@@ -11,13 +11,14 @@
 mod plan;
 mod proxy;
 mod record;
+mod response;
 mod run;
 mod shim;
 
 pub use audit::{Verdict, Violation};
 pub use plan::{
-    CopyPlan, CopyShape, CopyTiming, HangPlan, Pause, Plan, Restart, ServiceClassPlan, SpoiltRejectionPlan,
-    StorageFaults,
+    CopyPlan, CopyShape, CopyTiming, HangPlan, OverPlan, Pause, Plan, Reload, Restart, ServiceClassPlan,
+    SpoiltRejectionPlan, StorageFaults,
 };
 pub use run::run;
 pub use shim::{ShortIo, SocketFaults};
--- a/crates/quillhub-fakes/src/laboratory/plan.rs
+++ b/crates/quillhub-fakes/src/laboratory/plan.rs
@@ -3,7 +3,7 @@
 use super::shim::{ShortIo, SocketFaults};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::ops::Range;
+use std::ops::{Range, RangeInclusive};
 use std::time::Duration;
 
 /// When a proxy writes a surplus copy of a response.
@@ -95,6 +95,25 @@
     }
 }
 
+/// Responses with status 410, which say that the message is over, in many forms: whole, cut off, with bytes behind them,
+/// written twice, on connections that stay open, are closed or are reset.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OverPlan {
+    /// Share of all calls that get such a response, from 0 to 1.
+    pub share: f64,
+    /// Share of the other calls that get a response with status 504, which says that the message has had all its attempts.
+    pub exhausted_share: f64,
+}
+
+/// SIGHUP to an instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reload {
+    /// Time of the signal, from the start of the load.
+    pub at: Duration,
+    /// Index of the instance.
+    pub instance: usize,
+}
+
 /// Restart of an instance on its state directory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Restart {
@@ -185,8 +204,14 @@
     pub spoilt_rejections: Option<SpoiltRejectionPlan>,
     /// Endpoints that stop answering, if any.
     pub hangs: Option<HangPlan>,
+    /// Responses with status 410, if any.
+    pub over: Option<OverPlan>,
+    /// Range from which an endpoint draws the time after which it closes a connection that rests, if it does.
+    pub rest_before_close: Option<Range<Duration>>,
     /// Restarts, in order of time.
     pub restarts: Vec<Restart>,
+    /// Reloads, in order of time.
+    pub reloads: Vec<Reload>,
     /// Pauses, in order of time.
     pub pauses: Vec<Pause>,
     /// Reads and writes on sockets of the instances that do not complete, if any.
@@ -216,7 +241,10 @@
             copies: None,
             spoilt_rejections: None,
             hangs: None,
+            over: None,
+            rest_before_close: None,
             restarts: Vec::new(),
+            reloads: Vec::new(),
             pauses: Vec::new(),
             short_io: None,
             socket_faults: None,
@@ -295,6 +323,28 @@
         Self { hangs: Some(hangs), copies: plan.copies.clone().filter(|_| has_copies), ..plan }
     }
 
+    /// Returns the plan that `seed` determines, with responses that say that the message is over, endpoints that close
+    /// resting connections in half of the runs, up to three restarts, SIGHUP, pauses, and surplus responses as well in one
+    /// run out of four.
+    pub fn with_over_responses(seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(!seed);
+        let millis = Duration::from_millis;
+        let plan = Self::with_surplus_responses(seed);
+        let over = OverPlan { share: rng.random_range(0.08..0.2), exhausted_share: 0.02 };
+        let closes = rng.random::<bool>();
+        let has_copies = rng.random_range(0..4) == 0;
+        let reload = Reload { at: plan.load_time.mul_f64(rng.random()), instance: 0 };
+        Self {
+            over: Some(over),
+            rest_before_close: closes.then_some(millis(30)..millis(400)),
+            copies: plan.copies.clone().filter(|_| has_copies),
+            restarts: draw_restarts(&mut rng, &plan, 0..=3),
+            pauses: draw_pauses(&mut rng, &plan, 0..=4),
+            reloads: vec![reload],
+            ..plan
+        }
+    }
+
     /// Returns the plan that `seed` determines, with an instance that is killed and restarted after its wall clock was
     /// set by seconds or by an hour, forward or back.
     pub fn with_wall_clock_step(seed: u64) -> Self {
@@ -322,11 +372,8 @@
     pub fn with_all_faults(seed: u64) -> Self {
         let mut rng = Pcg64Mcg::seed_from_u64(!seed);
         let plan = Self::without_faults(seed);
-        let mut restarts: Vec<_> =
-            (0..rng.random_range(1..=3)).map(|_| draw_restart(&mut rng, &plan)).collect();
-        restarts.sort_by_key(|restart| restart.at);
-        let mut pauses: Vec<_> = (0..rng.random_range(0..=6)).map(|_| draw_pause(&mut rng, &plan)).collect();
-        pauses.sort_by_key(|pause| pause.at);
+        let restarts = draw_restarts(&mut rng, &plan, 1..=3);
+        let pauses = draw_pauses(&mut rng, &plan, 0..=6);
         let short_io = ShortIo { shortened_percent: 3, interrupted_percent: 1 };
         let socket_faults = SocketFaults { failed_percent: 2, broken_permille: 1 };
         Self {
@@ -343,6 +390,20 @@
     }
 }
 
+/// Draws a series of restarts whose length is in `count`, in order of time.
+fn draw_restarts(rng: &mut Pcg64Mcg, plan: &Plan, count: RangeInclusive<usize>) -> Vec<Restart> {
+    let mut restarts: Vec<_> = (0..rng.random_range(count)).map(|_| draw_restart(rng, plan)).collect();
+    restarts.sort_by_key(|restart| restart.at);
+    restarts
+}
+
+/// Draws a series of pauses whose length is in `count`, in order of time.
+fn draw_pauses(rng: &mut Pcg64Mcg, plan: &Plan, count: RangeInclusive<usize>) -> Vec<Pause> {
+    let mut pauses: Vec<_> = (0..rng.random_range(count)).map(|_| draw_pause(rng, plan)).collect();
+    pauses.sort_by_key(|pause| pause.at);
+    pauses
+}
+
 /// Draws the restart of an instance during the load, with the wall clock set in two of three.
 fn draw_restart(rng: &mut Pcg64Mcg, plan: &Plan) -> Restart {
     Restart {
--- a/crates/quillhub-fakes/src/laboratory/proxy.rs
+++ b/crates/quillhub-fakes/src/laboratory/proxy.rs
@@ -2,6 +2,7 @@
 
 use super::plan::{CopyPlan, CopyShape, CopyTiming};
 use super::record::Copy;
+use super::response::is_over;
 use super::run::SharedRun;
 use crate::http::parse_request;
 use rand::RngExt;
@@ -108,6 +109,7 @@
             sleep(delay).await;
         }
     }
+    let is_over = is_over(&response);
     let surplus = match plan.shape {
         CopyShape::Noise => b"\x16\x03\x01 no response\r\n".to_vec(),
         CopyShape::Interim => b"HTTP/1.1 103 Early Hints\r\n\r\n".to_vec(),
@@ -122,7 +124,7 @@
         sleep(PIECE_GAP).await;
     }
     to_instance.write_all(second).await?;
-    let copy = Copy { endpoint: link.endpoint, of_message, before_message, at: Instant::now() };
+    let copy = Copy { endpoint: link.endpoint, of_message, before_message, at: Instant::now(), is_over };
     link.run.borrow_mut().record.copies.push(copy);
     match plan.shape {
         CopyShape::ThenClose => to_instance.shutdown().await,
--- a/crates/quillhub-fakes/src/laboratory/record.rs
+++ b/crates/quillhub-fakes/src/laboratory/record.rs
@@ -1,5 +1,6 @@
 //! Records of a run, as clients, endpoints, proxies and platform made them, and the timeline of one message.
 
+use super::response::{STATUS_EXHAUSTED, STATUS_OVER};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::time::Duration;
@@ -20,6 +21,8 @@
     pub(super) closed: Option<Instant>,
     /// `true` if the call was executed, and its response is malformed.
     pub(super) spoilt: bool,
+    /// `true` if no other call arrived on the connection before.
+    pub(super) is_first: bool,
 }
 
 impl Call {
@@ -30,7 +33,13 @@
 
     /// Returns `true` if the endpoint wrote a whole rejection, so that the message did not take effect.
     pub(super) fn is_rejected(&self) -> bool {
-        !self.spoilt && self.answered.is_some_and(|(_, status)| status == 503)
+        let is_rejection = |status| matches!(status, 503 | STATUS_EXHAUSTED | STATUS_OVER);
+        !self.spoilt && self.answered.is_some_and(|(_, status)| is_rejection(status))
+    }
+
+    /// Returns the time at which the endpoint wrote status 410, also if the response is malformed.
+    pub(super) fn over_since(&self) -> Option<Instant> {
+        self.answered.filter(|(_, status)| *status == STATUS_OVER).map(|(at, _)| at)
     }
 
     /// Returns `true` if the endpoint wrote a response with status 200.
@@ -60,6 +69,19 @@
     /// Message of the last request on the connection.
     pub(super) before_message: String,
     pub(super) at: Instant,
+    /// `true` if the copied response has status 410.
+    pub(super) is_over: bool,
+}
+
+/// Restart of an instance.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Outage {
+    pub(super) instance: usize,
+    pub(super) signalled: Instant,
+    /// Time at which the process had ended.
+    pub(super) ended: Instant,
+    /// Time at which the next process was ready.
+    pub(super) ready: Instant,
 }
 
 /// Everything that was observed in a run.
@@ -71,8 +93,7 @@
     /// Time and kind (`true` if rejected) of the final outcomes at the platform.
     pub(super) outcomes: BTreeMap<String, Vec<(Instant, bool)>>,
     pub(super) copies: Vec<Copy>,
-    /// Times from the signal to an instance until it is ready again.
-    pub(super) outages: Vec<(usize, Instant, Instant)>,
+    pub(super) outages: Vec<Outage>,
 }
 
 impl Record {
@@ -146,11 +167,18 @@
         after_restart: Duration,
     ) -> Instant {
         let mut due = deadline + slack;
-        for (restarted, from, until) in &self.outages {
-            if *restarted == instance && *from <= due {
-                due = due.max(*until + after_restart);
+        for outage in self.outages.iter().filter(|outage| outage.instance == instance) {
+            if outage.signalled <= due {
+                due = due.max(outage.ready + after_restart);
             }
         }
         due
     }
+
+    /// Returns `true` if a process of the instance ended within `period` after `at`, so that it may not have read what was
+    /// written to it then.
+    pub(super) fn may_be_unread(&self, instance: usize, at: Instant, period: Duration) -> bool {
+        let mut outages = self.outages.iter().filter(|outage| outage.instance == instance);
+        outages.any(|outage| (at..=at + period).contains(&outage.ended))
+    }
 }
--- a/crates/quillhub-fakes/src/laboratory/run.rs
+++ b/crates/quillhub-fakes/src/laboratory/run.rs
@@ -1,8 +1,8 @@
 //! A run: starts everything, restarts instances as planned, waits for the last message and returns the verdict.
 
 use super::audit::{Verdict, audit};
-use super::plan::{Plan, SERVICE_CLASSES};
-use super::record::Record;
+use super::plan::{CopyPlan, Plan, SERVICE_CLASSES};
+use super::record::{Outage, Record};
 use super::shim::{Environment, switch_storage_faults};
 use super::{client, endpoint, proxy};
 use crate::accept::accept_each;
@@ -119,8 +119,9 @@
     }
     let storage_faults = fail_storage(plan, run.borrow().record.started, instances[0].files.0.clone());
     let pauses = pause_instances(plan, run.borrow().record.started, &processes);
+    let reloads = reload_instances(plan, run.borrow().record.started, &processes);
     let restarts = restart_instances(&run, plan, program, &mut instances, &processes);
-    tokio::try_join!(storage_faults, pauses, restarts)?;
+    tokio::try_join!(storage_faults, pauses, reloads, restarts)?;
     while clients.join_next().await.is_some() {}
     sleep(plan.time_to_live + SETTLE_TIME).await;
     if let Some(logs) = logs {
@@ -139,16 +140,16 @@
         spawn_local(accept_each(listener, move |stream| {
             endpoint::serve(shared.clone(), endpoint_plan.clone(), number, stream)
         }));
-        let proxy_listener = TcpListener::bind("127.0.0.1:0").await?;
-        let proxy_address = proxy_listener.local_addr()?;
         let copies = plan.copies.clone().filter(|copies| number % copies.one_endpoint_in == 0);
-        let shared = run.clone();
-        spawn_local(accept_each(proxy_listener, move |stream| {
-            proxy::forward(shared.clone(), number, address, copies.clone(), stream)
-        }));
+        // A proxy without copies only hides resets of the endpoint.
+        let listed_address = if plan.over.is_some() && copies.is_none() {
+            address
+        } else {
+            start_proxy(run, number, address, copies).await?
+        };
         listed.push(ListedEndpoint {
             id: format!("e{number}"),
-            address: proxy_address,
+            address: listed_address,
             zone: "z".into(),
             kind: "k".into(),
             destination: 1 + number as u64 % plan.destinations,
@@ -157,6 +158,21 @@
     Ok(listed)
 }
 
+async fn start_proxy(
+    run: &SharedRun,
+    number: usize,
+    endpoint: SocketAddr,
+    copies: Option<CopyPlan>,
+) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let shared = run.clone();
+    spawn_local(accept_each(listener, move |stream| {
+        proxy::forward(shared.clone(), number, endpoint, copies.clone(), stream)
+    }));
+    Ok(address)
+}
+
 fn prepare_instance(
     plan: &Plan,
     number: usize,
@@ -214,17 +230,30 @@
     switch_storage_faults(&files, false)
 }
 
-/// Stops instances for a moment as planned, unless they are being restarted.
-async fn pause_instances(plan: &Plan, started: Instant, processes: &Processes) -> io::Result<()> {
-    let signal = |instance: usize, name| match &processes.borrow()[instance] {
+/// Sends a signal to an instance unless it is being restarted.
+fn signal(processes: &Processes, instance: usize, name: &str) -> io::Result<()> {
+    match &processes.borrow()[instance] {
         Some(process) => process.signal(name).map(drop),
         None => Ok(()),
-    };
+    }
+}
+
+/// Stops instances for a moment as planned, unless they are being restarted.
+async fn pause_instances(plan: &Plan, started: Instant, processes: &Processes) -> io::Result<()> {
     for pause in &plan.pauses {
         sleep_until(started + pause.at).await;
-        signal(pause.instance, "STOP")?;
+        signal(processes, pause.instance, "STOP")?;
         sleep(pause.length).await;
-        signal(pause.instance, "CONT")?;
+        signal(processes, pause.instance, "CONT")?;
+    }
+    Ok(())
+}
+
+/// Sends SIGHUP to instances as planned, unless they are being restarted.
+async fn reload_instances(plan: &Plan, started: Instant, processes: &Processes) -> io::Result<()> {
+    for reload in &plan.reloads {
+        sleep_until(started + reload.at).await;
+        signal(processes, reload.instance, "HUP")?;
     }
     Ok(())
 }
@@ -247,6 +276,7 @@
         process.signal("CONT")?;
         let ended = timeout(EXIT_TIMEOUT, process.wait_for_exit()).await;
         ended.map_err(|_| io::Error::other("an instance did not end after its signal"))??;
+        let ended = Instant::now();
         sleep(RESTART_DELAY).await;
         let instance = &mut instances[restart.instance];
         instance.environment.set_wall_clock(restart.wall_clock_step_s);
@@ -254,7 +284,9 @@
         if !wait_until_ready(instance.listen, READY_TIMEOUT).await {
             return Err(io::Error::other("a restarted instance did not become ready"));
         }
-        run.borrow_mut().record.outages.push((restart.instance, signalled, Instant::now()));
+        let ready = Instant::now();
+        let outage = Outage { instance: restart.instance, signalled, ended, ready };
+        run.borrow_mut().record.outages.push(outage);
     }
     Ok(())
 }
--- a/crates/quillhub-server/src/instance/mod.rs
+++ b/crates/quillhub-server/src/instance/mod.rs
@@ -313,6 +313,13 @@
     }
 }
 
+#[cfg(test)]
+mod scripted_endpoint;
+
 #[cfg(test)]
 #[path = "tests.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "over_tests.rs"]
+mod over_tests;
--- a/crates/quillhub-server/tests/fault_laboratory.rs
+++ b/crates/quillhub-server/tests/fault_laboratory.rs
@@ -13,6 +13,7 @@
     let verdict = on_one_thread(run(Path::new(env!("CARGO_BIN_EXE_quillhub")), plan, None)).unwrap();
     println!("{verdict}");
     assert!(verdict.delivered > 100, "{verdict}");
+    assert_eq!(verdict.over > 0, plan.over.is_some(), "{verdict}");
     assert_eq!(verdict.copies > 0, plan.copies.is_some() || plan.hangs.is_some(), "{verdict}");
     let timelines =
         verdict.violations.iter().take(3).map(|(violation, text)| format!("{violation:?}: {text}"));
@@ -157,6 +158,17 @@
     });
 }
 
+/// Guards against a call after the end of its message: after a response with status 410 in any form, whatever becomes of its
+/// connection, and across restarts, SIGHUP and pauses.
+#[test]
+fn responses_that_say_that_a_message_is_over_are_its_last() {
+    std::thread::scope(|scope| {
+        for seed in [3, 5, 9] {
+            scope.spawn(move || check(&Plan::with_over_responses(seed)));
+        }
+    });
+}
+
 /// Guards against faults that break a rule only together: surplus responses, shortened and failing system calls, a failing
 /// disk, pauses, a wall clock that is set, and a series of restarts.
 #[test]
