Attribution: without copies a 410 gives up no message but its own

Cause, by a trace of what each abandoned message had been through: (1) a 410, which a proxy writes at once in place of the endpoint, counted as sooner than the endpoint can answer, which speaks for copies there; (2) an earlier call on the connection of a 410 was given up on any suspicion, also that an endpoint does not answer; (3) a torn response counted as surplus input.

Change: responses of a proxy are never early; a call before a 410 may be given up only if copies were received (a surplus response on the connection, or any in the last 60 s); a malformed response is reported apart from surplus input.

--- a/crates/quillhub-fakes/src/laboratory/audit.rs
+++ b/crates/quillhub-fakes/src/laboratory/audit.rs
@@ -48,6 +48,8 @@
     /// Number of messages that were abandoned although an endpoint wrote status 200 for them before their deadline. No
     /// rule forbids it, but their clients are told wrongly.
     pub abandoned_after_delivery: usize,
+    /// Number of those that were also answered with status 410 before or after the delivery.
+    pub abandoned_after_delivery_and_over: usize,
     /// Number of messages for which an endpoint wrote status 410.
     pub over: usize,
     /// Number of messages that were accepted and not delivered, and on whose connection a copy of a response with status
@@ -79,7 +81,9 @@
         let Self { accepted, delivered, abandoned_after_delivery, calls, copies, connections, .. } = self;
         write!(f, "laboratory held up {:?}, ", self.longest_pause)?;
         write!(f, "accepted {accepted}, delivered {delivered}, calls {calls}, connections {connections}, ")?;
-        write!(f, "abandoned after a delivery {abandoned_after_delivery}, over {}, ", self.over)?;
+        write!(f, "abandoned after a delivery {abandoned_after_delivery}, ")?;
+        write!(f, "of these also over {}, ", self.abandoned_after_delivery_and_over)?;
+        write!(f, "over {}, ", self.over)?;
         write!(f, "undelivered after a copied 410 {}, ", self.undelivered_after_copied_over)?;
         write!(f, "called after 504 {}, ", self.called_after_exhausted)?;
         write!(f, "surplus responses {copies}, lost {}, ", self.count(Violation::Lost))?;
@@ -104,9 +108,11 @@
         let calls: Vec<_> = record.calls_of(message).collect();
         verdict.accepted += usize::from(submission.accepted);
         verdict.delivered += usize::from(calls.iter().any(|call| call.is_delivered()));
-        verdict.abandoned_after_delivery +=
-            usize::from(is_abandoned_after_delivery(record, message, submission, &calls));
-        verdict.over += usize::from(calls.iter().any(|call| call.over_since().is_some()));
+        let is_over = calls.iter().any(|call| call.over_since().is_some());
+        let is_abandoned = is_abandoned_after_delivery(record, message, submission, &calls);
+        verdict.abandoned_after_delivery += usize::from(is_abandoned);
+        verdict.abandoned_after_delivery_and_over += usize::from(is_abandoned && is_over);
+        verdict.over += usize::from(is_over);
         verdict.undelivered_after_copied_over +=
             usize::from(is_undelivered_after_copied_over(record, message, submission, &calls));
         verdict.called_after_exhausted += usize::from(is_called_after_exhausted(&calls));
--- a/crates/quillhub-server/src/instance/attribution.rs
+++ b/crates/quillhub-server/src/instance/attribution.rs
@@ -286,10 +286,9 @@
         let has_uncertain_call = connection.ledger.has_uncertain_call();
         let may_be_over = connection.is_status_in_surplus(STATUS_OVER);
         let mut update = match state {
-            ConnectionState::Malformed | ConnectionState::Surplus if may_be_over => {
-                connection.ledger.on_surplus_over()
-            }
-            ConnectionState::Malformed | ConnectionState::Surplus => connection.ledger.on_surplus(),
+            ConnectionState::Malformed => connection.ledger.on_malformed(),
+            ConnectionState::Surplus if may_be_over => connection.ledger.on_surplus_over(),
+            ConnectionState::Surplus => connection.ledger.on_surplus(),
             ConnectionState::Ended => connection.ledger.on_ended(now),
             _ => connection.ledger.on_closed(now),
         };
@@ -346,10 +345,10 @@
 
     /// Records which messages may be over, and removes the misattributed results.
     pub(super) fn record_effects(&mut self, effects: &mut ConnectionEffects) {
-        let is_suspected =
-            |call: &CallId| self.dispatcher.as_ref().is_some_and(|d| d.is_suspected_copy(*call));
-        let over = std::mem::take(&mut effects.update.over_if_copied).into_iter().filter(is_suspected);
-        effects.update.possibly_over.extend(over);
+        let over_if_copied = std::mem::take(&mut effects.update.over_if_copied);
+        if self.dispatcher.as_ref().is_some_and(Dispatcher::suspects_copies) {
+            effects.update.possibly_over.extend(over_if_copied);
+        }
         effects.update.possibly_over.iter().for_each(|call| self.record_possibly_over(*call));
         effects.update.misattributed.iter().for_each(|call| self.remove_misattributed(*call));
     }
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -264,9 +264,9 @@
         self.state.response_misattributed(call);
     }
 
-    /// Returns `true` if something suggests that the provisional response to `call` is a copy of an earlier one.
-    pub fn is_suspected_copy(&self, call: CallId) -> bool {
-        self.state.is_suspected_copy(call)
+    /// Returns `true` if copies of responses were received recently, so that any response may be one.
+    pub fn suspects_copies(&self) -> bool {
+        self.state.suspects_copies()
     }
 
     /// Handles that a response with status 410 was read on the connection of `call` after the response that was read for it:
--- a/src/policy/attribution.rs
+++ b/src/policy/attribution.rs
@@ -116,8 +116,7 @@
     /// is retried without waiting.
     pub(crate) fn attempt_ended_unattributed(&mut self, result: &AttemptResult, uncertainty: Uncertainty) {
         let Some(attempt) = self.in_flight.remove(&(result.message, result.attempt)) else { return };
-        let latency = self.latency(attempt.destination, attempt.class);
-        let is_early = latency.is_some_and(|latency| latency.is_early(result.duration));
+        let is_early = self.is_early(&attempt, result);
         if !attempt.added_to_call {
             self.process_result(&attempt, result);
             self.observe_responsiveness(&attempt, result, uncertainty == Uncertainty::Completeness);
@@ -135,6 +134,17 @@
         }
     }
 
+    /// Returns `true` if a response came sooner than the endpoint can have answered. One that a proxy writes in place of the
+    /// endpoint may come at once.
+    fn is_early(&self, attempt: &Attempt, result: &AttemptResult) -> bool {
+        let is_from_proxy = matches!(
+            result.outcome,
+            AttemptOutcome::Over | AttemptOutcome::AttemptsExhausted | AttemptOutcome::NotSent
+        );
+        let latency = self.latency(attempt.destination, attempt.class);
+        !is_from_proxy && latency.is_some_and(|latency| latency.is_early(result.duration))
+    }
+
     /// Starts the backoff of a message whose response is unattributed and says that its final outcome is owed.
     fn await_settlement(&mut self, attempt: &Attempt, result: &AttemptResult, permission: Permission) {
         let possible_execution = self.possible_execution(attempt);
--- a/src/policy/connection_ledger.rs
+++ b/src/policy/connection_ledger.rs
@@ -232,6 +232,12 @@
         if now >= self.quiet_at {
             return self.on_quiet(now);
         }
+        self.on_malformed()
+    }
+
+    /// Handles a malformed response, after which nothing more will be known: each unattributed response may belong to an
+    /// earlier call, or be malformed.
+    pub fn on_malformed(&mut self) -> LedgerUpdate {
         let over_if_copied = self.calls_before_over();
         LedgerUpdate { over_if_copied, misattributed: self.take_unattributed(), ..LedgerUpdate::default() }
     }
--- a/src/policy/responsiveness.rs
+++ b/src/policy/responsiveness.rs
@@ -307,11 +307,6 @@
             || self.is_later_call_overdue(response, in_flight)
     }
 
-    /// Returns `true` if anything but a call in flight suggests that the response to `call` is a copy.
-    fn is_suspected_copy(&self, call: CallId, now: Duration) -> bool {
-        self.responses.get(&call).is_some_and(|response| self.may_be_copy(response, now, &[]))
-    }
-
     /// Returns `true` if the response, or one to an earlier call at its endpoint that is not proven, came sooner than the
     /// endpoint can have answered.
     fn is_behind_early_response(&self, response: &ProvisionalResponse) -> bool {
@@ -421,9 +416,12 @@
         self.provisional.needs_certain_answer(&(destination, endpoint.to_owned()), self.now)
     }
 
-    /// Returns `true` if something suggests that the provisional response to `call` is a copy.
-    pub(crate) fn is_suspected_copy(&self, call: CallId) -> bool {
-        self.provisional.is_suspected_copy(call, self.now)
+    /// Returns `true` if copies were received recently, so that any response may be one.
+    ///
+    /// A message whose own response may be a later 410 is given up on this ground alone. A response that came too soon, or
+    /// an endpoint that does not answer, shows less: without copies, delivered messages would be given up.
+    pub(crate) fn suspects_copies(&self) -> bool {
+        self.now < self.provisional.copies_suspected_until
     }
 
     /// Handles a surplus response: other copies may have passed for responses.
--- a/src/policy/tests/connection_ledger.rs
+++ b/src/policy/tests/connection_ledger.rs
@@ -163,6 +163,7 @@
     };
     assert_eq!(ended_by(ConnectionLedger::on_surplus).possibly_over, [call(2), call(3)]);
     assert_eq!(ended_by(|ledger| ledger.on_closed(ms(600))).over_if_copied, [call(2), call(3)]);
+    assert_eq!(ended_by(ConnectionLedger::on_malformed).over_if_copied, [call(2), call(3)]);
     let surplus = ledger_of(3).on_surplus_over();
     assert_eq!(surplus.possibly_over, [call(2), call(3)]);
     assert_eq!(surplus.misattributed, surplus.possibly_over);
--- a/src/policy/tests/provisional_ends.rs
+++ b/src/policy/tests/provisional_ends.rs
@@ -161,3 +161,37 @@
     assert_eq!(actions_until(&mut dispatcher, DEADLINE), []);
     assert!(dispatcher.state.pending.is_empty());
 }
+
+/// Guards against messages that are given up without copies, and against a suspicion that never ends.
+#[test]
+fn copies_are_suspected_for_a_while_after_a_surplus_response_only() {
+    let mut dispatcher = ended_with(RetrySafety::Idempotent, AttemptOutcome::Over, Uncertainty::Call);
+    assert!(!dispatcher.suspects_copies());
+    dispatcher.surplus_response("a", ms(0), None);
+    assert!(dispatcher.suspects_copies());
+    dispatcher.advance_to(ms(70_000));
+    assert!(!dispatcher.suspects_copies());
+}
+
+/// Guards against messages at an endpoint that are given up or repeated since a proxy answers in its place: its 410 came
+/// sooner than the endpoint can have answered, which speaks for a copy.
+#[test]
+fn a_response_of_a_proxy_that_comes_at_once_does_not_speak_for_a_copy() {
+    let needs_certain_answer = |outcome| {
+        let mut dispatcher = dispatcher_for(RetrySafety::Idempotent);
+        for id in 10..30 {
+            submit(&mut dispatcher, id, None);
+            dispatcher.attempt_ended(AttemptResult { duration: ms(80), ..delivered(id, 0) });
+        }
+        let started = submit(&mut dispatcher, 1, None);
+        let result = AttemptResult { duration: ms(2), ..ended(1, 0, outcome) };
+        dispatcher.attempt_ended_unattributed(result, Uncertainty::Call);
+        dispatcher.connection_quiet(CALL);
+        let endpoint = started[0].rsplit(' ').next().expect("an attempt names its endpoint");
+        dispatcher.state.needs_certain_answer(DESTINATION, endpoint)
+    };
+    assert!(needs_certain_answer(AttemptOutcome::Failed));
+    for outcome in [AttemptOutcome::Over, AttemptOutcome::AttemptsExhausted, AttemptOutcome::NotSent] {
+        assert!(!needs_certain_answer(outcome), "{outcome:?}");
+    }
+}
