Clients: no command is taken on once the end of its client has arrived

Cause: before a command the end of the stream was looked for with a peek, which sees it only behind all unread input, and a reset not at all (the error was ignored). And a message whose confirmation could not be written was withdrawn with its client id, although it may have been sent to an endpoint: the id was free to run again.

Change: the runtime's own word for the end (EPOLLRDHUP, EPOLLHUP), which it keeps, is asked before each command, after it had the chance to poll for events; errors of the peek count as an end.

What was taken on before the end had arrived is still sent: its confirmation may have been read (a reset discards only what was not), and a message that the client heard of is owed its end.

--- a/crates/quillhub-server/src/clients/connection.rs
+++ b/crates/quillhub-server/src/clients/connection.rs
@@ -144,6 +144,7 @@
             Ok(Some((parts, used))) => {
                 // A client that closed its side does not wait for a reply, and submits its message elsewhere.
                 if socket::closed_by_client(self.stream) {
+                    tracing::info!(unread_bytes = self.input.len(), "client left with unread commands");
                     return Step::End(End::ByClient);
                 }
                 let reply = commands::execute(self.instance, &parts);
@@ -175,7 +176,11 @@
         let was_idle = self.input.is_empty();
         match self.wait().await? {
             Wakeup::Read(0) => return Ok(Some(End::ByClient)),
-            Wakeup::Read(_) => self.evicted = false,
+            Wakeup::Read(_) => {
+                self.evicted = false;
+                // The runtime learns here of an end of the client's side that has arrived behind this input.
+                tokio::task::yield_now().await;
+            }
             Wakeup::CommandTimeout => return self.reply_and_close(CommandError::Incomplete).await.map(Some),
             Wakeup::Ending(end) => {
                 self.evicted = end == End::Evicted;
--- a/crates/quillhub-server/src/clients/socket.rs
+++ b/crates/quillhub-server/src/clients/socket.rs
@@ -4,6 +4,9 @@
 use crate::stream_io::is_temporary;
 use std::io::{self, Read};
 use std::mem::MaybeUninit;
+use std::pin::pin;
+use std::task::{Context, Poll, Waker};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 
 /// Maximum number of bytes that one read returns.
@@ -37,8 +40,19 @@
     true
 }
 
-/// Returns `true` if the client has closed its side and all its input was read.
+/// Returns `true` if the end of the client's side has arrived, also behind input that was not read yet, or the connection
+/// broke.
+///
+/// The runtime learns of an end behind unread input when it next waits for events, and never forgets it. The system is
+/// asked as well, since it knows of an end behind no input at once.
 pub(super) fn closed_by_client(stream: &TcpStream) -> bool {
+    let mut context = Context::from_waker(Waker::noop());
+    let ready = pin!(stream.ready(Interest::READABLE)).poll(&mut context);
+    let is_end_known = matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed());
     let mut peeked = [MaybeUninit::uninit()];
-    matches!(socket2::SockRef::from(stream).peek(&mut peeked), Ok(0))
+    is_end_known
+        || match socket2::SockRef::from(stream).peek(&mut peeked) {
+            Ok(length) => length == 0,
+            Err(error) => !is_temporary(&error),
+        }
 }
--- a/crates/quillhub-server/src/clients/tests.rs
+++ b/crates/quillhub-server/src/clients/tests.rs
@@ -106,6 +106,44 @@
     assert_eq!(exchange(&input, true, Phase::Serving, "", Phase::Serving), "");
 }
 
+/// Guards against messages that are accepted after their client has left, since its end was looked for only behind all unread
+/// input, and a reset not at all.
+#[test]
+fn no_further_command_of_a_client_that_has_left_is_executed() {
+    for is_reset in [false, true] {
+        let directory = StateDirectory::new();
+        on_one_thread(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let (_phase, phase_receiver) = watch::channel(Phase::Serving);
+            let permits = Arc::new(Semaphore::new(1));
+            let instance = instance(&directory, address);
+            let mut client = TcpStream::connect(address).await.unwrap();
+            let commands: Vec<u8> = (0..200)
+                .flat_map(|number| {
+                    let id = format!("left{number}");
+                    command(&["SUBMIT", "0", &id, "c=free,d=8000,dest=9", "x"].map(str::as_bytes))
+                })
+                .collect();
+            client.write_all(&commands).await.unwrap();
+            if is_reset {
+                socket2::SockRef::from(&client).set_linger(Some(std::time::Duration::ZERO)).unwrap();
+            }
+            drop(client);
+            // The end of the client has arrived before the first command is read.
+            let admission = Admission::new(phase_receiver, permits.clone());
+            spawn_local(accept(instance.clone(), Rc::new(listener), admission));
+            while permits.available_permits() == 1 {
+                tokio::task::yield_now().await;
+            }
+            while permits.available_permits() == 0 {
+                tokio::task::yield_now().await;
+            }
+            assert!(instance.borrow().is_idle(), "reset: {is_reset}");
+        });
+    }
+}
+
 /// Without eviction, idle connections that use up all permits would prevent new clients from being served.
 #[test]
 fn an_idle_connection_is_evicted_for_a_new_one() {
--- a/crates/quillhub-server/src/instance/attempt_results.rs
+++ b/crates/quillhub-server/src/instance/attempt_results.rs
@@ -94,6 +94,9 @@
         let written = self.wal.record_attempt_started(id.message, id.attempt, started, &id.endpoint);
         let recorded = written.is_ok();
         log_failed_write(id.message, RecordKind::AttemptStarted, written);
+        if let Some(message) = self.messages.get_mut(id.message).filter(|_| recorded) {
+            message.may_have_been_sent = true;
+        }
         recorded
     }
 
--- a/crates/quillhub-server/src/instance/messages.rs
+++ b/crates/quillhub-server/src/instance/messages.rs
@@ -1,7 +1,7 @@
 //! Pending messages of an instance, and the client ids that new messages must not reuse.
 //!
 //! Invariant: a client id is in use from the acceptance of its message until [`CLIENT_ID_RETENTION`] after the message
-//! is finished, unless the message is withdrawn.
+//! is finished, unless the message is withdrawn before it is sent.
 
 use crate::wal::LoggedMessage;
 use quillhub::{AttemptOutcome, MessageId};
@@ -23,6 +23,8 @@
     pub body: Rc<[u8]>,
     /// Number of attempts made so far.
     pub attempts: u32,
+    /// `true` once the first byte of a request of an attempt may have been written.
+    pub may_have_been_sent: bool,
     /// Outcome of the attempt that ended last, for the log; `None` before the first one and after a restart.
     pub last_outcome: Option<AttemptOutcome>,
     /// `true` once the log says that the message is abandoned unless a response with status 410 is proven.
@@ -44,6 +46,7 @@
             idempotency_key: message.idempotency_key.map(Into::into),
             body: message.body.into(),
             attempts: message.attempts.last_key_value().map_or(0, |(last, _)| last + 1),
+            may_have_been_sent: false,
             last_outcome: None,
             is_abandonment_logged: false,
             unwritten_acceptance: None,
--- a/crates/quillhub-server/src/instance/mod.rs
+++ b/crates/quillhub-server/src/instance/mod.rs
@@ -246,10 +246,17 @@
     }
 
     /// Withdraws a message whose acceptance was not confirmed to its client: its record or the reply could not be
-    /// written.
+    /// written. Its client id stays in use if it may have been sent, so that it is not executed twice if it comes again.
     pub fn withdraw(&mut self, id: MessageId) {
         if let Some(message) = self.messages.remove(id) {
-            self.messages.remove_client_id(&message.client_id);
+            let client_id = String::from_utf8_lossy(&message.client_id);
+            let may_have_been_sent = message.may_have_been_sent;
+            tracing::info!(message_id = id, %client_id, may_have_been_sent, "message is withdrawn: not confirmed");
+            if may_have_been_sent {
+                self.messages.retain_client_id(self.now(), message.client_id);
+            } else {
+                self.messages.remove_client_id(&message.client_id);
+            }
             if message.unwritten_acceptance.is_none() {
                 log_failed_write(id, RecordKind::Finished, self.wal.record_finished(id));
             }
--- a/crates/quillhub-server/src/instance/tests.rs
+++ b/crates/quillhub-server/src/instance/tests.rs
@@ -207,3 +207,27 @@
         assert_eq!(second.borrow().messages.retained_id_count(), 0);
     });
 }
+
+/// Guards against a message that is executed twice, since its client had left before the confirmation and it came again with
+/// the same id: the first submission had been sent to an endpoint already.
+#[test]
+fn a_withdrawn_message_keeps_its_client_id_in_use_once_it_may_have_been_sent() {
+    for is_sent in [false, true] {
+        let directory = StateDirectory::new();
+        on_one_thread(async {
+            let (address, _listener) = silent_endpoint().await;
+            let instance = instance(&directory, address);
+            let SubmitOutcome::Accepted(id) = instance.borrow_mut().submit(submission("once")) else {
+                panic!("the message is accepted");
+            };
+            let may_have_been_sent = || instance.borrow().messages.get(id).unwrap().may_have_been_sent;
+            while is_sent && !may_have_been_sent() {
+                tokio::task::yield_now().await;
+            }
+            instance.borrow_mut().withdraw(id);
+            let again = instance.borrow_mut().submit(submission("once"));
+            let is_refused = again == SubmitOutcome::Invalid(InvalidSubmission::DuplicateClientId);
+            assert_eq!(is_refused, is_sent, "{again:?}");
+        });
+    }
+}
