Laboratory: a call whose response cannot be written counts as closed

Trace: the call arrived at 4.550 s, its process was killed at about 4.56 s (the next one was ready at 5.18 s), the endpoint's write failed, and the record kept the call as out for ever. Change: a failed write records the close.

--- a/crates/quillhub-fakes/src/laboratory/endpoint.rs
+++ b/crates/quillhub-fakes/src/laboratory/endpoint.rs
@@ -141,7 +141,10 @@
                 let at = Instant::now() + piece.delay;
                 read_until(latest.map_or(at, |latest| at.min(latest)), stream, unparsed).await?;
             }
-            stream.write_all(&piece.bytes).await?;
+            if let Err(error) = stream.write_all(&piece.bytes).await {
+                run.borrow_mut().record.calls[self.index].closed.get_or_insert(Instant::now());
+                return Err(error);
+            }
             if number == response.status_piece {
                 run.borrow_mut().record.calls[self.index].answered = Some((Instant::now(), response.status));
             }
