Endpoints: another address, destination or start is another process

Cause: the dispatcher keys endpoints by destination and id, and nothing removed the entry of the old destination. The pool knew the address of an id only, and retired idle connections when it changed; a connection that was in use at that moment came back to the pool as one to the new address, and an attempt that was being connected was still sent.

Change: an update removes the endpoint from all other destinations. The pool knows the process behind an id (address, destination, up_since_ms); connections and attempts belong to the process that they were opened for: a connection to an earlier one is not reused, and no request is started once the endpoint is another process. At level info 'endpoint is another process'.

Not done: what the dispatcher has learned of an endpoint of the same destination (limits, health, provisional responses) is kept when its address or start changes.

--- a/crates/quillhub-server/src/discovery/entries.rs
+++ b/crates/quillhub-server/src/discovery/entries.rs
@@ -3,6 +3,7 @@
 //! Invariant: a list with an invalid part changes nothing.
 
 use crate::instance::Instance;
+use crate::pool::EndpointProcess;
 use quillhub::{EndpointState, EndpointUpdate};
 use quillhub_settings::{Setting, SettingsError};
 use serde_json::Value;
@@ -30,6 +31,7 @@
 struct Entry<'a> {
     name: &'a str,
     address: SocketAddr,
+    up_since_ms: u64,
     /// Zone in which the endpoint runs; empty if the list gives none.
     zone: &'a str,
     /// Kind of the destination; empty if the list gives none.
@@ -67,10 +69,11 @@
     /// Applies the list to the instance's endpoints.
     pub(super) fn apply(self, instance: &mut Instance, origin: Origin) {
         let Self { complete, entries, .. } = self;
-        for Entry { name, address, state, .. } in &entries {
+        for &Entry { name, address, destination, up_since_ms, state, .. } in &entries {
+            let process = EndpointProcess { address, destination, up_since_ms };
             match state {
                 EndpointState::Removed => instance.endpoint_removed(name),
-                _ => instance.endpoint_listed(name, *address),
+                _ => instance.endpoint_listed(name, process),
             }
         }
         let names: BTreeSet<String> = entries.iter().map(|entry| entry.name.to_owned()).collect();
@@ -96,7 +99,8 @@
         let state = parse_state(&member.require("phase")?)?;
         let name = member.require("id")?.as_str()?;
         let destination = member.require("cell")?.as_u64()?;
-        Ok(Self { name, address, zone, kind, destination, state, rate })
+        let up_since_ms = member.optional("up_since_ms", Setting::as_u64)?.unwrap_or(0);
+        Ok(Self { name, address, up_since_ms, zone, kind, destination, state, rate })
     }
 }
 
--- a/crates/quillhub-server/src/instance/attribution.rs
+++ b/crates/quillhub-server/src/instance/attribution.rs
@@ -201,10 +201,10 @@
         connection.client_ids[0].clone_from(&id.client_id);
         match state {
             ConnectionState::Reusable if id.plan.connection != ConnectionUse::Single => {
-                self.park(&id.endpoint, connection, false);
+                self.park(id, connection, false);
             }
             ConnectionState::Reusable | ConnectionState::Closing => {
-                self.park(&id.endpoint, connection, true);
+                self.park(id, connection, true);
             }
             _ => {
                 let used = UsedConnection { connection, state };
@@ -215,13 +215,14 @@
     }
 
     /// Adds a connection to the pool and watches it. A retired one stays open only until its responses are attributed.
-    fn park(&mut self, endpoint: &str, connection: HttpConnection, is_retired: bool) {
+    fn park(&mut self, id: &AttemptId, connection: HttpConnection, is_retired: bool) {
+        let endpoint = &id.endpoint;
         let watcher = Some(self.watch(endpoint, &connection));
         if is_retired {
             self.pool.put_back_retired(endpoint, connection, watcher);
         } else {
             self.close_oldest_connections(self.pool.max_idle().saturating_sub(1));
-            self.pool.put_back(endpoint, connection, watcher);
+            self.pool.put_back(endpoint, id.process, connection, watcher);
         }
     }
 
--- a/crates/quillhub-server/src/instance/driver.rs
+++ b/crates/quillhub-server/src/instance/driver.rs
@@ -70,7 +70,8 @@
         let written = self.write_acceptance(id);
         let Some(message) = self.messages.get_mut(id) else { return };
         let (attempt, last_outcome) = (message.begin_attempt(), message.last_outcome);
-        let address = self.pool.address(endpoint);
+        let process = self.pool.process(endpoint);
+        let address = process.map(|process| process.address);
         let request = delivery_request(message, address);
         let client_id = message.client_id.clone();
         let recorded = written.is_ok();
@@ -98,7 +99,8 @@
         }
         let endpoint = endpoint.to_owned();
         let pooled_number = pooled.as_ref().map(|pooled| pooled.number());
-        let id = AttemptId { message: id, attempt, endpoint, client_id, plan, pooled: pooled_number };
+        let id =
+            AttemptId { message: id, attempt, endpoint, process, client_id, plan, pooled: pooled_number };
         let control = InstanceControl { instance: self.weak.clone(), id: id.clone() };
         let connect_timeout = self.connect_timeout;
         let attempt = address.filter(|_| recorded).map(|address| Attempt {
--- a/crates/quillhub-server/src/instance/mod.rs
+++ b/crates/quillhub-server/src/instance/mod.rs
@@ -18,7 +18,7 @@
 pub use submission::{InvalidSubmission, Submission, SubmitOutcome};
 
 use crate::gossip::GossipSocket;
-use crate::pool::ConnectionPool;
+use crate::pool::{ConnectionPool, EndpointProcess};
 use crate::wal::{AppendError, FinalResult, RecordKind, Wal};
 use crate::wall_clock::WallClock;
 use attribution::UnattributedResults;
@@ -27,7 +27,6 @@
 use quillhub::{AttemptPlan, CallId, Dispatcher, MessageId};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -99,6 +98,8 @@
     /// Number of the attempt among those of the message, counted from 0.
     attempt: u32,
     endpoint: String,
+    /// Process of the endpoint at the start of the attempt; `None` if it was not listed.
+    process: Option<EndpointProcess>,
     /// Client id of the message, for the log.
     client_id: Box<[u8]>,
     plan: AttemptPlan,
@@ -180,9 +181,9 @@
         self.clock_offset + self.started.elapsed()
     }
 
-    /// Sets the address of the endpoint `name`, which an endpoint list contains.
-    pub fn endpoint_listed(&mut self, name: &str, address: SocketAddr) {
-        self.pool.endpoint_listed(name, address);
+    /// Sets the process of the endpoint `name`, which an endpoint list contains.
+    pub fn endpoint_listed(&mut self, name: &str, process: EndpointProcess) {
+        self.pool.endpoint_listed(name, process);
     }
 
     /// Removes the endpoint `name` and closes its idle connections.
@@ -207,8 +208,8 @@
 
     /// Returns the address of an endpoint, or `None` if it is not listed.
     #[cfg(test)]
-    pub fn endpoint_address(&self, name: &str) -> Option<SocketAddr> {
-        self.pool.address(name)
+    pub fn endpoint_address(&self, name: &str) -> Option<std::net::SocketAddr> {
+        self.pool.process(name).map(|process| process.address)
     }
 
     /// Closes idle connections that expired, and writes the records of final outcomes that could not be written before.
--- a/crates/quillhub-server/src/instance/tests.rs
+++ b/crates/quillhub-server/src/instance/tests.rs
@@ -3,8 +3,8 @@
 use super::*;
 use crate::test_support::{
     OK, STATE_BUDGET_BYTES, StateDirectory, TIME_TO_LIVE, endpoint_update, instance, on_one_thread,
-    scripted_server, silent_endpoint, submission, submit, submit_body, unfinished_in, until_attempts_ended,
-    until_idle,
+    process_at, scripted_server, silent_endpoint, submission, submit, submit_body, unfinished_in,
+    until_attempts_ended, until_idle,
 };
 use quillhub::{AttemptOutcome, AttemptResult, Driver, EndpointState};
 
@@ -231,3 +231,21 @@
         });
     }
 }
+
+/// Guards against a request to the process that has taken the place of an endpoint while the attempt was being connected.
+#[test]
+fn no_request_is_sent_once_the_endpoint_is_another_process() {
+    let directory = StateDirectory::new();
+    on_one_thread(async {
+        let (address, listener) = silent_endpoint().await;
+        let instance = instance(&directory, address);
+        instance.borrow_mut().submit(submission("free"));
+        let other = EndpointProcess { up_since_ms: 1, ..process_at(address) };
+        instance.borrow_mut().endpoint_listed("e", other);
+        let (stream, _) = listener.accept().await.unwrap();
+        while instance.borrow().attempts_in_flight() > 0 {
+            tokio::task::yield_now().await;
+        }
+        assert_eq!(stream.try_read(&mut [0]).unwrap_or_default(), 0, "nothing was sent");
+    });
+}
--- a/crates/quillhub-server/src/pool.rs
+++ b/crates/quillhub-server/src/pool.rs
@@ -1,10 +1,11 @@
-//! Connection pool: the addresses of the endpoints that discovery lists, and idle connections to them.
+//! Connection pool: the processes of the endpoints that discovery lists, and idle connections to them.
 //!
-//! Invariants: only listed endpoints have reusable idle connections. Removing an endpoint retires its connections, and
+//! Invariants: only the listed processes of endpoints have reusable idle connections. Removing an endpoint retires its connections, and
 //! each idle connection expires. A retired connection carries no other call; it stays open while responses on it are
 //! unattributed, so that a response that is still outstanding can be noticed.
 
 use crate::connection::HttpConnection;
+use quillhub::DestinationId;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -31,6 +32,18 @@
     }
 }
 
+/// What identifies the process behind a listed endpoint. If any of it changes, it is another process, to which nothing of
+/// the earlier one applies: no open connection, and no attempt that is on its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndpointProcess {
+    /// Address that it listens on.
+    pub address: SocketAddr,
+    /// Destination that it belongs to.
+    pub destination: DestinationId,
+    /// Time of its start as discovery lists it, in milliseconds since the Unix epoch; 0 for long ago.
+    pub up_since_ms: u64,
+}
+
 /// Idle connection.
 struct Idle {
     connection: HttpConnection,
@@ -83,9 +96,9 @@
     pub unusable: Vec<HttpConnection>,
 }
 
-/// Addresses of the listed endpoints, and the idle connections to them.
+/// Processes of the listed endpoints, and the idle connections to them.
 pub struct ConnectionPool {
-    addresses: BTreeMap<String, SocketAddr>,
+    processes: BTreeMap<String, EndpointProcess>,
     /// Idle connections by endpoint, the one used last at the end.
     idle: BTreeMap<String, Vec<Idle>>,
     /// Time after which an idle connection is not used any more; shorter than the endpoints' own timeout.
@@ -99,32 +112,34 @@
     /// that are idle for `idle_timeout`.
     pub fn new(idle_timeout: Duration, max_idle: usize) -> Self {
         let idle_timeout = idle_timeout - idle_timeout / IDLE_MARGIN_DIVISOR;
-        Self { addresses: BTreeMap::new(), idle: BTreeMap::new(), idle_timeout, max_idle }
+        Self { processes: BTreeMap::new(), idle: BTreeMap::new(), idle_timeout, max_idle }
     }
 
-    /// Sets the address of an endpoint. If it had another address, its idle connections are retired.
-    pub fn endpoint_listed(&mut self, endpoint: &str, address: SocketAddr) {
-        if self.addresses.insert(endpoint.into(), address).is_some_and(|before| before != address) {
+    /// Sets the process of an endpoint. If it had another one, its idle connections are retired.
+    pub fn endpoint_listed(&mut self, endpoint: &str, process: EndpointProcess) {
+        let before = self.processes.insert(endpoint.into(), process);
+        if let Some(before) = before.filter(|before| *before != process) {
+            tracing::info!(endpoint, ?before, ?process, "endpoint is another process");
             self.retire(endpoint);
         }
     }
 
     /// Removes an endpoint and retires its idle connections.
     pub fn endpoint_removed(&mut self, endpoint: &str) {
-        self.addresses.remove(endpoint);
+        self.processes.remove(endpoint);
         self.retire(endpoint);
     }
 
     /// Removes the endpoints for which `listed` returns `false`, and retires their idle connections.
     pub fn keep_only(&mut self, listed: impl Fn(&str) -> bool) {
-        self.addresses.retain(|endpoint, _| listed(endpoint));
+        self.processes.retain(|endpoint, _| listed(endpoint));
         let unlisted: Vec<_> = self.idle.keys().filter(|endpoint| !listed(endpoint)).cloned().collect();
         unlisted.iter().for_each(|endpoint| self.retire(endpoint));
     }
 
-    /// Returns the address of the endpoint, or `None` if it is not listed.
-    pub fn address(&self, endpoint: &str) -> Option<SocketAddr> {
-        self.addresses.get(endpoint).copied()
+    /// Returns the process of the endpoint, or `None` if it is not listed.
+    pub fn process(&self, endpoint: &str) -> Option<EndpointProcess> {
+        self.processes.get(endpoint).copied()
     }
 
     /// Removes and returns the idle connection used last that may carry the call. Connections used after it that are
@@ -147,10 +162,17 @@
         taken
     }
 
-    /// Adds an idle connection. It is retired at once if the endpoint is not listed or the pool holds no connections,
-    /// and [`Self::close_oldest_beyond`] has made room for it otherwise.
-    pub fn put_back(&mut self, endpoint: &str, connection: HttpConnection, watcher: Option<Watcher>) {
-        let is_retired = !self.addresses.contains_key(endpoint) || self.max_idle == 0;
+    /// Adds an idle connection to a process of the endpoint. It is retired at once if that is not the listed one or the pool
+    /// holds no connections, and [`Self::close_oldest_beyond`] has made room for it otherwise.
+    pub fn put_back(
+        &mut self,
+        endpoint: &str,
+        process: Option<EndpointProcess>,
+        connection: HttpConnection,
+        watcher: Option<Watcher>,
+    ) {
+        let is_listed = process.is_some() && self.process(endpoint) == process;
+        let is_retired = !is_listed || self.max_idle == 0;
         self.add(endpoint, connection, watcher, is_retired);
     }
 
--- a/crates/quillhub-server/src/test_support.rs
+++ b/crates/quillhub-server/src/test_support.rs
@@ -2,7 +2,7 @@
 //! directory.
 
 use crate::instance::{Instance, InstanceParts, Submission, SubmitOutcome};
-use crate::pool::ConnectionPool;
+use crate::pool::{ConnectionPool, EndpointProcess};
 use crate::wal::{LoggedMessage, Wal, accepted_payload};
 use crate::wall_clock::WallClock;
 use quillhub::{EndpointState, EndpointUpdate, MessageId};
@@ -76,7 +76,7 @@
             load_reports: false,
         });
         let mut borrowed = instance.borrow_mut();
-        borrowed.endpoint_listed("e", self.endpoint);
+        borrowed.endpoint_listed("e", process_at(self.endpoint));
         borrowed.handle_event(|dispatcher| {
             dispatcher.endpoint_updated(endpoint_update(EndpointState::Available));
             dispatcher.endpoint_list_ended(None, false);
@@ -102,6 +102,11 @@
     InstanceBuilder::new(directory, endpoint).seed(seed).settings(settings.clone()).build()
 }
 
+/// Returns a process of an endpoint of [`DESTINATION`] that started long ago.
+pub fn process_at(address: SocketAddr) -> EndpointProcess {
+    EndpointProcess { address, destination: DESTINATION, up_since_ms: 0 }
+}
+
 /// Returns the update by which discovery reports that the endpoint `e` is in `state`.
 pub fn endpoint_update(state: EndpointState) -> EndpointUpdate<'static> {
     EndpointUpdate { name: "e", zone: "", kind: "", destination: DESTINATION, state, listed_rate: None }
--- a/src/policy/discovery.rs
+++ b/src/policy/discovery.rs
@@ -135,6 +135,7 @@
 
     /// Handles an entry of the endpoint list, or a change to one.
     pub(crate) fn update_endpoint(&mut self, update: EndpointUpdate) {
+        self.remove_from_other_destinations(&update);
         let estimate = self.rate_estimate(update.listed_rate);
         let now = self.now;
         let route_name = if self.separate_routes.contains(update.kind) { update.name } else { "" };
@@ -154,6 +155,20 @@
         self.any_removed |= update.state == EndpointState::Removed;
     }
 
+    /// Removes an endpoint from the destinations that it belonged to before.
+    ///
+    /// Prevents calls for them at an endpoint that now serves another one.
+    fn remove_from_other_destinations(&mut self, update: &EndpointUpdate) {
+        for (id, destination) in &mut self.destinations {
+            if *id != update.destination
+                && let Some(endpoint) = destination.endpoints.get_mut(update.name)
+            {
+                endpoint.state = EndpointState::Removed;
+                self.any_removed = true;
+            }
+        }
+    }
+
     /// Returns the rate estimate for a listed rate, which is ignored unless it is positive and rates are meaningful.
     fn rate_estimate(&self, listed_rate: Option<f64>) -> RateEstimate {
         let is_known = self.listed_rate_accuracy != ListedRateAccuracy::Absent;
--- a/src/policy/tests/discovery.rs
+++ b/src/policy/tests/discovery.rs
@@ -52,3 +52,21 @@
     dispatcher.endpoint_list_ended(None, true);
     assert!(dispatcher.knows_destination(8) && !dispatcher.knows_destination(9));
 }
+
+/// Guards against calls for a destination at an endpoint that now belongs to another one: its id stayed listed under both.
+#[test]
+fn an_endpoint_that_is_listed_under_another_destination_leaves_the_first() {
+    for is_complete in [false, true] {
+        let mut dispatcher = dispatcher_for(RetrySafety::Idempotent);
+        for name in ["a", "b"] {
+            let moved = EndpointUpdate { destination: DESTINATION + 1, ..endpoint_of(name, "x") };
+            dispatcher.endpoint_updated(moved);
+        }
+        let names = ["a", "b"].map(String::from).into();
+        dispatcher.endpoint_list_ended(is_complete.then_some(&names), true);
+        assert!(!dispatcher.state.destinations.contains_key(&DESTINATION), "complete: {is_complete}");
+        assert_eq!(dispatcher.state.destinations[&(DESTINATION + 1)].available_endpoints(), 2);
+        let started = submit(&mut dispatcher, 1, None);
+        assert!(started.iter().all(|action| !action.starts_with("attempt")), "{started:?}");
+    }
+}
