Attempts: a 410 is in the log as soon as its three digits are read

By reading: the log said 'abandoned' once the whole status line had arrived; for a line that is cut off right behind the status the attempt waits up to 250 ms for the rest, and a kill in that time left the log without it, so that the next process called again.

Change: the hook for a 410 is called on the three digits, whatever follows.

Measured: a_restart_after_a_410_reports_the_message_and_does_not_attempt_it has this response now, fails without the change (2 calls instead of 1) and passes with it; 147 tests of the server's library pass.

--- a/crates/quillhub-server/src/attempts/mod.rs
+++ b/crates/quillhub-server/src/attempts/mod.rs
@@ -288,10 +288,7 @@
     deadline: &Deadline,
     control: &impl AttemptControl,
 ) -> Result<(Response, ConnectionState), FailedCall> {
-    let status = read_status(connection, deadline).await?;
-    if status == STATUS_OVER {
-        control.message_may_be_over();
-    }
+    let status = read_status(connection, deadline, control).await?;
     let on_new_connection = !connection.ledger.is_used();
     let mut response = Response::with_status(status, deadline.started.elapsed(), on_new_connection);
     let rest = response.read_rest(connection);
@@ -300,14 +297,19 @@
 }
 
 /// Reads the status of the final response. Interim responses are skipped; they may arrive long before it.
-async fn read_status(connection: &mut HttpConnection, deadline: &Deadline) -> Result<u16, FailedCall> {
+async fn read_status(
+    connection: &mut HttpConnection,
+    deadline: &Deadline,
+    control: &impl AttemptControl,
+) -> Result<u16, FailedCall> {
     loop {
         match timeout(deadline.time_left(), connection.response_started()).await {
             Ok(Ok(())) => {}
             Ok(Err(error)) => return Err(FailedCall::broken(&error)),
             Err(_) => return Err(FailedCall::timed_out()),
         }
-        match timeout(deadline.response_timeout(), connection.status()).await {
+        let status = connection.status(STATUS_OVER, || control.message_may_be_over());
+        match timeout(deadline.response_timeout(), status).await {
             _ if deadline.time_left().is_zero() => return Err(FailedCall::timed_out()),
             Ok(Ok(100..200)) => {}
             Ok(Ok(status)) => return Ok(status),
--- a/crates/quillhub-server/src/connection.rs
+++ b/crates/quillhub-server/src/connection.rs
@@ -207,13 +207,20 @@
         }
     }
 
-    /// Reads the status of the next response as soon as its status line is complete, without consuming any of it.
+    /// Reads the status of the next response as soon as its status line is complete, without consuming any of it. Calls
+    /// `on_over` as soon as the status itself is read and is `over`, even if the rest of the line never arrives.
     ///
     /// # Errors
     ///
     /// Returns an error if no valid status line arrives.
-    pub(crate) async fn status(&mut self) -> Result<u16, ConnectionError> {
-        self.read_parsed(|bytes| Ok(http::status(bytes)?.map(|status| (status, 0)))).await
+    pub(crate) async fn status(&mut self, over: u16, on_over: impl Fn()) -> Result<u16, ConnectionError> {
+        self.read_parsed(|bytes| {
+            if http::has_status(bytes, over) {
+                on_over();
+            }
+            Ok(http::status(bytes)?.map(|status| (status, 0)))
+        })
+        .await
     }
 
     /// Reads the head of the next final response; interim responses are skipped.
--- a/crates/quillhub-server/src/http.rs
+++ b/crates/quillhub-server/src/http.rs
@@ -110,19 +110,28 @@
     Ok(parse_result_within(MAX_HEAD_BYTES, input, &rest, read)?.map(|((_, status), _)| status))
 }
 
+/// Returns the digits of the status at the start of `input`, and `true` if the input ends with them. The status line may be
+/// cut off or malformed behind its status; there are no digits if it is before that.
+fn status_digits(input: &[u8]) -> (&[u8], bool) {
+    let Some(rest) = input.strip_prefix(b"HTTP/1.") else { return (b"", true) };
+    let Some((b'0'..=b'9', rest)) = rest.split_first() else { return (b"", true) };
+    let code = rest.trim_ascii_start();
+    let count = code.iter().take_while(|byte| byte.is_ascii_digit()).count();
+    if rest.len() == code.len() { (b"", true) } else { (&code[..count], count == code.len()) }
+}
+
 /// Returns `true` if the input starts with a status line, also one that is cut off or malformed behind its status, whose
-/// status is `status` as far as it was received. At least one digit must have been.
+/// status is `status`.
+pub(crate) fn has_status(input: &[u8], status: u16) -> bool {
+    status_digits(input).0 == status.to_string().as_bytes()
+}
+
+/// Returns `true` as [`has_status`] does, and if the input ends within the status and it is `status` as far as it was
+/// received. At least one digit must have been.
 pub(crate) fn may_have_status(input: &[u8], status: u16) -> bool {
-    let Some(rest) = input.strip_prefix(b"HTTP/1.") else { return false };
-    let Some((b'0'..=b'9', rest)) = rest.split_first() else { return false };
-    let code = rest.trim_ascii_start();
-    let digits = code.iter().take_while(|byte| byte.is_ascii_digit()).count();
-    let is_cut_off = digits == code.len();
-    let expected = status.to_string();
-    let received = &code[..digits];
-    rest.len() > code.len()
-        && (received == expected.as_bytes()
-            || is_cut_off && digits > 0 && expected.as_bytes().starts_with(received))
+    let (received, is_cut_off) = status_digits(input);
+    let is_start = status.to_string().as_bytes().starts_with(received);
+    has_status(input, status) || is_cut_off && !received.is_empty() && is_start
 }
 
 fn header(input: &mut Input<'_>) -> ModalResult<(String, String)> {
--- a/crates/quillhub-server/src/http_tests.rs
+++ b/crates/quillhub-server/src/http_tests.rs
@@ -86,6 +86,8 @@
     ] {
         assert!(is_410(input.as_bytes()), "{input:?}");
     }
+    assert!(has_status(b"HTTP/1.1 410", 410) && has_status(b"HTTP/1.0 410 x\r\n", 410));
+    assert!(!has_status(b"HTTP/1.1 41", 410) && !has_status(b"HTTP/1.1 4100", 410));
     let others = [
         "",
         "HTTP/1.1",
--- a/crates/quillhub-server/src/instance/over_tests.rs
+++ b/crates/quillhub-server/src/instance/over_tests.rs
@@ -182,7 +182,7 @@
 /// Guards against a restart that attempts a message again after a 410 which was not proven before the process ended.
 #[test]
 fn a_restart_after_a_410_reports_the_message_and_does_not_attempt_it() {
-    for response in [OVER, TORN[0], TORN[1]] {
+    for response in [OVER, TORN[0], TORN[1], TORN[3]] {
         for class in CLASSES {
             let directory = StateDirectory::new();
             on_one_thread(async {
