Discovery: the earlier destination of an endpoint is looked up by name

Cause, by the stack of the busy process: the commit on processes of endpoints looked for each updated endpoint in all destinations, 40,000 times 40,000. Change: a table from the name of an endpoint to the destination that it was listed under last; rows go with their endpoints.

--- a/src/policy/discovery.rs
+++ b/src/policy/discovery.rs
@@ -135,7 +135,7 @@
 
     /// Handles an entry of the endpoint list, or a change to one.
     pub(crate) fn update_endpoint(&mut self, update: EndpointUpdate) {
-        self.remove_from_other_destinations(&update);
+        self.remove_from_earlier_destination(&update);
         let estimate = self.rate_estimate(update.listed_rate);
         let now = self.now;
         let route_name = if self.separate_routes.contains(update.kind) { update.name } else { "" };
@@ -155,17 +155,16 @@
         self.any_removed |= update.state == EndpointState::Removed;
     }
 
-    /// Removes an endpoint from the destinations that it belonged to before.
+    /// Removes an endpoint from the destination that it belonged to before, if that is another one.
     ///
-    /// Prevents calls for them at an endpoint that now serves another one.
-    fn remove_from_other_destinations(&mut self, update: &EndpointUpdate) {
-        for (id, destination) in &mut self.destinations {
-            if *id != update.destination
-                && let Some(endpoint) = destination.endpoints.get_mut(update.name)
-            {
-                endpoint.state = EndpointState::Removed;
-                self.any_removed = true;
-            }
+    /// Prevents calls for that destination at an endpoint that now serves another one.
+    fn remove_from_earlier_destination(&mut self, update: &EndpointUpdate) {
+        let earlier = self.endpoint_destinations.insert(update.name.to_owned(), update.destination);
+        let Some(earlier) = earlier.filter(|earlier| *earlier != update.destination) else { return };
+        let destination = self.destinations.get_mut(&earlier);
+        if let Some(endpoint) = destination.and_then(|known| known.endpoints.get_mut(update.name)) {
+            endpoint.state = EndpointState::Removed;
+            self.any_removed = true;
         }
     }
 
@@ -194,14 +193,18 @@
         let now = self.now;
         let busy: BTreeSet<_> = self.in_flight.values().map(|attempt| &attempt.endpoint).collect();
         let mut any_removed_left = false;
-        self.destinations.retain(|_, destination| {
+        self.destinations.retain(|id, destination| {
             destination.endpoints.retain(|name, endpoint| {
                 if snapshot.is_some_and(|names| !names.contains(name)) {
                     endpoint.state = EndpointState::Removed;
                 }
                 let removed = endpoint.state == EndpointState::Removed;
-                any_removed_left |= removed && busy.contains(name);
-                !removed || busy.contains(name)
+                let is_kept = !removed || busy.contains(name);
+                any_removed_left |= removed && is_kept;
+                if !is_kept && self.endpoint_destinations.get(name) == Some(id) {
+                    self.endpoint_destinations.remove(name);
+                }
+                is_kept
             });
             destination.drop_unused_routes(now);
             !destination.routes.is_empty()
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -315,6 +315,8 @@
     /// Cost of a call to an endpoint, in points by zone; zero for zones that are missing.
     pub(crate) zone_costs: BTreeMap<String, f64>,
     pub(super) destinations: BTreeMap<DestinationId, Destination>,
+    /// Destination under which each endpoint was listed last, by the name of the endpoint.
+    pub(super) endpoint_destinations: BTreeMap<String, DestinationId>,
     pub(crate) known_destinations: KnownDestinations,
     /// `true` if `destinations` may still contain endpoints that have left the endpoint list.
     pub(super) any_removed: bool,
@@ -363,6 +365,7 @@
             batch_limits: BTreeMap::new(),
             zone_costs: BTreeMap::new(),
             destinations: BTreeMap::new(),
+            endpoint_destinations: BTreeMap::new(),
             known_destinations: KnownDestinations::default(),
             any_removed: false,
             ordering: OrderingQueues::default(),
--- a/src/policy/tests/discovery.rs
+++ b/src/policy/tests/discovery.rs
@@ -66,7 +66,10 @@
         dispatcher.endpoint_list_ended(is_complete.then_some(&names), true);
         assert!(!dispatcher.state.destinations.contains_key(&DESTINATION), "complete: {is_complete}");
         assert_eq!(dispatcher.state.destinations[&(DESTINATION + 1)].available_endpoints(), 2);
+        assert_eq!(dispatcher.state.endpoint_destinations.len(), 2);
         let started = submit(&mut dispatcher, 1, None);
         assert!(started.iter().all(|action| !action.starts_with("attempt")), "{started:?}");
+        dispatcher.endpoint_list_ended(Some(&Default::default()), true);
+        assert!(dispatcher.state.endpoint_destinations.is_empty(), "a table that grows with each endpoint");
     }
 }
