Policy tests: one builder of an attempt that ended unattributed

Need: the builder stood word for word in the tests of attribution and of provisional ends. Change: it stands in support.rs.

--- a/src/policy/tests/attribution.rs
+++ b/src/policy/tests/attribution.rs
@@ -20,17 +20,6 @@
     ended_with(retry_safety, outcome, Uncertainty::Call)
 }
 
-/// Returns a dispatcher with message 1, whose attempt ended with `outcome` at 100 ms, of which `uncertainty` remains.
-fn ended_with(retry_safety: RetrySafety, outcome: AttemptOutcome, uncertainty: Uncertainty) -> Dispatcher {
-    let mut dispatcher = dispatcher_for(retry_safety);
-    assert_eq!(submit(&mut dispatcher, 1, None).len(), 1);
-    dispatcher.advance_to(ms(100));
-    let finished = outcome == AttemptOutcome::Delivered;
-    let result = AttemptResult { finished, ..ended(1, 0, outcome) };
-    dispatcher.attempt_ended_unattributed(result, uncertainty);
-    dispatcher
-}
-
 /// Attributes the response to a call: its connection was quiet, and the endpoint certainly answered a call that started at
 /// [`LATER`].
 fn attribute(dispatcher: &mut Dispatcher, call: CallId) {
--- a/src/policy/tests/provisional_ends.rs
+++ b/src/policy/tests/provisional_ends.rs
@@ -10,17 +10,6 @@
 /// Time at which a message whose first call could be retried was retried.
 const AFTER_BACKOFF: Duration = ms(4_000);
 
-/// Returns a dispatcher with message 1, whose first attempt ended with `outcome` at 100 ms.
-fn ended_with(class: RetrySafety, outcome: AttemptOutcome, uncertainty: Uncertainty) -> Dispatcher {
-    let mut dispatcher = dispatcher_for(class);
-    assert_eq!(submit(&mut dispatcher, 1, None).len(), 1);
-    dispatcher.advance_to(ms(100));
-    let finished = outcome == AttemptOutcome::Delivered;
-    let result = AttemptResult { finished, ..ended(1, 0, outcome) };
-    dispatcher.attempt_ended_unattributed(result, uncertainty);
-    dispatcher
-}
-
 /// Advances the clock step by step, and returns the actions for messages with the times of their steps in milliseconds.
 fn actions_until(dispatcher: &mut Dispatcher, until: Duration) -> Vec<(u128, String)> {
     let mut all = Vec::new();
--- a/src/policy/tests/support.rs
+++ b/src/policy/tests/support.rs
@@ -3,7 +3,8 @@
 use super::state::{Attempt, Endpoint, Route};
 use crate::{
     AttemptOutcome, AttemptPlan, AttemptResult, ConnectionUse, Dispatcher, Driver, EndpointState,
-    EndpointUpdate, LoadReport, LogEvent, MessageId, NewMessage, RetrySafety, ServiceClass, ValueDecay, ms,
+    EndpointUpdate, LoadReport, LogEvent, MessageId, NewMessage, RetrySafety, ServiceClass, Uncertainty,
+    ValueDecay, ms,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -153,6 +154,21 @@
     AttemptResult { finished: true, ..ended(message, attempt, AttemptOutcome::Delivered) }
 }
 
+/// Returns a dispatcher with message 1, whose attempt ended with `outcome` at 100 ms, of which `uncertainty` remains.
+pub(super) fn ended_with(
+    retry_safety: RetrySafety,
+    outcome: AttemptOutcome,
+    uncertainty: Uncertainty,
+) -> Dispatcher {
+    let mut dispatcher = dispatcher_for(retry_safety);
+    assert_eq!(submit(&mut dispatcher, 1, None).len(), 1);
+    dispatcher.advance_to(ms(100));
+    let finished = outcome == AttemptOutcome::Delivered;
+    let result = AttemptResult { finished, ..ended(1, 0, outcome) };
+    dispatcher.attempt_ended_unattributed(result, uncertainty);
+    dispatcher
+}
+
 /// Returns a rejection without a retry-after.
 pub(super) fn rejected() -> AttemptOutcome {
     AttemptOutcome::Rejected { retry_after: None }
