--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -5,6 +5,7 @@
 //! the disruption is left out. `stand-ins-2 chaos ROOT SEED SECONDS MODES` is the random search that REPORT-2.md describes.
 mod chaos;
 mod endless_interim;
+mod stale_list;
 mod world;
 
 use std::path::PathBuf;
@@ -20,6 +21,7 @@
     }
     let code = match arguments.get(1).map(String::as_str) {
         Some("chaos") => chaos::run(&root, number(3), number(4), number(5)),
+        Some("stale-list") => stale_list::run(&root, &folder, trouble),
         Some("endless-interim") => endless_interim::run(&root, &folder, trouble),
         _ => 2,
     };
