--- a/review/stand-ins-2/src/chaos.rs
+++ b/review/stand-ins-2/src/chaos.rs
@@ -51,6 +51,20 @@
                 let mut rng = rng.lock().unwrap();
                 let delay = ms(15 + rng.below(80));
                 let p = fault_percent;
+                if modes & 2048 != 0 && rng.below(100) < 15 {
+                    let wait = ms([0, 3, 8, 40, 200, 900][rng.below(6) as usize]);
+                    let status = ["503 Full", "429 Wait", "504 Tries", "503 Full"][rng.below(4) as usize];
+                    let headers = if status.starts_with("429") { "X-Backoff-Ms: 100\r\n" } else { "" };
+                    return Plan {
+                        delay,
+                        ran: true,
+                        answer: Some(answer(status, headers)),
+                        then: Then::Late(wait),
+                    };
+                }
+                if modes & 1024 != 0 && rng.below(100) < 25 {
+                    return mutated(&mut rng, delay);
+                }
                 match rng.below(100) {
                     x if x < p => Plan::hang(),
                     x if x < 2 * p => Plan { delay, ran: true, answer: None, then: Then::Reset },
@@ -125,6 +139,10 @@
         let known = registry.lock().unwrap().list();
         let temporary = scratch.0.join("config.new");
         let mut text = config(listen, address, &known, CLASSES, 6);
+        if modes & 256 != 0 {
+            text = text.replace("\"keyScope\":\"all\"", "\"keyScope\":\"zone\"");
+            text = text.replace("\"failureDomains\":[\"a\"]", "\"failureDomains\":[\"a\",\"b\"]");
+        }
         if modes & 128 != 0 {
             // Tight limits and a short window for repeats.
             for (from, to) in [
@@ -201,7 +219,11 @@
         if modes & 8 != 0 {
             let cell = 1 + rng.lock().unwrap().below(4);
             world.note(format!("registry changes in cell {cell}"));
-            churn(&world, &registry, &mut endpoints, &rng, cell, fault_percent);
+            for _ in 0..if modes & 512 != 0 { 6 } else { 1 } {
+                let cell = 1 + rng.lock().unwrap().below(4);
+                churn(&world, &registry, &mut endpoints, &rng, cell, fault_percent, modes & 512 != 0);
+                thread::sleep(ms(if modes & 512 != 0 { 250 } else { 0 }));
+            }
         }
         if modes & 2 != 0 {
             let length = ms(1500 + rng.lock().unwrap().below(500));
@@ -270,6 +292,7 @@
         &restarts,
         if modes & 128 != 0 { ms(1550) } else { ms(3050) },
         if modes & 128 != 0 { 3 } else { 6 },
+        modes & 256 != 0,
     );
     let text = faults.join("\n");
     world.write_record(Path::new(&format!("/tmp/chaos-{seed}.txt")), &text);
@@ -282,6 +305,32 @@
     i32::from(!faults.is_empty())
 }
 
+/// Answer with some bytes changed, left out or added.
+fn mutated(rng: &mut Rng, delay: Duration) -> Plan {
+    let heads = [
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Load: x0=0.5,x1=20\r\n\r\nok",
+        "HTTP/1.1 429 Wait\r\nX-Backoff-Ms: 120\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Full\r\nX-Egress-Full: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 500 Oops\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+    ];
+    let mut bytes = heads[rng.below(heads.len() as u64) as usize].as_bytes().to_vec();
+    for _ in 0..=rng.below(4) {
+        let at = rng.below(bytes.len() as u64) as usize;
+        match rng.below(4) {
+            0 => bytes[at] = rng.below(256) as u8,
+            1 => drop(bytes.remove(at)),
+            2 => bytes.insert(at, b"0123456789\r\n -eE.,:"[rng.below(19) as usize]),
+            _ => {
+                let part = bytes[at..].to_vec();
+                bytes.extend(part);
+            }
+        }
+    }
+    let then = if rng.below(3) == 0 { Then::Close } else { Then::Keep };
+    Plan { delay, ran: true, answer: Some(bytes), then }
+}
+
 /// Client that sends many commands at once, in pieces cut at any byte, and reads all answers.
 fn pipeline(world: &World, rng: &Mutex<Rng>, listen: std::net::SocketAddr, end: Duration, number: u64) {
     use std::io::{Read, Write};
@@ -419,6 +468,7 @@
     rng: &Arc<Mutex<Rng>>,
     cell: u64,
     fault_percent: u64,
+    reuse: bool,
 ) {
     let Some(index) = endpoints.iter().position(|e| e.cell == cell) else { return };
     let old = endpoints.remove(index);
@@ -443,6 +493,19 @@
         world.note(format!("{} goes", old.id));
         old.stop();
         registry.lock().unwrap().set(&old.id, old.address, cell, "removed");
+        if reuse {
+            // The address is taken by an endpoint of another destination, once the courier has been told.
+            thread::sleep(ms(400));
+            let cell = 1 + cell % 4;
+            let id = format!("s-{cell}-{}", world.now().as_millis());
+            let made = start_endpoint(&world, &id, cell, Some(old.address), Arc::new(|_| Plan::ok(ms(30))));
+            registry.lock().unwrap().set(&id, made.address, cell, "up");
+            thread::sleep(ms(4000));
+            registry.lock().unwrap().set(&id, made.address, cell, "draining");
+            thread::sleep(ms(1500));
+            made.stop();
+            registry.lock().unwrap().set(&id, made.address, cell, "removed");
+        }
     });
 }
 
@@ -457,6 +520,9 @@
 
 /// Returns `true` if an answer with this first line says that the message was never run.
 fn never_ran(line: &str) -> bool {
+    if line.contains("(spoilt)") {
+        return false;
+    }
     [" 503", " 429", " 504", " 410"].iter().any(|status| line.contains(status))
 }
 
@@ -466,6 +532,7 @@
     restarts: &[(Duration, Duration)],
     window: Duration,
     tries: usize,
+    by_zone: bool,
 ) -> Vec<String> {
     let events = world.snapshot();
     let mut faults = Vec::new();
@@ -540,6 +607,13 @@
                                     *time - *at
                                 ));
                             }
+                            if let Some((number, _, _)) = first.filter(|(number, _, _)| {
+                                by_zone && zone_of(&calls[number].2) != zone_of(endpoint)
+                            }) {
+                                faults.push(format!(
+                                    "{time:?} call {call} of {id} is in another zone than call {number}"
+                                ));
+                            }
                         }
                         if list.len() >= tries {
                             faults.push(format!(
@@ -613,7 +687,9 @@
             let may_have_run = list.iter().any(|(_, start, end)| {
                 *start < *at && !matches!(end, Some((_, outcome)) if never_ran(outcome))
             });
-            if may_have_run && (taken.class == "once" || taken.class == "settle") {
+            if may_have_run
+                && (taken.class == "once" || taken.class == "settle" || by_zone && taken.class == "keyed")
+            {
                 faults.push(format!("{id} ({}) bounced at {at:?} although it may have run", taken.class));
             }
         }
--- a/review/stand-ins-2/src/endless_interim.rs
+++ b/review/stand-ins-2/src/endless_interim.rs
@@ -122,7 +122,7 @@
     let running = courier.is_running();
     world.over.store(true, Ordering::Relaxed);
     let spoilt = spoilt_ids.lock().unwrap().clone();
-    let lost = lost_messages(&world, &spoilt);
+    let lost = lost_messages(&world, LOST_AFTER, &spoilt);
     let silent = world
         .snapshot()
         .iter()
@@ -141,27 +141,3 @@
     println!("{}", verdict.lines().next().unwrap_or_default());
     i32::from(!lost.is_empty() || !running)
 }
-
-/// Returns the messages that were taken on and have neither been delivered nor ended by a notice in time, apart from those
-/// of which an answer was spoilt.
-fn lost_messages(world: &World, spoilt: &BTreeSet<String>) -> Vec<String> {
-    let (mut deadlines, mut taken, mut ended, mut call_ids) =
-        (BTreeMap::new(), BTreeSet::new(), BTreeMap::new(), BTreeMap::new());
-    for (time, event) in world.snapshot() {
-        match event {
-            Event::Submitted { id, d_ms, .. } => drop(deadlines.insert(id, time + ms(d_ms))),
-            Event::Reply { id, reply: Some(reply) } if reply.starts_with('+') => drop(taken.insert(id)),
-            Event::Call { call, id, .. } => drop(call_ids.insert(call, id)),
-            Event::Answer { call, status, .. } if status.contains(" 200") => {
-                ended.entry(call_ids[&call].clone()).or_insert(time);
-            }
-            Event::Notice { id, .. } => {
-                ended.entry(id).or_insert(time);
-            }
-            _ => {}
-        }
-    }
-    let is_lost = |id: &&String| ended.get(*id).is_none_or(|at| *at > deadlines[*id] + LOST_AFTER);
-    let lost = taken.iter().filter(|id| !spoilt.contains(*id)).filter(is_lost);
-    lost.map(|id| format!("{id}: time up at {:?}, ended at {:?}", deadlines[id], ended.get(id))).collect()
-}
--- a/review/stand-ins-2/src/world.rs
+++ b/review/stand-ins-2/src/world.rs
@@ -3,7 +3,7 @@
 //! All addresses are loopback addresses. Each connection has a thread of its own. Everything that is seen on the sockets
 //! is kept as a list of events, from which the checks of the cases are computed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -144,6 +144,8 @@
     Keep,
     Close,
     Reset,
+    /// Noise follows after some time.
+    Late(Duration),
     /// Interim responses are written until the connection breaks.
     EndlessInterim,
 }
@@ -368,7 +370,15 @@
                     world.add(Event::Left { call });
                     return;
                 }
-                world.add(Event::Answer { call, status: first, ran: plan.ran });
+                // An answer that says that the message was not run, although it was, is a spoilt one.
+                let is_spoilt = plan.ran && !first.contains(" 200") && !first.contains(" 500");
+                let status = if is_spoilt { format!("{first} (spoilt)") } else { first };
+                world.add(Event::Answer { call, status, ran: plan.ran });
+                if let Then::Late(wait) = plan.then {
+                    thread::sleep(wait);
+                    let _ = stream.write_all(b"and more");
+                    continue;
+                }
             }
             None => {
                 world.add(Event::Broken { call, ran: plan.ran });
@@ -402,6 +412,15 @@
     }
 }
 
+/// Returns the zone of an endpoint, by the last digit of its name.
+pub fn zone_of(id: &str) -> &'static str {
+    if id.ends_with(['1', '3', '5', '7', '9']) {
+        "b"
+    } else {
+        "a"
+    }
+}
+
 /// Discovery's list, as the agent beside the courier has it.
 pub struct Registry {
     pub members: BTreeMap<String, Member>,
@@ -413,7 +432,8 @@
 impl Registry {
     pub fn set(&mut self, id: &str, address: SocketAddr, cell: u64, phase: &'static str) {
         self.revision += 1;
-        let member = Member { id: id.into(), address, cell, phase, zone: "a", changed: self.revision };
+        let member =
+            Member { id: id.into(), address, cell, phase, zone: zone_of(id), changed: self.revision };
         self.members.insert(id.into(), member);
     }
 
@@ -799,3 +819,27 @@
         }
     }
 }
+
+/// Returns the messages that were taken on and have neither been delivered nor ended by a notice `limit` after their
+/// time was up, apart from the `spoilt` ones.
+pub fn lost_messages(world: &World, limit: Duration, spoilt: &BTreeSet<String>) -> Vec<String> {
+    let (mut deadlines, mut taken, mut ended, mut call_ids) =
+        (BTreeMap::new(), BTreeSet::new(), BTreeMap::new(), BTreeMap::new());
+    for (time, event) in world.snapshot() {
+        match event {
+            Event::Submitted { id, d_ms, .. } => drop(deadlines.insert(id, time + ms(d_ms))),
+            Event::Reply { id, reply: Some(reply) } if reply.starts_with('+') => drop(taken.insert(id)),
+            Event::Call { call, id, .. } => drop(call_ids.insert(call, id)),
+            Event::Answer { call, status, .. } if status.contains(" 200") => {
+                ended.entry(call_ids[&call].clone()).or_insert(time);
+            }
+            Event::Notice { id, .. } => {
+                ended.entry(id).or_insert(time);
+            }
+            _ => {}
+        }
+    }
+    let is_lost = |id: &&String| ended.get(*id).is_none_or(|at| *at > deadlines[*id] + limit);
+    let lost = taken.iter().filter(|id| !spoilt.contains(*id)).filter(is_lost);
+    lost.map(|id| format!("{id}: time up at {:?}, ended at {:?}", deadlines[id], ended.get(id))).collect()
+}
