--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -5,6 +5,7 @@
 //! the disruption is left out. `stand-ins-2 chaos ROOT SEED SECONDS MODES` is the random search that REPORT-2.md describes.
 mod chaos;
 mod endless_interim;
+mod lost_answer;
 mod silent_delivery;
 mod stale_list;
 mod world;
@@ -25,6 +26,7 @@
         Some("stale-list") => stale_list::run(&root, &folder, trouble),
         Some("endless-interim") => endless_interim::run(&root, &folder, trouble),
         Some("silent-delivery") => silent_delivery::run(&root, &folder, trouble),
+        Some("lost-answer") => lost_answer::run(&root, &folder, trouble),
         _ => 2,
     };
     std::process::exit(code);
