Review case 10: a copy hides a message that an endpoint drops while it answers others

An endpoint that drops one class and answers the others counts as answering. A second copy of a 200 that is read as the answer to a dropped message is then attributed to it: the message is finished, never ran, and no notice is sent.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# A second copy of a 200 stands in the place of the answer to a message that the endpoint drops, while it answers others.
+# Status: 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+set -u
+here=$(cd "$(dirname "$0")" && pwd)
+root=$(cd "$here/../.." && pwd)
+program=$root/review/stand-ins-2/target/release/stand-ins-2
+if [ ! -x "$program" ] || [ ! -x "$root/target/release/quillhub" ]; then
+    echo "build first: the build of the deploy file, then review/build-2.sh" >&2
+    exit 2
+fi
+"$program" dropped-call "$root" "$here"
+status=$?
+case $status in
+    0 | 1) exit $status ;;
+    *) exit 2 ;;
+esac
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -26,7 +26,8 @@
         Some("stale-list") => stale_list::run(&root, &folder, trouble),
         Some("endless-interim") => endless_interim::run(&root, &folder, trouble),
         Some("silent-delivery") => silent_delivery::run(&root, &folder, trouble),
-        Some("lost-answer") => lost_answer::run(&root, &folder, trouble),
+        Some("lost-answer") => lost_answer::run(&root, &folder, trouble, lost_answer::Strike::LostAnswer),
+        Some("dropped-call") => lost_answer::run(&root, &folder, trouble, lost_answer::Strike::DroppedCall),
         _ => 2,
     };
     std::process::exit(code);
