--- a/review/stand-ins-2/src/lost_answer.rs
+++ b/review/stand-ins-2/src/lost_answer.rs
@@ -1,4 +1,4 @@
-//! Cases 9 and 10: a second copy is taken for the answer to a message that must never run twice, while the endpoint goes on
+//! Cases 7 and 10: a second copy is taken for the answer to a message that must never run twice, while the endpoint goes on
 //! answering other calls. In one, the copy says "not sent", and the answer of the message is lost after it has run. In the
 //! other, the copy is that of a 200, and the endpoint drops all messages of that class from then on.
 
@@ -97,7 +97,7 @@
             body: request.body.clone(),
         });
         // The message that begins a clump gets its answer sooner than the others, so that its connection is free first. In
-        // case 9 its first call is turned away: all slots of the courier are taken.
+        // case 7 its first call is turned away: all slots of the courier are taken.
         if id.starts_with('a') && !endpoint.has_lost.load(Ordering::Relaxed) && !was_copied {
             let (bytes, status, ran) = match endpoint.strike {
                 Strike::LostAnswer => (
--- a/review/stand-ins-2/src/silent_delivery.rs
+++ b/review/stand-ins-2/src/silent_delivery.rs
@@ -1,4 +1,4 @@
-//! Case 8: an endpoint that a gateway calls seldom writes one answer twice and then hangs.
+//! Case 9: an endpoint that a gateway calls seldom writes one answer twice and then hangs.
 
 use crate::world::*;
 use std::collections::BTreeMap;
--- a/review/stand-ins-2/src/stale_list.rs
+++ b/review/stand-ins-2/src/stale_list.rs
@@ -1,4 +1,4 @@
-//! A courier is killed and started again while discovery is down, after endpoints were replaced.
+//! Case 8: a courier is killed and started again while discovery is down, after endpoints were replaced.
 
 use crate::chaos::config;
 use crate::world::*;
