Review scripts: end the stand-in and the gateway also when ended from outside

A script that got SIGTERM left its stand-in, the gateway and a temporary folder until they ended by themselves. They share a process group now, which ends with the script.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -9,7 +9,21 @@
     echo "build first: the build of the deploy file, then review/build-2.sh" >&2
     exit 2
 fi
-"$program" silent-delivery "$root" "$here"
+# The stand-in and the gateway share a process group, which ends with this script, however it ends.
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
+group=
+clean_up() {
+    [ -n "$group" ] && kill -KILL -- "-$group" 2>/dev/null
+    rm -rf "$TMPDIR"
+}
+trap clean_up EXIT
+trap 'exit 2' HUP INT TERM
+set -m
+"$program" silent-delivery "$root" "$here" &
+group=$!
+set +m
+wait "$group"
 status=$?
 case $status in
     0 | 1) exit $status ;;
