--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A second copy of a 200 stands in the place of the answer to a message that the endpoint drops, while it answers others.
+# A second copy and a 503 stand in the places of the answers to two messages, the second of which has little time and is dropped.
 # Status: 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
--- a/review/stand-ins-2/src/lost_answer.rs
+++ b/review/stand-ins-2/src/lost_answer.rs
@@ -1,6 +1,5 @@
-//! Cases 7 and 10: a second copy is taken for the answer to a message that must never run twice, while the endpoint goes on
-//! answering other calls. In one, the copy says "not sent", and the answer of the message is lost after it has run. In the
-//! other, the copy is that of a 200, and the endpoint drops all messages of that class from then on.
+//! Case 7: a second copy of "not sent" is taken for the answer to a message that must never run twice, whose own answer is
+//! lost after it has run, while the endpoint goes on answering other calls.
 
 use crate::world::*;
 use std::collections::BTreeMap;
@@ -16,8 +15,6 @@
 const PATH: Duration = Duration::from_millis(20);
 /// Time from an answer to its second copy.
 const COPY_AFTER: Duration = Duration::from_millis(8);
-/// Time until which an answer or a notice is due after the time of a message is up.
-const LOST_AFTER: Duration = Duration::from_millis(550);
 /// Number of destinations, each of which is struck once.
 const STRUCK: u64 = 8;
 
@@ -30,21 +27,11 @@
  "report":{"how":"none","names":[]},
  "rules":{"answerSlackUs":20000,"askEveryUs":10000000,"drainGraceUs":250000,"overloadFactor":2.0,"startCapacity":0.19,"tipAfterUs":3000000,"warmUpUs":10000000}}"#;
 
-/// What is struck at each endpoint.
-#[derive(Clone, Copy, PartialEq)]
-pub enum Strike {
-    /// The answer to a call that has run is lost, behind a copy of "not sent".
-    LostAnswer,
-    /// From a copy of a 200 on, the endpoint drops all calls of one class: they are not answered and do not run.
-    DroppedCall,
-}
-
 struct Struck {
-    strike: Strike,
     name: String,
     cell: u64,
     trouble: bool,
-    /// `true` once an answer has been lost, or the class fails.
+    /// `true` once an answer has been lost.
     has_lost: AtomicBool,
 }
 
@@ -52,17 +39,10 @@
     thread::sleep(time.saturating_duration_since(Instant::now()));
 }
 
-fn start_struck(
-    world: &Arc<World>,
-    name: &str,
-    cell: u64,
-    trouble: bool,
-    strike: Strike,
-) -> std::net::SocketAddr {
+fn start_struck(world: &Arc<World>, name: &str, cell: u64, trouble: bool) -> std::net::SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
-    let endpoint =
-        Arc::new(Struck { strike, name: name.into(), cell, trouble, has_lost: AtomicBool::new(false) });
+    let endpoint = Arc::new(Struck { name: name.into(), cell, trouble, has_lost: AtomicBool::new(false) });
     let world = world.clone();
     thread::spawn(move || {
         for stream in listener.incoming() {
@@ -96,23 +76,16 @@
             x_deadline: header("x-deadline"),
             body: request.body.clone(),
         });
-        // The message that begins a clump gets its answer sooner than the others, so that its connection is free first. In
-        // case 7 its first call is turned away: all slots of the courier are taken.
+        // The first call of the message that begins a clump is turned away, as all slots of the courier are taken. It gets its
+        // answer sooner than the others, so that its connection is free first.
         if id.starts_with('a') && !endpoint.has_lost.load(Ordering::Relaxed) && !was_copied {
-            let (bytes, status, ran) = match endpoint.strike {
-                Strike::LostAnswer => (
-                    answer("503 Service Unavailable", "X-Egress-Full: 1\r\n"),
-                    "HTTP/1.1 503 X-Egress-Full: 1",
-                    false,
-                ),
-                Strike::DroppedCall => (answer("200 OK", ""), "HTTP/1.1 200 OK", true),
-            };
+            let bytes = answer("503 Service Unavailable", "X-Egress-Full: 1\r\n");
             let written = arrival + ms(40);
             sleep_until(written + PATH);
             if stream.write_all(&bytes).is_err() {
                 return;
             }
-            world.add(Event::Answer { call, status: status.into(), ran });
+            world.add(Event::Answer { call, status: "HTTP/1.1 503 X-Egress-Full: 1".into(), ran: false });
             if endpoint.trouble {
                 // Nothing has arrived on the connection when the endpoint writes the copy; what is written now by the
                 // gateway arrives later.
@@ -120,28 +93,11 @@
                 let _ = stream.write_all(&bytes);
                 world.note(format!("second copy of the answer to call {call}"));
                 was_copied = true;
-                if endpoint.strike == Strike::DroppedCall {
-                    endpoint.has_lost.store(true, Ordering::Relaxed);
-                }
             }
             continue;
         }
         sleep_until(arrival + ms(70));
-        let is_settlement = id.starts_with(['x', 's']);
-        if endpoint.strike == Strike::DroppedCall
-            && endpoint.has_lost.load(Ordering::Relaxed)
-            && is_settlement
-        {
-            was_copied = false;
-            world.note(format!("call {call} of {id} is dropped: it is not answered and does not run"));
-            world.add(Event::Broken { call, ran: false });
-            continue;
-        }
-        if endpoint.strike == Strike::LostAnswer
-            && was_copied
-            && id.starts_with('x')
-            && !endpoint.has_lost.swap(true, Ordering::Relaxed)
-        {
+        if was_copied && id.starts_with('x') && !endpoint.has_lost.swap(true, Ordering::Relaxed) {
             was_copied = false;
             world.note(format!("call {call} of {id} has run, and its answer is lost"));
             world.add(Event::Broken { call, ran: true });
@@ -157,21 +113,14 @@
     }
 }
 
-pub fn run(root: &Path, folder: &Path, trouble: bool, strike: Strike) -> i32 {
+pub fn run(root: &Path, folder: &Path, trouble: bool) -> i32 {
     let world = World::new();
     let scratch = Scratch::new();
     let registry = Arc::new(Mutex::new(Registry { members: BTreeMap::new(), revision: 1, down: false }));
     for cell in 1..=STRUCK {
         let name = format!("s-{cell}-0");
-        let address = start_struck(&world, &name, cell, trouble, strike);
+        let address = start_struck(&world, &name, cell, trouble);
         registry.lock().unwrap().set(&name, address, cell, "up");
-        if strike == Strike::DroppedCall {
-            // One class fails at one endpoint of destinations that have several: at the one that gets the first message of
-            // the clump.
-            let name = format!("s-{cell}-1");
-            let address = start_struck(&world, &name, cell, trouble, strike);
-            registry.lock().unwrap().set(&name, address, cell, "up");
-        }
     }
     let platform = Platform::start(&world, &registry);
     let listen = free_address();
@@ -257,22 +206,14 @@
         .filter(|(id, count)| **count > 1 && settlements.contains(*id))
         .map(|(id, _)| id.clone())
         .collect();
-    let lost = lost_messages(&world, LOST_AFTER, &Default::default());
-    let (broken, verdict) = match strike {
-        Strike::LostAnswer => (
-            !twice.is_empty() || !bounced.is_empty(),
-            format!(
-                "of {} messages that must never run twice, {} ran twice and {} were denied after they had run\n\
-                 twice: {twice:?}\ndenied: {bounced:?}",
-                settlements.len(),
-                twice.len(),
-                bounced.len()
-            ),
-        ),
-        Strike::DroppedCall => {
-            (!lost.is_empty(), format!("{} messages lost\n{}", lost.len(), lost.join("\n")))
-        }
-    };
+    let broken = !twice.is_empty() || !bounced.is_empty();
+    let verdict = format!(
+        "of {} messages that must never run twice, {} ran twice and {} were denied after they had run\n\
+         twice: {twice:?}\ndenied: {bounced:?}",
+        settlements.len(),
+        twice.len(),
+        bounced.len()
+    );
     let verdict = format!(
         "{}, courier running {running}: {verdict}",
         if broken || !running { "BROKEN" } else { "held" }
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -4,6 +4,7 @@
 //! The status is 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` in the environment,
 //! the disruption is left out. `stand-ins-2 chaos ROOT SEED SECONDS MODES` is the random search that REPORT-2.md describes.
 mod chaos;
+mod dropped_call;
 mod endless_interim;
 mod lost_answer;
 mod silent_delivery;
@@ -26,8 +27,8 @@
         Some("stale-list") => stale_list::run(&root, &folder, trouble),
         Some("endless-interim") => endless_interim::run(&root, &folder, trouble),
         Some("silent-delivery") => silent_delivery::run(&root, &folder, trouble),
-        Some("lost-answer") => lost_answer::run(&root, &folder, trouble, lost_answer::Strike::LostAnswer),
-        Some("dropped-call") => lost_answer::run(&root, &folder, trouble, lost_answer::Strike::DroppedCall),
+        Some("lost-answer") => lost_answer::run(&root, &folder, trouble),
+        Some("dropped-call") => dropped_call::run(&root, &folder, trouble),
         _ => 2,
     };
     std::process::exit(code);
--- a/review/stand-ins-2/src/world.rs
+++ b/review/stand-ins-2/src/world.rs
@@ -40,7 +40,7 @@
     Answer { call: u64, status: String, ran: bool },
     /// The courier ended the connection of a call that had no answer.
     Left { call: u64 },
-    /// The endpoint broke the connection of a call without an answer.
+    /// A call gets no answer from the endpoint, which may break its connection.
     Broken { call: u64, ran: bool },
     /// A notice came to the platform.
     Notice { id: String, result: String, line: String },
@@ -107,7 +107,7 @@
                 ),
                 Event::Answer { call, status, ran } => writeln!(text, "ms call {call} is answered {status}, ran: {ran}"),
                 Event::Left { call } => writeln!(text, "ms call {call}: the courier ended its connection"),
-                Event::Broken { call, ran } => writeln!(text, "ms call {call}: connection broken by the endpoint, ran: {ran}"),
+                Event::Broken { call, ran } => writeln!(text, "ms call {call} gets no answer from the endpoint, ran: {ran}"),
                 Event::Notice { line, .. } => writeln!(text, "ms platform gets notice {line}"),
                 Event::Note(note) => writeln!(text, "ms {note}"),
             };
@@ -732,14 +732,19 @@
         Self { listen, stream: None }
     }
 
+    /// Opens the connection, if there is none.
+    pub fn connect(&mut self) {
+        if self.stream.is_none() {
+            self.stream = TcpStream::connect(self.listen).ok();
+        }
+    }
+
     /// Hands in a message and returns the answer. A request that crosses the end of a resting connection is sent once more
     /// on a new one.
     pub fn submit(&mut self, world: &World, message: &Message) -> Option<String> {
         let kept = self.stream.is_some();
-        if !kept {
-            // The time of a message counts from when its request is sent.
-            self.stream = TcpStream::connect(self.listen).ok();
-        }
+        // The time of a message counts from when its request is sent.
+        self.connect();
         world.add(Event::Submitted {
             id: message.id.clone(),
             class: message.class.into(),
