A call starts only on a connection that is at rest

The message counted as delivered, while its own call was turned away, never answered or answered with a lost response.

Cause: an idle connection was used at once, and what later calls showed of the endpoint counted as proof of which call it had answered. It is none: an endpoint that answers others, or later calls, may have turned away or dropped this one.

Change: src/policy/connection_choice.rs chooses the connection. A call takes the idle connection used last that is at rest, which is one whose last response is TRANSIT_TIME (100 ms) old; if none is, it waits for the one that is at rest first, at most a tenth of the time it has, or opens a new one. What was written directly behind a response has arrived by then and shows as surplus, also during the wait. The wait counts for the timeout, not for the latency. Log lines at debug level: "attempt starts" has wait and rest, "response is its call's own" the ground of the attribution and the rest before the call.

The new test of instance/attribution_tests.rs fails with a rest of zero ("second message of free not delivered").

--- a/crates/quillhub-server/src/attempts/mod.rs
+++ b/crates/quillhub-server/src/attempts/mod.rs
@@ -36,8 +36,8 @@
 
 /// Parameters of an attempt, which [`Attempt::run`] makes.
 pub struct Attempt<R, C> {
-    /// Pooled connection to the endpoint, if there is one.
-    pub pooled: Option<HttpConnection>,
+    /// Pooled connection to the endpoint, and the time until it is at rest, if there is one.
+    pub pooled: Option<(HttpConnection, Duration)>,
     /// Address of the endpoint.
     pub address: SocketAddr,
     /// Time limit for opening a connection.
@@ -184,16 +184,21 @@
     R: Fn(Duration) -> Vec<u8>,
     C: AttemptControl,
 {
-    /// Makes the attempt: on the pooled connection if that is still open, otherwise on a new one.
+    /// Makes the attempt: on the pooled connection if that is still open once it is at rest, otherwise on a new one.
     ///
     /// A response whose status line is read after the deadline that the request stated counts as no response, since the
     /// endpoint may have stopped processing the request by then. This guards against responses that arrive after the
     /// deadline but before the timer fires, which has millisecond resolution, and against responses that begin in time
     /// but do not end. It may time out an attempt whose response arrived while this process was suspended.
     pub async fn run(mut self) -> AttemptEnd {
-        let mut deadline = Deadline::after(self.timeout);
+        let wait_started = Instant::now();
         let mut replaced = Vec::new();
-        let mut connection = match self.send(&mut deadline, &mut replaced).await {
+        let pooled = match self.pooled.take() {
+            Some((connection, wait)) => connection_at_rest(connection, wait, &mut replaced).await,
+            None => None,
+        };
+        let mut deadline = Deadline::after(self.timeout.saturating_sub(wait_started.elapsed()));
+        let mut connection = match self.send(pooled, &mut deadline, &mut replaced).await {
             Ok(connection) => connection,
             Err(UnsentRequest { result, connection }) => {
                 return AttemptEnd { result, connection, replaced };
@@ -213,13 +218,14 @@
     /// Sends the request. A connection that breaks before the last byte is written is added to `replaced` and replaced,
     /// since the message cannot have been executed by then.
     async fn send(
-        &mut self,
+        &self,
+        mut pooled: Option<HttpConnection>,
         deadline: &mut Deadline,
         replaced: &mut Vec<UsedConnection>,
     ) -> Result<HttpConnection, UnsentRequest> {
         let mut reconnects = 0;
         loop {
-            let mut connection = match self.pooled.take() {
+            let mut connection = match pooled.take() {
                 Some(connection) => connection,
                 None => self.connect(deadline).await?,
             };
@@ -296,6 +302,24 @@
     Ok((response, state))
 }
 
+/// Waits until a pooled connection is at rest, and returns it. If it ends or receives anything before that, it is added to
+/// `replaced`.
+async fn connection_at_rest(
+    mut connection: HttpConnection,
+    wait: Duration,
+    replaced: &mut Vec<UsedConnection>,
+) -> Option<HttpConnection> {
+    let _ = timeout(wait, connection.input()).await;
+    let state = match connection.unexpected_input() {
+        UnexpectedInput::None => return Some(connection),
+        UnexpectedInput::Bytes => ConnectionState::Surplus,
+        UnexpectedInput::End => ConnectionState::Ended,
+        UnexpectedInput::Failed => ConnectionState::Closed,
+    };
+    replaced.push(UsedConnection { connection, state });
+    None
+}
+
 /// Reads the status of the final response. Interim responses are skipped; they may arrive long before it.
 async fn read_status(
     connection: &mut HttpConnection,
--- a/crates/quillhub-server/src/attempts/tests.rs
+++ b/crates/quillhub-server/src/attempts/tests.rs
@@ -31,6 +31,7 @@
     may_send_request: impl Fn() -> bool,
 ) -> (Result<Response, AttemptError>, Option<HttpConnection>) {
     let control = Control { may_send_request };
+    let pooled = pooled.map(|connection| (connection, Duration::ZERO));
     let attempt = Attempt { pooled, address, connect_timeout: UNREACHED_TIMEOUT, timeout, request, control };
     let AttemptEnd { result, connection, .. } = attempt.run().await;
     let reusable = connection.filter(|used| used.state == ConnectionState::Reusable);
--- a/crates/quillhub-server/src/instance/attribution.rs
+++ b/crates/quillhub-server/src/instance/attribution.rs
@@ -7,11 +7,11 @@
 use super::{AttemptId, Instance, log_failed_write};
 use crate::attempts::{self, ClassifiedResult, ConnectionState, STATUS_OVER, UsedConnection};
 use crate::connection::{HttpConnection, UnexpectedInput};
-use crate::pool::{CallTimes, Watcher};
+use crate::pool::Watcher;
 use crate::wal::{OverSuspicion, RecordKind};
 use quillhub::{
-    CallId, ConnectionLedger, ConnectionUse, Dispatcher, LedgerUpdate, MessageId, ResponseMeaning,
-    Uncertainty,
+    AttributionGround, CallId, CallTimes, ConnectionLedger, ConnectionUse, Dispatcher, LedgerUpdate,
+    MessageId, ResponseMeaning, Uncertainty,
 };
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -126,8 +126,13 @@
 }
 
 impl Instance {
-    /// Takes an idle connection for a call that may be answered until `deadline`.
-    pub(super) fn take_connection(&mut self, endpoint: &str, deadline: Duration) -> Option<HttpConnection> {
+    /// Takes an idle connection for a call that may be answered until `deadline`. Returns it with the time until it is at
+    /// rest.
+    pub(super) fn take_connection(
+        &mut self,
+        endpoint: &str,
+        deadline: Duration,
+    ) -> Option<(HttpConnection, Duration)> {
         let taken = self.pool.take(endpoint, CallTimes { now: self.now(), deadline });
         for connection in taken.unusable {
             self.close_later(endpoint.to_owned(), connection, CloseReason::Unusable, Vec::new());
@@ -135,6 +140,12 @@
         taken.connection
     }
 
+    /// Returns the time from the last response on a connection to the start of a call after `wait`, if there was one.
+    pub(super) fn rest_before_call(&self, connection: &HttpConnection, wait: Duration) -> Option<Duration> {
+        let ledger = &connection.ledger;
+        ledger.is_used().then(|| (self.now() + wait).saturating_sub(ledger.last_response()))
+    }
+
     /// Closes the oldest idle connections until at most `max` are left.
     pub(super) fn close_oldest_connections(&mut self, max: usize) {
         for (endpoint, connection) in self.pool.close_oldest_beyond(max) {
@@ -376,8 +387,16 @@
     }
 
     /// Writes the result of a call whose response is attributed to the log.
-    pub(super) fn record_attributed(&mut self, call: CallId) {
+    pub(super) fn record_attributed(&mut self, call: CallId, ground: AttributionGround) {
         if let Some(result) = self.unattributed.0.remove(&call) {
+            tracing::debug!(
+                message_id = call.message,
+                attempt = call.attempt,
+                connection = result.connection,
+                ?ground,
+                rest = ?result.id.rest,
+                "response is its call's own"
+            );
             if result.classified.meaning() == ResponseMeaning::Over {
                 let client_id = String::from_utf8_lossy(&result.id.client_id);
                 tracing::info!(message_id = call.message, %client_id, "message is over: its response is proven");
--- a/crates/quillhub-server/src/instance/attribution_tests.rs
+++ b/crates/quillhub-server/src/instance/attribution_tests.rs
@@ -1,7 +1,9 @@
 use crate::connection::HttpConnection;
 use crate::instance::Instance;
+use crate::instance::scripted_endpoint::{ScriptedEndpoint, Step};
 use crate::test_support::{
-    OK, StateDirectory, instance, on_one_thread, submit, unfinished_in, until_attempts_ended,
+    OK, StateDirectory, TIME_TO_LIVE, instance, on_one_thread, submit, submit_as, unfinished_in,
+    until_attempts_ended,
 };
 use crate::wal::FinalResult;
 use quillhub_fakes::accept::accept_each;
@@ -16,6 +18,11 @@
 use tokio::time::Instant;
 
 const REJECTED: &[u8] = b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n";
+const FAILED: &[u8] = b"HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n";
+const OVER: &[u8] = b"HTTP/1.1 410 x\r\nContent-Length: 0\r\n\r\n";
+const EXHAUSTED: &[u8] = b"HTTP/1.1 504 x\r\nContent-Length: 0\r\n\r\n";
+/// Time after a response at which an endpoint writes a second copy of it.
+const COPY_DELAY: Duration = Duration::from_millis(40);
 /// Minimum attempt timeout of the dispatcher.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(2);
 /// Step by which paused time advances.
@@ -258,3 +265,39 @@
         }
     });
 }
+
+/// Guards against lost messages: a message is taken for delivered by a second copy of the response before it, which was
+/// written when its request was on its way, while its own call is turned away or never answered.
+#[test]
+fn a_call_is_not_on_its_way_when_a_copy_is_written_directly_behind_a_response() {
+    for response in [OK, REJECTED, FAILED, OVER, EXHAUSTED] {
+        for class in ["free", "marked", "once"] {
+            let directory = StateDirectory::new();
+            on_one_thread(async {
+                let copied = vec![Step::Read, Step::Write(response), Step::Release, Step::Write(response)];
+                let endpoint = ScriptedEndpoint::start(vec![copied]).await;
+                let instance = instance(&directory, endpoint.address);
+                submit(&instance, class);
+                until_attempts_ended(&instance).await;
+                submit_as(&instance, class, "second");
+                tokio::time::pause();
+                let submitted = Instant::now();
+                let mut is_released = false;
+                while !endpoint.delivered().contains(&"second".into()) && submitted.elapsed() < TIME_TO_LIVE {
+                    if submitted.elapsed() >= COPY_DELAY && !is_released {
+                        endpoint.release.notify_one();
+                        is_released = true;
+                    }
+                    tokio::time::advance(TIME_STEP).await;
+                    yield_now().await;
+                }
+                tokio::time::resume();
+                let status = String::from_utf8_lossy(&response[..12]).into_owned();
+                assert!(
+                    submitted.elapsed() < TIME_TO_LIVE,
+                    "second message of {class} not delivered: {status}"
+                );
+            });
+        }
+    }
+}
--- a/crates/quillhub-server/src/instance/driver.rs
+++ b/crates/quillhub-server/src/instance/driver.rs
@@ -6,7 +6,9 @@
 use crate::attempts::{Attempt, AttemptEnd};
 use crate::http;
 use crate::wal::{FinalResult, RecordKind};
-use quillhub::{AttemptPlan, CallId, ConnectionUse, Dispatcher, Driver, LogEvent, MessageId};
+use quillhub::{
+    AttemptPlan, AttributionGround, CallId, ConnectionUse, Dispatcher, Driver, LogEvent, MessageId,
+};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -84,13 +86,16 @@
             let in_use = self.attempt_tasks.len() + 1;
             self.close_oldest_connections(self.max_connections.saturating_sub(in_use));
         }
+        let rest = pooled.as_ref().and_then(|(connection, wait)| self.rest_before_call(connection, *wait));
         tracing::debug!(
             message_id = id,
             attempt,
             endpoint,
             timeout = ?plan.timeout,
             connection_use = ?plan.connection,
-            connection = pooled.as_ref().map(|pooled| pooled.number()),
+            connection = pooled.as_ref().map(|(pooled, _)| pooled.number()),
+            wait = ?pooled.as_ref().map(|(_, wait)| *wait),
+            ?rest,
             "attempt starts"
         );
         if attempt > 0 {
@@ -98,9 +103,17 @@
             tracing::info!(message_id = id, %client_id, attempt, endpoint, ?last_outcome, "message is attempted again");
         }
         let endpoint = endpoint.to_owned();
-        let pooled_number = pooled.as_ref().map(|pooled| pooled.number());
-        let id =
-            AttemptId { message: id, attempt, endpoint, process, client_id, plan, pooled: pooled_number };
+        let pooled_number = pooled.as_ref().map(|(pooled, _)| pooled.number());
+        let id = AttemptId {
+            message: id,
+            attempt,
+            endpoint,
+            process,
+            client_id,
+            plan,
+            pooled: pooled_number,
+            rest,
+        };
         let control = InstanceControl { instance: self.weak.clone(), id: id.clone() };
         let connect_timeout = self.connect_timeout;
         let attempt = address.filter(|_| recorded).map(|address| Attempt {
@@ -122,8 +135,8 @@
         self.finish_undelivered(id, FinalResult::Abandoned);
     }
 
-    fn response_attributed(&mut self, call: CallId) {
-        self.record_attributed(call);
+    fn response_attributed(&mut self, call: CallId, ground: AttributionGround) {
+        self.record_attributed(call, ground);
     }
 
     fn response_misattributed(&mut self, call: CallId) {
--- a/crates/quillhub-server/src/instance/mod.rs
+++ b/crates/quillhub-server/src/instance/mod.rs
@@ -105,6 +105,8 @@
     plan: AttemptPlan,
     /// Number of the pooled connection that the attempt was given, if any.
     pooled: Option<u64>,
+    /// Time from the last response on the pooled connection to the start of the call, if there was one.
+    rest: Option<Duration>,
 }
 
 impl AttemptId {
--- a/crates/quillhub-server/src/instance/scripted_endpoint.rs
+++ b/crates/quillhub-server/src/instance/scripted_endpoint.rs
@@ -40,6 +40,8 @@
     pub(super) written: Rc<Notify>,
     /// Client ids of the complete requests, in order of arrival.
     calls: Rc<RefCell<Vec<String>>>,
+    /// Client ids of the messages that were delivered on connections without a script.
+    delivered: Rc<RefCell<Vec<String>>>,
 }
 
 /// State of one connection.
@@ -47,6 +49,7 @@
     stream: TcpStream,
     unparsed: Vec<u8>,
     calls: Rc<RefCell<Vec<String>>>,
+    delivered: Rc<RefCell<Vec<String>>>,
 }
 
 impl Connection {
@@ -67,6 +70,7 @@
     async fn deliver_all(&mut self) -> io::Result<()> {
         while self.read_request().await? {
             self.stream.write_all(OK).await?;
+            self.delivered.borrow_mut().extend(self.calls.borrow().last().cloned());
         }
         Ok(())
     }
@@ -96,14 +100,21 @@
     pub(super) async fn start(scripts: Vec<Vec<Step>>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let endpoint = Self { address, release: Rc::default(), written: Rc::default(), calls: Rc::default() };
-        let (release, written, calls) =
-            (endpoint.release.clone(), endpoint.written.clone(), endpoint.calls.clone());
+        let endpoint = Self {
+            address,
+            release: Rc::default(),
+            written: Rc::default(),
+            calls: Rc::default(),
+            delivered: Rc::default(),
+        };
+        let (release, written) = (endpoint.release.clone(), endpoint.written.clone());
+        let (calls, delivered) = (endpoint.calls.clone(), endpoint.delivered.clone());
         let connections = Cell::new(0);
         spawn_local(accept_each(listener, move |stream| {
             let script = scripts.get(connections.replace(connections.get() + 1)).cloned();
             let (release, written) = (release.clone(), written.clone());
-            let mut connection = Connection { stream, unparsed: Vec::new(), calls: calls.clone() };
+            let (calls, delivered) = (calls.clone(), delivered.clone());
+            let mut connection = Connection { stream, unparsed: Vec::new(), calls, delivered };
             async move {
                 connection.stream.set_nodelay(true)?;
                 match script {
@@ -126,4 +137,9 @@
         }
         counts.into_iter().map(|(_, count)| count).collect()
     }
+
+    /// Returns the client ids of the messages that were delivered on connections without a script, in order.
+    pub(super) fn delivered(&self) -> Vec<String> {
+        self.delivered.borrow().clone()
+    }
 }
--- a/crates/quillhub-server/src/pool.rs
+++ b/crates/quillhub-server/src/pool.rs
@@ -5,7 +5,7 @@
 //! on it are unattributed, so that a response that is still outstanding can be noticed.
 
 use crate::connection::HttpConnection;
-use quillhub::DestinationId;
+use quillhub::{CallTimes, DestinationId, choose_connection};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -78,20 +78,11 @@
     }
 }
 
-/// Call for which a connection is taken, with times on the dispatcher's clock.
-#[derive(Clone, Copy, Debug)]
-pub struct CallTimes {
-    /// Start of the call.
-    pub now: Duration,
-    /// Time until which the call may be answered.
-    pub deadline: Duration,
-}
-
 /// Result of taking a connection.
 #[derive(Default)]
 pub struct Taken {
-    /// Connection that may carry the call, if there is one.
-    pub connection: Option<HttpConnection>,
+    /// Connection that may carry the call, and the time until it is at rest, if there is one.
+    pub connection: Option<(HttpConnection, Duration)>,
     /// Connections that were found closed or with unexpected input.
     pub unusable: Vec<HttpConnection>,
 }
@@ -142,24 +133,23 @@
         self.processes.get(endpoint).copied()
     }
 
-    /// Removes and returns the idle connection used last that may carry the call. Connections used after it that are
-    /// not usable are returned too.
+    /// Removes and returns the idle connection that is to carry the call. Connections chosen before it that are not usable
+    /// are returned too.
     pub fn take(&mut self, endpoint: &str, times: CallTimes) -> Taken {
         let mut taken = Taken::default();
         let Some(idle) = self.idle.get_mut(endpoint) else { return taken };
-        for index in (0..idle.len()).rev() {
-            let candidate = &idle[index];
-            if candidate.is_retired || candidate.since.elapsed() >= self.idle_timeout {
-                continue;
-            }
-            if !candidate.connection.is_idle() {
-                taken.unusable.push(idle.remove(index).connection);
-            } else if candidate.connection.ledger.may_carry_until(times.deadline, times.now) {
-                taken.connection = Some(idle.remove(index).connection);
-                break;
+        loop {
+            let is_reusable = |idle: &Idle| !idle.is_retired && idle.since.elapsed() < self.idle_timeout;
+            let offered = idle.iter().enumerate().filter(|(_, idle)| is_reusable(idle));
+            let ledgers = offered.map(|(index, idle)| (index, &idle.connection.ledger));
+            let Some(choice) = choose_connection(ledgers, times) else { return taken };
+            let connection = idle.remove(choice.index).connection;
+            if connection.is_idle() {
+                taken.connection = Some((connection, choice.wait));
+                return taken;
             }
+            taken.unusable.push(connection);
         }
-        taken
     }
 
     /// Adds an idle connection to a process of the endpoint. It is retired at once if that is not the listed one or the pool
--- a/crates/quillhub-server/src/pool_tests.rs
+++ b/crates/quillhub-server/src/pool_tests.rs
@@ -4,7 +4,8 @@
 
 /// Returns the connection that [`ConnectionPool::take`] returns for a call at the start of the clock.
 fn take(pool: &mut ConnectionPool) -> Option<HttpConnection> {
-    pool.take("e", CallTimes { now: Duration::ZERO, deadline: UNREACHED_TIMEOUT }).connection
+    let times = CallTimes { now: Duration::ZERO, deadline: UNREACHED_TIMEOUT };
+    pool.take("e", times).connection.map(|(connection, _)| connection)
 }
 
 #[test]
--- a/crates/quillhub-server/src/test_support.rs
+++ b/crates/quillhub-server/src/test_support.rs
@@ -125,6 +125,12 @@
     instance.borrow_mut().submit(submission)
 }
 
+/// Submits a message with the given client id.
+pub fn submit_as(instance: &RefCell<Instance>, service_class: &str, client_id: &str) -> SubmitOutcome {
+    let submission = Submission { client_id: client_id.as_bytes(), ..submission(service_class) };
+    instance.borrow_mut().submit(submission)
+}
+
 /// Returns a submission to [`DESTINATION`].
 pub fn submission(service_class: &str) -> Submission<'_> {
     Submission {
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -1,6 +1,6 @@
 //! Interface between a dispatcher and its host: actions that the dispatcher requests, and events that it logs.
 
-use crate::{AttributionTerms, CallId, DestinationId, Health, MessageId};
+use crate::{AttributionGround, AttributionTerms, CallId, DestinationId, Health, MessageId};
 use std::fmt;
 use std::time::Duration;
 
@@ -88,7 +88,7 @@
     fn abandon(&mut self, message: MessageId);
     /// Records that the response to `call`, which was provisional, is its own and complete: the outcome is final. Does
     /// nothing by default, for hosts that know which response belongs to a call.
-    fn response_attributed(&mut self, _call: CallId) {}
+    fn response_attributed(&mut self, _call: CallId, _ground: AttributionGround) {}
     /// Records that the response to `call`, which was provisional, may belong to another call. The call may still be out on
     /// its connection, which is to be closed. Does nothing by default.
     fn response_misattributed(&mut self, _call: CallId) {}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,8 +23,8 @@
     UnknownServiceClass, ValueDecay,
 };
 pub use policy::{
-    AttributionTerms, CallId, ConnectionId, ConnectionLedger, Health, LedgerUpdate, ResponseMeaning,
-    Uncertainty,
+    AttributionGround, AttributionTerms, CallId, CallTimes, ConnectionChoice, ConnectionId, ConnectionLedger,
+    Health, LedgerUpdate, ResponseMeaning, Uncertainty, choose_connection,
 };
 
 use std::time::Duration;
--- a/src/policy/connection_ledger.rs
+++ b/src/policy/connection_ledger.rs
@@ -159,6 +159,12 @@
         self.last_response
     }
 
+    /// Returns the time after `now` at which the connection is at rest: what the endpoint wrote directly behind the responses
+    /// so far has arrived by then.
+    pub fn time_to_rest(&self, now: Duration) -> Duration {
+        if self.is_used { (self.last_response + TRANSIT_TIME).saturating_sub(now) } else { Duration::ZERO }
+    }
+
     /// Returns `true` if the connection may carry a call from `now` until `deadline`.
     ///
     /// The responses so far can then still be attributed before the deadlines of their messages, after the call.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,6 +8,7 @@
 mod attribution;
 mod backoff;
 mod concurrency;
+mod connection_choice;
 mod connection_ledger;
 mod connections;
 mod discovery;
@@ -26,10 +27,12 @@
 pub(crate) mod state;
 mod verdict;
 
+pub use connection_choice::{CallTimes, ConnectionChoice, choose_connection};
 pub use connection_ledger::{
     AttributionTerms, CallId, ConnectionId, ConnectionLedger, LedgerUpdate, ResponseMeaning, Uncertainty,
 };
 pub use outlier::Health;
+pub use responsiveness::AttributionGround;
 
 #[cfg(test)]
 #[path = "tests/fleet.rs"]
--- a/src/policy/responsiveness.rs
+++ b/src/policy/responsiveness.rs
@@ -109,11 +109,26 @@
     is_overdue: bool,
 }
 
+/// Ground on which a provisional response is attributed to its call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttributionGround {
+    /// It was its call's own from the start, and nothing followed it until its connection was quiet.
+    Complete,
+    /// Later responses followed on its connection.
+    Followed,
+    /// The endpoint has certainly answered a later call.
+    LaterAnswer,
+    /// Nothing spoke against it until the deadline of its message.
+    Deadline,
+    /// Nothing spoke against it until the process stopped.
+    Stop,
+}
+
 /// What is known of a provisional response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Settlement {
     /// It is its call's own.
-    Attributed,
+    Attributed(AttributionGround),
     /// It may not be its call's own, and the message can still be attempted again, or is to have its final outcome now.
     Misattributed,
     /// Nothing, and the message has its final outcome.
@@ -278,10 +293,8 @@
         now: Duration,
         in_flight: &[CallInFlight],
     ) -> Option<Settlement> {
-        let is_proven =
-            !response.needs_evidence() || !response.is_refuted && self.is_answering(response, in_flight);
-        if response.is_quiet && is_proven {
-            return Some(Settlement::Attributed);
+        if let Some(ground) = self.proof(response, in_flight).filter(|_| response.is_quiet) {
+            return Some(Settlement::Attributed(ground));
         }
         if response.is_quiet && response.times.ends_with_call {
             return Some(Settlement::Misattributed);
@@ -293,11 +306,25 @@
         } else if response.is_quiet
             && response.times.delivery_deadline.is_some_and(|deadline| self.is_stopping || deadline <= now)
         {
-            return Some(Settlement::Attributed);
+            let ground = if self.is_stopping { AttributionGround::Stop } else { AttributionGround::Deadline };
+            return Some(Settlement::Attributed(ground));
         }
         (response.times.expires_at <= now).then_some(Settlement::Expired)
     }
 
+    /// Returns what proves that the response is its call's own, if anything does, provided that its connection is quiet.
+    fn proof(&self, response: &ProvisionalResponse, in_flight: &[CallInFlight]) -> Option<AttributionGround> {
+        if response.uncertainty == Uncertainty::Completeness {
+            Some(AttributionGround::Complete)
+        } else if !response.needs_evidence() {
+            Some(AttributionGround::Followed)
+        } else if !response.is_refuted && self.is_answering(response, in_flight) {
+            Some(AttributionGround::LaterAnswer)
+        } else {
+            None
+        }
+    }
+
     /// Returns `true` if anything suggests that the response is a copy and its endpoint has stopped answering: a later call
     /// is unanswered, it or an earlier one came too soon, or copies were received recently.
     fn may_be_copy(&self, response: &ProvisionalResponse, now: Duration, in_flight: &[CallInFlight]) -> bool {
@@ -452,9 +479,9 @@
             return false;
         };
         match settlement {
-            Settlement::Attributed => {
+            Settlement::Attributed(ground) => {
                 self.attribute(call);
-                driver.response_attributed(call);
+                driver.response_attributed(call, ground);
             }
             Settlement::Misattributed => {
                 self.response_misattributed(call);
--- a/src/policy/tests/responsiveness.rs
+++ b/src/policy/tests/responsiveness.rs
@@ -114,14 +114,17 @@
     let call = |is_overdue| CallInFlight { endpoint: &endpoint, started: ms(6_000), is_overdue };
     let settled = |is_overdue| responses.find_settled(DEADLINE, &[call(is_overdue)]);
     assert_eq!(settled(true), None);
-    assert_eq!(settled(false), Some((CALL, Settlement::Attributed)));
+    assert_eq!(settled(false), Some((CALL, Settlement::Attributed(AttributionGround::Deadline))));
 }
 
 /// Guards against deliveries that are repeated or reported as abandoned although nothing speaks against them.
 #[test]
 fn a_delivery_that_nothing_speaks_against_is_attributed_at_its_deadline() {
     assert_eq!(settled(&table(delivery()), DEADLINE - ms(1)), None);
-    assert_eq!(settled(&table(delivery()), DEADLINE), Some(Settlement::Attributed));
+    assert_eq!(
+        settled(&table(delivery()), DEADLINE),
+        Some(Settlement::Attributed(AttributionGround::Deadline))
+    );
     let noisy = table(ProvisionalResponse { is_quiet: false, ..delivery() });
     assert_eq!(settled(&noisy, DEADLINE), None);
 }
@@ -146,7 +149,7 @@
     let endpoint = endpoint();
     let in_between = CallInFlight { endpoint: &endpoint, started: ms(300), is_overdue: true };
     assert_eq!(responses.find_settled(ms(3_000), &[in_between]), None);
-    assert_eq!(settled(&responses, ms(3_000)), Some(Settlement::Attributed));
+    assert_eq!(settled(&responses, ms(3_000)), Some(Settlement::Attributed(AttributionGround::LaterAnswer)));
 }
 
 /// Guards against a lost message whose endpoint stopped answering for a while and answers others again.
@@ -167,7 +170,7 @@
     }
     assert_eq!(settled(&responses, ms(3_000)), None);
     responses.on_answer(&endpoint(), ms(2_900), CONNECTIONS[1], false);
-    assert_eq!(settled(&responses, ms(3_000)), Some(Settlement::Attributed));
+    assert_eq!(settled(&responses, ms(3_000)), Some(Settlement::Attributed(AttributionGround::LaterAnswer)));
 }
 
 /// Guards against two copies in a row on one connection, and against responses that stay provisional although later ones
@@ -178,7 +181,7 @@
     responses.on_answer(&endpoint(), STARTED + ms(10), CONNECTIONS[0], false);
     assert_eq!(settled(&responses, ms(2_300)), None);
     responses.on_answer(&endpoint(), STARTED + ms(20), CONNECTIONS[0], false);
-    assert_eq!(settled(&responses, ms(2_300)), Some(Settlement::Attributed));
+    assert_eq!(settled(&responses, ms(2_300)), Some(Settlement::Attributed(AttributionGround::Followed)));
 }
 
 /// Guards against deliveries that are taken back since the network lost the response to another call.
@@ -188,7 +191,7 @@
     responses.on_answer(&endpoint(), ms(400), CONNECTIONS[1], true);
     responses.on_timeout(&endpoint(), ms(300), CONNECTIONS[2]);
     assert_eq!(settled(&responses, RETRY_AT), None);
-    assert_eq!(settled(&responses, DEADLINE), Some(Settlement::Attributed));
+    assert_eq!(settled(&responses, DEADLINE), Some(Settlement::Attributed(AttributionGround::Deadline)));
 }
 
 /// Guards against a lost message, since a single connection of an endpoint that answers on others is stuck.
@@ -209,7 +212,7 @@
     responses.on_timeout(&endpoint(), ms(300), CONNECTIONS[2]);
     assert_eq!(settled(&responses, ms(2_200)), None);
     responses.on_quiet(CALL);
-    assert_eq!(settled(&responses, ms(2_200)), Some(Settlement::Attributed));
+    assert_eq!(settled(&responses, ms(2_200)), Some(Settlement::Attributed(AttributionGround::Complete)));
 }
 
 /// Guards against connections that are opened although nothing suggests that the endpoint has stopped answering.
