Reads give all other tasks a turn, and interim responses have a maximum length

Cause: stream_io waits for readiness and reads with calls that take no part in the cooperative scheduling of the runtime. A task that always finds input never returned to the scheduler, on the only thread, and the timeouts around it could not fire. Besides, interim responses had no bound.

Change: a read lets all other tasks run before it, a write does after each part; a read returns at most 8 KiB, so that the work between two turns is bounded; the discarded input of a half-closed client and gossip datagrams yield too. The interim responses of one call may have 16 KiB together, as a head may; then the response is malformed (endpoints, discovery, platform).

The new tests fail without the yield ("no other task ran before read 1") and without the bound (status 200 behind 16 KiB of interim responses). The server's tests pass.

--- a/crates/quillhub-server/src/attempts/mod.rs
+++ b/crates/quillhub-server/src/attempts/mod.rs
@@ -12,6 +12,7 @@
 pub use response::{Response, retry_after};
 
 use crate::connection::{ConnectionError, HttpConnection, UnexpectedInput};
+use crate::http::InterimResponses;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
@@ -320,12 +321,14 @@
     None
 }
 
-/// Reads the status of the final response. Interim responses are skipped; they may arrive long before it.
+/// Reads the status of the final response. Interim responses are skipped, up to their maximum length together; they may
+/// arrive long before it.
 async fn read_status(
     connection: &mut HttpConnection,
     deadline: &Deadline,
     control: &impl AttemptControl,
 ) -> Result<u16, FailedCall> {
+    let mut interim = InterimResponses::default();
     loop {
         match timeout(deadline.time_left(), connection.response_started()).await {
             Ok(Ok(())) => {}
@@ -340,7 +343,7 @@
             Ok(Err(error)) => return Err(FailedCall::broken(&error)),
             Err(_) => return Err(FailedCall::broken(&ConnectionError::Malformed)),
         }
-        match timeout(deadline.response_timeout(), connection.any_head()).await {
+        match timeout(deadline.response_timeout(), connection.any_head(&mut interim)).await {
             Ok(Ok(_)) => {}
             Ok(Err(error)) => return Err(FailedCall::broken(&error)),
             Err(_) => return Err(FailedCall::broken(&ConnectionError::Malformed)),
--- a/crates/quillhub-server/src/attempts/tests.rs
+++ b/crates/quillhub-server/src/attempts/tests.rs
@@ -421,3 +421,24 @@
         assert!(started.elapsed() < TIMEOUT + WRITE_TIME / 2, "{:?}", started.elapsed());
     });
 }
+
+/// Guards against an attempt that reads interim responses at full speed until its deadline: a peer that never stops sending
+/// them held up all others.
+#[test]
+fn an_attempt_ends_as_broken_after_too_many_bytes_of_interim_responses() {
+    const TIMEOUT: Duration = Duration::from_secs(5);
+    for interim in ["HTTP/1.1 100 x\r\n\r\n", "HTTP/1.1 103 x\r\nLink: a\r\nX-Load: x0=1\r\n\r\n"] {
+        on_one_thread(async {
+            let just_allowed = interim.repeat(16 * 1024 / interim.len());
+            for (interim_count, is_broken) in [(0, false), (1, true)] {
+                let response =
+                    [&just_allowed, &*interim.repeat(interim_count), "HTTP/1.1 200 x\r\n"].concat();
+                let response: &'static [u8] = response.leak().as_bytes();
+                let (address, _requests) = scripted_server(vec![response]).await;
+                let (result, connection) = attempt(None, address, TIMEOUT, |_| b"x".to_vec(), || true).await;
+                assert_eq!(matches!(result, Err(AttemptError::ConnectionReset)), is_broken, "{result:?}");
+                assert!(connection.is_none());
+            }
+        });
+    }
+}
--- a/crates/quillhub-server/src/clients/connection.rs
+++ b/crates/quillhub-server/src/clients/connection.rs
@@ -290,7 +290,11 @@
         return Ok(());
     }
     stream.shutdown().await?;
-    let discard = async { while matches!(socket::read(stream, |_| ()).await, Ok(1..)) {} };
+    let discard = async {
+        while matches!(socket::read(stream, |_| ()).await, Ok(1..)) {
+            tokio::task::yield_now().await;
+        }
+    };
     // Half of the timeout, so that the permit is free before another connection is evicted.
     let time_limit = if end == End::Evicted { EVICTION_TIMEOUT / 2 } else { LINGER_TIMEOUT };
     tokio::select! {
--- a/crates/quillhub-server/src/connection.rs
+++ b/crates/quillhub-server/src/connection.rs
@@ -3,7 +3,7 @@
 //! Invariant: consumed input is removed from the buffer, which therefore starts at the first byte not consumed.
 
 use crate::discovery::Progress;
-use crate::http::{self, Framing, Head};
+use crate::http::{self, Framing, Head, InterimResponses};
 use crate::stream_io;
 use quillhub::ConnectionLedger;
 use socket2::SockRef;
@@ -49,8 +49,8 @@
     }
 }
 
-/// Minimum free space in the buffer before a read; most responses are smaller.
-const MIN_READ_BYTES: usize = 1024;
+/// Length of one read of unexpected input; most responses are shorter.
+const UNEXPECTED_READ_BYTES: usize = 1024;
 
 /// Delay before the last byte of a request is sent: longer than a round trip within a data center, and short compared
 /// to an attempt.
@@ -173,7 +173,6 @@
     }
 
     async fn read_more(&mut self) -> Result<(), ConnectionError> {
-        self.buffer.reserve(MIN_READ_BYTES);
         match stream_io::read_some(&self.stream, &mut self.buffer).await {
             Ok(0) => Err(ConnectionError::Ended),
             Ok(_) => {
@@ -229,21 +228,28 @@
     ///
     /// Returns an error if no valid head arrives.
     pub async fn head(&mut self) -> Result<Head, ConnectionError> {
+        let mut interim = InterimResponses::default();
         loop {
-            let head = self.any_head().await?;
-            if head.status >= 200 {
+            let head = self.any_head(&mut interim).await?;
+            if !head.is_interim() {
                 return Ok(head);
             }
         }
     }
 
-    /// Reads the head of the next response, which may be an interim one.
+    /// Reads the head of the next response. If it is an interim one, adds it to `interim`.
     ///
     /// # Errors
     ///
-    /// Returns an error if no valid head arrives.
-    pub(crate) async fn any_head(&mut self) -> Result<Head, ConnectionError> {
-        self.read_parsed(http::head).await
+    /// Returns an error if no valid head arrives, or too many interim ones before the final one.
+    pub(crate) async fn any_head(&mut self, interim: &mut InterimResponses) -> Result<Head, ConnectionError> {
+        let parsed =
+            self.read_parsed(|bytes| Ok(http::head(bytes)?.map(|(head, used)| ((head, used), used))));
+        let (head, length) = parsed.await?;
+        if head.is_interim() {
+            interim.add(length)?;
+        }
+        Ok(head)
     }
 
     /// Reads the next chunk of a chunked body; the last chunk is empty.
@@ -312,7 +318,7 @@
 
     /// Reads what has arrived although no call is in flight. Queries the system, as [`Self::is_idle`] does.
     pub(crate) fn unexpected_input(&mut self) -> UnexpectedInput {
-        let mut bytes = [0; MIN_READ_BYTES];
+        let mut bytes = [0; UNEXPECTED_READ_BYTES];
         while self.buffer.len() < MAX_UNEXPECTED_BYTES {
             match (&*SockRef::from(&*self.stream)).read(&mut bytes) {
                 Ok(length @ 1..) => self.buffer.extend_from_slice(&bytes[..length]),
--- a/crates/quillhub-server/src/gossip.rs
+++ b/crates/quillhub-server/src/gossip.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 /// Maximum length of a datagram; longer ones are neither sent nor accepted.
@@ -54,6 +55,8 @@
             match self.socket.recv_from(&mut bytes).await {
                 Ok((length, from)) if length <= MAX_DATAGRAM_BYTES && Some(from) != self.own => {
                     handle(&bytes[..length]);
+                    // Prevents an endless series of datagrams from delaying all other tasks.
+                    yield_now().await;
                 }
                 Ok(_) => {}
                 Err(_) => sleep(READ_ERROR_PAUSE).await,
--- a/crates/quillhub-server/src/http.rs
+++ b/crates/quillhub-server/src/http.rs
@@ -12,6 +12,8 @@
 
 /// Maximum length of a response's head, far more than the headers that this crate reads need.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Maximum length of the interim responses before a final one, together.
+const MAX_INTERIM_BYTES: usize = MAX_HEAD_BYTES;
 /// Maximum number of headers of a response.
 const MAX_HEADERS: usize = 64;
 /// Maximum length of the line before a chunk, including extensions.
@@ -38,7 +40,30 @@
     headers: Vec<(String, String)>,
 }
 
+/// Interim responses that were received before a final one.
+#[derive(Debug, Default)]
+pub(crate) struct InterimResponses {
+    bytes: usize,
+}
+
+impl InterimResponses {
+    /// Adds an interim response of `length` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if they exceed the maximum length.
+    pub(crate) fn add(&mut self, length: usize) -> Result<(), Malformed> {
+        self.bytes += length;
+        if self.bytes > MAX_INTERIM_BYTES { Err(Malformed) } else { Ok(()) }
+    }
+}
+
 impl Head {
+    /// Returns `true` if a final response follows this one.
+    pub(crate) fn is_interim(&self) -> bool {
+        self.status < 200
+    }
+
     /// Returns the value of the first header `name`, ignoring case.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|h| h.0.eq_ignore_ascii_case(name)).map(|h| h.1.as_str())
@@ -57,7 +82,7 @@
     ///
     /// Returns an error if the headers are invalid or contradict each other.
     pub fn framing(&self) -> Result<Framing, Malformed> {
-        if self.status < 200 || matches!(self.status, 204 | 304) {
+        if self.is_interim() || matches!(self.status, 204 | 304) {
             return Ok(Framing::Length(0));
         }
         if let Some(coding) = self.header("transfer-encoding") {
--- a/crates/quillhub-server/src/lib.rs
+++ b/crates/quillhub-server/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod connection;
 mod discovery;
 mod error;
+mod event_loop;
 mod gossip;
 pub mod http;
 mod incremental;
--- a/crates/quillhub-server/src/startup.rs
+++ b/crates/quillhub-server/src/startup.rs
@@ -8,6 +8,7 @@
 };
 use crate::discovery::{self, Origin};
 use crate::error::ServeError;
+use crate::event_loop;
 use crate::gossip::GossipSocket;
 use crate::instance::{Instance, InstanceParts};
 use crate::outcomes;
@@ -140,6 +141,7 @@
         receive_gossip(&instance, gossip);
     }
     close_expired_connections(&instance);
+    supervise(event_loop::log_delays);
     let listener = retry_while_temporary(async || TcpListener::bind(listen).await).await;
     let listener = listener.map_err(ServeError::Listen)?;
     tracing::info!(%listen, "serving");
--- a/crates/quillhub-server/src/stream_io.rs
+++ b/crates/quillhub-server/src/stream_io.rs
@@ -2,9 +2,16 @@
 //!
 //! The runtime's own reads and writes take a short one as the sign that the socket is empty or full, and then wait for an
 //! event. Linux may shorten any of them, after which no event comes while bytes or space are left.
+//!
+//! Invariant: all other tasks get a turn between two reads, and between two writes, whatever a peer sends or takes. The
+//! waits for readiness here do not take part in the cooperative scheduling of the runtime.
 
 use std::io::{self, ErrorKind};
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
+
+/// Maximum number of bytes that one read returns, which bounds the work of a task in one turn.
+const MAX_READ_BYTES: usize = 8 * 1024;
 
 /// Returns `true` if the operation may succeed when it is repeated: the socket was empty or full, or a signal interrupted
 /// the call.
@@ -12,17 +19,24 @@
     matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
 }
 
-/// Waits for input, appends it to `buffer`, and returns its length, which is 0 at the end of the stream.
+/// Lets all other tasks run, waits for input, appends it to `buffer`, and returns its length, which is 0 at the end of the
+/// stream. Nothing is read if the future is dropped before it completes.
 ///
 /// # Errors
 ///
 /// Returns the error of the read.
 pub async fn read_some(stream: &TcpStream, buffer: &mut Vec<u8>) -> io::Result<usize> {
+    yield_now().await;
     loop {
         stream.readable().await?;
-        match stream.try_read_buf(buffer) {
+        let mut bytes = [0; MAX_READ_BYTES];
+        match stream.try_read(&mut bytes) {
             Err(error) if is_temporary(&error) => {}
-            read => return read,
+            Err(error) => return Err(error),
+            Ok(length) => {
+                buffer.extend_from_slice(&bytes[..length]);
+                return Ok(length);
+            }
         }
     }
 }
@@ -37,10 +51,19 @@
         stream.writable().await?;
         match stream.try_write(bytes) {
             Ok(0) => return Err(ErrorKind::WriteZero.into()),
-            Ok(written) => bytes = &bytes[written..],
+            Ok(written) => {
+                bytes = &bytes[written..];
+                if !bytes.is_empty() {
+                    yield_now().await;
+                }
+            }
             Err(error) if is_temporary(&error) => {}
             Err(error) => return Err(error),
         }
     }
     Ok(())
 }
+
+#[cfg(test)]
+#[path = "stream_io_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/quillhub-server/src/stream_io_tests.rs
@@ -0,0 +1,47 @@
+use super::*;
+use crate::test_support::on_one_thread;
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+/// Number of reads, none of which finds the socket empty.
+const READS: usize = 8;
+
+/// Returns a connected pair, of which the first one has at least [`READS`] full reads of input.
+async fn stream_with_input() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let stream = listener.accept().await.unwrap().0;
+    let mut written = 0;
+    while written < READS * MAX_READ_BYTES {
+        peer.writable().await.unwrap();
+        written += peer.try_write(&[b'x'; MAX_READ_BYTES]).unwrap_or_default();
+    }
+    (stream, peer)
+}
+
+/// Guards against a process that stands still while a peer sends without end: no other task ran, and no timer fired, as
+/// long as a read found input.
+#[test]
+fn other_tasks_run_between_two_reads_of_input_that_does_not_end() {
+    on_one_thread(async {
+        let (stream, _peer) = stream_with_input().await;
+        let turns = Rc::new(Cell::new(0));
+        let counted = turns.clone();
+        let other_task = spawn_local(async move {
+            loop {
+                counted.set(counted.get() + 1);
+                yield_now().await;
+            }
+        });
+        let mut input = Vec::new();
+        for read in 1..=READS {
+            let before = turns.get();
+            let length = read_some(&stream, &mut input).await.unwrap();
+            assert!((1..=MAX_READ_BYTES).contains(&length));
+            assert!(turns.get() > before, "no other task ran before read {read}");
+        }
+        other_task.abort();
+    });
+}
