Laboratory: requests on their way, seldom-called endpoints, endless interim responses

New in plans: a path of 15 to 45 ms in each direction, copies 1 to 40 ms behind any status while no request waits at the endpoint, calls that are dropped with little time left, lost responses, destinations that get one clump of messages each and then hang behind a copy, interim responses without end; plan copies-on-the-way. Verdicts count how often event loops were held up. The tolerance for events that cross grows by the time on the path, in plans that have one.

Mended: the laboratory's endpoint noted a call only once its own surplus was written, up to the deadline of the call before, and wrote surplus although a call waited. Requests now carry the time of their last byte, and surplus is left out while one waits; the response is whole then.

--- a/crates/quillhub-fakes/src/laboratory/audit.rs
+++ b/crates/quillhub-fakes/src/laboratory/audit.rs
@@ -12,7 +12,7 @@
 /// Time after an instance is ready again by which its overdue messages must be finished.
 const LOST_SLACK_AFTER_RESTART: Duration = Duration::from_millis(1_500);
 /// Tolerance for events at two sockets whose order the instance cannot control: the close of one connection and a
-/// request on another, or a request that crosses a final outcome.
+/// request on another, or a request that crosses a final outcome. The time on the path adds to it.
 const CROSSING: Duration = Duration::from_millis(20);
 /// Time in which an instance reads a response, and what a process that ends within it may not have read.
 const READ_TIME: Duration = Duration::from_millis(100);
@@ -65,6 +65,8 @@
     pub connections: usize,
     /// Longest time for which the laboratory itself was held up, by which its times may be late.
     pub longest_pause: Duration,
+    /// Number of times that the event loop of an instance was held up, as the logs say, since its last start.
+    pub event_loop_delays: usize,
     /// Violations, each with the timeline of its message.
     pub violations: Vec<(Violation, String)>,
 }
@@ -86,6 +88,7 @@
         write!(f, "over {}, ", self.over)?;
         write!(f, "undelivered after a copied 410 {}, ", self.undelivered_after_copied_over)?;
         write!(f, "called after 504 {}, ", self.called_after_exhausted)?;
+        write!(f, "event loops held up {} times, ", self.event_loop_delays)?;
         write!(f, "surplus responses {copies}, lost {}, ", self.count(Violation::Lost))?;
         write!(f, "sent again {}, ", self.count(Violation::SentAgain))?;
         write!(f, "two at once {}, ", self.count(Violation::TwoAtOnce))?;
@@ -119,7 +122,7 @@
         let checks = [
             (Violation::Lost, is_lost(record, message, submission, &calls)),
             (Violation::SentAgain, is_sent_again(submission, &calls)),
-            (Violation::TwoAtOnce, is_sent_twice_at_once(&calls)),
+            (Violation::TwoAtOnce, is_sent_twice_at_once(record, &calls)),
             (Violation::SentAfterEnd, is_sent_after_end(record, message, &calls)),
             (Violation::SentAfterOver, is_sent_after_over(record, submission, &calls)),
             (Violation::SentAfterDelivery, is_sent_after_delivery(record, submission, &calls)),
@@ -158,15 +161,16 @@
     })
 }
 
-fn is_sent_twice_at_once(calls: &[&Call]) -> bool {
+fn is_sent_twice_at_once(record: &Record, calls: &[&Call]) -> bool {
+    let crossing = CROSSING + record.max_path_time;
     calls.iter().enumerate().any(|(index, later)| {
-        calls[..index].iter().any(|earlier| earlier.ended().is_none_or(|end| end > later.arrived + CROSSING))
+        calls[..index].iter().any(|earlier| earlier.ended().is_none_or(|end| end > later.arrived + crossing))
     })
 }
 
 fn is_sent_after_end(record: &Record, message: &str, calls: &[&Call]) -> bool {
     let first = record.outcomes.get(message).and_then(|outcomes| outcomes.first());
-    first.is_some_and(|(at, _)| calls.iter().any(|call| call.arrived > *at + CROSSING))
+    first.is_some_and(|(at, _)| calls.iter().any(|call| call.arrived > *at + CROSSING + record.max_path_time))
 }
 
 /// Returns `true` if a call arrived later than an instance needs to read a response that was written at one of `ends`,
--- a/crates/quillhub-fakes/src/laboratory/mod.rs
+++ b/crates/quillhub-fakes/src/laboratory/mod.rs
@@ -17,8 +17,8 @@
 
 pub use audit::{Verdict, Violation};
 pub use plan::{
-    CopyPlan, CopyShape, CopyTiming, HangPlan, OverPlan, Pause, Plan, Reload, Restart, ServiceClassPlan,
-    SpoiltRejectionPlan, StorageFaults,
+    ClumpPlan, CopyPlan, CopyShape, CopyTiming, HangPlan, OverPlan, Pause, Plan, Reload, Restart,
+    ServiceClassPlan, SilencePlan, SpoiltRejectionPlan, StorageFaults,
 };
 pub use run::run;
 pub use shim::{ShortIo, SocketFaults};
--- a/crates/quillhub-fakes/src/laboratory/plan.rs
+++ b/crates/quillhub-fakes/src/laboratory/plan.rs
@@ -13,6 +13,8 @@
     Late(Duration),
     /// This long after the last byte of the next request on the connection.
     BehindNextRequest(Duration),
+    /// After a delay drawn uniformly from this range, unless another request has reached the endpoint by then.
+    Directly(Range<Duration>),
 }
 
 /// What a proxy writes as a surplus response.
@@ -107,6 +109,30 @@
     pub has_surplus: bool,
 }
 
+/// Calls that get no response on a connection that stays open.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SilencePlan {
+    /// Time left below which a call is dropped without being executed.
+    pub dropped_below: Duration,
+    /// Share of the other calls that are executed and whose responses are lost, from 0 to 1.
+    pub lost_share: f64,
+}
+
+/// Destinations that get nothing but clumps of messages, submitted together, in turn.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ClumpPlan {
+    /// Number of these destinations, in addition to the others.
+    pub destinations: u64,
+    /// Messages of a clump.
+    pub messages: usize,
+    /// Time from one clump of an instance to the next.
+    pub interval: Duration,
+    /// Time for which each of their endpoints stops answering after its first response, behind which it writes a copy.
+    pub hang_time: Duration,
+    /// Range from which the time from that response to the copy is drawn.
+    pub copy_delay: Range<Duration>,
+}
+
 /// SIGHUP to an instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reload {
@@ -174,6 +200,9 @@
     ServiceClassPlan { name: "once", effect: "single_shot", window: Duration::ZERO },
 ];
 
+/// Time from submission to deadline of short-lived messages.
+pub(super) const SHORT_TIME_TO_LIVE: Duration = Duration::from_millis(250);
+
 /// Maximum time for which an instance is paused, which it must bear without breaking a rule.
 const MAX_PAUSE: Duration = Duration::from_millis(150);
 
@@ -194,12 +223,22 @@
     pub rate_per_s: f64,
     /// Time from submission to deadline.
     pub time_to_live: Duration,
+    /// Share of the messages that have [`SHORT_TIME_TO_LIVE`] instead, from 0 to 1.
+    pub short_lived_share: f64,
+    /// Range from which the time that bytes take on a connection is drawn, in each direction.
+    pub path_time: Range<Duration>,
     /// Range from which an endpoint draws the time that a call takes.
     pub service_time: Range<Duration>,
     /// Share of calls that are rejected with status 503.
     pub rejected_share: f64,
     /// Share of calls that fail with status 500.
     pub failed_share: f64,
+    /// Share of calls that are answered by interim responses without end.
+    pub endless_share: f64,
+    /// Calls without a response, if any.
+    pub silences: Option<SilencePlan>,
+    /// Destinations that are called seldom, if any.
+    pub clumps: Option<ClumpPlan>,
     /// Surplus responses, if any.
     pub copies: Option<CopyPlan>,
     /// Malformed rejections, if any.
@@ -237,9 +276,14 @@
             load_time: millis(6_000),
             rate_per_s: rng.random_range(40.0..80.0),
             time_to_live: millis(4_000),
+            short_lived_share: 0.0,
+            path_time: Duration::ZERO..Duration::ZERO,
             service_time: millis(30)..millis(rng.random_range(120..250)),
             rejected_share: rng.random_range(0.03..0.12),
             failed_share: 0.03,
+            endless_share: 0.0,
+            silences: None,
+            clumps: None,
             copies: None,
             spoilt_rejections: None,
             hangs: None,
@@ -325,6 +369,71 @@
         Self { hangs: Some(hangs), copies: plan.copies.clone().filter(|_| has_copies), ..plan }
     }
 
+    /// Returns the plan that `seed` determines, with a path on which requests are under way when endpoints write copies
+    /// directly behind their responses, calls that are dropped or whose responses are lost, destinations that are called
+    /// seldom, hangs in half of the runs, interim responses without end in half of the runs, and a killed instance in one
+    /// run out of three.
+    pub fn with_copies_on_the_way(seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(!seed);
+        let millis = Duration::from_millis;
+        let copies = CopyPlan {
+            one_endpoint_in: 1,
+            share: rng.random_range(0.005..0.03),
+            timing: CopyTiming::Directly(millis(1)..millis(40)),
+            shape: [CopyShape::Identical, CopyShape::Noise, CopyShape::OtherStatus][rng.random_range(0..3)],
+        };
+        let start = millis(rng.random_range(800..2_500));
+        let hangs = HangPlan {
+            one_endpoint_in: rng.random_range(2..=4),
+            time: start..start + millis(rng.random_range(2_500..8_000)),
+            copied_share: 0.0,
+            max_copy_delay: Duration::ZERO,
+        };
+        // Without other copies, those before hangs are the first ones that an instance meets.
+        let has_other_copies = rng.random_range(0..4) == 0;
+        let endless_share = if rng.random() { rng.random_range(0.01..0.05) } else { 0.0 };
+        let plan = Self::without_faults(seed);
+        let is_killed = rng.random_range(0..3) == 0;
+        let kill = Restart::kill(plan.load_time / 2);
+        Self {
+            path_time: millis(15)..millis(45),
+            short_lived_share: 0.15,
+            endless_share,
+            silences: Some(SilencePlan { dropped_below: millis(150), lost_share: 0.02 }),
+            clumps: Some(ClumpPlan {
+                destinations: 48,
+                messages: 3,
+                interval: millis(400),
+                hang_time: millis(5_000),
+                copy_delay: millis(1)..millis(40),
+            }),
+            copies: has_other_copies.then_some(copies),
+            hangs: rng.random::<bool>().then_some(hangs),
+            restarts: if is_killed { vec![kill] } else { Vec::new() },
+            ..plan
+        }
+    }
+
+    /// Returns the number of endpoints, of which those for clumps are the last.
+    pub(super) fn endpoint_count(&self) -> usize {
+        let for_clumps = self.clumps.as_ref().map_or(0, |clumps| clumps.destinations);
+        self.destinations as usize * self.endpoints_per_destination + for_clumps as usize
+    }
+
+    /// Returns the destination of an endpoint. One that gets clumps has a single endpoint.
+    pub(super) fn destination_of(&self, endpoint: usize) -> u64 {
+        let regular = self.destinations as usize * self.endpoints_per_destination;
+        match endpoint.checked_sub(regular) {
+            Some(index) => self.destinations + 1 + index as u64,
+            None => 1 + endpoint as u64 % self.destinations,
+        }
+    }
+
+    /// Returns the plan of clumps if the endpoint gets nothing else.
+    pub(super) fn clumps_at(&self, endpoint: usize) -> Option<&ClumpPlan> {
+        self.clumps.as_ref().filter(|_| self.destination_of(endpoint) > self.destinations)
+    }
+
     /// Returns the plan that `seed` determines, with responses that say that the message is over, endpoints that close
     /// resting connections in half of the runs, up to three restarts, SIGHUP, pauses, and surplus responses as well in one
     /// run out of four.
--- a/crates/quillhub-fakes/src/laboratory/record.rs
+++ b/crates/quillhub-fakes/src/laboratory/record.rs
@@ -96,6 +96,8 @@
     pub(super) outages: Vec<Outage>,
     /// `true` if reads of the instances may report a broken connection, so that a response on it is never read.
     pub(super) reads_may_fail: bool,
+    /// Maximum time that bytes take between an instance and an endpoint.
+    pub(super) max_path_time: Duration,
     /// Longest time for which the laboratory itself was held up, by which its times may be late.
     pub(super) longest_pause: Duration,
 }
@@ -110,10 +112,19 @@
             copies: Vec::new(),
             outages: Vec::new(),
             reads_may_fail: false,
+            max_path_time: Duration::ZERO,
             longest_pause: Duration::ZERO,
         }
     }
 
+    /// Records that a connection is closed: its calls without a response are no longer out.
+    pub(super) fn close_connection(&mut self, connection: u64, at: Instant) {
+        let calls = self.calls.iter_mut().filter(|call| call.connection == connection);
+        for call in calls.filter(|call| call.answered.is_none()) {
+            call.closed.get_or_insert(at);
+        }
+    }
+
     fn seconds(&self, at: Instant) -> f64 {
         at.saturating_duration_since(self.started).as_secs_f64()
     }
--- a/crates/quillhub-fakes/src/laboratory/response.rs
+++ b/crates/quillhub-fakes/src/laboratory/response.rs
@@ -28,6 +28,11 @@
 /// Status of a response which says that the message has had all its attempts.
 pub(super) const STATUS_EXHAUSTED: u16 = 504;
 
+/// Interim response.
+const INTERIM: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// Number of interim responses that an endpoint writes at a time.
+const INTERIM_COUNT: usize = 1_000;
+
 /// Whole response with status 410.
 const OVER: &[u8] = b"HTTP/1.1 410 -\r\nContent-Length: 4\r\n\r\nover";
 
@@ -36,6 +41,11 @@
     bytes.starts_with(b"HTTP/1.1 410")
 }
 
+/// Returns `true` if the bytes start with an interim response that is repeated.
+pub(super) fn is_interim(bytes: &[u8]) -> bool {
+    bytes.starts_with(b"HTTP/1.1 100")
+}
+
 /// Form of a response with status 410.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum OverShape {
@@ -100,8 +110,9 @@
             Self::WithSurplus => (OVER, surplus),
             Self::Copied => (OVER, OVER),
         };
-        let first = Piece { delay: Duration::ZERO, bytes: text.to_vec() };
-        let last = Piece { delay, bytes: later.to_vec() };
+        let first = Piece::at_once(text.to_vec());
+        let is_surplus = matches!(self, Self::WithSurplus | Self::Copied);
+        let last = Piece { delay, bytes: later.to_vec(), is_surplus };
         [first, last].into_iter().filter(|piece| !piece.bytes.is_empty()).collect()
     }
 }
@@ -110,6 +121,14 @@
 pub(super) struct Piece {
     pub(super) delay: Duration,
     pub(super) bytes: Vec<u8>,
+    /// `true` if it is not part of the response, and is written only while no other call waits on the connection.
+    pub(super) is_surplus: bool,
+}
+
+impl Piece {
+    fn at_once(bytes: Vec<u8>) -> Self {
+        Self { delay: Duration::ZERO, bytes, is_surplus: false }
+    }
 }
 
 /// What becomes of the connection after a response.
@@ -143,6 +162,8 @@
     pub(super) is_spoilt: bool,
     /// `true` if the response comes without the time that a call takes.
     pub(super) is_immediate: bool,
+    /// `true` if the first piece is repeated until the connection is closed.
+    pub(super) is_endless: bool,
 }
 
 impl PlannedResponse {
@@ -158,6 +179,9 @@
         {
             return Self::draw_spoilt(spoilt, rng);
         }
+        if plan.endless_share > 0.0 && rng.random::<f64>() < plan.endless_share {
+            return Self::endless();
+        }
         match &plan.over {
             Some(over) if rng.random::<f64>() < over.share => Self::draw_over(over, rng),
             Some(over) if rng.random::<f64>() < over.exhausted_share => Self::whole(STATUS_EXHAUSTED),
@@ -169,11 +193,26 @@
         let bytes = format!("HTTP/1.1 {status} -\r\nContent-Length: 2\r\n\r\nok").into_bytes();
         Self {
             status,
-            pieces: vec![Piece { delay: Duration::ZERO, bytes }],
+            pieces: vec![Piece::at_once(bytes)],
             status_piece: 0,
             ending: Ending::StaysOpen,
             is_spoilt: false,
             is_immediate: false,
+            is_endless: false,
+        }
+    }
+
+    /// Returns interim responses without end, of a call that is executed.
+    fn endless() -> Self {
+        let pieces = vec![Piece::at_once(INTERIM.repeat(INTERIM_COUNT))];
+        // No piece has a status.
+        Self {
+            status: 100,
+            pieces,
+            status_piece: usize::MAX,
+            is_spoilt: true,
+            is_endless: true,
+            ..Self::whole(100)
         }
     }
 
@@ -183,8 +222,8 @@
         let surplus = SURPLUS[rng.random_range(0..SURPLUS.len())];
         let body = vec![b'x'; rng.random_range(SPOILT_BODY_BYTES)];
         let head = format!("HTTP/1.1 503 -\r\nContent-Length: {}\r\n\r\n", body.len());
-        let first = Piece { delay: Duration::ZERO, bytes: [head.as_bytes(), &body].concat() };
-        let last = Piece { delay, bytes: surplus.to_vec() };
+        let first = Piece::at_once([head.as_bytes(), &body].concat());
+        let last = Piece { delay, bytes: surplus.to_vec(), is_surplus: true };
         Self { status: 503, pieces: vec![first, last], is_spoilt: true, ..Self::whole(503) }
     }
 
@@ -200,6 +239,7 @@
             ending: Ending::draw(rng, shape.is_torn()),
             is_spoilt: shape.is_malformed(),
             is_immediate: rng.random(),
+            is_endless: false,
         }
     }
 
