A call waits only for a single idle connection, and else opens another

Cause: connections were opened only when none was idle, so that nearly all calls to endpoints that are called often waited for one to be at rest.

Change: several idle connections of which none is at rest show that calls are frequent; the call opens another one, which will be used again. A single one is waited for, as before.

--- a/src/policy/connection_choice.rs
+++ b/src/policy/connection_choice.rs
@@ -13,6 +13,10 @@
 /// A call with less time opens a new connection.
 const WAIT_DIVISOR: u32 = 10;
 
+/// Number of idle connections to an endpoint that are not at rest above which a call opens a new one rather than wait: so
+/// many calls are made there that another connection will be used again.
+const MAX_UNRESTED: usize = 1;
+
 /// Times of a call for which a connection is chosen, on the dispatcher's clock.
 #[derive(Clone, Copy, Debug)]
 pub struct CallTimes {
@@ -38,16 +42,26 @@
 }
 
 /// Chooses among the idle connections to an endpoint, the one used last at the end: the last one that is at rest, so that
-/// the others can expire, or else the one that is at rest first. Returns `None` if the call is to open a new connection.
+/// the others can expire. If the only one is not at rest, the call waits for it. Returns `None` if the call is to open a
+/// new connection.
 pub fn choose_connection<'a>(
     idle: impl DoubleEndedIterator<Item = (usize, &'a ConnectionLedger)>,
     call: CallTimes,
 ) -> Option<ConnectionChoice> {
-    let candidates = idle
-        .rev()
-        .filter(|(_, ledger)| ledger.may_carry_until(call.deadline, call.now))
-        .map(|(index, ledger)| ConnectionChoice { index, wait: ledger.time_to_rest(call.now) });
-    candidates.min_by_key(|choice| choice.wait).filter(|choice| choice.wait <= call.max_wait())
+    let usable = idle.rev().filter(|(_, ledger)| ledger.may_carry_until(call.deadline, call.now));
+    let mut first_at_rest: Option<ConnectionChoice> = None;
+    let mut unrested = 0;
+    for (index, ledger) in usable {
+        let choice = ConnectionChoice { index, wait: ledger.time_to_rest(call.now) };
+        if choice.wait.is_zero() {
+            return Some(choice);
+        }
+        unrested += 1;
+        if first_at_rest.is_none_or(|first| choice.wait < first.wait) {
+            first_at_rest = Some(choice);
+        }
+    }
+    first_at_rest.filter(|choice| unrested <= MAX_UNRESTED && choice.wait <= call.max_wait())
 }
 
 #[cfg(test)]
