Split the instance's connections from attribution, and break two import cycles

Progress, which the connection and discovery share, and the laboratory's RunState have modules of their own, so that connection.rs no longer imports discovery, and endpoints, clients and proxies no longer import the run.

--- a/crates/quillhub-fakes/src/laboratory/client.rs
+++ b/crates/quillhub-fakes/src/laboratory/client.rs
@@ -2,7 +2,7 @@
 
 use super::plan::{Plan, SERVICE_CLASSES, SHORT_TIME_TO_LIVE};
 use super::record::Submission;
-use super::run::SharedRun;
+use super::state::SharedRun;
 use crate::clients::{command, open, send_command};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
--- a/crates/quillhub-fakes/src/laboratory/endpoint.rs
+++ b/crates/quillhub-fakes/src/laboratory/endpoint.rs
@@ -6,7 +6,7 @@
 use super::plan::Plan;
 use super::record::{Call, Copy};
 use super::response::{Ending, PlannedResponse, is_over};
-use super::run::SharedRun;
+use super::state::SharedRun;
 use crate::http::{Request, parse_request};
 use rand::RngExt;
 use socket2::SockRef;
--- a/crates/quillhub-fakes/src/laboratory/mod.rs
+++ b/crates/quillhub-fakes/src/laboratory/mod.rs
@@ -14,6 +14,7 @@
 mod response;
 mod run;
 mod shim;
+mod state;
 
 pub use audit::{Verdict, Violation};
 pub use plan::{
--- a/crates/quillhub-fakes/src/laboratory/proxy.rs
+++ b/crates/quillhub-fakes/src/laboratory/proxy.rs
@@ -3,7 +3,7 @@
 use super::plan::{CopyPlan, CopyShape, CopyTiming};
 use super::record::Copy;
 use super::response::{is_interim, is_over};
-use super::run::SharedRun;
+use super::state::SharedRun;
 use crate::http::parse_request;
 use rand::RngExt;
 use socket2::SockRef;
--- a/crates/quillhub-fakes/src/laboratory/run.rs
+++ b/crates/quillhub-fakes/src/laboratory/run.rs
@@ -2,8 +2,9 @@
 
 use super::audit::{Verdict, audit};
 use super::plan::{CopyPlan, Plan, SERVICE_CLASSES};
-use super::record::{Outage, Record};
+use super::record::Outage;
 use super::shim::{Environment, switch_storage_faults};
+use super::state::{RunState, SharedRun};
 use super::{client, endpoint, proxy};
 use crate::accept::accept_each;
 use crate::clients::wait_until_ready;
@@ -11,15 +12,12 @@
 use crate::platform::{self, Discovery, OutcomeNotification};
 use crate::process::InstanceProcess;
 use crate::scratch::ScratchDirectory;
-use rand::{RngExt, SeedableRng};
-use rand_pcg::Pcg64Mcg;
+use rand::RngExt;
 use serde_json::{Value, json};
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::unbounded_channel;
@@ -40,26 +38,6 @@
 /// Interval of the checks whether the laboratory itself was held up.
 const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
-/// State of a run that all its tasks share.
-pub(super) struct RunState {
-    pub(super) record: Record,
-    pub(super) rng: Pcg64Mcg,
-    connections: u64,
-    /// Time until which an endpoint does not answer after its first response, by endpoint.
-    pub(super) hung_until: BTreeMap<usize, Instant>,
-}
-
-impl RunState {
-    /// Returns the number of a new connection at an endpoint.
-    pub(super) fn next_connection(&mut self) -> u64 {
-        self.connections += 1;
-        self.connections
-    }
-}
-
-/// State of a run, on one thread.
-pub(super) type SharedRun = Rc<RefCell<RunState>>;
-
 /// Processes of all instances; `None` from the signal to the restart.
 type Processes = RefCell<Vec<Option<InstanceProcess>>>;
 
@@ -90,16 +68,7 @@
 ///
 /// Returns an error if a part of the run cannot be started.
 pub async fn run(program: &Path, plan: &Plan, logs: Option<&Path>) -> io::Result<Verdict> {
-    let state = RunState {
-        record: Record::new(Instant::now()),
-        rng: Pcg64Mcg::seed_from_u64(plan.seed),
-        connections: 0,
-        hung_until: BTreeMap::new(),
-    };
-    let run = Rc::new(RefCell::new(state));
-    run.borrow_mut().record.max_path_time = plan.path_time.end;
-    run.borrow_mut().record.reads_may_fail =
-        plan.socket_faults.is_some_and(|faults| faults.broken_permille > 0);
+    let run = RunState::shared(plan);
     let endpoints = start_endpoints(&run, plan).await?;
     let (sender, mut outcomes) = unbounded_channel::<OutcomeNotification>();
     let discovery = Discovery::new(&endpoints);
--- /dev/null
+++ b/crates/quillhub-fakes/src/laboratory/state.rs
@@ -0,0 +1,39 @@
+//! State of a run that its tasks share, on one thread.
+
+use super::plan::Plan;
+use super::record::Record;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// State of a run that all its tasks share.
+pub(super) struct RunState {
+    pub(super) record: Record,
+    pub(super) rng: Pcg64Mcg,
+    connections: u64,
+    /// Time until which an endpoint does not answer after its first response, by endpoint.
+    pub(super) hung_until: BTreeMap<usize, Instant>,
+}
+
+/// State of a run, on one thread.
+pub(super) type SharedRun = Rc<RefCell<RunState>>;
+
+impl RunState {
+    /// Returns the state of a run of `plan` that starts now.
+    pub(super) fn shared(plan: &Plan) -> SharedRun {
+        let mut record = Record::new(Instant::now());
+        record.max_path_time = plan.path_time.end;
+        record.reads_may_fail = plan.socket_faults.is_some_and(|faults| faults.broken_permille > 0);
+        let rng = Pcg64Mcg::seed_from_u64(plan.seed);
+        Rc::new(RefCell::new(Self { record, rng, connections: 0, hung_until: BTreeMap::new() }))
+    }
+
+    /// Returns the number of a new connection at an endpoint.
+    pub(super) fn next_connection(&mut self) -> u64 {
+        self.connections += 1;
+        self.connections
+    }
+}
--- a/crates/quillhub-server/src/connection.rs
+++ b/crates/quillhub-server/src/connection.rs
@@ -2,8 +2,8 @@
 //!
 //! Invariant: consumed input is removed from the buffer, which therefore starts at the first byte not consumed.
 
-use crate::discovery::Progress;
 use crate::http::{self, Framing, Head, InterimResponses};
+use crate::progress::Progress;
 use crate::stream_io;
 use quillhub::ConnectionLedger;
 use socket2::SockRef;
--- a/crates/quillhub-server/src/discovery/mod.rs
+++ b/crates/quillhub-server/src/discovery/mod.rs
@@ -13,7 +13,6 @@
 mod watcher;
 
 pub use entries::{Origin, check, update_endpoints};
-pub(crate) use overlap::Progress;
 pub use request::MAX_LIST_BYTES;
 
 use crate::instance::Instance;
--- a/crates/quillhub-server/src/discovery/overlap.rs
+++ b/crates/quillhub-server/src/discovery/overlap.rs
@@ -4,8 +4,7 @@
 //! response may only be late. Invariants: a request is given up only after a younger one was answered, or once
 //! [`MAX_OPEN_REQUESTS`] are open; a list never replaces a newer one.
 
-use std::cell::Cell;
-use std::rc::Rc;
+use crate::progress::Progress;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -22,26 +21,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct RequestId(u64);
 
-/// Time of the last progress of a request, which the connection that reads its response records: its start, the end of
-/// the response's head, and any input after that.
-#[derive(Clone, Debug)]
-pub(crate) struct Progress(Rc<Cell<Instant>>);
-
-impl Progress {
-    pub(super) fn new(now: Instant) -> Self {
-        Self(Rc::new(Cell::new(now)))
-    }
-
-    /// Records progress at the current time.
-    pub(crate) fn record(&self) {
-        self.0.set(Instant::now());
-    }
-
-    fn last(&self) -> Instant {
-        self.0.get()
-    }
-}
-
 /// Request or watch whose connection has not ended.
 struct OpenRequest<T> {
     id: RequestId,
--- a/crates/quillhub-server/src/discovery/overlap_tests.rs
+++ b/crates/quillhub-server/src/discovery/overlap_tests.rs
@@ -39,7 +39,7 @@
     let mut requests = Requests::new();
     let (receives_list, progress) = requests.start(0.0);
     let unanswered = [2.5, 5.0, 7.5].map(|after| requests.start(after).0);
-    progress.0.set(requests.zero + seconds(9.0));
+    progress.record_at(requests.zero + seconds(9.0));
     let (newest, _) = requests.start(10.0);
     let open = [receives_list, unanswered[0], unanswered[1], unanswered[2], newest];
     assert_eq!(open.map(|id| requests.requests.is_open(id)), [true, false, true, true, true]);
@@ -52,7 +52,7 @@
     let (id, progress) = requests.start(0.0);
     let late = requests.zero + RESPONSE_TIMEOUT;
     assert_eq!((requests.requests.mark_overdue(late), requests.requests.next_timeout()), (1, None));
-    progress.0.set(late);
+    progress.record_at(late);
     assert!(!requests.requests.is_any_in_time());
     requests.requests.on_answer(id);
     assert_eq!(requests.requests.next_timeout(), Some(late + RESPONSE_TIMEOUT));
--- a/crates/quillhub-server/src/discovery/request.rs
+++ b/crates/quillhub-server/src/discovery/request.rs
@@ -3,10 +3,11 @@
 //! A request has no time limit of its own until its response begins: its task is aborted when it is given up
 //! (`overlap.rs`).
 
-use super::overlap::{Progress, RequestId};
+use super::overlap::RequestId;
 use super::stream::{ValueBoundaries, take_values};
 use crate::connection::{ConnectionError, HttpConnection};
 use crate::http::{self, Framing};
+use crate::progress::Progress;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/quillhub-server/src/instance/mod.rs
+++ b/crates/quillhub-server/src/instance/mod.rs
@@ -8,6 +8,7 @@
 
 mod attempt_results;
 mod attribution;
+mod connections;
 mod driver;
 mod messages;
 mod outcome_queue;
--- a/crates/quillhub-server/src/lib.rs
+++ b/crates/quillhub-server/src/lib.rs
@@ -17,6 +17,7 @@
 mod instance;
 mod outcomes;
 mod pool;
+mod progress;
 mod reload;
 pub mod resp;
 mod shutdown;
