Calls that need not wait set no timer, and reads yield only if they did not wait

Cause: a wait of zero for the rest of a connection still set a timer, which has millisecond resolution, and looked at the socket twice. Each read gave up its turn, also one that had just waited.

Change: no timer without a wait; a reader gives up its turn only if its last read found input at once, so that all other tasks run after at most two reads of 8 KiB.

--- a/crates/quillhub-server/src/attempts/mod.rs
+++ b/crates/quillhub-server/src/attempts/mod.rs
@@ -310,6 +310,9 @@
     wait: Duration,
     replaced: &mut Vec<UsedConnection>,
 ) -> Option<HttpConnection> {
+    if wait.is_zero() {
+        return Some(connection);
+    }
     let _ = timeout(wait, connection.input()).await;
     let state = match connection.unexpected_input() {
         UnexpectedInput::None => return Some(connection),
--- a/crates/quillhub-server/src/connection.rs
+++ b/crates/quillhub-server/src/connection.rs
@@ -87,6 +87,7 @@
     /// Client ids of the messages of the last two calls, the last one first, for the log.
     pub(crate) client_ids: [Box<[u8]>; 2],
     buffer: Vec<u8>,
+    reader: stream_io::Reader,
     /// `true` once the system has reported that the connection broke. It reports that only once, also to a peek, and then
     /// an end like that by the server.
     is_broken: Rc<Cell<bool>>,
@@ -111,6 +112,7 @@
             ledger: ConnectionLedger::default(),
             client_ids: Default::default(),
             buffer: Vec::new(),
+            reader: stream_io::Reader::default(),
             is_broken: Rc::default(),
             progress: None,
         })
@@ -173,7 +175,7 @@
     }
 
     async fn read_more(&mut self) -> Result<(), ConnectionError> {
-        match stream_io::read_some(&self.stream, &mut self.buffer).await {
+        match self.reader.read_some(&self.stream, &mut self.buffer).await {
             Ok(0) => Err(ConnectionError::Ended),
             Ok(_) => {
                 self.progress.iter().for_each(Progress::record);
