--- a/crates/quillhub-fakes/src/laboratory/plan.rs
+++ b/crates/quillhub-fakes/src/laboratory/plan.rs
@@ -223,7 +223,7 @@
     pub rate_per_s: f64,
     /// Time from submission to deadline.
     pub time_to_live: Duration,
-    /// Share of the messages that have [`SHORT_TIME_TO_LIVE`] instead, from 0 to 1.
+    /// Share of the messages whose time to live is 250 ms instead, from 0 to 1.
     pub short_lived_share: f64,
     /// Range from which the time that bytes take on a connection is drawn, in each direction.
     pub path_time: Range<Duration>,
