Log where a command waits, and the timeline of a message whose end was slow

The kernel's arrival time of each read (SO_TIMESTAMPNS on the listener, with nix) is now known to the client connections. It is believed only within what is known without it: after the socket was last known to be empty, before the read. So a wall clock that was set does no harm. One line names each command that waited over 100 ms and where; one line each message whose outcome was decided after its deadline or confirmed slowly, with the time of each stage; counts of both every 10 s. No decision changes.

The laboratory's shims of short and failing reads now cover recvmsg, which client connections use from now on.

--- a/crates/quillhub-fakes/src/laboratory/short_io.c
+++ b/crates/quillhub-fakes/src/laboratory/short_io.c
@@ -29,6 +29,22 @@
     FORWARD("recv", (int, void *, size_t, int), !(flags & MSG_PEEK), flags);
 }
 
+ssize_t recvmsg(int fd, struct msghdr *message, int flags) {
+    NEXT("recvmsg", ssize_t (*next)(int, struct msghdr *, int));
+    struct iovec *part = message->msg_iov;
+    if (message->msg_iovlen != 1) return next(fd, message, flags);
+    size_t length = part->iov_len;
+    size_t planned = planned_length(fd, length, !(flags & MSG_PEEK));
+    if (planned == 0 && length > 0) {
+        errno = EINTR;
+        return -1;
+    }
+    part->iov_len = planned;
+    ssize_t received = next(fd, message, flags);
+    part->iov_len = length;
+    return received;
+}
+
 ssize_t send(int fd, const void *buffer, size_t length, int flags) {
     FORWARD("send", (int, const void *, size_t, int), 1, flags);
 }
--- a/crates/quillhub-fakes/src/laboratory/sockets.c
+++ b/crates/quillhub-fakes/src/laboratory/sockets.c
@@ -52,6 +52,12 @@
     return next(fd, buffer, length, flags);
 }
 
+ssize_t recvmsg(int fd, struct msghdr *message, int flags) {
+    NEXT("recvmsg", ssize_t (*next)(int, struct msghdr *, int));
+    if (is_tcp(fd)) MAY_FAIL("BROKEN_CONNECTION_PERMILLE", 1000, ETIMEDOUT, EHOSTUNREACH, ENETUNREACH, ECONNRESET);
+    return next(fd, message, flags);
+}
+
 ssize_t send(int fd, const void *buffer, size_t length, int flags) {
     NEXT("send", ssize_t (*next)(int, const void *, size_t, int));
     if (is_tcp(fd)) MAY_FAIL("BROKEN_CONNECTION_PERMILLE", 1000, ETIMEDOUT, EHOSTUNREACH, ENETUNREACH, EPIPE);
--- a/crates/quillhub-server/src/clients/admission.rs
+++ b/crates/quillhub-server/src/clients/admission.rs
@@ -2,6 +2,7 @@
 //!
 //! Invariant: a connection is evicted at most once, since its eviction removes its entry.
 
+use crate::event_loop::EventLoopClock;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -81,6 +82,7 @@
     /// Entries by connection number; an entry is removed when its connection ends or is evicted.
     entries: RefCell<BTreeMap<u64, Entry>>,
     next_number: Cell<u64>,
+    event_loop: EventLoopClock,
 }
 
 impl Admission {
@@ -93,6 +95,7 @@
             large_commands: Arc::new(Semaphore::new(LARGE_COMMAND_PERMITS)),
             entries: RefCell::default(),
             next_number: Cell::new(0),
+            event_loop: EventLoopClock::new(),
         })
     }
 
@@ -100,6 +103,11 @@
         self.phase.clone()
     }
 
+    /// Returns the clock of the event loop, which [`crate::event_loop::watch`] advances.
+    pub fn event_loop(&self) -> EventLoopClock {
+        self.event_loop.clone()
+    }
+
     /// Registers a connection that was just accepted.
     pub(super) fn register(self: &Rc<Self>) -> Registration {
         let number = self.next_number.get();
--- a/crates/quillhub-server/src/clients/commands.rs
+++ b/crates/quillhub-server/src/clients/commands.rs
@@ -2,7 +2,7 @@
 //!
 //! Invariant: a command that cannot be parsed changes nothing.
 
-use crate::instance::{Instance, InvalidSubmission, Submission, SubmitOutcome};
+use crate::instance::{CommandTimes, Instance, InvalidSubmission, Submission, SubmitOutcome};
 use crate::resp;
 use quillhub::MessageId;
 use std::cell::RefCell;
@@ -71,10 +71,10 @@
 }
 
 impl<'a> Command<'a> {
-    fn parse(parts: &[&'a [u8]]) -> Result<Self, CommandError> {
+    fn parse(parts: &[&'a [u8]], times: CommandTimes) -> Result<Self, CommandError> {
         let Some((name, arguments)) = parts.split_first() else { return Ok(Self::Empty) };
         if name.eq_ignore_ascii_case(b"SUBMIT") {
-            return parse_submission(arguments).map(Self::Submit);
+            return parse_submission(arguments, times).map(Self::Submit);
         }
         match arguments {
             [] if name.eq_ignore_ascii_case(b"PING") => Ok(Self::Ping { text: None }),
@@ -85,7 +85,7 @@
 }
 
 /// Parses the arguments of `SUBMIT` into the message that it submits.
-fn parse_submission<'a>(arguments: &[&'a [u8]]) -> Result<Submission<'a>, CommandError> {
+fn parse_submission<'a>(arguments: &[&'a [u8]], times: CommandTimes) -> Result<Submission<'a>, CommandError> {
     let &[ordering_key, client_id, list, body] = arguments else {
         return Err(CommandError::ArgumentCount);
     };
@@ -104,6 +104,7 @@
     Ok(Submission {
         service_class,
         ordering_key: (ordering_key != 0).then_some(ordering_key),
+        times,
         time_to_live: Duration::from_millis(time_to_live_ms.min(u64::from(u32::MAX))),
         destination,
         client_id,
@@ -122,8 +123,8 @@
 }
 
 /// Parses and executes the command that consists of `parts`, and returns the reply to it.
-pub(super) fn execute(instance: &RefCell<Instance>, parts: &[&[u8]]) -> Reply {
-    match Command::parse(parts) {
+pub(super) fn execute(instance: &RefCell<Instance>, parts: &[&[u8]], times: CommandTimes) -> Reply {
+    match Command::parse(parts, times) {
         Ok(Command::Empty) => Reply::Bytes(Vec::new()),
         Ok(Command::Ping { text: None }) => Reply::Bytes(resp::PONG.to_vec()),
         Ok(Command::Ping { text: Some(text) }) => Reply::Bytes(resp::bulk(text)),
--- a/crates/quillhub-server/src/clients/connection.rs
+++ b/crates/quillhub-server/src/clients/connection.rs
@@ -4,9 +4,10 @@
 //! instance.
 
 use super::admission::{Activity, Admission, EVICTION_TIMEOUT, Phase, Registration};
+use super::arrival::{Arrival, ConnectionTimes, EmptySince};
 use super::commands::{self, CommandError, Reply};
-use super::socket;
-use crate::instance::Instance;
+use super::socket::{self, Input};
+use crate::instance::{CommandTimes, Instance};
 use crate::resp;
 use crate::stream_io;
 use std::borrow::Cow;
@@ -36,6 +37,8 @@
 /// Pause before an error reply. Prevents clients that reconnect as soon as they receive an error from using the
 /// processing time of all others. Does not delay well-behaved clients, since they get no errors.
 const ERROR_PAUSE: Duration = Duration::from_millis(50);
+/// Time that a command may wait before it is executed without a line in the log.
+const MAX_UNLOGGED_WAIT: Duration = Duration::from_millis(100);
 /// Number of consecutive errors at which a connection is closed.
 pub(super) const MAX_CONSECUTIVE_ERRORS: u32 = 4;
 
@@ -62,8 +65,8 @@
 
 /// Event that ended the wait for input.
 enum Wakeup {
-    /// That many bytes were read; 0 at the end of the stream.
-    Read(usize),
+    /// Input was read, or the end of the stream.
+    Read(Input),
     /// The rest of a command did not arrive in time.
     CommandTimeout,
     /// The connection is to end, unless further input has already arrived.
@@ -79,6 +82,10 @@
     phase: watch::Receiver<Phase>,
     /// Phase of the shutdown from which on the connection closes between commands.
     closing_phase: Phase,
+    times: ConnectionTimes,
+    empty_since: EmptySince,
+    /// Arrival of what was read last, with which the first command of `input` is complete if it is.
+    last_read: Option<Arrival>,
     /// Input that was read and does not belong to an executed command.
     input: Vec<u8>,
     /// Permit for a large command, while such a command is read.
@@ -98,7 +105,7 @@
         instance: &'a RefCell<Instance>,
         admission: &'a Admission,
         registration: &'a Registration,
-        stream: &'a mut TcpStream,
+        (stream, times): (&'a mut TcpStream, ConnectionTimes),
     ) -> Self {
         let phase = admission.phase();
         // A client that connects during the shutdown usually sends a command, which is answered before the connection
@@ -111,6 +118,9 @@
             stream,
             phase,
             closing_phase: if serving { Phase::Stopping } else { Phase::Closing },
+            times,
+            empty_since: EmptySince::new(admission.event_loop(), times.listener_empty),
+            last_read: None,
             input: Vec::new(),
             large_permit: None,
             has_succeeded: false,
@@ -147,7 +157,8 @@
                     tracing::info!(unread_bytes = self.input.len(), "client left with unread commands");
                     return Step::End(End::ByClient);
                 }
-                let reply = commands::execute(self.instance, &parts);
+                let times = self.command_times(used);
+                let reply = commands::execute(self.instance, &parts, times);
                 self.consume(used);
                 Step::Reply(reply)
             }
@@ -160,6 +171,21 @@
         }
     }
 
+    /// Returns when the first command of the input, of `used` bytes, arrived and was read. Logs where it waited if that took
+    /// long.
+    fn command_times(&self, used: usize) -> CommandTimes {
+        let executed = Instant::now();
+        let Some(read) = self.last_read else { return CommandTimes { arrived: executed, read: executed } };
+        let arrived = read.of_byte(used == self.input.len());
+        let waited = executed.saturating_duration_since(arrived);
+        if waited > MAX_UNLOGGED_WAIT {
+            let waits = self.times.waits(arrived, read.read, executed);
+            tracing::info!(?waited, ?waits, "command waited before it was executed");
+            self.instance.borrow_mut().command_waited();
+        }
+        CommandTimes { arrived, read: read.read }
+    }
+
     /// Removes an executed command of `used` bytes from the input, and frees the permit and the memory that it needed.
     fn consume(&mut self, used: usize) {
         self.input.drain(..used);
@@ -175,8 +201,9 @@
     async fn receive(&mut self) -> io::Result<Option<End>> {
         let was_idle = self.input.is_empty();
         match self.wait().await? {
-            Wakeup::Read(0) => return Ok(Some(End::ByClient)),
-            Wakeup::Read(_) => {
+            Wakeup::Read(Input { length: 0, .. }) => return Ok(Some(End::ByClient)),
+            Wakeup::Read(Input { arrival, .. }) => {
+                self.last_read = Some(arrival);
                 self.evicted = false;
                 // The runtime learns here of an end of the client's side that has arrived behind this input.
                 tokio::task::yield_now().await;
@@ -184,9 +211,9 @@
             Wakeup::CommandTimeout => return self.reply_and_close(CommandError::Incomplete).await.map(Some),
             Wakeup::Ending(end) => {
                 self.evicted = end == End::Evicted;
-                if !socket::read_pending(self.stream, &mut self.input) {
-                    return Ok(Some(end));
-                }
+                let pending = socket::read_pending(self.stream, &self.empty_since, &mut self.input);
+                let Some(Input { arrival, .. }) = pending else { return Ok(Some(end)) };
+                self.last_read = Some(arrival);
             }
         }
         if was_idle && self.has_succeeded {
@@ -205,11 +232,11 @@
                 self.large_permit = self.admission.large_command_permit().await;
                 self.registration.large_command_started();
             }
-            socket::read(self.stream, |bytes| self.input.extend_from_slice(bytes)).await
+            socket::read(self.stream, &self.empty_since, |bytes| self.input.extend_from_slice(bytes)).await
         };
         Ok(tokio::select! {
             biased;
-            length = read => Wakeup::Read(length?),
+            input = read => Wakeup::Read(input?),
             () = sleep_until(deadline), if !idle => Wakeup::CommandTimeout,
             () = sleep_until(deadline), if !self.has_succeeded => Wakeup::Ending(End::ByServer),
             _ = self.phase.wait_for(|phase| *phase >= closing_phase), if idle => Wakeup::Ending(End::ByServer),
@@ -291,7 +318,7 @@
     }
     stream.shutdown().await?;
     let discard = async {
-        while matches!(socket::read(stream, |_| ()).await, Ok(1..)) {
+        while matches!(socket::discard(stream).await, Ok(1..)) {
             tokio::task::yield_now().await;
         }
     };
--- a/crates/quillhub-server/src/clients/mod.rs
+++ b/crates/quillhub-server/src/clients/mod.rs
@@ -4,6 +4,7 @@
 //! descriptors set aside for clients.
 
 mod admission;
+mod arrival;
 mod commands;
 mod connection;
 mod socket;
@@ -11,6 +12,7 @@
 pub use admission::{Admission, Phase};
 
 use crate::instance::Instance;
+use arrival::{ConnectionTimes, EmptySince};
 use connection::Connection;
 use std::cell::RefCell;
 use std::io;
@@ -19,8 +21,8 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::OwnedSemaphorePermit;
-use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::task::{coop, spawn_local, yield_now};
+use tokio::time::{Instant, sleep};
 
 /// Pause after a failure to accept, such as a lack of file descriptors; attempts that end in the meantime free some.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -29,12 +31,21 @@
 /// Each is served by a task of its own.
 pub async fn accept(instance: Rc<RefCell<Instance>>, listener: Rc<TcpListener>, admission: Rc<Admission>) {
     let mut phase = admission.phase();
+    if let Err(error) = socket::stamp_input(&listener) {
+        tracing::warn!(%error, "arrival times of commands are only estimated");
+    }
+    let empty_since = EmptySince::new(admission.event_loop(), Instant::now());
     loop {
-        let accepted = tokio::select! {
+        // Without the runtime's budget, which would end in a wait although connections are there.
+        let accept = coop::unconstrained(listener.accept());
+        let (accepted, has_waited) = tokio::select! {
             biased;
-            accepted = listener.accept() => accepted,
+            accepted = socket::wait(accept) => accepted,
             _ = phase.wait_for(|phase| *phase == Phase::Closing) => return,
         };
+        if has_waited {
+            empty_since.waited();
+        }
         let (stream, from) = match accepted {
             Ok(accepted) => accepted,
             Err(error) => {
@@ -43,21 +54,33 @@
                 continue;
             }
         };
+        let accepted = Instant::now();
         let Some(permit) = admission.connection_permit().await else { return };
-        spawn_local(serve_connection(instance.clone(), admission.clone(), stream, from, permit));
+        let times =
+            ConnectionTimes { listener_empty: empty_since.moment(), accepted, permitted: Instant::now() };
+        let client = Client { stream, from, times };
+        spawn_local(serve_connection(instance.clone(), admission.clone(), client, permit));
+        yield_now().await;
     }
 }
 
+/// Connection of a client that was accepted.
+struct Client {
+    stream: TcpStream,
+    from: SocketAddr,
+    times: ConnectionTimes,
+}
+
 /// Serves a connection until it ends, and releases its `permit` then.
 async fn serve_connection(
     instance: Rc<RefCell<Instance>>,
     admission: Rc<Admission>,
-    stream: TcpStream,
-    from: SocketAddr,
+    client: Client,
     permit: OwnedSemaphorePermit,
 ) {
+    let from = client.from;
     let registration = admission.register();
-    let served = serve_and_half_close(&instance, &admission, &registration, stream).await;
+    let served = serve_and_half_close(&instance, &admission, &registration, client).await;
     registration.remove();
     if let Err(error) = served {
         tracing::debug!(%from, %error, "client connection failed");
@@ -69,10 +92,10 @@
     instance: &RefCell<Instance>,
     admission: &Admission,
     registration: &admission::Registration,
-    mut stream: TcpStream,
+    Client { mut stream, times, .. }: Client,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let end = Connection::new(instance, admission, registration, &mut stream).serve().await?;
+    let end = Connection::new(instance, admission, registration, (&mut stream, times)).serve().await?;
     registration.half_closed();
     connection::half_close(&mut stream, end, registration).await
 }
--- a/crates/quillhub-server/src/clients/socket.rs
+++ b/crates/quillhub-server/src/clients/socket.rs
@@ -1,43 +1,128 @@
-//! Socket operations of client connections: reads without a permanent buffer, and checks for pending input and for the
-//! end of the stream. All are stateless.
+//! Socket operations of client connections: reads without a permanent buffer, with the time at which the input arrived, and
+//! checks for pending input and for the end of the stream. All are stateless.
 
+use super::arrival::{Arrival, EmptySince};
 use crate::stream_io::is_temporary;
-use std::io::{self, Read};
+use nix::cmsg_space;
+use nix::errno::Errno;
+use nix::sys::socket::{ControlMessageOwned, MsgFlags, recvmsg, setsockopt, sockopt};
+use nix::sys::time::TimeSpec;
+use std::future::poll_fn;
+use std::io::{self, ErrorKind, IoSliceMut, Read};
 use std::mem::MaybeUninit;
+use std::os::fd::AsRawFd;
 use std::pin::pin;
 use std::task::{Context, Poll, Waker};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::io::Interest;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
 
 /// Maximum number of bytes that one read returns.
 pub(super) const READ_BYTES: usize = 8 * 1024;
 
-/// Waits for input, passes it to `take`, and returns its length, which is 0 at the end of the stream. No buffer is
-/// allocated while nothing arrives.
-pub(super) async fn read(stream: &TcpStream, mut take: impl FnMut(&[u8])) -> io::Result<usize> {
+/// Input of one read.
+pub(super) struct Input {
+    /// Length, which is 0 at the end of the stream.
+    pub(super) length: usize,
+    pub(super) arrival: Arrival,
+}
+
+/// Has the kernel stamp all input of the connections that `listener` accepts.
+///
+/// # Errors
+///
+/// Returns an error if the system does not support stamps; reads then return none.
+pub(super) fn stamp_input(listener: &TcpListener) -> io::Result<()> {
+    Ok(setsockopt(listener, sockopt::ReceiveTimestampns, &true)?)
+}
+
+/// Waits for `future`, and returns its output, with `true` if it was not ready at once.
+pub(super) async fn wait<T>(future: impl Future<Output = T>) -> (T, bool) {
+    let mut future = pin!(future);
+    let mut has_waited = false;
+    poll_fn(move |context| {
+        let polled = future.as_mut().poll(context);
+        has_waited |= polled.is_pending();
+        polled.map(|output| (output, has_waited))
+    })
+    .await
+}
+
+/// Waits for input, passes it to `take`, and returns its length and arrival. No buffer is allocated while nothing arrives.
+pub(super) async fn read(
+    stream: &TcpStream,
+    empty_since: &EmptySince,
+    mut take: impl FnMut(&[u8]),
+) -> io::Result<Input> {
     loop {
-        stream.readable().await?;
+        let (ready, has_waited) = wait(stream.readable()).await;
+        ready?;
+        if has_waited {
+            empty_since.waited();
+        }
         let mut bytes = [0; READ_BYTES];
-        match stream.try_read(&mut bytes) {
+        let tried = Instant::now();
+        match stream.try_io(Interest::READABLE, || receive(stream, &mut bytes)) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => empty_since.found_empty(tried),
             Err(error) if is_temporary(&error) => {}
             Err(error) => return Err(error),
-            Ok(length) => {
+            Ok((length, stamp)) => {
                 take(&bytes[..length]);
-                return Ok(length);
+                return Ok(Input { length, arrival: empty_since.input_read(stamp) });
             }
         }
     }
 }
 
-/// Appends input that has already arrived to `input`, and returns `true` if there was any.
+/// Waits for input, discards it, and returns its length, which is 0 at the end of the stream.
+pub(super) async fn discard(stream: &TcpStream) -> io::Result<usize> {
+    loop {
+        stream.readable().await?;
+        match stream.try_read(&mut [0; READ_BYTES]) {
+            Err(error) if is_temporary(&error) => {}
+            result => return result,
+        }
+    }
+}
+
+/// Appends input that has already arrived to `input`, and returns it, if there was any.
 ///
 /// Reads from the system even if the runtime has not updated the readiness of the socket yet: a command that arrives
 /// completely before the server's side is closed must be answered.
-pub(super) fn read_pending(stream: &TcpStream, input: &mut Vec<u8>) -> bool {
+pub(super) fn read_pending(
+    stream: &TcpStream,
+    empty_since: &EmptySince,
+    input: &mut Vec<u8>,
+) -> Option<Input> {
     let mut bytes = [0; READ_BYTES];
-    let Ok(length @ 1..) = (&*socket2::SockRef::from(stream)).read(&mut bytes) else { return false };
+    let (length, stamp) = receive(stream, &mut bytes).ok().filter(|(length, _)| *length > 0)?;
     input.extend_from_slice(&bytes[..length]);
-    true
+    Some(Input { length, arrival: empty_since.input_read(stamp) })
+}
+
+/// Reads input, and returns its length and the kernel's stamp of its last byte, if there is one.
+fn receive(stream: &TcpStream, bytes: &mut [u8]) -> io::Result<(usize, Option<SystemTime>)> {
+    let mut control = cmsg_space!(TimeSpec);
+    let mut parts = [IoSliceMut::new(bytes)];
+    let received = match recvmsg::<()>(stream.as_raw_fd(), &mut parts, Some(&mut control), MsgFlags::empty())
+    {
+        Ok(received) => received,
+        // Reads without control messages always work.
+        Err(Errno::ENOSYS | Errno::EOPNOTSUPP | Errno::EINVAL) => {
+            return (&*socket2::SockRef::from(stream)).read(bytes).map(|length| (length, None));
+        }
+        Err(error) => return Err(error.into()),
+    };
+    let stamp = received.cmsgs().ok().and_then(|mut messages| messages.find_map(stamp_in));
+    Ok((received.bytes, stamp))
+}
+
+fn stamp_in(message: ControlMessageOwned) -> Option<SystemTime> {
+    match message {
+        ControlMessageOwned::ScmTimestampns(stamp) => Some(UNIX_EPOCH + Duration::from(stamp)),
+        _ => None,
+    }
 }
 
 /// Returns `true` if the end of the client's side has arrived, also behind input that was not read yet, or the connection
--- a/crates/quillhub-server/src/instance/attempt_results.rs
+++ b/crates/quillhub-server/src/instance/attempt_results.rs
@@ -4,6 +4,7 @@
 //! Invariant: an attempt sends its first byte only after the log contains its start.
 
 use super::attribution::UnattributedResult;
+use super::messages::PendingMessage;
 use super::{AttemptId, Instance, log_failed_write};
 use crate::attempts::{
     AttemptControl, AttemptEnd, AttemptError, ClassifiedResult, Response, STATUS_OVER, UsedConnection,
@@ -134,6 +135,7 @@
         let load_report = load_report.filter(|_| self.load_reports);
         if let Some(message) = self.messages.get_mut(id.message) {
             message.last_outcome = Some(classified.outcome);
+            message.timeline.call_ended();
         }
         if classified.outcome == AttemptOutcome::Over {
             self.log_abandonment(id.message);
@@ -172,6 +174,16 @@
         });
     }
 
+    /// Logs and counts a message that was delivered after its deadline.
+    fn log_if_late(&mut self, id: &AttemptId, message: &PendingMessage) {
+        if message.timeline.is_late() {
+            self.figures.late_deliveries += 1;
+            let client_id = String::from_utf8_lossy(&message.client_id);
+            let times = message.timeline;
+            tracing::info!(message_id = id.message, %client_id, %times, "message was finished after its deadline");
+        }
+    }
+
     /// Records in the log that an attempt finished its message or is known not to have executed it.
     pub(super) fn record_attempt(&mut self, id: &AttemptId, classified: &ClassifiedResult) {
         if !self.messages.contains(id.message) {
@@ -180,6 +192,7 @@
         if classified.finished {
             log_failed_write(id.message, RecordKind::Finished, self.wal.record_finished(id.message));
             if let Some(message) = self.messages.remove(id.message) {
+                self.log_if_late(id, &message);
                 self.messages.retain_client_id(self.now(), message.client_id);
             }
         } else if classified.outcome.known_not_executed() {
--- a/crates/quillhub-server/src/instance/driver.rs
+++ b/crates/quillhub-server/src/instance/driver.rs
@@ -72,6 +72,7 @@
         let written = self.write_acceptance(id);
         let Some(message) = self.messages.get_mut(id) else { return };
         let (attempt, last_outcome) = (message.begin_attempt(), message.last_outcome);
+        message.timeline.call_started();
         let process = self.pool.process(endpoint);
         let address = process.map(|process| process.address);
         let request = delivery_request(message, address);
--- a/crates/quillhub-server/src/instance/messages.rs
+++ b/crates/quillhub-server/src/instance/messages.rs
@@ -3,6 +3,7 @@
 //! Invariant: a client id is in use from the acceptance of its message until [`CLIENT_ID_RETENTION`] after the message
 //! is finished, unless the message is withdrawn before it is sent.
 
+use super::timeline::MessageTimeline;
 use crate::wal::LoggedMessage;
 use quillhub::{AttemptOutcome, MessageId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -31,16 +32,18 @@
     pub is_abandonment_logged: bool,
     /// Payload of the record of the message's acceptance; `None` once the record is written.
     pub unwritten_acceptance: Option<Vec<u8>>,
+    /// Times of the message, for the log.
+    pub timeline: MessageTimeline,
 }
 
 impl PendingMessage {
     /// Creates a message whose record of acceptance, `acceptance`, is not yet written to the log.
-    pub fn submitted(message: LoggedMessage, acceptance: Vec<u8>) -> Self {
-        Self { unwritten_acceptance: Some(acceptance), ..Self::recovered(message) }
+    pub fn submitted(message: LoggedMessage, acceptance: Vec<u8>, timeline: MessageTimeline) -> Self {
+        Self { unwritten_acceptance: Some(acceptance), ..Self::recovered(message, timeline) }
     }
 
     /// Creates a message that the log already contains.
-    pub fn recovered(message: LoggedMessage) -> Self {
+    pub fn recovered(message: LoggedMessage, timeline: MessageTimeline) -> Self {
         Self {
             client_id: message.client_id.into(),
             idempotency_key: message.idempotency_key.map(Into::into),
@@ -50,6 +53,7 @@
             last_outcome: None,
             is_abandonment_logged: false,
             unwritten_acceptance: None,
+            timeline,
         }
     }
 
--- a/crates/quillhub-server/src/instance/mod.rs
+++ b/crates/quillhub-server/src/instance/mod.rs
@@ -10,19 +10,25 @@
 mod attribution;
 mod connections;
 mod driver;
+mod figures;
 mod messages;
 mod outcome_queue;
 mod recovery;
 mod submission;
+mod timeline;
 
 pub use outcome_queue::FinalOutcome;
 pub use submission::{InvalidSubmission, Submission, SubmitOutcome};
+pub use timeline::CommandTimes;
+#[cfg(test)]
+pub use timeline::MessageTimeline;
 
 use crate::gossip::GossipSocket;
 use crate::pool::{ConnectionPool, EndpointProcess};
 use crate::wal::{AppendError, FinalResult, RecordKind, Wal};
 use crate::wall_clock::WallClock;
 use attribution::UnattributedResults;
+use figures::Figures;
 use messages::Messages;
 use outcome_queue::OutcomeQueue;
 use quillhub::{AttemptPlan, CallId, Dispatcher, MessageId};
@@ -73,6 +79,9 @@
     wal: Wal,
     wall_clock: WallClock,
     outcomes: OutcomeQueue,
+    figures: Figures,
+    /// Figures that were logged last.
+    logged_figures: Figures,
     pool: ConnectionPool,
     connect_timeout: Duration,
     /// Maximum number of connections to endpoints, those of attempts and idle ones together.
@@ -140,6 +149,8 @@
                 wal: parts.wal,
                 wall_clock: parts.wall_clock,
                 outcomes: OutcomeQueue::default(),
+                figures: Figures::default(),
+                logged_figures: Figures::default(),
                 pool: parts.pool,
                 connect_timeout: parts.connect_timeout,
                 max_connections: usize::MAX,
@@ -237,9 +248,20 @@
         self.outcomes.add(outcome);
     }
 
+    /// Records that a request with the oldest `count` final outcomes is being sent.
+    pub fn outcomes_sent(&mut self, count: usize) {
+        self.outcomes.oldest_sent(count);
+    }
+
     /// Finishes the messages of the oldest `count` final outcomes, which the platform confirmed or cannot read.
     pub fn outcomes_confirmed(&mut self, count: usize) {
         for outcome in self.outcomes.take_oldest(count) {
+            if outcome.timeline.is_slow() {
+                self.figures.slow_outcomes += 1;
+                let client_id = String::from_utf8_lossy(&outcome.client_id);
+                let times = outcome.timeline;
+                tracing::info!(message_id = outcome.message, %client_id, result = ?outcome.result, %times, "final outcome was slow");
+            }
             log_failed_write(
                 outcome.message,
                 RecordKind::Finished,
@@ -249,6 +271,27 @@
         }
     }
 
+    /// Counts a command that waited for long before it was executed.
+    pub fn command_waited(&mut self) {
+        self.figures.waited_commands += 1;
+    }
+
+    /// Logs the figures if they have changed since they were logged last.
+    pub fn log_figures(&mut self) {
+        if self.figures == self.logged_figures {
+            return;
+        }
+        self.logged_figures = self.figures;
+        let Figures { waited_commands, stale_submissions, slow_outcomes, late_deliveries } = self.figures;
+        tracing::info!(
+            waited_commands,
+            stale_submissions,
+            slow_outcomes,
+            late_deliveries,
+            "figures since the start"
+        );
+    }
+
     /// Withdraws a message whose acceptance was not confirmed to its client: its record or the reply could not be
     /// written. Its client id stays in use if it may have been sent, so that it is not executed twice if it comes again.
     pub fn withdraw(&mut self, id: MessageId) {
@@ -283,7 +326,8 @@
     fn finish_undelivered(&mut self, id: MessageId, result: FinalResult) {
         let Some(message) = self.messages.remove(id) else { return };
         self.unattributed.remove_message(id);
-        let attempts = message.attempts;
+        let (attempts, mut timeline) = (message.attempts, message.timeline);
+        timeline.decided();
         if message.unwritten_acceptance.is_some() {
             tracing::debug!(message_id = id, ?result, "message is rejected or abandoned at once");
             self.immediate_outcome = Some(result.into());
@@ -296,7 +340,7 @@
         if !message.is_abandonment_logged {
             log_failed_write(id, RecordKind::OutcomeDecided, self.wal.record_outcome_decided(id, result));
         }
-        self.outcomes.add(FinalOutcome { message: id, client_id: message.client_id, result });
+        self.outcomes.add(FinalOutcome { message: id, client_id: message.client_id, result, timeline });
     }
 
     /// Gives up the attempts in flight of a message that has its final outcome.
--- a/crates/quillhub-server/src/instance/outcome_queue.rs
+++ b/crates/quillhub-server/src/instance/outcome_queue.rs
@@ -1,5 +1,6 @@
 //! Queue of the final outcomes of undelivered messages that the platform has not confirmed, oldest first.
 
+use super::timeline::MessageTimeline;
 use crate::wal::FinalResult;
 use quillhub::MessageId;
 use std::collections::VecDeque;
@@ -14,6 +15,8 @@
     pub client_id: Box<[u8]>,
     /// Kind of the outcome: rejected or abandoned.
     pub result: FinalResult,
+    /// Times of the message, for the log.
+    pub timeline: MessageTimeline,
 }
 
 /// Queue of the final outcomes of undelivered messages that await confirmation by the platform.
@@ -40,6 +43,11 @@
         self.unconfirmed.iter()
     }
 
+    /// Records that a request with the oldest `count` outcomes is being sent.
+    pub fn oldest_sent(&mut self, count: usize) {
+        self.unconfirmed.iter_mut().take(count).for_each(|outcome| outcome.timeline.sent());
+    }
+
     /// Removes and returns the oldest `count` outcomes.
     pub fn take_oldest(&mut self, count: usize) -> Vec<FinalOutcome> {
         self.unconfirmed.drain(..count).collect()
--- a/crates/quillhub-server/src/instance/recovery.rs
+++ b/crates/quillhub-server/src/instance/recovery.rs
@@ -7,6 +7,7 @@
 use super::Instance;
 use super::messages::PendingMessage;
 use super::outcome_queue::FinalOutcome;
+use super::timeline::MessageTimeline;
 use crate::wal::{FinalResult, LoggedMessage};
 use quillhub::{
     DestinationId, Dispatcher, Driver, MessageId, NewMessage, PossibleExecution, RecoveredAttempts,
@@ -85,7 +86,9 @@
             self.messages.add_client_id(&message.client_id);
             let result = message.outcome.or(message.may_be_over().then_some(FinalResult::Abandoned));
             if let Some(result) = result {
-                self.outcomes.add(FinalOutcome { message: id, client_id: message.client_id.into(), result });
+                let timeline = MessageTimeline::recovered(Duration::ZERO);
+                let client_id = message.client_id.into();
+                self.outcomes.add(FinalOutcome { message: id, client_id, result, timeline });
             } else {
                 undecided.push(self.restore(id, message, now, wall_clock_now));
             }
@@ -109,10 +112,11 @@
             });
         let (service_class, ordering_key) = (message.service_class.clone(), message.ordering_key);
         let destination = message.destination;
-        let pending = PendingMessage::recovered(message);
+        let time_left = time_left.unwrap_or_default();
+        let pending = PendingMessage::recovered(message, MessageTimeline::recovered(time_left));
         let attempts = pending.attempts;
         self.messages.insert(id, pending);
-        let deadline = now + time_left.unwrap_or_default();
+        let deadline = now + time_left;
         Recovered {
             id,
             service_class,
--- a/crates/quillhub-server/src/instance/submission.rs
+++ b/crates/quillhub-server/src/instance/submission.rs
@@ -4,9 +4,11 @@
 
 use super::Instance;
 use super::messages::PendingMessage;
+use super::timeline::{CommandTimes, MessageTimeline};
 use crate::wal::{self, FinalResult, LoggedMessage};
 use quillhub::{DestinationId, MessageId, NewMessage};
 use std::time::{Duration, SystemTime};
+use tokio::time::Instant;
 
 /// Message as a client submits it.
 #[derive(Clone, Copy, Debug)]
@@ -15,6 +17,8 @@
     pub service_class: &'a str,
     /// Ordering key, if any: messages with the same key are delivered in order if their service class is ordered.
     pub ordering_key: Option<u64>,
+    /// When the command that submits the message arrived and was read.
+    pub times: CommandTimes,
     /// Time from the submission of the message to its deadline.
     pub time_to_live: Duration,
     /// Destination of the message.
@@ -99,7 +103,8 @@
         let message = logged_message(&submission, deadline);
         let record = wal::accepted_payload(&message);
         let capacity = self.wal.remaining_capacity().saturating_sub(record.len() as u64);
-        self.messages.insert(id, PendingMessage::submitted(message, record));
+        let timeline = MessageTimeline::accepted(submission.times, Instant::now() + submission.time_to_live);
+        self.messages.insert(id, PendingMessage::submitted(message, record, timeline));
         if let Some(outcome) = self.dispatch(id, &submission, capacity) {
             return outcome;
         }
--- a/crates/quillhub-server/src/outcomes.rs
+++ b/crates/quillhub-server/src/outcomes.rs
@@ -132,6 +132,7 @@
             decided.notified().await;
             continue;
         }
+        sender.instance.borrow_mut().outcomes_sent(batch.count);
         let address = *platform.borrow_and_update();
         tokio::select! {
             end = timeout(sender.timeout, post(address, batch.body.as_bytes())) => {
--- a/crates/quillhub-server/src/outcomes_tests.rs
+++ b/crates/quillhub-server/src/outcomes_tests.rs
@@ -1,10 +1,12 @@
 use super::*;
+use crate::instance::MessageTimeline;
 use crate::test_support::{StateDirectory, instance, on_one_thread, scripted_server};
 use tokio::task::spawn_local;
 
 fn outcome(message: u64, client_id: &str, rejected: bool, retry_after: Option<Duration>) -> FinalOutcome {
     let result = if rejected { FinalResult::Rejected { retry_after } } else { FinalResult::Abandoned };
-    FinalOutcome { message, client_id: client_id.as_bytes().into(), result }
+    let timeline = MessageTimeline::recovered(Duration::ZERO);
+    FinalOutcome { message, client_id: client_id.as_bytes().into(), result, timeline }
 }
 
 #[test]
--- a/crates/quillhub-server/src/startup.rs
+++ b/crates/quillhub-server/src/startup.rs
@@ -42,6 +42,8 @@
 const IDLE_DIVISOR: usize = 4;
 /// Interval between searches for expired idle connections; well below the usual idle timeout of endpoints.
 const CLOSE_EXPIRED_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval between two log lines with figures.
+const FIGURES_INTERVAL: Duration = Duration::from_secs(10);
 /// Maximum time that startup waits for the first response of discovery, which responds immediately unless it is down.
 const DISCOVERY_WAIT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Delay before a task that panicked is restarted.
@@ -141,7 +143,7 @@
         receive_gossip(&instance, gossip);
     }
     close_expired_connections(&instance);
-    supervise(event_loop::log_delays);
+    log_figures(&instance);
     let listener = retry_while_temporary(async || TcpListener::bind(listen).await).await;
     let listener = listener.map_err(ServeError::Listen)?;
     tracing::info!(%listen, "serving");
@@ -256,6 +258,19 @@
     });
 }
 
+fn log_figures(instance: &Rc<RefCell<Instance>>) {
+    let instance = instance.clone();
+    supervise(move || {
+        let instance = instance.clone();
+        async move {
+            loop {
+                sleep(FIGURES_INTERVAL).await;
+                instance.borrow_mut().log_figures();
+            }
+        }
+    });
+}
+
 fn accept_clients(
     instance: &Rc<RefCell<Instance>>,
     listener: TcpListener,
@@ -264,6 +279,8 @@
     let (phase, phase_receiver) = watch::channel(Phase::Serving);
     let permits = Arc::new(Semaphore::new(max_clients));
     let admission = clients::Admission::new(phase_receiver, permits.clone());
+    let event_loop = admission.event_loop();
+    supervise(move || event_loop::watch(event_loop.clone()));
     let (instance, listener) = (instance.clone(), Rc::new(listener));
     supervise(move || clients::accept(instance.clone(), listener.clone(), admission.clone()));
     ClientConnections { phase, permits, max_open: max_clients }
--- a/crates/quillhub-server/src/test_support.rs
+++ b/crates/quillhub-server/src/test_support.rs
@@ -1,7 +1,7 @@
 //! Helpers for tests: a configuration, an instance with that configuration, messages, and the content of a state
 //! directory.
 
-use crate::instance::{Instance, InstanceParts, Submission, SubmitOutcome};
+use crate::instance::{CommandTimes, Instance, InstanceParts, Submission, SubmitOutcome};
 use crate::pool::{ConnectionPool, EndpointProcess};
 use crate::wal::{LoggedMessage, Wal, accepted_payload};
 use crate::wall_clock::WallClock;
@@ -136,6 +136,7 @@
     Submission {
         service_class,
         ordering_key: None,
+        times: CommandTimes::now(),
         time_to_live: TIME_TO_LIVE,
         destination: DESTINATION,
         client_id: b"ab",
