--- a/crates/quillhub-fakes/src/laboratory/mod.rs
+++ b/crates/quillhub-fakes/src/laboratory/mod.rs
@@ -6,6 +6,7 @@
 //! clients, endpoints and platform recorded, never from an instance.
 
 mod audit;
+mod builders;
 mod client;
 mod endpoint;
 mod plan;
