Failing test: hold-ups at every stage, and a platform that loses or delays requests

Plan hold-ups of the laboratory: SIGSTOP for 0.15 s while clients submit, at a random moment and at the deadline of these messages; a platform that loses requests, confirms late or moves (SIGHUP); endpoints that hang, lose responses, close resting connections or answer just in time; pipelined and short-lived messages; a crowd; restarts. The auditor reports how long after the deadline messages end.

A notification that is read at the end of a pause now counts from its start, and a command that is written at its start from its end; a test shows both, and that an event outside is late as before. Signals are sent by a system call in place of a shell, which held the laboratory up.

--- a/crates/quillhub-fakes/examples/mixed_versions/takeover.rs
+++ b/crates/quillhub-fakes/examples/mixed_versions/takeover.rs
@@ -4,7 +4,7 @@
 use quillhub_fakes::clients::{command, open, send_command, wait_until_ready};
 use quillhub_fakes::http::{Request, ServerConnection};
 use quillhub_fakes::platform::Discovery;
-use quillhub_fakes::process::InstanceProcess;
+use quillhub_fakes::process::{InstanceProcess, Signal};
 use quillhub_fakes::scratch::ScratchDirectory;
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
@@ -284,7 +284,7 @@
         clients.spawn_local(submit_messages(run.clone(), environment.listen, next.clone()));
     }
     sleep(LOAD_TIME).await;
-    if !instance.signal("KILL").map_err(failed)? {
+    if !instance.signal(Signal::KILL).map_err(failed)? {
         return Err("the first instance cannot be killed".into());
     }
     instance.wait_for_exit().await.map_err(failed)?;
--- a/crates/quillhub-fakes/src/http.rs
+++ b/crates/quillhub-fakes/src/http.rs
@@ -57,6 +57,13 @@
         self.traffic.move_to(server);
     }
 
+    /// Reads and discards what the client sends until it closes the connection.
+    pub async fn discard(&mut self) -> io::Result<()> {
+        let mut bytes = [0; 4096];
+        while self.stream.read(&mut bytes).await? > 0 {}
+        Ok(())
+    }
+
     /// Reads the next request; `None` if the client has closed the connection.
     pub async fn next(&mut self) -> io::Result<Option<Request>> {
         loop {
--- a/crates/quillhub-fakes/src/laboratory/audit.rs
+++ b/crates/quillhub-fakes/src/laboratory/audit.rs
@@ -67,6 +67,9 @@
     pub longest_pause: Duration,
     /// Number of times that the event loop of an instance was held up, as the logs say, since its last start.
     pub event_loop_delays: usize,
+    /// Times from the deadline to the final outcome of the accepted messages that had one later than that and whose instance
+    /// was not restarted meanwhile, shortest first.
+    pub lateness: Vec<Duration>,
     /// Violations, each with the timeline of its message.
     pub violations: Vec<(Violation, String)>,
 }
@@ -78,6 +81,19 @@
     }
 }
 
+/// Returns how long after its deadline a message had its final outcome, unless a restart of its instance extends the time.
+fn lateness(record: &Record, message: &str, submission: &Submission) -> Option<Duration> {
+    let deadline = latest_deadline(record, submission);
+    let due = record.due(submission.instance, deadline, LOST_SLACK, LOST_SLACK_AFTER_RESTART);
+    let end = record.end_of(message).filter(|_| submission.accepted && due == deadline + LOST_SLACK)?;
+    end.checked_duration_since(deadline)
+}
+
+/// Returns the deadline of a message, counted from the end of a pause of the laboratory in which its command was written.
+fn latest_deadline(record: &Record, submission: &Submission) -> Instant {
+    record.latest(submission.submitted) + submission.time_to_live()
+}
+
 impl fmt::Display for Verdict {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         let Self { accepted, delivered, abandoned_after_delivery, calls, copies, connections, .. } = self;
@@ -88,6 +104,13 @@
         write!(f, "over {}, ", self.over)?;
         write!(f, "undelivered after a copied 410 {}, ", self.undelivered_after_copied_over)?;
         write!(f, "called after 504 {}, ", self.called_after_exhausted)?;
+        let latest = self.lateness.last().copied().unwrap_or_default();
+        let over_half = self.lateness.iter().filter(|lateness| **lateness > LOST_SLACK / 2).count();
+        write!(
+            f,
+            "ended after the deadline {} (over 150 ms {over_half}, latest {latest:?}), ",
+            self.lateness.len()
+        )?;
         write!(f, "event loops held up {} times, ", self.event_loop_delays)?;
         write!(f, "surplus responses {copies}, lost {}, ", self.count(Violation::Lost))?;
         write!(f, "sent again {}, ", self.count(Violation::SentAgain))?;
@@ -103,7 +126,7 @@
 pub(super) fn audit(record: &Record) -> Verdict {
     let mut verdict =
         Verdict { calls: record.calls.len(), copies: record.copies.len(), ..Verdict::default() };
-    verdict.longest_pause = record.longest_pause;
+    verdict.longest_pause = record.longest_pause();
     let connections: std::collections::BTreeSet<_> =
         record.calls.iter().map(|call| (call.endpoint, call.connection)).collect();
     verdict.connections = connections.len();
@@ -115,6 +138,7 @@
         let is_abandoned = is_abandoned_after_delivery(record, message, submission, &calls);
         verdict.abandoned_after_delivery += usize::from(is_abandoned);
         verdict.abandoned_after_delivery_and_over += usize::from(is_abandoned && is_over);
+        verdict.lateness.extend(lateness(record, message, submission));
         verdict.over += usize::from(is_over);
         verdict.undelivered_after_copied_over +=
             usize::from(is_undelivered_after_copied_over(record, message, submission, &calls));
@@ -135,16 +159,18 @@
             verdict.violations.push((violation, record.timeline(message)));
         }
     }
+    verdict.lateness.sort();
     verdict
 }
 
 fn is_lost(record: &Record, message: &str, submission: &Submission, calls: &[&Call]) -> bool {
-    let due = record.due(submission.instance, submission.deadline, LOST_SLACK, LOST_SLACK_AFTER_RESTART);
+    let deadline = latest_deadline(record, submission);
+    let due = record.due(submission.instance, deadline, LOST_SLACK, LOST_SLACK_AFTER_RESTART);
     let delivered =
         calls.iter().any(|call| call.is_delivered() && call.answered.is_some_and(|(at, _)| at <= due));
     let is_over = calls.iter().any(|call| !call.spoilt && call.over_since().is_some());
-    let finished =
-        record.outcomes.get(message).is_some_and(|outcomes| outcomes.iter().any(|(at, _)| *at <= due));
+    let mut outcomes = record.outcomes.get(message).into_iter().flatten();
+    let finished = outcomes.any(|(at, _)| record.earliest(*at) <= due);
     submission.accepted && !delivered && !finished && !is_over
 }
 
--- a/crates/quillhub-fakes/src/laboratory/audit_tests.rs
+++ b/crates/quillhub-fakes/src/laboratory/audit_tests.rs
@@ -201,3 +201,22 @@
     assert_eq!(called(Builder::new(FREE).answered(10, 50, 504).answered(200, 250, 200)), 1);
     assert_eq!(called(Builder::new(FREE).answered(10, 50, 503).answered(200, 250, 504)), 0);
 }
+
+/// Guards against a message that counts as lost since the laboratory was held up: when it wrote the command, or when the
+/// notification had already arrived.
+#[test]
+fn times_that_a_pause_of_the_laboratory_delayed_count_from_its_other_end() {
+    let late = |pause: Option<(u64, u64)>| {
+        let mut builder = Builder::new(FREE).finished(4_320);
+        if let Some((start, end)) = pause {
+            let pause = builder.at(start)..=builder.at(end);
+            builder.0.pauses.push(pause);
+        }
+        builder.violations()
+    };
+    assert_eq!(late(None), [Violation::Lost]);
+    assert_eq!(late(Some((4_290, 4_321))), []);
+    assert_eq!(late(Some((4_310, 4_321))), [Violation::Lost], "it arrived too late all the same");
+    assert_eq!(late(Some((0, 25))), []);
+    assert_eq!(late(Some((1, 25))), [Violation::Lost]);
+}
--- a/crates/quillhub-fakes/src/laboratory/builders.rs
+++ b/crates/quillhub-fakes/src/laboratory/builders.rs
@@ -1,10 +1,11 @@
 //! Plans of runs: which faults a kind of run has, as a seed determines them.
 
 use super::plan::{
-    ClumpPlan, CopyPlan, CopyShape, CopyTiming, HangPlan, OverPlan, Pause, Plan, Reload, Restart,
-    SilencePlan, SpoiltRejectionPlan, StorageFaults,
+    ClumpPlan, CopyPlan, CopyShape, CopyTiming, CrowdPlan, HangPlan, HoldUpPlan, OverPlan, Pause, Plan,
+    PlatformFaultPlan, Reload, Restart, SilencePlan, SpoiltRejectionPlan, StorageFaults,
 };
 use super::shim::{ShortIo, SocketFaults};
+use crate::process::Signal;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::ops::RangeInclusive;
@@ -27,6 +28,8 @@
             rate_per_s: rng.random_range(40.0..80.0),
             time_to_live: millis(4_000),
             short_lived_share: 0.0,
+            pipelined_share: 0.0,
+            just_in_time_share: 0.0,
             path_time: Duration::ZERO..Duration::ZERO,
             service_time: millis(30)..millis(rng.random_range(120..250)),
             rejected_share: rng.random_range(0.03..0.12),
@@ -42,6 +45,9 @@
             restarts: Vec::new(),
             reloads: Vec::new(),
             pauses: Vec::new(),
+            hold_ups: None,
+            platform_faults: None,
+            crowd: None,
             short_io: None,
             socket_faults: None,
             storage_faults: None,
@@ -195,6 +201,64 @@
         Self { over, rest_before_close, copies: None, restarts: Vec::new(), ..plan }
     }
 
+    /// Returns the plan that `seed` determines, with hold-ups at every stage of a message, a platform that loses requests or
+    /// answers late and moves in half of the runs, endpoints that hang, lose responses, close resting connections or answer
+    /// just in time, pipelined and short-lived messages, SIGHUP in series, up to two restarts, a crowd of idle clients in one
+    /// run out of three, and copies of responses in half of the runs.
+    pub fn with_hold_ups(seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(!seed);
+        let millis = Duration::from_millis;
+        let start = millis(rng.random_range(500..2_000));
+        let hangs = HangPlan {
+            one_endpoint_in: rng.random_range(1..=2),
+            time: start..start + millis(rng.random_range(2_500..6_000)),
+            copied_share: 0.0,
+            max_copy_delay: Duration::ZERO,
+        };
+        let copies = CopyPlan {
+            one_endpoint_in: 1,
+            share: rng.random_range(0.005..0.03),
+            timing: CopyTiming::Directly(millis(1)..millis(40)),
+            shape: CopyShape::Identical,
+        };
+        let plan = Self::without_faults(seed);
+        let platform_faults = PlatformFaultPlan {
+            late_share: 0.2,
+            late_by: millis(250),
+            lost_share: 0.2,
+            moves_at: rng.random::<bool>().then(|| plan.load_time.mul_f64(rng.random_range(0.2..0.9))),
+        };
+        let crowd = CrowdPlan { clients: 300, interval: millis(1_500) };
+        let reload = |rng: &mut Pcg64Mcg| Reload {
+            at: plan.load_time.mul_f64(rng.random()),
+            instance: rng.random_range(0..plan.instances),
+        };
+        let mut reloads: Vec<_> = (0..rng.random_range(0..6)).map(|_| reload(&mut rng)).collect();
+        reloads.sort_by_key(|reload| reload.at);
+        Self {
+            time_to_live: millis(2_000),
+            short_lived_share: 0.1,
+            pipelined_share: 0.1,
+            just_in_time_share: 0.05,
+            path_time: millis(15)..millis(45),
+            silences: Some(SilencePlan { dropped_below: millis(80), lost_share: 0.05 }),
+            copies: rng.random::<bool>().then_some(copies),
+            hangs: Some(hangs),
+            rest_before_close: rng.random::<bool>().then_some(millis(100)..millis(1_500)),
+            hold_ups: Some(HoldUpPlan {
+                length: MAX_PAUSE,
+                submission_length: MAX_PAUSE,
+                messages: 2,
+                cycle: millis(2_700),
+            }),
+            platform_faults: Some(platform_faults),
+            crowd: (rng.random_range(0..3) == 0).then_some(crowd),
+            reloads,
+            restarts: draw_restarts(&mut rng, &plan, 0..=2),
+            ..plan
+        }
+    }
+
     /// Returns the plan that `seed` determines, with an instance that is killed and restarted after its wall clock was
     /// set by seconds or by an hour, forward or back.
     pub fn with_wall_clock_step(seed: u64) -> Self {
@@ -259,7 +323,7 @@
     Restart {
         at: plan.load_time.mul_f64(rng.random_range(0.2..0.9)),
         instance: rng.random_range(0..plan.instances),
-        signal: if rng.random_range(0..3) == 0 { "TERM" } else { "KILL" },
+        signal: if rng.random_range(0..3) == 0 { Signal::TERM } else { Signal::KILL },
         wall_clock_step_s: [0, 0, -3_600, -5, 5, 3_600][rng.random_range(0..6)],
     }
 }
--- a/crates/quillhub-fakes/src/laboratory/endpoint.rs
+++ b/crates/quillhub-fakes/src/laboratory/endpoint.rs
@@ -211,6 +211,16 @@
         has_little_time || run.borrow_mut().rng.random::<f64>() < silences.lost_share
     }
 
+    /// Returns the time until just before the deadline of the call, if it is answered only then.
+    fn just_in_time(&self, run: &SharedRun, plan: &Plan) -> Option<Duration> {
+        if plan.just_in_time_share == 0.0 || run.borrow_mut().rng.random::<f64>() >= plan.just_in_time_share {
+            return None;
+        }
+        // The request and the response are on their way for a time that the stated deadline does not contain.
+        let reserve = DEADLINE_RESERVE + 2 * plan.path_time.end;
+        self.deadline.map(|deadline| (deadline - reserve).saturating_duration_since(Instant::now()))
+    }
+
     /// Executes the call, and writes the response unless the connection is closed before that. Surplus is written only while
     /// no other call waits on the connection.
     async fn answer(
@@ -225,6 +235,7 @@
             (response, rng.random_range(plan.service_time.clone()))
         };
         let service_time = if response.is_immediate { Duration::ZERO } else { service_time };
+        let service_time = self.just_in_time(run, plan).unwrap_or(service_time);
         run.borrow_mut().record.calls[self.index].spoilt = response.is_spoilt;
         connection.read_until(Instant::now() + service_time).await?;
         let latest = self.deadline.map(|deadline| deadline - DEADLINE_RESERVE);
--- a/crates/quillhub-fakes/src/laboratory/mod.rs
+++ b/crates/quillhub-fakes/src/laboratory/mod.rs
@@ -8,8 +8,11 @@
 mod audit;
 mod builders;
 mod client;
+mod crowd;
 mod endpoint;
+mod hold_up;
 mod plan;
+mod platform_faults;
 mod proxy;
 mod record;
 mod response;
@@ -19,8 +22,8 @@
 
 pub use audit::{Verdict, Violation};
 pub use plan::{
-    ClumpPlan, CopyPlan, CopyShape, CopyTiming, HangPlan, OverPlan, Pause, Plan, Reload, Restart,
-    ServiceClassPlan, SilencePlan, SpoiltRejectionPlan, StorageFaults,
+    ClumpPlan, CopyPlan, CopyShape, CopyTiming, CrowdPlan, HangPlan, HoldUpPlan, OverPlan, Pause, Plan,
+    PlatformFaultPlan, Reload, Restart, ServiceClassPlan, SilencePlan, SpoiltRejectionPlan, StorageFaults,
 };
 pub use run::run;
 pub use shim::{ShortIo, SocketFaults};
--- a/crates/quillhub-fakes/src/laboratory/plan.rs
+++ b/crates/quillhub-fakes/src/laboratory/plan.rs
@@ -1,6 +1,7 @@
 //! Plan of a run: load, behaviour of the endpoints, faults and signals, all determined by a seed.
 
 use super::shim::{ShortIo, SocketFaults};
+use crate::process::Signal;
 use std::ops::Range;
 use std::time::Duration;
 
@@ -131,6 +132,44 @@
     pub copy_delay: Range<Duration>,
 }
 
+/// Hold-ups of the instances by SIGSTOP and SIGCONT, in cycles: while clients submit messages, at a random moment of the
+/// time that these messages have, and at their deadline.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HoldUpPlan {
+    /// Length of each hold-up but those while clients submit messages.
+    pub length: Duration,
+    /// Length of the hold-ups while clients submit messages.
+    pub submission_length: Duration,
+    /// Messages that are submitted meanwhile in each way: on open, on new and on pipelined connections.
+    pub messages: u64,
+    /// Length of a cycle; longer than the messages have, by what their ends may take.
+    pub cycle: Duration,
+}
+
+/// Faults of the platform, of which each message meets at most one.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlatformFaultPlan {
+    /// Share of requests that are confirmed late, from 0 to 1.
+    pub late_share: f64,
+    /// Time after which they are confirmed.
+    pub late_by: Duration,
+    /// Share of requests that are neither read nor answered, from 0 to 1.
+    pub lost_share: f64,
+    /// Time at which the platform moves to another address, from the start of the load, if it does: all instances get SIGHUP,
+    /// and the old address loses all requests from then on.
+    pub moves_at: Option<Duration>,
+}
+
+/// Clients that connect, send PING, and stay idle until the instance closes their connection. All whose connections were
+/// closed come back together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrowdPlan {
+    /// Number of clients of the first instance.
+    pub clients: usize,
+    /// Time between two returns.
+    pub interval: Duration,
+}
+
 /// SIGHUP to an instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reload {
@@ -147,8 +186,8 @@
     pub at: Duration,
     /// Index of the instance.
     pub instance: usize,
-    /// Name of the signal, without `SIG`.
-    pub signal: &'static str,
+    /// Signal that ends the process.
+    pub signal: Signal,
     /// Seconds by which the wall clock is set forward before the restart, or back if negative.
     pub wall_clock_step_s: i64,
 }
@@ -156,7 +195,7 @@
 impl Restart {
     /// Returns the restart of the first instance after SIGKILL.
     pub fn kill(at: Duration) -> Self {
-        Self { at, instance: 0, signal: "KILL", wall_clock_step_s: 0 }
+        Self { at, instance: 0, signal: Signal::KILL, wall_clock_step_s: 0 }
     }
 }
 
@@ -220,6 +259,10 @@
     pub time_to_live: Duration,
     /// Share of the messages whose time to live is 250 ms instead, from 0 to 1.
     pub short_lived_share: f64,
+    /// Share of the submissions that are three pipelined messages on a new connection, from 0 to 1.
+    pub pipelined_share: f64,
+    /// Share of the calls that are answered just before the deadline that they state, from 0 to 1.
+    pub just_in_time_share: f64,
     /// Range from which the time that bytes take on a connection is drawn, in each direction.
     pub path_time: Range<Duration>,
     /// Range from which an endpoint draws the time that a call takes.
@@ -250,6 +293,12 @@
     pub reloads: Vec<Reload>,
     /// Pauses, in order of time.
     pub pauses: Vec<Pause>,
+    /// Hold-ups of the instances, if any.
+    pub hold_ups: Option<HoldUpPlan>,
+    /// Faults of the platform, if any.
+    pub platform_faults: Option<PlatformFaultPlan>,
+    /// Idle clients, if any.
+    pub crowd: Option<CrowdPlan>,
     /// Reads and writes on sockets of the instances that do not complete, if any.
     pub short_io: Option<ShortIo>,
     /// Failing calls on sockets of the instances, if any.
--- a/crates/quillhub-fakes/src/laboratory/record.rs
+++ b/crates/quillhub-fakes/src/laboratory/record.rs
@@ -3,6 +3,7 @@
 use super::response::{STATUS_EXHAUSTED, STATUS_OVER};
 use std::collections::BTreeMap;
 use std::fmt::Write;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -60,6 +61,12 @@
     pub(super) accepted: bool,
 }
 
+impl Submission {
+    pub(super) fn time_to_live(&self) -> Duration {
+        self.deadline - self.submitted
+    }
+}
+
 /// Surplus bytes that a proxy wrote.
 #[derive(Clone, Debug)]
 pub(super) struct Copy {
@@ -98,8 +105,8 @@
     pub(super) reads_may_fail: bool,
     /// Maximum time that bytes take between an instance and an endpoint.
     pub(super) max_path_time: Duration,
-    /// Longest time for which the laboratory itself was held up, by which its times may be late.
-    pub(super) longest_pause: Duration,
+    /// Times for which the laboratory itself was held up, in order: what happened meanwhile was recorded at their end.
+    pub(super) pauses: Vec<RangeInclusive<Instant>>,
 }
 
 impl Record {
@@ -113,10 +120,31 @@
             outages: Vec::new(),
             reads_may_fail: false,
             max_path_time: Duration::ZERO,
-            longest_pause: Duration::ZERO,
+            pauses: Vec::new(),
         }
     }
 
+    /// Returns the time before which an event that was recorded at `at` cannot have happened: the start of a pause of the
+    /// laboratory at the end of which it was recorded.
+    pub(super) fn earliest(&self, at: Instant) -> Instant {
+        self.pause_at(at).map_or(at, |pause| *pause.start())
+    }
+
+    /// Returns the time until which an event that was recorded at `at`, before it took effect, may have been delayed: the end
+    /// of a pause of the laboratory.
+    pub(super) fn latest(&self, at: Instant) -> Instant {
+        self.pause_at(at).map_or(at, |pause| *pause.end())
+    }
+
+    fn pause_at(&self, at: Instant) -> Option<&RangeInclusive<Instant>> {
+        self.pauses.iter().find(|pause| pause.contains(&at))
+    }
+
+    /// Returns the longest time for which the laboratory itself was held up.
+    pub(super) fn longest_pause(&self) -> Duration {
+        self.pauses.iter().map(|pause| *pause.end() - *pause.start()).max().unwrap_or_default()
+    }
+
     /// Records that a connection is closed: its calls without a response are no longer out.
     pub(super) fn close_connection(&mut self, connection: u64, at: Instant) {
         let calls = self.calls.iter_mut().filter(|call| call.connection == connection);
@@ -125,6 +153,17 @@
         }
     }
 
+    /// Returns the time at which a message had its final outcome: an endpoint wrote that it is delivered or over, or the
+    /// platform read a notification.
+    pub(super) fn end_of(&self, message: &str) -> Option<Instant> {
+        let calls = self.calls_of(message).filter(|call| !call.spoilt);
+        let is_end = |status: u16| matches!(status, 200 | STATUS_OVER);
+        let answers =
+            calls.filter_map(|call| call.answered.filter(|(_, status)| is_end(*status)).map(|(at, _)| at));
+        let outcomes = self.outcomes.get(message).into_iter().flatten().map(|(at, _)| self.earliest(*at));
+        answers.chain(outcomes).min()
+    }
+
     fn seconds(&self, at: Instant) -> f64 {
         at.saturating_duration_since(self.started).as_secs_f64()
     }
@@ -140,7 +179,7 @@
         if let Some(submission) = self.submissions.get(message) {
             let class = super::plan::SERVICE_CLASSES[submission.class].name;
             let reply = if submission.accepted { "accepted" } else { "not accepted" };
-            let time_to_live = submission.deadline - submission.submitted;
+            let time_to_live = submission.time_to_live();
             let text =
                 format!("{reply} by instance {}, class {class}, {time_to_live:?} left", submission.instance);
             lines.push((submission.submitted, text));
--- a/crates/quillhub-fakes/src/laboratory/run.rs
+++ b/crates/quillhub-fakes/src/laboratory/run.rs
@@ -1,7 +1,10 @@
 //! A run: starts everything, restarts instances as planned, waits for the last message and returns the verdict.
 
 use super::audit::{Verdict, audit};
+use super::crowd::idle_client;
+use super::hold_up::hold_up_instances;
 use super::plan::{CopyPlan, Plan, SERVICE_CLASSES};
+use super::platform_faults::PlatformFaults;
 use super::record::Outage;
 use super::shim::{Environment, switch_storage_faults};
 use super::state::{RunState, SharedRun};
@@ -10,7 +13,7 @@
 use crate::clients::wait_until_ready;
 use crate::endpoints::ListedEndpoint;
 use crate::platform::{self, Discovery, OutcomeNotification};
-use crate::process::InstanceProcess;
+use crate::process::{InstanceProcess, Signal};
 use crate::scratch::ScratchDirectory;
 use rand::RngExt;
 use serde_json::{Value, json};
@@ -35,11 +38,13 @@
 
 /// Text of the log line that says that the event loop of an instance was held up.
 const EVENT_LOOP_DELAY: &str = "event loop was held up";
+/// Number of addresses of the platform, of which the first is in use until it moves.
+const PLATFORM_ADDRESSES: usize = 2;
 /// Interval of the checks whether the laboratory itself was held up.
 const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Processes of all instances; `None` from the signal to the restart.
-type Processes = RefCell<Vec<Option<InstanceProcess>>>;
+pub(super) type Processes = RefCell<Vec<Option<InstanceProcess>>>;
 
 /// Files and address of one instance.
 struct InstanceFiles {
@@ -72,12 +77,17 @@
     let endpoints = start_endpoints(&run, plan).await?;
     let (sender, mut outcomes) = unbounded_channel::<OutcomeNotification>();
     let discovery = Discovery::new(&endpoints);
-    let control = platform::start(discovery.clone(), sender).await?;
+    let platform_faults = PlatformFaults::new(run.clone(), plan.platform_faults.clone());
+    let mut control = Vec::new();
+    for number in 0..PLATFORM_ADDRESSES {
+        let behaviour = platform_faults.behaviour(number);
+        control.push(platform::start_with_behaviour(discovery.clone(), sender.clone(), behaviour).await?);
+    }
     let mut instances = Vec::new();
     for number in 0..plan.instances {
         let known = discovery.borrow().list();
         let log_level = if logs.is_some() { "debug" } else { "info" };
-        instances.push(prepare_instance(plan, number, control, known, log_level)?);
+        instances.push(prepare_instance(plan, number, control[0], known, log_level)?);
     }
     let processes = instances.iter().map(|instance| instance.start(program).map(Some));
     let processes = RefCell::new(processes.collect::<io::Result<_>>()?);
@@ -100,11 +110,16 @@
         clients.spawn_local(client::submit(run.clone(), plan.clone(), number, instance.listen));
         clients.spawn_local(client::submit_clumps(run.clone(), plan.clone(), number, instance.listen));
     }
+    let addresses: Vec<_> = instances.iter().map(|instance| instance.listen).collect();
+    let files: Vec<_> = instances.iter().map(|instance| instance.files.0.clone()).collect();
+    start_crowd(&run, plan, addresses[0]);
+    let hold_ups = hold_up_instances(&run, plan, &processes, &addresses);
+    let moves = move_platform(&run, plan, &processes, &files, (&platform_faults, &control));
     let storage_faults = fail_storage(plan, run.borrow().record.started, instances[0].files.0.clone());
     let pauses = pause_instances(plan, run.borrow().record.started, &processes);
     let reloads = reload_instances(plan, run.borrow().record.started, &processes);
     let restarts = restart_instances(&run, plan, program, &mut instances, &processes);
-    tokio::try_join!(storage_faults, pauses, reloads, restarts)?;
+    tokio::try_join!(storage_faults, pauses, hold_ups, moves, reloads, restarts)?;
     while clients.join_next().await.is_some() {}
     sleep(plan.time_to_live + SETTLE_TIME).await;
     if let Some(logs) = logs {
@@ -118,13 +133,15 @@
     Ok(verdict)
 }
 
-/// Records the longest time for which the laboratory itself was held up.
+/// Records the times for which the laboratory itself was held up.
 async fn watch_own_pauses(run: SharedRun) {
     loop {
         let due = Instant::now() + PAUSE_CHECK_INTERVAL;
         sleep_until(due).await;
-        let record = &mut run.borrow_mut().record;
-        record.longest_pause = record.longest_pause.max(due.elapsed());
+        let now = Instant::now();
+        if now - due > PAUSE_CHECK_INTERVAL {
+            run.borrow_mut().record.pauses.push(due..=now);
+        }
     }
 }
 
@@ -235,9 +252,9 @@
 }
 
 /// Sends a signal to an instance unless it is being restarted.
-fn signal(processes: &Processes, instance: usize, name: &str) -> io::Result<()> {
+pub(super) fn signal(processes: &Processes, instance: usize, signal: Signal) -> io::Result<()> {
     match &processes.borrow()[instance] {
-        Some(process) => process.signal(name).map(drop),
+        Some(process) => process.signal(signal).map(drop),
         None => Ok(()),
     }
 }
@@ -246,9 +263,9 @@
 async fn pause_instances(plan: &Plan, started: Instant, processes: &Processes) -> io::Result<()> {
     for pause in &plan.pauses {
         sleep_until(started + pause.at).await;
-        signal(processes, pause.instance, "STOP")?;
+        signal(processes, pause.instance, Signal::STOP)?;
         sleep(pause.length).await;
-        signal(processes, pause.instance, "CONT")?;
+        signal(processes, pause.instance, Signal::CONT)?;
     }
     Ok(())
 }
@@ -257,7 +274,7 @@
 async fn reload_instances(plan: &Plan, started: Instant, processes: &Processes) -> io::Result<()> {
     for reload in &plan.reloads {
         sleep_until(started + reload.at).await;
-        signal(processes, reload.instance, "HUP")?;
+        signal(processes, reload.instance, Signal::HUP)?;
     }
     Ok(())
 }
@@ -277,7 +294,7 @@
         let Some(mut process) = processes.borrow_mut()[restart.instance].take() else { continue };
         process.signal(restart.signal)?;
         // Ends a pause, during which SIGTERM has no effect.
-        process.signal("CONT")?;
+        process.signal(Signal::CONT)?;
         let ended = timeout(EXIT_TIMEOUT, process.wait_for_exit()).await;
         ended.map_err(|_| io::Error::other("an instance did not end after its signal"))??;
         let ended = Instant::now();
@@ -295,6 +312,35 @@
     Ok(())
 }
 
+fn start_crowd(run: &SharedRun, plan: &Plan, instance: SocketAddr) {
+    let Some(crowd) = &plan.crowd else { return };
+    let end = run.borrow().record.started + plan.load_time + plan.time_to_live;
+    for _ in 0..crowd.clients {
+        spawn_local(idle_client(run.clone(), crowd.clone(), instance, end));
+    }
+}
+
+/// Moves the platform to its second address as planned: changes the configurations, and sends SIGHUP to all instances.
+async fn move_platform(
+    run: &SharedRun,
+    plan: &Plan,
+    processes: &Processes,
+    files: &[PathBuf],
+    (faults, control): (&PlatformFaults, &[SocketAddr]),
+) -> io::Result<()> {
+    let Some(at) = plan.platform_faults.as_ref().and_then(|faults| faults.moves_at) else { return Ok(()) };
+    let started = run.borrow().record.started;
+    sleep_until(started + at).await;
+    for directory in files {
+        let path = directory.join("config");
+        let mut configuration: Value = serde_json::from_slice(&std::fs::read(&path)?)?;
+        configuration["discovery"] = json!(control[1].to_string());
+        std::fs::write(&path, configuration.to_string())?;
+    }
+    faults.move_to(1);
+    (0..files.len()).try_for_each(|instance| signal(processes, instance, Signal::HUP))
+}
+
 fn copy_logs(instances: &[InstanceFiles], directory: &Path) -> io::Result<()> {
     std::fs::create_dir_all(directory)?;
     for (number, instance) in instances.iter().enumerate() {
--- a/crates/quillhub-fakes/src/platform.rs
+++ b/crates/quillhub-fakes/src/platform.rs
@@ -180,6 +180,20 @@
     pub platform: Arc<Traffic>,
 }
 
+/// What the platform does with a request that notifies it of final outcomes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlatformReply {
+    /// Reads and confirms it at once.
+    Prompt,
+    /// Reads it at once, and confirms it after this time.
+    Late(Duration),
+    /// Neither reads nor answers it, and keeps its connection open.
+    Lost,
+}
+
+/// Decides what the platform does with a request, from the ids of the messages in it.
+pub type PlatformBehaviour = Rc<dyn Fn(&[OutcomeNotification]) -> PlatformReply>;
+
 /// Starts service discovery and platform as local tasks of the current thread and returns their address.
 ///
 /// Notifications of final outcomes are sent to `outcomes`.
@@ -190,30 +204,48 @@
     start_with_traffic(discovery, outcomes, ControlTraffic::default()).await
 }
 
+/// Starts service discovery and a platform with this behaviour, as [`start`] does.
+pub async fn start_with_behaviour(
+    discovery: Rc<RefCell<Discovery>>,
+    outcomes: UnboundedSender<OutcomeNotification>,
+    behaviour: PlatformBehaviour,
+) -> std::io::Result<SocketAddr> {
+    listen(Control { discovery, outcomes, traffic: ControlTraffic::default(), behaviour }).await
+}
+
 /// Starts service discovery and platform as [`start`] does, and counts their traffic in `traffic`.
 pub async fn start_with_traffic(
     discovery: Rc<RefCell<Discovery>>,
     outcomes: UnboundedSender<OutcomeNotification>,
     traffic: ControlTraffic,
 ) -> std::io::Result<SocketAddr> {
+    listen(Control { discovery, outcomes, traffic, behaviour: Rc::new(|_| PlatformReply::Prompt) }).await
+}
+
+/// Service discovery and platform on one address.
+struct Control {
+    discovery: Rc<RefCell<Discovery>>,
+    outcomes: UnboundedSender<OutcomeNotification>,
+    traffic: ControlTraffic,
+    behaviour: PlatformBehaviour,
+}
+
+async fn listen(control: Control) -> std::io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
+    let control = Rc::new(control);
     spawn_local(accept_each(listener, move |stream| {
-        let connection = ServerConnection::with_traffic(stream, traffic.discovery.clone());
-        serve(discovery.clone(), outcomes.clone(), connection, traffic.platform.clone())
+        let connection = ServerConnection::with_traffic(stream, control.traffic.discovery.clone());
+        serve(control.clone(), connection)
     }));
     Ok(address)
 }
 
-async fn serve(
-    discovery: Rc<RefCell<Discovery>>,
-    outcomes: UnboundedSender<OutcomeNotification>,
-    mut connection: ServerConnection,
-    platform: Arc<Traffic>,
-) -> std::io::Result<()> {
+async fn serve(control: Rc<Control>, mut connection: ServerConnection) -> std::io::Result<()> {
+    let discovery = &control.discovery;
     while let Some(request) = connection.next().await? {
         if request.method == "POST" && request.path == "/v2/finals" {
-            connection.move_traffic_to(&platform);
+            connection.move_traffic_to(&control.traffic.platform);
             let notifications: Option<Vec<OutcomeNotification>> = request
                 .body
                 .split(|b| *b == b'\n')
@@ -222,9 +254,16 @@
                 .collect();
             match notifications {
                 Some(notifications) => {
+                    let reply = (control.behaviour)(&notifications);
+                    if reply == PlatformReply::Lost {
+                        return connection.discard().await;
+                    }
                     notifications.into_iter().for_each(|notification| {
-                        let _ = outcomes.send(notification);
+                        let _ = control.outcomes.send(notification);
                     });
+                    if let PlatformReply::Late(delay) = reply {
+                        sleep(delay).await;
+                    }
                     connection.answer(204, "", b"").await?;
                 }
                 None => connection.answer(400, "", b"").await?,
@@ -234,7 +273,7 @@
         } else if let Some(query) = request.path.strip_prefix("/registry/instances?") {
             let after = query.split('&').find_map(|part| part.strip_prefix("after="));
             let after = after.and_then(|text| text.parse().ok()).unwrap_or(0);
-            return serve_watch(&discovery, connection, after).await;
+            return serve_watch(discovery, connection, after).await;
         } else if request.path == "/registry/instances" {
             let list = discovery.borrow_mut().list_text();
             connection.answer(200, "Content-Type: application/json\r\n", list.as_bytes()).await?;
--- a/crates/quillhub-fakes/src/process.rs
+++ b/crates/quillhub-fakes/src/process.rs
@@ -1,5 +1,8 @@
 //! The process of an instance, and the processor time and memory of processes and threads.
 
+use rustix::io::Errno;
+pub use rustix::process::Signal;
+use rustix::process::{Pid, kill_process};
 use std::ffi::OsString;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -58,10 +61,13 @@
         Ok(Self(command.spawn()?))
     }
 
-    /// Sends the signal of this name, written without `SIG`; returns `true` if it was sent.
-    pub fn signal(&self, name: &str) -> io::Result<bool> {
-        let status = Command::new("sh").args(["-c", &format!("kill -{name} {}", self.0.id())]).status();
-        status.map(|status| status.success())
+    /// Sends a signal; returns `true` if it was sent, and `false` if the process has ended.
+    pub fn signal(&self, signal: Signal) -> io::Result<bool> {
+        match kill_process(Pid::from_child(&self.0), signal) {
+            Ok(()) => Ok(true),
+            Err(Errno::SRCH) => Ok(false),
+            Err(error) => Err(error.into()),
+        }
     }
 
     /// Waits for the process to end and returns its exit status.
--- a/crates/quillhub-scale/src/point.rs
+++ b/crates/quillhub-scale/src/point.rs
@@ -5,7 +5,7 @@
 use crate::plan::{Plan, Sizes, Slope};
 use crate::settings::{self, Addresses};
 use quillhub_fakes::clients::wait_until_ready;
-use quillhub_fakes::process::InstanceProcess;
+use quillhub_fakes::process::{InstanceProcess, Signal};
 use quillhub_fakes::scratch::{ScratchDirectory, on_one_thread, size_on_disk};
 use quillhub_fakes::traffic::Counts;
 use std::collections::BTreeMap;
@@ -404,7 +404,7 @@
         measurement.put(figure::STATE_MB, state as f64 / (1024.0 * 1024.0));
         let stop_failed =
             |e: std::io::Error| Stop::EnvironmentFailed(format!("the instance cannot be stopped: {e}"));
-        self.instance.signal("KILL").map_err(stop_failed)?;
+        self.instance.signal(Signal::KILL).map_err(stop_failed)?;
         self.instance.wait_for_exit().await.map_err(stop_failed)?;
         let started = Instant::now();
         self.instance = start(self.program, &self.directory, "real", &self.directory.0.join("real.json"))?;
@@ -421,7 +421,7 @@
     async fn measure_first_delivery(&mut self, measurement: &mut Measurement) -> Result<(), Stop> {
         let list = self.fleet.control.list().await?;
         measurement.put(figure::LIST_BYTES, list.len() as f64);
-        self.instance.signal("KILL").map_err(|e| Stop::EnvironmentFailed(e.to_string()))?;
+        self.instance.signal(Signal::KILL).map_err(|e| Stop::EnvironmentFailed(e.to_string()))?;
         let listen = free_port()?;
         let configured =
             configure(&self.fleet, &self.directory, "bare", listen, &self.sizes, self.seed, None)?;
--- a/crates/quillhub-server/tests/fault_laboratory.rs
+++ b/crates/quillhub-server/tests/fault_laboratory.rs
@@ -1,27 +1,34 @@
 //! Runs of the fault laboratory with real processes of this build.
 
 use quillhub_fakes::laboratory::{
-    CopyPlan, CopyShape, CopyTiming, HangPlan, Plan, Restart, ShortIo, SocketFaults, SpoiltRejectionPlan,
-    StorageFaults, Verdict, run,
+    CopyPlan, CopyShape, CopyTiming, HangPlan, HoldUpPlan, Plan, PlatformFaultPlan, Restart, ShortIo,
+    SocketFaults, SpoiltRejectionPlan, StorageFaults, Verdict, run,
 };
 use quillhub_fakes::scratch::on_one_thread;
 use std::path::Path;
 use std::time::Duration;
 
-/// Runs a plan and checks that faults happened as planned and that no rule broke. Returns the verdict.
-fn check(plan: &Plan) -> Verdict {
+/// Runs a plan and checks that no rule broke. Returns the verdict.
+fn check_rules(plan: &Plan) -> Verdict {
     let verdict = on_one_thread(run(Path::new(env!("CARGO_BIN_EXE_quillhub")), plan, None)).unwrap();
     println!("{verdict}");
-    assert!(verdict.delivered > 100, "{verdict}");
-    assert_eq!(verdict.over > 0, plan.over.is_some(), "{verdict}");
-    let has_copies = plan.copies.is_some() || plan.hangs.is_some() || plan.clumps.is_some();
-    assert_eq!(verdict.copies > 0, has_copies, "{verdict}");
     let timelines =
         verdict.violations.iter().take(3).map(|(violation, text)| format!("{violation:?}: {text}"));
     assert!(verdict.violations.is_empty(), "{verdict}\n{}", timelines.collect::<String>());
     verdict
 }
 
+/// Runs a plan and checks that faults happened as planned and that no rule broke. Returns the verdict.
+fn check(plan: &Plan) -> Verdict {
+    let verdict = check_rules(plan);
+    assert!(verdict.delivered > 100, "{verdict}");
+    assert_eq!(verdict.over > 0, plan.over.is_some(), "{verdict}");
+    let has_copies_before_hangs = plan.hangs.as_ref().is_some_and(|hangs| hangs.copied_share > 0.0);
+    let has_copies = plan.copies.is_some() || has_copies_before_hangs || plan.clumps.is_some();
+    assert_eq!(verdict.copies > 0, has_copies, "{verdict}");
+    verdict
+}
+
 /// Returns a plan in which every second endpoint writes identical copies of four in ten responses.
 fn with_copies(seed: u64, timing: CopyTiming) -> Plan {
     let copies = CopyPlan { one_endpoint_in: 2, share: 0.4, timing, shape: CopyShape::Identical };
@@ -198,6 +205,37 @@
     }
 }
 
+/// Guards against stages that each take their own time at the end of a message: it waited in front while the process was held
+/// up, was called until its deadline, was held up again, and its final outcome was lost on the way to the platform.
+#[test]
+fn hold_ups_at_every_stage_and_a_platform_that_loses_requests_break_no_rule() {
+    for seed in [60, 61] {
+        let plan = Plan::with_hold_ups(seed);
+        // Clients submit only during hold-ups, which therefore delay no end of another message.
+        let hold_ups = plan.hold_ups.clone().map(|hold_ups| HoldUpPlan {
+            submission_length: Duration::from_millis(220),
+            messages: 20,
+            ..hold_ups
+        });
+        let time = Duration::ZERO..Duration::from_millis(9_000);
+        let hangs = plan.hangs.clone().map(|hangs| HangPlan { one_endpoint_in: 1, time, ..hangs });
+        let platform_faults =
+            plan.platform_faults.clone().map(|faults| PlatformFaultPlan { lost_share: 1.0, ..faults });
+        let plan = Plan { rate_per_s: 0.1, copies: None, crowd: None, restarts: Vec::new(), ..plan };
+        let verdict = check_rules(&Plan { hold_ups, hangs, platform_faults, ..plan });
+        assert!(verdict.accepted > 100, "{verdict}");
+    }
+}
+
+/// Guards against the same with everything else that happens beside it: a crowd of idle clients, pipelined messages, copies
+/// of responses, SIGHUP, a platform that moves or answers late, and restarts.
+#[test]
+fn hold_ups_among_other_faults_break_no_rule() {
+    for seed in [1, 2, 8, 63] {
+        check(&Plan::with_hold_ups(seed));
+    }
+}
+
 /// Guards against faults that break a rule only together: surplus responses, shortened and failing system calls, a failing
 /// disk, pauses, a wall clock that is set, and a series of restarts.
 #[test]
--- a/crates/quillhub-server/tests/process_signals.rs
+++ b/crates/quillhub-server/tests/process_signals.rs
@@ -6,7 +6,7 @@
 
 use quillhub_fakes::clients::{command, send_command, wait_until_ready};
 use quillhub_fakes::http::ServerConnection;
-use quillhub_fakes::process::InstanceProcess;
+use quillhub_fakes::process::{InstanceProcess, Signal};
 use quillhub_fakes::scratch::{ScratchDirectory, on_one_thread, unused_address};
 use quillhub_fakes::scripted::unconnectable_address;
 use serde_json::{Value, json};
@@ -159,8 +159,8 @@
 
 /// Handles one message with two processes, the first of which gets `signal` at `step`, and checks that the message gets
 /// exactly one outcome and, unless it is idempotent, no attempt that could execute it a second time.
-async fn check_restart(step: Step, class: &str, signal: &str) {
-    let case = format!("{step:?}, {class}, {signal}");
+async fn check_restart(step: Step, class: &str, signal: Signal) {
+    let case = format!("{step:?}, {class}, {signal:?}");
     let (state, files) = (ScratchDirectory::new(), ScratchDirectory::new());
     let (unresponsive, _full_queue) = unconnectable_address();
     let environment = Rc::new(Environment {
@@ -188,7 +188,7 @@
     }
     assert!(first.signal(signal).unwrap());
     let status = first.wait_for_exit().await.unwrap();
-    assert!(signal == "KILL" || status.success(), "{case}: {status}");
+    assert!(signal == Signal::KILL || status.success(), "{case}: {status}");
 
     environment.restarted.set(true);
     let outcomes_before = environment.final_outcomes.borrow().len();
@@ -204,15 +204,15 @@
     while !delivered() && !outcome_reported() {
         environment.observed.notified().await;
     }
-    assert!(second.signal("TERM").unwrap()); // it exits once no message is pending
+    assert!(second.signal(Signal::TERM).unwrap()); // it exits once no message is pending
     assert!(second.wait_for_exit().await.unwrap().success(), "{case}");
 
     assert_single_outcome(&environment, step, class, signal);
 }
 
 /// Checks which requests and final outcomes the endpoint and the platform received.
-fn assert_single_outcome(environment: &Environment, step: Step, class: &str, signal: &str) {
-    let case = format!("{step:?}, {class}, {signal}");
+fn assert_single_outcome(environment: &Environment, step: Step, class: &str, signal: Signal) {
+    let case = format!("{step:?}, {class}, {signal:?}");
     let delivered = || environment.requests.borrow().iter().any(|(_, by_second)| *by_second);
     let (requests, outcomes) = (environment.requests.borrow(), environment.final_outcomes.borrow());
     let by_first = requests.iter().filter(|(_, by_second)| !by_second).count();
@@ -232,7 +232,10 @@
         (_, "marked") => {
             let late =
                 requests.iter().any(|(time, _)| *time > requests[0].0 + DEDUPLICATION_WINDOW + TOLERANCE);
-            assert!(!late && abandoned == 0 && (signal == "TERM" || delivered()), "{case}: {requests:?}");
+            assert!(
+                !late && abandoned == 0 && (signal == Signal::TERM || delivered()),
+                "{case}: {requests:?}"
+            );
         }
         _ => assert!(delivered(), "{case}: retried"),
     }
@@ -244,7 +247,7 @@
 fn a_message_has_one_outcome_at_whichever_step_the_process_is_terminated_or_killed() {
     on_one_thread(async {
         let mut cases = Vec::new();
-        for signal in ["KILL", "TERM"] {
+        for signal in [Signal::KILL, Signal::TERM] {
             for step in [
                 Step::Accepted,
                 Step::Opening,
@@ -276,14 +279,14 @@
         let configuration = configuration(listen, silent.local_addr().unwrap(), list(1, None));
         // Before the process is ready, and possibly before it has installed its signal handlers.
         let mut early = start(&state, &files, &configuration);
-        assert!(early.signal("TERM").unwrap());
+        assert!(early.signal(Signal::TERM).unwrap());
         let status = early.wait_for_exit().await.unwrap();
         assert!(status.success() || status.code().is_none(), "{status}");
         // With a message pending, so that the shutdown takes some time.
         let mut instance = start(&state, &files, &configuration);
         assert!(wait_until_ready(listen, TEST_TIMEOUT).await);
         submit(listen, "free").await;
-        for signal in ["TERM", "HUP", "INT", "HUP", "TERM"] {
+        for signal in [Signal::TERM, Signal::HUP, Signal::INT, Signal::HUP, Signal::TERM] {
             assert!(instance.signal(signal).unwrap());
         }
         assert!(instance.wait_for_exit().await.unwrap().success());
--- a/crates/quillhub-server/tests/resource_limits.rs
+++ b/crates/quillhub-server/tests/resource_limits.rs
@@ -3,7 +3,7 @@
 
 use quillhub_fakes::clients::{command, send_command, wait_until_ready};
 use quillhub_fakes::http::ServerConnection;
-use quillhub_fakes::process::InstanceProcess;
+use quillhub_fakes::process::{InstanceProcess, Signal};
 use quillhub_fakes::scratch::{ScratchDirectory, on_one_thread};
 use quillhub_fakes::scripted::unconnectable_address;
 use serde_json::{Value, json};
@@ -183,7 +183,7 @@
         }
         assert!(pending > 1_000, "{pending} pending when the directory was full");
         for discovery in [refused, unresponsive, silent.local_addr().unwrap()] {
-            assert!(instance.signal("KILL").unwrap());
+            assert!(instance.signal(Signal::KILL).unwrap());
             instance.wait_for_exit().await.unwrap();
             instance = start(&state, &files, &configuration(listen, discovery, known.clone()));
             let started = std::time::Instant::now();
