Time counts from the arrival of a command, and stale commands are rejected

Callers saw: a message that was accepted after its command had waited (process held up, crowd) got its final outcome late by that wait. Cause: Instance::submit counted the deadline from the execution of SUBMIT, the protocol counts from the client's last byte.

The deadline, also the logged one, now counts from the earliest possible arrival; at most the 400 ms are charged that a client waits. A command that is certainly older than 250 ms, or whose time is over, is rejected (-BUSY, counted in stale_submissions): a hold-up of 0.15 s before the reply would let its client leave. The decision is src/policy/deadline_budget.rs.

--- a/crates/quillhub-server/src/clients/arrival.rs
+++ b/crates/quillhub-server/src/clients/arrival.rs
@@ -53,17 +53,24 @@
 pub(super) struct Arrival {
     /// Moment before which none of it arrived.
     earliest: Instant,
-    /// Arrival of its last byte.
+    /// Earliest possible arrival of its last byte.
     last_byte: Instant,
+    /// Latest possible arrival of its last byte.
+    latest: Instant,
     /// Time at which it was read.
     pub(super) read: Instant,
 }
 
 impl Arrival {
-    /// Returns the arrival of a byte, the last of the read if `is_last` is set.
+    /// Returns the earliest possible arrival of a byte, the last of the read if `is_last` is set.
     pub(super) fn of_byte(&self, is_last: bool) -> Instant {
         if is_last { self.last_byte } else { self.earliest }
     }
+
+    /// Returns the latest possible arrival of any byte.
+    pub(super) fn latest(&self) -> Instant {
+        self.latest
+    }
 }
 
 /// Last moment at which a socket is known to have had no input that was not read.
@@ -97,10 +104,11 @@
         let earliest = self.moment.get();
         let age = stamp.and_then(|stamp| SystemTime::now().duration_since(stamp).ok());
         let stamped = age.and_then(|age| read.checked_sub(age));
-        let last_byte = stamped.filter(|stamped| *stamped >= earliest).unwrap_or(earliest);
+        let stamped = stamped.filter(|stamped| *stamped >= earliest);
+        let last_byte = stamped.unwrap_or(earliest);
         // Bytes arrive in order.
         self.moment.set(last_byte);
-        Arrival { earliest, last_byte, read }
+        Arrival { earliest, last_byte, latest: stamped.unwrap_or(read), read }
     }
 }
 
--- a/crates/quillhub-server/src/clients/connection.rs
+++ b/crates/quillhub-server/src/clients/connection.rs
@@ -175,7 +175,9 @@
     /// long.
     fn command_times(&self, used: usize) -> CommandTimes {
         let executed = Instant::now();
-        let Some(read) = self.last_read else { return CommandTimes { arrived: executed, read: executed } };
+        let Some(read) = self.last_read else {
+            return CommandTimes { arrived: executed, arrived_by: executed, read: executed };
+        };
         let arrived = read.of_byte(used == self.input.len());
         let waited = executed.saturating_duration_since(arrived);
         if waited > MAX_UNLOGGED_WAIT {
@@ -183,7 +185,7 @@
             tracing::info!(?waited, ?waits, "command waited before it was executed");
             self.instance.borrow_mut().command_waited();
         }
-        CommandTimes { arrived, read: read.read }
+        CommandTimes { arrived, arrived_by: read.latest(), read: read.read }
     }
 
     /// Removes an executed command of `used` bytes from the input, and frees the permit and the memory that it needed.
--- a/crates/quillhub-server/src/instance/submission.rs
+++ b/crates/quillhub-server/src/instance/submission.rs
@@ -19,7 +19,7 @@
     pub ordering_key: Option<u64>,
     /// When the command that submits the message arrived and was read.
     pub times: CommandTimes,
-    /// Time from the submission of the message to its deadline.
+    /// Time from the arrival of the command to the deadline of the message.
     pub time_to_live: Duration,
     /// Destination of the message.
     pub destination: DestinationId,
@@ -98,25 +98,42 @@
         if !is_known(submission.destination) {
             return SubmitOutcome::Invalid(InvalidSubmission::UnknownDestination);
         }
+        let Some(time_left) = submission.times.age().time_left(submission.time_to_live) else {
+            self.reject_stale(&submission);
+            return SubmitOutcome::Rejected { retry_after: None };
+        };
         let id = self.wal.allocate_id();
-        let deadline = self.wall_clock.now() + submission.time_to_live;
-        let message = logged_message(&submission, deadline);
+        let message = logged_message(&submission, self.wall_clock.now() + time_left);
         let record = wal::accepted_payload(&message);
         let capacity = self.wal.remaining_capacity().saturating_sub(record.len() as u64);
-        let timeline = MessageTimeline::accepted(submission.times, Instant::now() + submission.time_to_live);
+        let timeline = MessageTimeline::accepted(submission.times, Instant::now() + time_left);
         self.messages.insert(id, PendingMessage::submitted(message, record, timeline));
-        if let Some(outcome) = self.dispatch(id, &submission, capacity) {
+        if let Some(outcome) = self.dispatch(id, &submission, time_left, capacity) {
             return outcome;
         }
         self.commit(id, &submission)
     }
 
-    /// Passes the message to the dispatcher; `capacity` is the number of bytes that the state directory has left after
+    /// Logs and counts a submission that is rejected since its command waited for too long.
+    fn reject_stale(&mut self, submission: &Submission) {
+        self.figures.stale_submissions += 1;
+        let client_id = String::from_utf8_lossy(submission.client_id);
+        let (age, time_to_live) = (submission.times.age(), submission.time_to_live);
+        tracing::info!(%client_id, ?age, ?time_to_live, "message is rejected: its command waited for too long");
+    }
+
+    /// Passes the message to the dispatcher, with `time_left` until its deadline; `capacity` is the number of bytes that the state directory has left after
     /// storing the message. Returns the outcome if the dispatcher finishes the message immediately or does not know its
     /// service class.
-    fn dispatch(&mut self, id: MessageId, submission: &Submission, capacity: u64) -> Option<SubmitOutcome> {
+    fn dispatch(
+        &mut self,
+        id: MessageId,
+        submission: &Submission,
+        time_left: Duration,
+        capacity: u64,
+    ) -> Option<SubmitOutcome> {
         self.immediate_outcome = None;
-        let deadline = self.now() + submission.time_to_live;
+        let deadline = self.now() + time_left;
         let accepted = self.handle_event(|dispatcher| {
             dispatcher.set_remaining_storage(capacity);
             dispatcher.accept(NewMessage {
--- a/crates/quillhub-server/src/instance/tests.rs
+++ b/crates/quillhub-server/src/instance/tests.rs
@@ -7,6 +7,7 @@
     until_attempts_ended, until_idle,
 };
 use quillhub::{AttemptOutcome, AttemptResult, Driver, EndpointState};
+use std::time::SystemTime;
 
 /// Guards against a request that lacks the message's ids or changes its body, and against a delivered message that
 /// stays pending and is sent again after a restart.
@@ -249,3 +250,48 @@
         assert_eq!(stream.try_read(&mut [0]).unwrap_or_default(), 0, "nothing was sent");
     });
 }
+
+/// Returns the times of a command that arrived `age` ago and was read now.
+fn arrived_before(age: Duration) -> CommandTimes {
+    let now = Instant::now();
+    CommandTimes { arrived: now - age, arrived_by: now - age, read: now }
+}
+
+/// Guards against a deadline that counts from the execution of a command that waited, also after a restart.
+#[test]
+fn the_time_that_a_command_waited_is_charged_to_its_message_and_in_the_log() {
+    let directory = StateDirectory::new();
+    on_one_thread(async {
+        let (address, _listener) = silent_endpoint().await;
+        let instance = instance(&directory, address);
+        let waited = Duration::from_millis(200);
+        let submission = Submission { times: arrived_before(waited), ..submission("free") };
+        let latest = SystemTime::now() + TIME_TO_LIVE - waited;
+        assert!(matches!(instance.borrow_mut().submit(submission), SubmitOutcome::Accepted(_)));
+        let logged = unfinished_in(&directory).into_values().next().unwrap().deadline.unwrap();
+        let charged = latest.duration_since(logged).unwrap_or_default();
+        let late = logged.duration_since(latest).unwrap_or_default();
+        assert!(charged < waited / 2 && late < waited / 2, "{charged:?} before, {late:?} after");
+    });
+}
+
+/// Guards against messages that are accepted although their clients may have left, or although their time is over.
+#[test]
+fn a_message_whose_command_waited_for_too_long_is_rejected_and_may_come_again() {
+    let directory = StateDirectory::new();
+    on_one_thread(async {
+        let (address, _listener) = silent_endpoint().await;
+        let instance = instance(&directory, address);
+        let rejected = SubmitOutcome::Rejected { retry_after: None };
+        let stale = Submission { times: arrived_before(Duration::from_millis(390)), ..submission("free") };
+        assert_eq!(instance.borrow_mut().submit(stale), rejected);
+        let expired = Submission {
+            times: arrived_before(Duration::from_millis(150)),
+            time_to_live: Duration::from_millis(140),
+            ..submission("free")
+        };
+        assert_eq!(instance.borrow_mut().submit(expired), rejected);
+        let timely = submission("free");
+        assert!(matches!(instance.borrow_mut().submit(timely), SubmitOutcome::Accepted(_)));
+    });
+}
--- a/crates/quillhub-server/src/instance/timeline.rs
+++ b/crates/quillhub-server/src/instance/timeline.rs
@@ -1,5 +1,6 @@
 //! Timeline of a message, for the log: when it passed each stage from its arrival to the confirmation of its final outcome.
 
+use quillhub::CommandAge;
 use std::fmt;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -10,8 +11,10 @@
 /// When a command arrived at this machine, and when it was read.
 #[derive(Clone, Copy, Debug)]
 pub struct CommandTimes {
-    /// Arrival of its last byte.
+    /// Earliest possible arrival of its last byte.
     pub arrived: Instant,
+    /// Latest possible arrival of its last byte.
+    pub arrived_by: Instant,
     /// Time at which its last byte was read.
     pub read: Instant,
 }
@@ -20,7 +23,15 @@
     /// Returns the times of a command that arrives and is read now.
     #[cfg(test)]
     pub fn now() -> Self {
-        Self { arrived: Instant::now(), read: Instant::now() }
+        let now = Instant::now();
+        Self { arrived: now, arrived_by: now, read: now }
+    }
+}
+
+impl CommandTimes {
+    /// Returns the age of the command.
+    pub fn age(&self) -> CommandAge {
+        CommandAge { at_least: self.arrived_by.elapsed(), at_most: self.arrived.elapsed() }
     }
 }
 
--- a/crates/quillhub-server/src/instance/timeline_tests.rs
+++ b/crates/quillhub-server/src/instance/timeline_tests.rs
@@ -7,7 +7,7 @@
     let wait = |millis| tokio::time::advance(ms(millis));
     let arrived = Instant::now();
     wait(180).await;
-    let command = CommandTimes { arrived, read: Instant::now() };
+    let command = CommandTimes { arrived, arrived_by: arrived, read: Instant::now() };
     let mut timeline = MessageTimeline::accepted(command, arrived + ms(2_000));
     wait(20).await;
     timeline.call_started();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,8 +23,8 @@
     UnknownServiceClass, ValueDecay,
 };
 pub use policy::{
-    AttributionGround, AttributionTerms, CallId, CallTimes, ConnectionChoice, ConnectionId, ConnectionLedger,
-    Health, LedgerUpdate, ResponseMeaning, Uncertainty, choose_connection,
+    AttributionGround, AttributionTerms, CallId, CallTimes, CommandAge, ConnectionChoice, ConnectionId,
+    ConnectionLedger, Health, LedgerUpdate, ResponseMeaning, Uncertainty, choose_connection,
 };
 
 use std::time::Duration;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -12,6 +12,7 @@
 mod connection_choice;
 mod connection_ledger;
 mod connections;
+mod deadline_budget;
 mod discovery;
 mod expiry;
 mod latency;
@@ -33,6 +34,7 @@
 pub use connection_ledger::{
     AttributionTerms, CallId, ConnectionId, ConnectionLedger, LedgerUpdate, ResponseMeaning, Uncertainty,
 };
+pub use deadline_budget::CommandAge;
 pub use outlier::Health;
 pub use responsiveness::AttributionGround;
 
