Calls end before the deadline of their message, by a reserve that all later stages share

Callers saw: final outcomes up to 0.3 s after the deadline although nothing waited in front. Cause: calls lasted until the very deadline, an unattributed response up to 150 ms longer, and the report and its repetition came on top; each stage had an allowance of its own, and none knew of the others or of a hold-up of the process.

Now calls, windows and attribution end by deadline - 150 ms (a quarter of the time left for short-lived messages), and the final outcome is decided by the deadline, at the latest 70 ms after it for very short-lived ones, so that a hold-up of 0.15 s, one lost report and its repetition fit into 300 ms. The constants are in src/policy/deadline_budget.rs. Hosts ask for it (reserve_outcome_time); the simulation, where a report takes no time, keeps its decisions.

--- a/crates/quillhub-server/src/configuration.rs
+++ b/crates/quillhub-server/src/configuration.rs
@@ -77,6 +77,7 @@
         quillhub_settings::dispatcher_from_json(seed, root.require("settings")?.json())?;
     dispatcher.disable_batching(); // HTTP carries one message in each request
     dispatcher.attribute_by_order();
+    dispatcher.reserve_outcome_time();
     let load_reports = positions.remaining_share.is_some() && positions.rate_limit.is_some();
     Ok(ConfiguredDispatcher { dispatcher, load_reports })
 }
--- a/src/dispatcher.rs
+++ b/src/dispatcher.rs
@@ -91,6 +91,12 @@
         self.state.attributes_by_order = true;
     }
 
+    /// Has calls end before the deadlines of their messages, for hosts whose final outcomes take time to be attributed and
+    /// reported.
+    pub fn reserve_outcome_time(&mut self) {
+        self.state.reserves_outcome_time = true;
+    }
+
     /// Allows or forbids sending gossip to other instances; it is forbidden by default.
     pub fn allow_gossip(&mut self, allowed: bool) {
         self.state.shared.gossip.is_allowed = allowed;
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -159,7 +159,7 @@
             class,
             destination: message.destination,
             ordering_key,
-            deadline,
+            budget: self.deadline_budget(deadline),
             value,
             attempts: 0,
             backoff_count: 0,
--- a/src/policy/attribution.rs
+++ b/src/policy/attribution.rs
@@ -17,7 +17,7 @@
 use super::backoff::BASE_DELAY;
 use super::connection_ledger::TRANSIT_TIME;
 use super::permissions::{NextAttempt, OwedOutcome, Permission, Standing};
-use super::provisional_ends::{ABANDON_GRACE, ProvisionalEnd};
+use super::provisional_ends::ProvisionalEnd;
 use super::provisional_response::{ProvisionalResponse, ProvisionalTimes};
 use super::state::{Attempt, Endpoint, PendingMessage, RecordedPossibleExecution, State};
 use crate::{
@@ -104,7 +104,7 @@
         let retry_safety = self.class(message).retry_safety;
         AttributionTerms {
             call_deadline: self.now + timeout,
-            message_deadline: message.deadline,
+            message_deadline: message.budget.calls_end,
             rests_unless_delivered: retry_safety == RetrySafety::AtMostOnce,
             needs_proof: retry_safety != RetrySafety::Idempotent,
         }
@@ -150,7 +150,7 @@
         let possible_execution = self.possible_execution(attempt);
         self.back_off(attempt, result, permission);
         let Some(message) = self.pending.get_mut(&result.message) else { return };
-        let call_end = attempt.call_deadline.saturating_add(TRANSIT_TIME).min(message.deadline);
+        let call_end = attempt.call_deadline.saturating_add(TRANSIT_TIME).min(message.budget.deadline);
         let waits_until = if permission.waits_for_call { call_end } else { self.now };
         let meaning = ResponseMeaning::of(result.outcome);
         let unattributed =
@@ -174,14 +174,14 @@
             let execution = self.possible_execution(attempt);
             self.latest_start_after(message, Some(&execution)).checked_sub(BASE_DELAY)
         });
-        let deadline = message.map_or(Duration::MAX, |message| message.deadline);
+        let budget = message.map(|message| message.budget);
         let tail_bound = self.tail_bound(attempt.destination, attempt.class);
         let times = ProvisionalTimes {
             started: attempt.started,
             expected_by: attempt.call_deadline.min(attempt.started + tail_bound),
             retry_at: latest_retry.filter(|time| *time > attempt.call_deadline + TRANSIT_TIME),
-            delivery_deadline: message.filter(|_| is_delivered).map(|message| message.deadline),
-            expires_at: deadline.saturating_add(ABANDON_GRACE),
+            delivery_deadline: budget.filter(|_| is_delivered).map(|budget| budget.calls_end),
+            expires_at: budget.map_or(Duration::MAX, |budget| budget.decided_by),
             ends_with_call: result.outcome == AttemptOutcome::Over,
         };
         let call = CallId { message: result.message, attempt: result.attempt };
@@ -270,7 +270,7 @@
             return;
         }
         let Some(message) = self.unfinished_mut(call.message) else { return };
-        let deadline = message.deadline;
+        let deadline = message.budget.deadline;
         match message.unattributed.0.get_mut(&call.attempt) {
             Some(attempt) => {
                 attempt.may_be_over = true;
--- a/src/policy/connection_ledger.rs
+++ b/src/policy/connection_ledger.rs
@@ -68,7 +68,7 @@
 pub struct AttributionTerms {
     /// Time until which the endpoint may respond to the call.
     pub call_deadline: Duration,
-    /// Deadline of the message, by which its response must be attributed.
+    /// Time by which the calls of the message end, so that its response can still be attributed.
     pub message_deadline: Duration,
     /// `true` if a response other than a delivery must be attributed before the connection carries another call.
     pub rests_unless_delivered: bool,
--- a/src/policy/deadline_budget.rs
+++ b/src/policy/deadline_budget.rs
@@ -1,7 +1,14 @@
-//! Deadline budget: how much of its time a message has lost before it is accepted, and whether it is still accepted.
+//! Deadline budget: how the time of a message is divided among the stages from the arrival of its command to the report of
+//! its final outcome.
 //!
-//! The time of a message counts from the arrival of its command at this machine, since clients count it from its last byte.
+//! The time counts from the arrival of the command at this machine, since clients count it from its last byte. Calls end so
+//! early that whatever has to follow the last one is done in time: the attribution of its response, the decision, the
+//! report, which may be lost once, and one hold-up of the process at any of these stages.
+//!
+//! Invariant: the stages share one limit, and no stage has an allowance beyond it.
 
+use super::connection_ledger::TRANSIT_TIME;
+use super::state::State;
 use crate::ms;
 use std::time::Duration;
 
@@ -9,6 +16,23 @@
 const CLIENT_TIMEOUT: Duration = ms(400);
 /// Longest time for which the process may be held up once, by whatever stops it.
 const MAX_HOLD_UP: Duration = ms(150);
+/// Time after its deadline by which the platform must have read the final outcome of a message.
+const OUTCOME_LIMIT: Duration = ms(300);
+/// Time after which a report to the platform that is not confirmed is repeated.
+pub const REPORT_REPEAT_DELAY: Duration = ms(50);
+/// Time from a decision until the platform has read the report: a new connection, the request, and the resolution of timers.
+const REPORT_TIME: Duration = ms(30);
+/// Time from the end of the last call of a message to the decision on its final outcome, by which the response is attributed.
+pub(super) const ATTRIBUTION_TIME: Duration = TRANSIT_TIME.saturating_add(ms(50));
+/// Time before the deadline of a message at which its calls end. Its final outcome is then decided by the deadline.
+const OUTCOME_RESERVE: Duration = ATTRIBUTION_TIME;
+/// Divisor of the time that a message has; the quotient is its maximum reserve. Leaves most of the time of short-lived
+/// messages to their calls.
+const MAX_RESERVE_DIVISOR: u32 = 4;
+/// Maximum time from the deadline of a message to the decision on its final outcome, which a smaller reserve may need.
+const MAX_DECISION_DELAY: Duration =
+    OUTCOME_LIMIT.saturating_sub(MAX_HOLD_UP).saturating_sub(REPORT_REPEAT_DELAY).saturating_sub(REPORT_TIME);
+
 /// Age above which a command is rejected: if the process is held up before the reply is written, its client has left.
 /// A rejection does no harm, and a late confirmation leaves a message behind that its client submits again.
 const MAX_COMMAND_AGE: Duration = CLIENT_TIMEOUT.saturating_sub(MAX_HOLD_UP);
@@ -36,6 +60,43 @@
     }
 }
 
+/// Times by which the stages of a message end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct DeadlineBudget {
+    /// Deadline of the message.
+    pub(super) deadline: Duration,
+    /// Time by which its calls end.
+    pub(super) calls_end: Duration,
+    /// Time by which its final outcome is decided, whatever is known of the response to its last call.
+    pub(super) decided_by: Duration,
+}
+
+impl DeadlineBudget {
+    /// Returns the budget of a message whose calls may last until its deadline.
+    pub(super) fn without_reserve(deadline: Duration) -> Self {
+        Self { deadline, calls_end: deadline, decided_by: deadline.saturating_add(ATTRIBUTION_TIME) }
+    }
+
+    /// Returns the budget of a message that is accepted at `now`, with a reserve for all that follows its last call.
+    pub(super) fn with_reserve(deadline: Duration, now: Duration) -> Self {
+        let time_left = deadline.saturating_sub(now);
+        let calls_end = deadline - OUTCOME_RESERVE.min(time_left / MAX_RESERVE_DIVISOR);
+        let decided_by = (calls_end + ATTRIBUTION_TIME).min(deadline.saturating_add(MAX_DECISION_DELAY));
+        Self { deadline, calls_end, decided_by }
+    }
+}
+
+impl State {
+    /// Returns the budget of a message that is accepted now.
+    pub(super) fn deadline_budget(&self, deadline: Duration) -> DeadlineBudget {
+        if self.reserves_outcome_time {
+            DeadlineBudget::with_reserve(deadline, self.now)
+        } else {
+            DeadlineBudget::without_reserve(deadline)
+        }
+    }
+}
+
 #[cfg(test)]
 #[path = "tests/deadline_budget.rs"]
 mod tests;
--- a/src/policy/expiry.rs
+++ b/src/policy/expiry.rs
@@ -7,7 +7,7 @@
 impl State {
     /// Returns the latest time at which another attempt of `message` may start.
     ///
-    /// An attempt of the typical duration must end by the deadline of the message and, if the message may have been
+    /// An attempt of the typical duration must end by the time at which the calls of the message end and, if the message may have been
     /// executed by an earlier attempt, within the deduplication window. An at-most-once message that may have been
     /// executed must not be attempted again; the result is zero for it.
     pub(super) fn latest_start(&self, message: &PendingMessage) -> Duration {
@@ -22,7 +22,7 @@
         first: Option<&RecordedPossibleExecution>,
     ) -> Duration {
         let typical = self.typical_latency(message.destination, message.class);
-        let by_deadline = message.deadline.saturating_sub(typical);
+        let by_deadline = message.budget.calls_end.saturating_sub(typical);
         match (first, self.class(message).retry_safety) {
             (None, _) | (_, RetrySafety::Idempotent) => by_deadline,
             // Prevents a retry that arrives or is executed after the deduplication window has passed: like the
--- a/src/policy/provisional_ends.rs
+++ b/src/policy/provisional_ends.rs
@@ -4,17 +4,13 @@
 //! Invariant: a message is either pending or here, so that it is not attempted again while it is here. It ends as finished
 //! once its response is proven; otherwise it is abandoned, or becomes pending again if its permission allows that.
 
-use super::connection_ledger::{CallId, ResponseMeaning, TRANSIT_TIME};
+use super::connection_ledger::{CallId, ResponseMeaning};
 use super::permissions::{NextAttempt, Permission, Standing};
 use super::state::{PendingMessage, RecordedPossibleExecution, State};
-use crate::{AttemptOutcome, Driver, MessageId, ms};
+use crate::{AttemptOutcome, Driver, MessageId};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Time after its deadline at which a message whose response is still provisional is abandoned: after the attribution of
-/// a response to a call that ends at the deadline.
-pub(super) const ABANDON_GRACE: Duration = TRANSIT_TIME.saturating_add(ms(50));
-
 /// Message of which a response says that nothing more is owed.
 pub(crate) struct ProvisionalEnd {
     /// Attempt with that response.
@@ -32,7 +28,7 @@
 impl ProvisionalEnd {
     /// Returns the time at which the message is abandoned unless its response is settled before.
     fn abandoned_at(&self) -> Duration {
-        if self.is_unprovable { Duration::ZERO } else { self.message.deadline.saturating_add(ABANDON_GRACE) }
+        if self.is_unprovable { Duration::ZERO } else { self.message.budget.decided_by }
     }
 }
 
--- a/src/policy/provisional_response.rs
+++ b/src/policy/provisional_response.rs
@@ -18,10 +18,10 @@
     pub(super) expected_by: Duration,
     /// Latest time at which the message can be attempted again; `None` if it cannot.
     pub(super) retry_at: Option<Duration>,
-    /// Deadline of a delivered message, at which a response that nothing speaks against is attributed; `None` if the
+    /// Time at which the calls of a delivered message end, and at which a response that nothing speaks against is attributed; `None` if the
     /// message was not delivered.
     pub(super) delivery_deadline: Option<Duration>,
-    /// Time at which the message has its final outcome, whatever is known of the response.
+    /// Time by which the message has its final outcome, whatever is known of the response.
     pub(super) expires_at: Duration,
     /// `true` if the message is to have its final outcome as soon as the call can no longer be executed.
     pub(super) ends_with_call: bool,
--- a/src/policy/scheduling.rs
+++ b/src/policy/scheduling.rs
@@ -106,7 +106,7 @@
             None if class.retry_safety == RetrySafety::Idempotent => FailureTolerance::Idempotent,
             None => FailureTolerance::MayLoseMessage,
         };
-        let soft_deadline = (message.deadline + class.soft_deadline).saturating_sub(class.deadline);
+        let soft_deadline = (message.budget.deadline + class.soft_deadline).saturating_sub(class.deadline);
         Priority {
             failure_tolerance,
             is_recovered_unattempted: message.is_recovered_unattempted,
@@ -206,7 +206,7 @@
         let calls_in_flight = self.in_flight.values().filter(|attempt| !attempt.added_to_call).count();
         let min_timeout_share =
             self.shared.isolated_losses.min_timeout_share(self.slots.free_share(calls_in_flight));
-        let time_left = message.deadline.saturating_sub(self.now);
+        let time_left = message.budget.calls_end.saturating_sub(self.now);
         let class_latency = self.shared.class_latency.get(&message.class);
         let class_bound = class_latency.map_or(Duration::ZERO, LatencyWindow::tail_bound);
         // An at-most-once message is lost if its attempt times out, so its timeout extends to its deadline while its
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -9,6 +9,7 @@
 use super::backoff::{BASE_DELAY, MAX_DELAY, full_jitter};
 use super::concurrency::{ConcurrencyLimit, Slots};
 use super::connections::IdleConnections;
+use super::deadline_budget::DeadlineBudget;
 use super::discovery::{DiscoveryPolls, KnownDestinations};
 use super::latency::{ASSUMED_LATENCY, IsolatedLosses, LatencyWindow};
 use super::ordering::OrderingQueues;
@@ -176,7 +177,7 @@
     pub(super) class: usize,
     pub(super) destination: DestinationId,
     pub(super) ordering_key: Option<u64>,
-    pub(super) deadline: Duration,
+    pub(super) budget: DeadlineBudget,
     /// Value before the soft deadline, reduced if the message exceeds its tenant's quota.
     pub(super) value: f64,
     /// Number of attempts started, including those before a restart.
@@ -326,6 +327,8 @@
     pub(super) provisional: ProvisionalResponses,
     /// `true` if the host ties responses to calls only by their order on a connection.
     pub(crate) attributes_by_order: bool,
+    /// `true` if calls end before the deadlines of their messages, so that their final outcomes are reported in time.
+    pub(crate) reserves_outcome_time: bool,
     /// Attempts in flight by message and attempt number.
     pub(super) in_flight: BTreeMap<(MessageId, u32), Attempt>,
     pub(crate) shared: Shared,
@@ -373,6 +376,7 @@
             provisional_ends: ProvisionalEnds::default(),
             provisional: ProvisionalResponses::default(),
             attributes_by_order: false,
+            reserves_outcome_time: false,
             in_flight: BTreeMap::new(),
             shared,
             timer: None,
@@ -427,7 +431,8 @@
     /// Returns the value of `message` if it is delivered at `delivered`.
     pub(super) fn value_at(&self, message: &PendingMessage, delivered: Duration) -> f64 {
         let class = self.class(message);
-        message.value * class.value_share((delivered + class.deadline).saturating_sub(message.deadline))
+        message.value
+            * class.value_share((delivered + class.deadline).saturating_sub(message.budget.deadline))
     }
 
     /// Returns the value of `message` if it is delivered by an attempt that starts now and takes the typical time.
--- a/src/policy/tests/admission.rs
+++ b/src/policy/tests/admission.rs
@@ -109,5 +109,5 @@
 fn the_deadline_of_a_message_is_capped_by_its_service_class() {
     let mut dispatcher = dispatcher_for(RetrySafety::Idempotent);
     dispatcher.accept(NewMessage { deadline: ms(9_000_000), ..message(1) }).unwrap();
-    assert_eq!(dispatcher.state.pending[&1].deadline, dispatcher.state.now + ms(10_000));
+    assert_eq!(dispatcher.state.pending[&1].budget.deadline, dispatcher.state.now + ms(10_000));
 }
--- a/src/policy/tests/attribution.rs
+++ b/src/policy/tests/attribution.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::policy::deadline_budget::ATTRIBUTION_TIME;
 use crate::policy::test_support::*;
 use crate::{ConnectionId, Dispatcher, ms};
 
@@ -176,7 +177,7 @@
 fn a_delivery_that_stays_unattributed_is_abandoned_after_its_deadline() {
     let mut dispatcher = ended_unattributed(RetrySafety::Idempotent, AttemptOutcome::Delivered);
     assert!(actions_at(&mut dispatcher, MESSAGE_DEADLINE).is_empty());
-    assert_eq!(actions_at(&mut dispatcher, MESSAGE_DEADLINE + ABANDON_GRACE), ["abandon 1"]);
+    assert_eq!(actions_at(&mut dispatcher, MESSAGE_DEADLINE + ATTRIBUTION_TIME), ["abandon 1"]);
     assert!(actions_at(&mut dispatcher, ms(20_000)).is_empty());
 }
 
--- a/src/policy/tests/provisional_ends.rs
+++ b/src/policy/tests/provisional_ends.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::ms;
 use crate::policy::test_support::*;
 use crate::{AttemptResult, Dispatcher, RetrySafety, Uncertainty};
 
