Reports of final outcomes are under way beside each other, and are repeated after 50 ms

Callers saw: a final outcome waited behind an earlier request to the platform that was lost or slow: one request at a time, given up after 100 ms and sent again, then after 200 ms and more.

Now up to eight reports of up to 64 outcomes are under way beside each other. One that is not confirmed is sent again after 50 ms, 100 ms and so on, while up to two earlier requests stay open, since a report that is read twice does no harm. A report owns its outcomes and returns them to the queue if it ends otherwise. An unreadable outcome is searched for by halves, and dropped, as before, only after two refusals. The decisions are src/policy/report_schedule.rs.

--- a/crates/quillhub-server/src/instance/mod.rs
+++ b/crates/quillhub-server/src/instance/mod.rs
@@ -237,7 +237,8 @@
         self.outcomes.added()
     }
 
-    /// Returns the final outcomes of undelivered messages that the platform has not confirmed, oldest first.
+    /// Returns the final outcomes of undelivered messages that are not being reported to the platform, oldest first.
+    #[cfg(test)]
     pub fn unconfirmed_outcomes(&self) -> impl Iterator<Item = &FinalOutcome> {
         self.outcomes.iter()
     }
@@ -248,20 +249,21 @@
         self.outcomes.add(outcome);
     }
 
-    /// Records that a request with the oldest `count` final outcomes is being sent.
-    pub fn outcomes_sent(&mut self, count: usize) {
-        self.outcomes.oldest_sent(count);
+    /// Takes the oldest unconfirmed outcomes, at most `max`, to report them to the platform.
+    pub fn take_unreported_outcomes(&mut self, max: usize) -> Vec<FinalOutcome> {
+        self.outcomes.take(max)
     }
 
-    /// Finishes the messages of the oldest `count` final outcomes, which the platform confirmed or cannot read.
-    pub fn outcomes_confirmed(&mut self, count: usize) {
-        for outcome in self.outcomes.take_oldest(count) {
-            if outcome.timeline.is_slow() {
-                self.figures.slow_outcomes += 1;
-                let client_id = String::from_utf8_lossy(&outcome.client_id);
-                let times = outcome.timeline;
-                tracing::info!(message_id = outcome.message, %client_id, result = ?outcome.result, %times, "final outcome was slow");
-            }
+    /// Puts outcomes back whose report was given up.
+    pub fn return_unreported_outcomes(&mut self, outcomes: Vec<FinalOutcome>) {
+        self.outcomes.put_back(outcomes);
+    }
+
+    /// Finishes the messages of outcomes that the platform confirmed or cannot read.
+    pub fn outcomes_confirmed(&mut self, outcomes: Vec<FinalOutcome>) {
+        self.outcomes.confirmed(outcomes.len());
+        for outcome in outcomes {
+            self.log_if_slow(&outcome);
             log_failed_write(
                 outcome.message,
                 RecordKind::Finished,
@@ -271,6 +273,23 @@
         }
     }
 
+    /// Logs and counts a final outcome that was decided late or confirmed slowly.
+    fn log_if_slow(&mut self, outcome: &FinalOutcome) {
+        if outcome.timeline.is_slow() {
+            self.figures.slow_outcomes += 1;
+            let client_id = String::from_utf8_lossy(&outcome.client_id);
+            let times = outcome.timeline;
+            tracing::info!(message_id = outcome.message, %client_id, result = ?outcome.result, %times, "final outcome was slow");
+        }
+    }
+
+    /// Finishes the message of the oldest outcome, as if the platform had confirmed it.
+    #[cfg(test)]
+    pub fn confirm_oldest_outcome(&mut self) {
+        let outcomes = self.take_unreported_outcomes(1);
+        self.outcomes_confirmed(outcomes);
+    }
+
     /// Counts a command that waited for long before it was executed.
     pub fn command_waited(&mut self) {
         self.figures.waited_commands += 1;
--- a/crates/quillhub-server/src/instance/outcome_queue.rs
+++ b/crates/quillhub-server/src/instance/outcome_queue.rs
@@ -22,14 +22,17 @@
 /// Queue of the final outcomes of undelivered messages that await confirmation by the platform.
 #[derive(Default)]
 pub struct OutcomeQueue {
-    unconfirmed: VecDeque<FinalOutcome>,
+    /// Outcomes that are not being reported.
+    unreported: VecDeque<FinalOutcome>,
+    /// Number of outcomes that are being reported.
+    reported: usize,
     added: Rc<Notify>,
 }
 
 impl OutcomeQueue {
-    /// Adds an outcome and notifies the task that sends outcomes to the platform.
+    /// Adds an outcome and notifies the task that reports outcomes to the platform.
     pub fn add(&mut self, outcome: FinalOutcome) {
-        self.unconfirmed.push_back(outcome);
+        self.unreported.push_back(outcome);
         self.added.notify_one();
     }
 
@@ -38,23 +41,35 @@
         self.added.clone()
     }
 
-    /// Returns the unconfirmed outcomes, oldest first.
+    /// Returns the outcomes that are not being reported, oldest first.
+    #[cfg(test)]
     pub fn iter(&self) -> impl Iterator<Item = &FinalOutcome> {
-        self.unconfirmed.iter()
+        self.unreported.iter()
     }
 
-    /// Records that a request with the oldest `count` outcomes is being sent.
-    pub fn oldest_sent(&mut self, count: usize) {
-        self.unconfirmed.iter_mut().take(count).for_each(|outcome| outcome.timeline.sent());
+    /// Removes and returns the oldest outcomes, at most `max`, which are being reported from now on.
+    pub fn take(&mut self, max: usize) -> Vec<FinalOutcome> {
+        let count = max.min(self.unreported.len());
+        self.reported += count;
+        let mut outcomes: Vec<_> = self.unreported.drain(..count).collect();
+        outcomes.iter_mut().for_each(|outcome| outcome.timeline.sent());
+        outcomes
     }
 
-    /// Removes and returns the oldest `count` outcomes.
-    pub fn take_oldest(&mut self, count: usize) -> Vec<FinalOutcome> {
-        self.unconfirmed.drain(..count).collect()
+    /// Puts outcomes back that were not confirmed, before all others.
+    pub fn put_back(&mut self, outcomes: Vec<FinalOutcome>) {
+        self.reported -= outcomes.len();
+        outcomes.into_iter().rev().for_each(|outcome| self.unreported.push_front(outcome));
+        self.added.notify_one();
+    }
+
+    /// Registers that `count` outcomes that were being reported are confirmed.
+    pub fn confirmed(&mut self, count: usize) {
+        self.reported -= count;
     }
 
     /// Returns `true` if no outcome awaits confirmation.
     pub fn is_empty(&self) -> bool {
-        self.unconfirmed.is_empty()
+        self.unreported.is_empty() && self.reported == 0
     }
 }
--- a/crates/quillhub-server/src/instance/tests.rs
+++ b/crates/quillhub-server/src/instance/tests.rs
@@ -201,7 +201,7 @@
         let second = instance(&directory, address);
         assert_eq!(submit(&second, b"a", 9), duplicate, "also after a restart");
         second.borrow_mut().abandon(1);
-        second.borrow_mut().outcomes_confirmed(1);
+        second.borrow_mut().confirm_oldest_outcome();
         assert_eq!(submit(&second, b"a", 9), duplicate, "also after the message is finished");
         second.borrow_mut().clock_offset += CLIENT_ID_RETENTION;
         assert!(matches!(submit(&second, b"a", 9), SubmitOutcome::Accepted(_)));
--- a/crates/quillhub-server/src/outcomes.rs
+++ b/crates/quillhub-server/src/outcomes.rs
@@ -1,31 +1,26 @@
-//! Sends the final outcomes of undelivered messages to the platform, oldest first, and repeats each until the platform
-//! confirms it or reports that it cannot read it.
+//! Reports the final outcomes of undelivered messages to the platform, oldest first, and repeats each report until the
+//! platform confirms it or reports that it cannot read it.
+//!
+//! Invariant: each unconfirmed outcome is in the instance's queue or in exactly one [`Report`], which returns it to the queue
+//! if it ends otherwise.
 
 use crate::connection::{ConnectionError, HttpConnection, UnexpectedInput};
 use crate::http;
 use crate::instance::{FinalOutcome, Instance};
 use crate::wal::FinalResult;
+use quillhub::{
+    FAILURE_PAUSE, MAX_OUTCOMES_PER_REPORT, MAX_REPORTS, MAX_REQUESTS_PER_REPORT, ReportSchedule,
+};
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::error::Elapsed;
-use tokio::time::{sleep, timeout};
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Path at which the platform accepts final outcomes.
 const OUTCOMES_PATH: &str = "/v2/finals";
-/// Maximum number of outcomes in one request, which keeps it to a few kilobytes.
-const MAX_OUTCOMES_PER_REQUEST: usize = 64;
-/// Initial timeout of a request, after which it is repeated on a new connection. The platform responds at once, and an
-/// outcome must reach it within 300 ms after the deadline of its message, even if the open connection has broken
-/// undetected.
-const INITIAL_TIMEOUT: Duration = Duration::from_millis(100);
-/// Maximum timeout of a request. The timeout doubles with each consecutive request that gets no response, for a
-/// platform that has become slow.
-const MAX_TIMEOUT: Duration = Duration::from_secs(1);
-/// Pause after a request that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Maximum length of the body of a response.
 const MAX_RESPONSE_BODY_BYTES: usize = 64 * 1024;
 /// Status of a response that confirms all outcomes of its request.
@@ -51,10 +46,10 @@
 ///
 /// Guards against a late copy of an earlier response, which would confirm outcomes that the platform has not read.
 /// Costs a connection for each request.
-async fn post(address: SocketAddr, body: &[u8]) -> Result<u16, ConnectionError> {
+async fn post(address: SocketAddr, body: Rc<[u8]>) -> Result<u16, ConnectionError> {
     let mut connection = HttpConnection::open(address).await.map_err(ConnectionError::Failed)?;
     let headers = [("Content-Type", &b"application/x-ndjson"[..])];
-    let request = http::request("POST", OUTCOMES_PATH, &address.to_string(), &headers, body);
+    let request = http::request("POST", OUTCOMES_PATH, &address.to_string(), &headers, &body);
     connection.write(&request).await.map_err(ConnectionError::Failed)?;
     let head = connection.head().await?;
     connection.body(head.framing()?, MAX_RESPONSE_BODY_BYTES).await?;
@@ -65,80 +60,151 @@
     Ok(head.status)
 }
 
-/// Outcomes of one request.
-struct Batch {
-    /// Number of outcomes.
-    count: usize,
-    /// Lines of JSON, one for each outcome.
-    body: String,
+/// Final answer of the platform to a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Answer {
+    Confirmed,
+    /// One of the outcomes cannot be read.
+    Unreadable,
 }
 
-/// State that is kept between requests to the platform.
-struct Sender {
-    instance: Rc<RefCell<Instance>>,
-    /// Maximum number of outcomes in the next request; 1 while the sender searches for an unreadable one.
-    max_outcomes: usize,
-    /// Timeout of the next request.
-    timeout: Duration,
+/// Open requests of a report, oldest first.
+struct Requests {
+    body: Rc<[u8]>,
+    open: JoinSet<Result<u16, ConnectionError>>,
+    handles: VecDeque<AbortHandle>,
 }
 
-impl Sender {
-    /// Returns the outcomes for the next request; empty if all are confirmed.
-    fn next_batch(&self) -> Batch {
-        let instance = self.instance.borrow();
-        let lines: Vec<_> = instance.unconfirmed_outcomes().take(self.max_outcomes).map(json_line).collect();
-        Batch { count: lines.len(), body: lines.concat() }
+impl Requests {
+    fn new(body: Rc<[u8]>) -> Self {
+        Self { body, open: JoinSet::new(), handles: VecDeque::new() }
+    }
+
+    /// Sends one more request, in place of the oldest one if too many are open.
+    fn send(&mut self, address: SocketAddr) {
+        self.handles.retain(|handle| !handle.is_finished());
+        if self.handles.len() >= MAX_REQUESTS_PER_REPORT {
+            self.handles.pop_front().iter().for_each(AbortHandle::abort);
+        }
+        self.handles.push_back(self.open.spawn_local(post(address, self.body.clone())));
     }
 
-    /// Handles the end of a batch's request: marks its outcomes as confirmed, or prepares the repetition.
-    async fn request_ended(&mut self, batch: &Batch, end: Result<Result<u16, ConnectionError>, Elapsed>) {
-        let Batch { count, ref body } = *batch;
-        self.timeout = if end.is_ok() { INITIAL_TIMEOUT } else { (self.timeout * 2).min(MAX_TIMEOUT) };
-        match end {
-            Ok(Ok(STATUS_CONFIRMED)) => {
-                self.instance.borrow_mut().outcomes_confirmed(count);
-                self.max_outcomes = MAX_OUTCOMES_PER_REQUEST;
+    /// Waits for the end of a request, and returns the answer if it is final. Never returns if none is open.
+    async fn next_end(&mut self) -> Option<Answer> {
+        match self.open.join_next().await {
+            None => std::future::pending().await,
+            Some(Ok(Ok(STATUS_CONFIRMED))) => Some(Answer::Confirmed),
+            Some(Ok(Ok(STATUS_UNREADABLE))) => Some(Answer::Unreadable),
+            Some(Ok(Ok(status))) => {
+                tracing::warn!(status, "platform did not confirm final outcomes");
+                None
             }
-            // An unreadable outcome would block all others forever. A request with only this outcome identifies it, and
-            // it is dropped.
-            Ok(Ok(STATUS_UNREADABLE)) if self.max_outcomes == 1 => {
-                tracing::error!(body, "platform cannot read this final outcome, which is dropped");
-                self.instance.borrow_mut().outcomes_confirmed(count);
+            Some(Ok(Err(error))) => {
+                tracing::debug!(%error, "final outcomes could not be sent");
+                None
             }
-            Ok(Ok(status)) => {
-                tracing::warn!(status, count, "platform did not confirm final outcomes");
-                self.max_outcomes = if status == STATUS_UNREADABLE { 1 } else { MAX_OUTCOMES_PER_REQUEST };
-                sleep(RETRY_PAUSE).await;
+            // Given up, or panicked.
+            Some(Err(_)) => None,
+        }
+    }
+}
+
+/// Sends a report until the platform gives a final answer, and returns that.
+///
+/// If the address of the platform changes, the report is repeated at the new address, since it may never have been read at
+/// the old one.
+async fn send_until_answered(body: Rc<[u8]>, platform: &mut watch::Receiver<SocketAddr>) -> Answer {
+    let mut requests = Requests::new(body.clone());
+    let mut schedule = ReportSchedule::new();
+    let mut next = Instant::now();
+    loop {
+        if Instant::now() >= next {
+            requests.send(*platform.borrow_and_update());
+            next = Instant::now() + schedule.next_delay();
+        }
+        tokio::select! {
+            answer = requests.next_end() => {
+                if let Some(answer) = answer {
+                    return answer;
+                }
             }
-            Ok(Err(error)) => {
-                tracing::debug!(%error, count, "final outcomes could not be sent");
-                sleep(RETRY_PAUSE).await;
+            Ok(()) = platform.changed() => {
+                requests = Requests::new(body.clone());
+                schedule = ReportSchedule::new();
+                next = Instant::now();
             }
-            Err(Elapsed { .. }) => tracing::debug!(count, "no response to final outcomes"),
+            () = sleep_until(next) => tracing::debug!("final outcomes are not confirmed and are sent again"),
+        }
+        if requests.open.is_empty() {
+            next = next.min(Instant::now() + FAILURE_PAUSE);
         }
     }
 }
 
-/// Sends the final outcomes of the instance's undelivered messages to the platform. Never returns.
-///
-/// If the address of the platform changes during a request, the request is repeated at the new address, since its
-/// outcomes may never have been read at the old one.
-pub async fn send(instance: Rc<RefCell<Instance>>, mut platform: watch::Receiver<SocketAddr>) {
+/// Outcomes that are reported together.
+struct Report {
+    instance: Rc<RefCell<Instance>>,
+    outcomes: Vec<FinalOutcome>,
+}
+
+impl Report {
+    /// Takes outcomes from the queue; `None` if there are none.
+    fn take(instance: &Rc<RefCell<Instance>>) -> Option<Self> {
+        let outcomes = instance.borrow_mut().take_unreported_outcomes(MAX_OUTCOMES_PER_REPORT);
+        (!outcomes.is_empty()).then(|| Self { instance: instance.clone(), outcomes })
+    }
+
+    /// Reports the outcomes until each is confirmed or found to be unreadable.
+    ///
+    /// An unreadable outcome would block all others forever. It is searched for by halves, and dropped once the platform has
+    /// refused two requests that contained it, the last one alone.
+    async fn send(mut self, mut platform: watch::Receiver<SocketAddr>) {
+        let mut count = self.outcomes.len();
+        let mut was_refused = false;
+        while !self.outcomes.is_empty() {
+            count = count.min(self.outcomes.len());
+            let body: String = self.outcomes[..count].iter().map(json_line).collect();
+            match send_until_answered(body.as_bytes().into(), &mut platform).await {
+                Answer::Unreadable if count > 1 || !was_refused => {
+                    count = count.div_ceil(2);
+                    was_refused = true;
+                    sleep(FAILURE_PAUSE).await;
+                    continue;
+                }
+                Answer::Unreadable => {
+                    tracing::error!(body, "platform cannot read this final outcome, which is dropped");
+                }
+                Answer::Confirmed => was_refused = false,
+            }
+            let answered = self.outcomes.drain(..count).collect();
+            self.instance.borrow_mut().outcomes_confirmed(answered);
+            count = self.outcomes.len();
+        }
+    }
+}
+
+impl Drop for Report {
+    /// Returns the outcomes that are not confirmed to the queue.
+    fn drop(&mut self) {
+        let outcomes = std::mem::take(&mut self.outcomes);
+        if !outcomes.is_empty() {
+            self.instance.borrow_mut().return_unreported_outcomes(outcomes);
+        }
+    }
+}
+
+/// Reports the final outcomes of the instance's undelivered messages to the platform. Never returns.
+pub async fn send(instance: Rc<RefCell<Instance>>, platform: watch::Receiver<SocketAddr>) {
     let decided = instance.borrow().outcome_decided();
-    let mut sender = Sender { instance, max_outcomes: MAX_OUTCOMES_PER_REQUEST, timeout: INITIAL_TIMEOUT };
+    let mut reports = JoinSet::new();
     loop {
-        let batch = sender.next_batch();
-        if batch.count == 0 {
-            decided.notified().await;
-            continue;
+        while reports.len() < MAX_REPORTS {
+            let Some(report) = Report::take(&instance) else { break };
+            reports.spawn_local(report.send(platform.clone()));
         }
-        sender.instance.borrow_mut().outcomes_sent(batch.count);
-        let address = *platform.borrow_and_update();
         tokio::select! {
-            end = timeout(sender.timeout, post(address, batch.body.as_bytes())) => {
-                sender.request_ended(&batch, end).await;
-            }
-            Ok(()) = platform.changed() => sender.max_outcomes = MAX_OUTCOMES_PER_REQUEST,
+            () = decided.notified() => {}
+            Some(_) = reports.join_next() => {}
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,7 +24,8 @@
 };
 pub use policy::{
     AttributionGround, AttributionTerms, CallId, CallTimes, CommandAge, ConnectionChoice, ConnectionId,
-    ConnectionLedger, Health, LedgerUpdate, ResponseMeaning, Uncertainty, choose_connection,
+    ConnectionLedger, FAILURE_PAUSE, Health, LedgerUpdate, MAX_OUTCOMES_PER_REPORT, MAX_REPORTS,
+    MAX_REQUESTS_PER_REPORT, ReportSchedule, ResponseMeaning, Uncertainty, choose_connection,
 };
 
 use std::time::Duration;
--- a/src/policy/deadline_budget.rs
+++ b/src/policy/deadline_budget.rs
@@ -19,7 +19,7 @@
 /// Time after its deadline by which the platform must have read the final outcome of a message.
 const OUTCOME_LIMIT: Duration = ms(300);
 /// Time after which a report to the platform that is not confirmed is repeated.
-pub const REPORT_REPEAT_DELAY: Duration = ms(50);
+pub(super) const REPORT_REPEAT_DELAY: Duration = ms(50);
 /// Time from a decision until the platform has read the report: a new connection, the request, and the resolution of timers.
 const REPORT_TIME: Duration = ms(30);
 /// Time from the end of the last call of a message to the decision on its final outcome, by which the response is attributed.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -22,6 +22,7 @@
 mod provisional_ends;
 mod provisional_response;
 mod rate_limit;
+mod report_schedule;
 mod responsiveness;
 mod retry_budget;
 mod scheduling;
@@ -36,6 +37,9 @@
 };
 pub use deadline_budget::CommandAge;
 pub use outlier::Health;
+pub use report_schedule::{
+    FAILURE_PAUSE, MAX_OUTCOMES_PER_REPORT, MAX_REPORTS, MAX_REQUESTS_PER_REPORT, ReportSchedule,
+};
 pub use responsiveness::AttributionGround;
 
 #[cfg(test)]
