Connections of a crowd wait for permits and evict idle ones side by side

Cause: the accept loop held one connection at a time, evicted an idle one for it and waited up to 20 ms.

Connections now wait for permits beside each other, an eighth of the clients' descriptors at the most (32), and each evicts an idle one. Connections on which a command is expected are still evicted one in 20 ms, so that a crowd of new ones does not displace itself. The waiting ones count within the clients' half of the descriptors.

--- a/crates/quillhub-server/src/clients/admission.rs
+++ b/crates/quillhub-server/src/clients/admission.rs
@@ -17,6 +17,8 @@
 /// Time after the acceptance or the last reply from which a connection without a successful command is evicted before
 /// idle ones. Ordinary clients send their first command as soon as they are connected.
 const FIRST_SUCCESS_GRACE: Duration = Duration::from_millis(500);
+/// Highest rank of a connection that is evicted for each waiting one: all but those on which a command is expected.
+const MAX_IDLE_RANK: u8 = 2;
 /// Time limit for an evicted connection to close, after which another one is evicted.
 pub(super) const EVICTION_TIMEOUT: Duration = Duration::from_millis(20);
 
@@ -78,7 +80,11 @@
 pub struct Admission {
     phase: watch::Receiver<Phase>,
     connections: Arc<Semaphore>,
+    /// Permits of accepted connections that wait for a permit to be served.
+    waiting: Arc<Semaphore>,
     large_commands: Arc<Semaphore>,
+    /// Time from which on a connection may be evicted on which a command is expected.
+    next_busy_eviction: Cell<Instant>,
     /// Entries by connection number; an entry is removed when its connection ends or is evicted.
     entries: RefCell<BTreeMap<u64, Entry>>,
     next_number: Cell<u64>,
@@ -87,11 +93,13 @@
 
 impl Admission {
     /// Creates the shared state for the connections of one instance; `connections` has one permit for each connection
-    /// that may be open.
-    pub fn new(phase: watch::Receiver<Phase>, connections: Arc<Semaphore>) -> Rc<Self> {
+    /// that may be served, and up to `max_waiting` more may be open until others are evicted for them.
+    pub fn new(phase: watch::Receiver<Phase>, connections: Arc<Semaphore>, max_waiting: usize) -> Rc<Self> {
         Rc::new(Self {
             phase,
             connections,
+            waiting: Arc::new(Semaphore::new(max_waiting)),
+            next_busy_eviction: Cell::new(Instant::now()),
             large_commands: Arc::new(Semaphore::new(LARGE_COMMAND_PERMITS)),
             entries: RefCell::default(),
             next_number: Cell::new(0),
@@ -123,6 +131,11 @@
         Registration { admission: self.clone(), number, evicted }
     }
 
+    /// Returns a permit to wait for a connection permit, once one is free. Returns `None` if the semaphore is closed.
+    pub(super) async fn waiting_permit(&self) -> Option<OwnedSemaphorePermit> {
+        self.waiting.clone().acquire_owned().await.ok()
+    }
+
     /// Returns a permit for a new connection, and evicts others if none is free. Returns `None` if the semaphore is
     /// closed.
     pub(super) async fn connection_permit(&self) -> Option<OwnedSemaphorePermit> {
@@ -144,27 +157,49 @@
             if let Ok(permit) = permits.clone().try_acquire_owned() {
                 return Some(permit);
             }
-            self.evict_one(resource);
+            self.evict_if_due(resource);
             if let Ok(permit) = timeout(EVICTION_TIMEOUT, permits.clone().acquire_owned()).await {
                 return permit.ok();
             }
         }
     }
 
+    /// Evicts a connection for one that waits. Each of those evicts an idle one, but together they evict at most one in
+    /// [`EVICTION_TIMEOUT`] on which a command is expected.
+    fn evict_if_due(&self, resource: Resource) {
+        let now = Instant::now();
+        let lowest_rank = self.candidates(resource, now).map(|((rank, _), _)| rank).min();
+        if lowest_rank.is_some_and(|rank| rank > MAX_IDLE_RANK) {
+            if now < self.next_busy_eviction.get() {
+                return;
+            }
+            self.next_busy_eviction.set(now + EVICTION_TIMEOUT);
+        }
+        self.evict_one(resource);
+    }
+
     /// Evicts the connection of the lowest rank that holds `resource`; among several of that rank, the one whose last
     /// reply, or acceptance, is oldest.
     pub(super) fn evict_one(&self, resource: Resource) {
-        let now = Instant::now();
-        let mut entries = self.entries.borrow_mut();
-        let first = entries
-            .iter()
-            .filter(|(_, entry)| resource == Resource::Connection || entry.holds_large_permit)
-            .min_by_key(|(_, entry)| (entry.eviction_rank(now), entry.since))
-            .map(|(number, _)| *number);
-        if let Some(entry) = first.and_then(|number| entries.remove(&number)) {
+        let first = self.candidates(resource, Instant::now()).min().map(|(_, number)| number);
+        let evicted = first.and_then(|number| self.entries.borrow_mut().remove(&number));
+        if let Some(entry) = evicted {
             entry.evicted.notify_one();
         }
     }
+
+    /// Returns the connections that hold `resource`: rank, time of the last reply or acceptance, and number.
+    fn candidates(
+        &self,
+        resource: Resource,
+        now: Instant,
+    ) -> impl Iterator<Item = ((u8, Instant), u64)> + use<> {
+        let entries = self.entries.borrow();
+        let holders =
+            entries.iter().filter(|(_, entry)| resource == Resource::Connection || entry.holds_large_permit);
+        let ranked = holders.map(|(number, entry)| ((entry.eviction_rank(now), entry.since), *number));
+        ranked.collect::<Vec<_>>().into_iter()
+    }
 }
 
 /// Handle of a connection's entry in [`Admission`]. Updates have no effect once the connection is evicted.
--- a/crates/quillhub-server/src/clients/admission_tests.rs
+++ b/crates/quillhub-server/src/clients/admission_tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 fn admission() -> Rc<Admission> {
-    Admission::new(watch::channel(Phase::Serving).1, Arc::new(Semaphore::new(9)))
+    Admission::new(watch::channel(Phase::Serving).1, Arc::new(Semaphore::new(9)), 1)
 }
 
 /// Returns the numbers of the connections that are neither closed nor evicted.
@@ -46,3 +46,21 @@
     admission.evict_one(Resource::Connection);
     assert_eq!(registered_numbers(&admission), [idle.number]);
 }
+
+/// Guards against a crowd of new connections that displace each other before they can send their commands.
+#[test]
+fn waiting_connections_together_evict_few_on_which_a_command_is_expected() {
+    let admission = admission();
+    let (new, idle) = ([(); 3].map(|()| admission.register()), admission.register());
+    idle.update(|entry| entry.activity = Activity::Idle);
+    admission.evict_if_due(Resource::Connection);
+    assert_eq!(
+        registered_numbers(&admission),
+        new.each_ref().map(|new| new.number),
+        "the idle one goes first"
+    );
+    for _ in 0..3 {
+        admission.evict_if_due(Resource::Connection);
+    }
+    assert_eq!(registered_numbers(&admission).len(), 2, "one in the time of an eviction");
+}
--- a/crates/quillhub-server/src/clients/mod.rs
+++ b/crates/quillhub-server/src/clients/mod.rs
@@ -1,7 +1,7 @@
 //! Client connections: accepts them and serves each in a task of its own.
 //!
-//! Invariant: every connection that is served holds one permit of [`Admission`], which limits their number to the file
-//! descriptors set aside for clients.
+//! Invariant: every connection that is served, or waits for that, holds one permit of [`Admission`], which limits their number
+//! to the file descriptors set aside for clients.
 
 mod admission;
 mod arrival;
@@ -54,12 +54,11 @@
                 continue;
             }
         };
-        let accepted = Instant::now();
-        let Some(permit) = admission.connection_permit().await else { return };
-        let times =
-            ConnectionTimes { listener_empty: empty_since.moment(), accepted, permitted: Instant::now() };
+        let (accepted, listener_empty) = (Instant::now(), empty_since.moment());
+        let times = ConnectionTimes { listener_empty, accepted, permitted: accepted };
         let client = Client { stream, from, times };
-        spawn_local(serve_connection(instance.clone(), admission.clone(), client, permit));
+        let Some(waiting) = admission.waiting_permit().await else { return };
+        spawn_local(serve_when_permitted(instance.clone(), admission.clone(), client, waiting));
         yield_now().await;
     }
 }
@@ -71,6 +70,20 @@
     times: ConnectionTimes,
 }
 
+/// Waits for a permit, for which others are evicted if none is free, and serves a connection. Connections wait beside each
+/// other: one whose command is already there need not wait for the evictions before it one by one.
+async fn serve_when_permitted(
+    instance: Rc<RefCell<Instance>>,
+    admission: Rc<Admission>,
+    mut client: Client,
+    waiting: OwnedSemaphorePermit,
+) {
+    let Some(permit) = admission.connection_permit().await else { return };
+    drop(waiting);
+    client.times.permitted = Instant::now();
+    serve_connection(instance, admission, client, permit).await;
+}
+
 /// Serves a connection until it ends, and releases its `permit` then.
 async fn serve_connection(
     instance: Rc<RefCell<Instance>>,
--- a/crates/quillhub-server/src/clients/tests.rs
+++ b/crates/quillhub-server/src/clients/tests.rs
@@ -7,6 +7,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{Semaphore, watch};
 
+/// Number of connections that may wait for a permit.
+const MAX_WAITING: usize = 4;
 const PING: &[u8] = b"*1\r\n$4\r\nping\r\n";
 
 /// Returns a `SUBMIT` command with a body of `body_bytes`.
@@ -35,7 +37,7 @@
         spawn_local(accept(
             instance(&directory, address),
             Rc::new(listener),
-            Admission::new(phase_receiver, permits.clone()),
+            Admission::new(phase_receiver, permits.clone(), MAX_WAITING),
         ));
         let mut client = TcpStream::connect(address).await.unwrap();
         client.write_all(input).await.unwrap();
@@ -131,7 +133,7 @@
             }
             drop(client);
             // The end of the client has arrived before the first command is read.
-            let admission = Admission::new(phase_receiver, permits.clone());
+            let admission = Admission::new(phase_receiver, permits.clone(), MAX_WAITING);
             spawn_local(accept(instance.clone(), Rc::new(listener), admission));
             while permits.available_permits() == 1 {
                 tokio::task::yield_now().await;
@@ -152,7 +154,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (_phase, phase_receiver) = watch::channel(Phase::Serving);
-        let admission = Admission::new(phase_receiver, Arc::new(Semaphore::new(1)));
+        let admission = Admission::new(phase_receiver, Arc::new(Semaphore::new(1)), MAX_WAITING);
         spawn_local(accept(instance(&directory, address), Rc::new(listener), admission));
         let mut reply = [0; 7];
         let mut first = TcpStream::connect(address).await.unwrap();
@@ -211,7 +213,7 @@
         let address = listener.local_addr().unwrap();
         let (phase, phase_receiver) = watch::channel(Phase::Serving);
         let permits = Arc::new(Semaphore::new(1));
-        let admission = Admission::new(phase_receiver, permits.clone());
+        let admission = Admission::new(phase_receiver, permits.clone(), MAX_WAITING);
         let instance = instance(&directory, address);
         spawn_local(accept(instance.clone(), Rc::new(listener), admission.clone()));
         let mut client = TcpStream::connect(address).await.unwrap();
@@ -285,3 +287,39 @@
         assert_eq!(close_while_client_writes(cause, PING, b"").0, "+PONG\r\n", "{cause:?}");
     }
 }
+
+/// Guards against commands that wait while connections are evicted one after the other: in a crowd of idle clients, a
+/// command waited 180 ms for a permit.
+#[test]
+fn connections_that_wait_for_a_permit_evict_idle_ones_beside_each_other() {
+    const CROWD: usize = 8;
+    let directory = StateDirectory::new();
+    on_one_thread(async {
+        tokio::time::pause();
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (_phase, phase_receiver) = watch::channel(Phase::Serving);
+        let admission = Admission::new(phase_receiver, Arc::new(Semaphore::new(CROWD)), CROWD);
+        spawn_local(accept(instance(&directory, address), Rc::new(listener), admission));
+        let mut reply = [0; 7];
+        // These clients do not close their side, so that each eviction takes its whole time.
+        let mut crowd = Vec::new();
+        for _ in 0..CROWD {
+            let mut client = TcpStream::connect(address).await.unwrap();
+            client.write_all(PING).await.unwrap();
+            client.read_exact(&mut reply).await.unwrap();
+            crowd.push(client);
+        }
+        let mut newcomers = Vec::new();
+        for _ in 0..CROWD {
+            let mut client = TcpStream::connect(address).await.unwrap();
+            client.write_all(PING).await.unwrap();
+            newcomers.push(client);
+        }
+        let started = Instant::now();
+        for client in &mut newcomers {
+            client.read_exact(&mut reply).await.unwrap();
+        }
+        assert!(started.elapsed() <= EVICTION_TIMEOUT, "{:?}", started.elapsed());
+    });
+}
--- a/crates/quillhub-server/src/startup.rs
+++ b/crates/quillhub-server/src/startup.rs
@@ -37,6 +37,10 @@
 /// Client connections get one in this many of the unreserved descriptors: a half, because each client may cause an
 /// attempt, which needs a descriptor too.
 const CLIENTS_DIVISOR: usize = 2;
+/// One in this many of the clients' descriptors is for connections that wait until others are evicted for them.
+const WAITING_DIVISOR: usize = 8;
+/// Maximum number of client connections that wait until others are evicted for them.
+const MAX_WAITING_CLIENTS: usize = 32;
 /// Idle connections to endpoints get at most one in this many of the unreserved descriptors: a quarter. Attempts in
 /// flight have the remaining quarter and displace idle connections if they need more.
 const IDLE_DIVISOR: usize = 4;
@@ -69,8 +73,10 @@
 
 /// Limits on the numbers of connections, so that descriptors remain for everything else.
 struct ConnectionLimits {
-    /// Maximum number of client connections.
+    /// Maximum number of client connections that are served.
     clients: usize,
+    /// Maximum number of client connections that wait until others are evicted for them.
+    waiting_clients: usize,
     /// Maximum number of connections to endpoints, idle ones included.
     endpoints: usize,
     /// Maximum number of idle connections to endpoints.
@@ -81,8 +87,11 @@
     /// Divides `descriptors`, the number of file descriptors that the process may use.
     fn within(descriptors: usize) -> Self {
         let unreserved = descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+        let clients = unreserved / CLIENTS_DIVISOR;
+        let waiting_clients = (clients / WAITING_DIVISOR).clamp(1, MAX_WAITING_CLIENTS);
         Self {
-            clients: (unreserved / CLIENTS_DIVISOR).max(1),
+            clients: clients.saturating_sub(waiting_clients).max(1),
+            waiting_clients,
             endpoints: unreserved - unreserved / CLIENTS_DIVISOR,
             idle: unreserved / IDLE_DIVISOR,
         }
@@ -132,7 +141,8 @@
     stop: impl Future<Output = ()>,
 ) -> Result<(), ServeError> {
     let configuration = StartupConfiguration::read(root)?;
-    let (listen, max_clients) = (configuration.listen, configuration.connections.clients);
+    let listen = configuration.listen;
+    let max_clients = (configuration.connections.clients, configuration.connections.waiting_clients);
     let must_be_polled = configuration.must_be_polled;
     let OpenedInstance { instance, gossip, recovered } = open(configuration, state_directory).await?;
     let revision = load_configured_endpoints(root, &instance)?;
@@ -274,11 +284,11 @@
 fn accept_clients(
     instance: &Rc<RefCell<Instance>>,
     listener: TcpListener,
-    max_clients: usize,
+    (max_clients, max_waiting): (usize, usize),
 ) -> ClientConnections {
     let (phase, phase_receiver) = watch::channel(Phase::Serving);
     let permits = Arc::new(Semaphore::new(max_clients));
-    let admission = clients::Admission::new(phase_receiver, permits.clone());
+    let admission = clients::Admission::new(phase_receiver, permits.clone(), max_waiting);
     let event_loop = admission.event_loop();
     supervise(move || event_loop::watch(event_loop.clone()));
     let (instance, listener) = (instance.clone(), Rc::new(listener));
