A response that arrived in time counts, even if a held-up process reads it late

Cause: the process was held up when the response arrived, read its status line after the deadline of the call, and took it for none: the same class of fault, a moment that a hold-up moves.

Responses now count by their arrival at this machine, which the kernel stamps; a stamp is believed for up to 250 ms and from the start of the attempt on. Without a stamp a response counts when it is read, as before, so that one which arrives after the deadline is still none (the test for that is unchanged).

--- a/crates/quillhub-server/src/attempts/mod.rs
+++ b/crates/quillhub-server/src/attempts/mod.rs
@@ -14,6 +14,7 @@
 use crate::connection::{ConnectionError, HttpConnection, UnexpectedInput};
 use crate::http::InterimResponses;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
 
@@ -21,6 +22,8 @@
 /// Endpoints write a response in one piece, and a quarter of a second covers the retransmission of a packet. Guards
 /// against responses that never end, which would keep their attempt in flight.
 const RESPONSE_REST_TIMEOUT: Duration = Duration::from_millis(250);
+/// Maximum time from the arrival of a status line to its read by a process that was held up.
+const MAX_READ_DELAY: Duration = Duration::from_millis(250);
 /// Number of times that an attempt reconnects when its connection breaks before the last byte of the request: once
 /// for a stale pooled connection, and once for a new connection that happens to break.
 const MAX_RECONNECTS: u32 = 2;
@@ -163,6 +166,14 @@
         self.after.saturating_sub(self.started.elapsed())
     }
 
+    /// Returns the time in which a response that is read late arrived in time. It ends with the deadline, and is no longer than
+    /// the process may be held up, since a step of the wall clock makes input look older than it is.
+    fn believed_arrivals(&self) -> RangeInclusive<Instant> {
+        let end = self.started + self.after;
+        let start = Instant::now().checked_sub(MAX_READ_DELAY).unwrap_or(self.started);
+        start.max(self.started)..=end
+    }
+
     /// Returns the time limit for a part of a response, which endpoints write in one piece.
     fn response_timeout(&self) -> Duration {
         RESPONSE_REST_TIMEOUT.min(self.time_left())
@@ -187,10 +198,11 @@
 {
     /// Makes the attempt: on the pooled connection if that is still open once it is at rest, otherwise on a new one.
     ///
-    /// A response whose status line is read after the deadline that the request stated counts as no response, since the
+    /// A response whose status line arrives after the deadline that the request stated counts as no response, since the
     /// endpoint may have stopped processing the request by then. This guards against responses that arrive after the
     /// deadline but before the timer fires, which has millisecond resolution, and against responses that begin in time
-    /// but do not end. It may time out an attempt whose response arrived while this process was suspended.
+    /// but do not end. One that is read late counts as late unless its arrival is known, so that a process that was held up
+    /// does not send a delivered message again.
     pub async fn run(mut self) -> AttemptEnd {
         let wait_started = Instant::now();
         let mut replaced = Vec::new();
@@ -339,8 +351,11 @@
             Err(_) => return Err(FailedCall::timed_out()),
         }
         let status = connection.status(STATUS_OVER, || control.message_may_be_over());
-        match timeout(deadline.response_timeout(), status).await {
-            _ if deadline.time_left().is_zero() => return Err(FailedCall::timed_out()),
+        let status = timeout(deadline.response_timeout(), status).await;
+        let is_late =
+            deadline.time_left().is_zero() && !connection.has_arrived_in(&deadline.believed_arrivals());
+        match status {
+            _ if is_late => return Err(FailedCall::timed_out()),
             Ok(Ok(100..200)) => {}
             Ok(Ok(status)) => return Ok(status),
             Ok(Err(error)) => return Err(FailedCall::broken(&error)),
--- a/crates/quillhub-server/src/attempts/tests.rs
+++ b/crates/quillhub-server/src/attempts/tests.rs
@@ -1,6 +1,6 @@
 use super::response::parse_load_report;
 use super::*;
-use crate::test_support::{OK, UNREACHED_TIMEOUT, on_one_thread, scripted_server};
+use crate::test_support::{OK, UNREACHED_TIMEOUT, on_one_thread, scripted_server, until_input_is_stamped};
 use quillhub::{AttemptOutcome, LoadReport};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -342,6 +342,28 @@
     })
 }
 
+/// Guards against a delivered message that is sent again: the process was held up when the response arrived, and read it only
+/// after the deadline of the call.
+#[test]
+fn a_response_that_arrived_in_time_counts_although_the_process_was_held_up() {
+    on_one_thread(async {
+        until_input_is_stamped().await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let attempt_timeout = Duration::from_millis(120);
+        spawn_local(async move {
+            let mut stream = listener.accept().await.unwrap().0;
+            stream.read_exact(&mut [0; 3]).await.unwrap();
+            stream.try_write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+            // The thread, and so the attempt, is held up beyond the deadline.
+            std::thread::sleep(attempt_timeout);
+            std::future::pending::<()>().await;
+        });
+        let (result, _) = attempt(None, address, attempt_timeout, |_| b"xyz".to_vec(), || true).await;
+        assert!(matches!(result, Ok(Response { status: 200, .. })), "{result:?}");
+    });
+}
+
 /// The timer has millisecond resolution, so a response may be read just after the deadline, when the endpoint may have
 /// stopped processing the request. An attempt that took 2.488018365 s, with 2.487269528 s stated, counted as delivered
 /// that way, and the message was lost.
--- a/crates/quillhub-server/src/clients/arrival.rs
+++ b/crates/quillhub-server/src/clients/arrival.rs
@@ -7,6 +7,7 @@
 //! Invariant: input never counts as having arrived later than it did, unless the wall clock was set while it waited.
 
 use crate::event_loop::EventLoopClock;
+use crate::stream_io::age_of;
 use std::cell::Cell;
 use std::time::{Duration, SystemTime};
 use tokio::time::Instant;
@@ -102,8 +103,7 @@
     pub(super) fn input_read(&self, stamp: Option<SystemTime>) -> Arrival {
         let read = Instant::now();
         let earliest = self.moment.get();
-        let age = stamp.and_then(|stamp| SystemTime::now().duration_since(stamp).ok());
-        let stamped = age.and_then(|age| read.checked_sub(age));
+        let stamped = stamp.and_then(age_of).and_then(|age| read.checked_sub(age));
         let stamped = stamped.filter(|stamped| *stamped >= earliest);
         let last_byte = stamped.unwrap_or(earliest);
         // Bytes arrive in order.
--- a/crates/quillhub-server/src/clients/arrival_tests.rs
+++ b/crates/quillhub-server/src/clients/arrival_tests.rs
@@ -1,7 +1,8 @@
 use super::*;
 use crate::clients::socket;
 use crate::event_loop;
-use crate::test_support::on_one_thread;
+use crate::stream_io::stamp_input;
+use crate::test_support::{on_one_thread, until_input_is_stamped};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -11,31 +12,20 @@
 async fn connect(is_stamped: bool) -> (TcpStream, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     if is_stamped {
-        socket::stamp_input(&listener).unwrap();
+        stamp_input(&listener).unwrap();
     }
     let client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
     (client, listener.accept().await.unwrap().0)
 }
 
-/// Exchanges bytes until the kernel stamps them, which it begins to do some time after the first socket has asked for it.
-async fn until_stamped(client: &mut TcpStream, server: &TcpStream, empty_since: &EmptySince) {
-    loop {
-        client.write_all(b"x").await.unwrap();
-        let arrival = socket::read(server, empty_since, |_| ()).await.unwrap().arrival;
-        if arrival.earliest != arrival.last_byte {
-            return;
-        }
-    }
-}
-
 /// Guards against a command whose time counts from its execution: it waited in the socket while the process was held up,
 /// also on a connection that was not accepted yet.
 #[test]
 fn input_counts_from_its_arrival_however_late_it_is_read() {
     on_one_thread(async {
+        until_input_is_stamped().await;
         let (mut client, server) = connect(true).await;
         let empty_since = EmptySince::new(EventLoopClock::new(), Instant::now());
-        until_stamped(&mut client, &server, &empty_since).await;
         for _ in 0..2 {
             let before = Instant::now();
             client.write_all(b"x").await.unwrap();
--- a/crates/quillhub-server/src/clients/mod.rs
+++ b/crates/quillhub-server/src/clients/mod.rs
@@ -12,6 +12,7 @@
 pub use admission::{Admission, Phase};
 
 use crate::instance::Instance;
+use crate::stream_io::stamp_input;
 use arrival::{ConnectionTimes, EmptySince};
 use connection::Connection;
 use std::cell::RefCell;
@@ -31,7 +32,7 @@
 /// Each is served by a task of its own.
 pub async fn accept(instance: Rc<RefCell<Instance>>, listener: Rc<TcpListener>, admission: Rc<Admission>) {
     let mut phase = admission.phase();
-    if let Err(error) = socket::stamp_input(&listener) {
+    if let Err(error) = stamp_input(&*listener) {
         tracing::warn!(%error, "arrival times of commands are only estimated");
     }
     let empty_since = EmptySince::new(admission.event_loop(), Instant::now());
--- a/crates/quillhub-server/src/clients/socket.rs
+++ b/crates/quillhub-server/src/clients/socket.rs
@@ -2,20 +2,14 @@
 //! checks for pending input and for the end of the stream. All are stateless.
 
 use super::arrival::{Arrival, EmptySince};
-use crate::stream_io::is_temporary;
-use nix::cmsg_space;
-use nix::errno::Errno;
-use nix::sys::socket::{ControlMessageOwned, MsgFlags, recvmsg, setsockopt, sockopt};
-use nix::sys::time::TimeSpec;
+use crate::stream_io::{is_temporary, receive};
 use std::future::poll_fn;
-use std::io::{self, ErrorKind, IoSliceMut, Read};
+use std::io::{self, ErrorKind};
 use std::mem::MaybeUninit;
-use std::os::fd::AsRawFd;
 use std::pin::pin;
 use std::task::{Context, Poll, Waker};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::io::Interest;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 /// Maximum number of bytes that one read returns.
@@ -28,15 +22,6 @@
     pub(super) arrival: Arrival,
 }
 
-/// Has the kernel stamp all input of the connections that `listener` accepts.
-///
-/// # Errors
-///
-/// Returns an error if the system does not support stamps; reads then return none.
-pub(super) fn stamp_input(listener: &TcpListener) -> io::Result<()> {
-    Ok(setsockopt(listener, sockopt::ReceiveTimestampns, &true)?)
-}
-
 /// Waits for `future`, and returns its output, with `true` if it was not ready at once.
 pub(super) async fn wait<T>(future: impl Future<Output = T>) -> (T, bool) {
     let mut future = pin!(future);
@@ -101,30 +86,6 @@
     Some(Input { length, arrival: empty_since.input_read(stamp) })
 }
 
-/// Reads input, and returns its length and the kernel's stamp of its last byte, if there is one.
-fn receive(stream: &TcpStream, bytes: &mut [u8]) -> io::Result<(usize, Option<SystemTime>)> {
-    let mut control = cmsg_space!(TimeSpec);
-    let mut parts = [IoSliceMut::new(bytes)];
-    let received = match recvmsg::<()>(stream.as_raw_fd(), &mut parts, Some(&mut control), MsgFlags::empty())
-    {
-        Ok(received) => received,
-        // Reads without control messages always work.
-        Err(Errno::ENOSYS | Errno::EOPNOTSUPP | Errno::EINVAL) => {
-            return (&*socket2::SockRef::from(stream)).read(bytes).map(|length| (length, None));
-        }
-        Err(error) => return Err(error.into()),
-    };
-    let stamp = received.cmsgs().ok().and_then(|mut messages| messages.find_map(stamp_in));
-    Ok((received.bytes, stamp))
-}
-
-fn stamp_in(message: ControlMessageOwned) -> Option<SystemTime> {
-    match message {
-        ControlMessageOwned::ScmTimestampns(stamp) => Some(UNIX_EPOCH + Duration::from(stamp)),
-        _ => None,
-    }
-}
-
 /// Returns `true` if the end of the client's side has arrived, also behind input that was not read yet, or the connection
 /// broke.
 ///
--- a/crates/quillhub-server/src/connection.rs
+++ b/crates/quillhub-server/src/connection.rs
@@ -11,11 +11,12 @@
 use std::io::{self, ErrorKind, Read};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// Error after which a connection cannot be used any more.
 #[derive(Debug, Error)]
@@ -104,6 +105,8 @@
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
+        // Without stamps, input counts as having arrived when it is read.
+        let _ = stream_io::stamp_input(&stream);
         let number = LAST_NUMBER.get() + 1;
         LAST_NUMBER.set(number);
         Ok(Self {
@@ -208,6 +211,11 @@
         }
     }
 
+    /// Returns `true` if the input that was read last is known to have arrived in this time.
+    pub(crate) fn has_arrived_in(&self, time: &RangeInclusive<Instant>) -> bool {
+        self.reader.arrived().is_some_and(|arrived| time.contains(&arrived))
+    }
+
     /// Reads the status of the next response as soon as its status line is complete, without consuming any of it. Calls
     /// `on_over` as soon as the status itself is read and is `over`, even if the rest of the line never arrives.
     ///
--- a/crates/quillhub-server/src/test_support.rs
+++ b/crates/quillhub-server/src/test_support.rs
@@ -3,6 +3,7 @@
 
 use crate::instance::{CommandTimes, Instance, InstanceParts, Submission, SubmitOutcome};
 use crate::pool::{ConnectionPool, EndpointProcess};
+use crate::stream_io::{receive, stamp_input};
 use crate::wal::{LoggedMessage, Wal, accepted_payload};
 use crate::wall_clock::WallClock;
 use quillhub::{EndpointState, EndpointUpdate, MessageId};
@@ -15,7 +16,8 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, SystemTime};
-use tokio::net::TcpListener;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Timeout that is longer than any test and so never expires.
 pub const UNREACHED_TIMEOUT: Duration = Duration::from_secs(60);
@@ -191,3 +193,18 @@
         tokio::task::yield_now().await;
     }
 }
+
+/// Waits until the kernel stamps input, which it begins to do some time after the first socket has asked for it.
+pub async fn until_input_is_stamped() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    stamp_input(&listener).unwrap();
+    let mut client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let server = listener.accept().await.unwrap().0;
+    loop {
+        client.write_all(b"x").await.unwrap();
+        server.readable().await.unwrap();
+        if matches!(receive(&server, &mut [0; 8]), Ok((_, Some(_)))) {
+            return;
+        }
+    }
+}
