--- a/crates/quillhub-server/src/attempts/mod.rs
+++ b/crates/quillhub-server/src/attempts/mod.rs
@@ -81,6 +81,17 @@
     }
 }
 
+impl From<UnexpectedInput> for ConnectionState {
+    /// Returns the state of a connection without a call that is closed after this input.
+    fn from(input: UnexpectedInput) -> Self {
+        match input {
+            UnexpectedInput::Bytes => Self::Surplus,
+            UnexpectedInput::End => Self::Ended,
+            UnexpectedInput::Failed | UnexpectedInput::None => Self::Closed,
+        }
+    }
+}
+
 /// Connection that an attempt has used.
 pub struct UsedConnection {
     /// Connection.
@@ -326,13 +337,11 @@
         return Some(connection);
     }
     let _ = timeout(wait, connection.input()).await;
-    let state = match connection.unexpected_input() {
-        UnexpectedInput::None => return Some(connection),
-        UnexpectedInput::Bytes => ConnectionState::Surplus,
-        UnexpectedInput::End => ConnectionState::Ended,
-        UnexpectedInput::Failed => ConnectionState::Closed,
-    };
-    replaced.push(UsedConnection { connection, state });
+    let input = connection.unexpected_input();
+    if input == UnexpectedInput::None {
+        return Some(connection);
+    }
+    replaced.push(UsedConnection { connection, state: input.into() });
     None
 }
 
--- a/crates/quillhub-server/src/instance/connections.rs
+++ b/crates/quillhub-server/src/instance/connections.rs
@@ -7,7 +7,7 @@
 use super::attribution::{ConnectionEffects, SurplusResponse};
 use super::{AttemptId, Instance};
 use crate::attempts::{self, ConnectionState, STATUS_OVER, UsedConnection};
-use crate::connection::{HttpConnection, UnexpectedInput};
+use crate::connection::HttpConnection;
 use crate::pool::Watcher;
 use quillhub::{CallId, CallTimes, ConnectionLedger, ConnectionUse, MessageId, ResponseMeaning};
 use std::time::Duration;
@@ -70,11 +70,7 @@
     ) {
         let weak = self.weak.clone();
         spawn_local(async move {
-            let state = match connection.unexpected_input() {
-                UnexpectedInput::Bytes => ConnectionState::Surplus,
-                UnexpectedInput::End => ConnectionState::Ended,
-                UnexpectedInput::Failed | UnexpectedInput::None => ConnectionState::Closed,
-            };
+            let state = connection.unexpected_input().into();
             if let Some(instance) = weak.upgrade() {
                 let mut instance = instance.borrow_mut();
                 let mut effects = ConnectionEffects::default();
