A response that arrived counts also if the timer fires before the socket is read

Cause: SIGCONT ends epoll_wait without events (EINTR), so that the timer fires before the runtime knows of the input.

When the deadline has passed, the attempt now reads what the system has, and takes it if it arrived in time.

--- a/crates/quillhub-server/src/attempts/mod.rs
+++ b/crates/quillhub-server/src/attempts/mod.rs
@@ -357,6 +357,7 @@
         match timeout(deadline.time_left(), connection.response_started()).await {
             Ok(Ok(())) => {}
             Ok(Err(error)) => return Err(FailedCall::broken(&error)),
+            Err(_) if connection.read_if_arrived_in(&deadline.believed_arrivals()) => {}
             Err(_) => return Err(FailedCall::timed_out()),
         }
         let status = connection.status(STATUS_OVER, || control.message_may_be_over());
--- a/crates/quillhub-server/src/connection.rs
+++ b/crates/quillhub-server/src/connection.rs
@@ -211,6 +211,12 @@
         }
     }
 
+    /// Reads what the system has, and returns `true` if that is input which is known to have arrived in this time.
+    pub(crate) fn read_if_arrived_in(&mut self, time: &RangeInclusive<Instant>) -> bool {
+        let read = self.reader.read_now(&self.stream, &mut self.buffer);
+        matches!(read, Ok(1..)) && self.has_arrived_in(time)
+    }
+
     /// Returns `true` if the input that was read last is known to have arrived in this time.
     pub(crate) fn has_arrived_in(&self, time: &RangeInclusive<Instant>) -> bool {
         self.reader.arrived().is_some_and(|arrived| time.contains(&arrived))
--- a/crates/quillhub-server/src/stream_io.rs
+++ b/crates/quillhub-server/src/stream_io.rs
@@ -104,9 +104,27 @@
         read
     }
 
+    /// Reads input that the system has, although the runtime may not have learned of it yet: a process that was stopped
+    /// learns of the timers that have fired before it looks at its sockets again.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the read, also if there is no input.
+    pub fn read_now(&mut self, stream: &TcpStream, buffer: &mut Vec<u8>) -> io::Result<usize> {
+        self.read_with(buffer, |bytes| receive(stream, bytes))
+    }
+
     fn try_read(&mut self, stream: &TcpStream, buffer: &mut Vec<u8>) -> io::Result<usize> {
+        self.read_with(buffer, |bytes| stream.try_io(Interest::READABLE, || receive(stream, bytes)))
+    }
+
+    fn read_with(
+        &mut self,
+        buffer: &mut Vec<u8>,
+        receive: impl FnOnce(&mut [u8]) -> io::Result<(usize, Option<SystemTime>)>,
+    ) -> io::Result<usize> {
         let mut bytes = [0; MAX_READ_BYTES];
-        let (length, stamp) = stream.try_io(Interest::READABLE, || receive(stream, &mut bytes))?;
+        let (length, stamp) = receive(&mut bytes)?;
         self.arrived = stamp.and_then(age_of).and_then(|age| Instant::now().checked_sub(age));
         buffer.extend_from_slice(&bytes[..length]);
         Ok(length)
--- a/crates/quillhub-server/src/stream_io_tests.rs
+++ b/crates/quillhub-server/src/stream_io_tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::test_support::on_one_thread;
+use crate::test_support::{on_one_thread, until_input_is_stamped};
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::net::TcpListener;
@@ -52,3 +52,24 @@
         other_task.abort();
     });
 }
+
+/// Guards against a response that counts as late, since a process that was stopped handles its timers before it has looked
+/// at its sockets.
+#[test]
+fn input_of_which_the_runtime_has_not_learned_is_read_at_once() {
+    on_one_thread(async {
+        until_input_is_stamped().await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let (server, _) = listener.accept().await.unwrap();
+        stamp_input(&server).unwrap();
+        let (mut reader, mut buffer) = (Reader::default(), Vec::new());
+        assert!(reader.read_now(&server, &mut buffer).unwrap_err().kind() == ErrorKind::WouldBlock);
+        let before = Instant::now();
+        // No await from here on, so that the runtime does not learn of the input.
+        std::io::Write::write_all(&mut &client, b"xyz").unwrap();
+        assert_eq!(reader.read_now(&server, &mut buffer).unwrap(), 3);
+        assert_eq!(buffer, b"xyz");
+        assert!(reader.arrived().is_some_and(|arrived| arrived + Duration::from_millis(50) > before));
+    });
+}
