Laboratory: a response to a process that is killed while it is held up may be unread

The check allowed for 0.1 s between the response and the end of a process; in plans with hold-ups it now allows for their length too, which a test shows at its limit. Other plans are checked as before.

--- a/crates/quillhub-fakes/src/laboratory/audit.rs
+++ b/crates/quillhub-fakes/src/laboratory/audit.rs
@@ -207,8 +207,9 @@
     calls: &[&Call],
     mut ends: impl Iterator<Item = Instant>,
 ) -> bool {
+    let read_time = READ_TIME + record.max_hold_up;
     ends.any(|at| {
-        !record.may_be_unread(submission.instance, at, READ_TIME)
+        !record.may_be_unread(submission.instance, at, read_time)
             && calls.iter().any(|call| call.arrived > at + READ_TIME)
     })
 }
--- a/crates/quillhub-fakes/src/laboratory/audit_tests.rs
+++ b/crates/quillhub-fakes/src/laboratory/audit_tests.rs
@@ -220,3 +220,18 @@
     assert_eq!(late(Some((0, 25))), []);
     assert_eq!(late(Some((1, 25))), [Violation::Lost]);
 }
+
+/// Guards against a message that counts as sent after its delivery although the process was stopped when the response
+/// arrived, and was killed before it could read it.
+#[test]
+fn a_response_to_a_process_that_is_killed_while_it_is_held_up_may_be_unread() {
+    let sent_again = |max_hold_up| {
+        let mut builder =
+            Builder::new(FREE).answered(10, 50, 200).answered(900, 950, 200).restarted(200, 200);
+        builder.0.max_hold_up = Duration::from_millis(max_hold_up);
+        builder.violations()
+    };
+    assert_eq!(sent_again(0), [Violation::SentAfterDelivery]);
+    assert_eq!(sent_again(49), [Violation::SentAfterDelivery]);
+    assert_eq!(sent_again(50), []);
+}
--- a/crates/quillhub-fakes/src/laboratory/record.rs
+++ b/crates/quillhub-fakes/src/laboratory/record.rs
@@ -105,6 +105,8 @@
     pub(super) reads_may_fail: bool,
     /// Maximum time that bytes take between an instance and an endpoint.
     pub(super) max_path_time: Duration,
+    /// Maximum time for which an instance is held up.
+    pub(super) max_hold_up: Duration,
     /// Times for which the laboratory itself was held up, in order: what happened meanwhile was recorded at their end.
     pub(super) pauses: Vec<RangeInclusive<Instant>>,
 }
@@ -120,6 +122,7 @@
             outages: Vec::new(),
             reads_may_fail: false,
             max_path_time: Duration::ZERO,
+            max_hold_up: Duration::ZERO,
             pauses: Vec::new(),
         }
     }
--- a/crates/quillhub-fakes/src/laboratory/state.rs
+++ b/crates/quillhub-fakes/src/laboratory/state.rs
@@ -32,6 +32,8 @@
     pub(super) fn shared(plan: &Plan) -> SharedRun {
         let mut record = Record::new(Instant::now());
         record.max_path_time = plan.path_time.end;
+        let hold_ups = plan.hold_ups.iter().flat_map(|plan| [plan.length, plan.submission_length]);
+        record.max_hold_up = hold_ups.max().unwrap_or_default();
         record.reads_may_fail = plan.socket_faults.is_some_and(|faults| faults.broken_permille > 0);
         let rng = Pcg64Mcg::seed_from_u64(plan.seed);
         Rc::new(RefCell::new(Self {
