Tests: an instance with a descriptor limit starts while other processes start

Cause: the test wrote a shell script and executed it. Another thread of the same test program started a process while the script was open for writing; that process inherited the descriptor until its own exec, and the kernel executes no file that is open for writing. The two tests of this file both did so at their start.

Fix: the script is an argument of the shell, so no file is written that is executed later. Nothing else in the workspace writes a program. The check itself is unchanged.

--- a/crates/quillhub-fakes/src/process.rs
+++ b/crates/quillhub-fakes/src/process.rs
@@ -53,11 +53,26 @@
         [config, state, log]: [&Path; 3],
         environment: &[(&str, OsString)],
     ) -> io::Result<Self> {
-        let log = std::fs::File::create(log)?;
         let mut command = Command::new(program);
         command.envs(environment.iter().map(|(name, value)| (name, value)));
+        Self::spawn(command, level, [config, state, log])
+    }
+
+    /// Starts an instance as [`Self::start`] does, that can open at most `descriptors` file descriptors.
+    pub fn start_with_descriptor_limit(
+        program: &Path,
+        descriptors: usize,
+        paths: [&Path; 3],
+    ) -> io::Result<Self> {
+        let mut command = Command::new("/bin/sh");
+        command.arg("-c").arg(format!("ulimit -n {descriptors} && exec \"$0\" \"$@\"")).arg(program);
+        Self::spawn(command, "warn", paths)
+    }
+
+    /// Adds the arguments of an instance to `command` and starts it.
+    fn spawn(mut command: Command, level: &str, [config, state, log]: [&Path; 3]) -> io::Result<Self> {
         command.args(["serve", "--log", level, "--config"]).arg(config).arg("--state").arg(state);
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(std::fs::File::create(log)?);
         Ok(Self(command.spawn()?))
     }
 
--- a/crates/quillhub-server/tests/resource_limits.rs
+++ b/crates/quillhub-server/tests/resource_limits.rs
@@ -9,7 +9,6 @@
 use serde_json::{Value, json};
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::os::unix::fs::PermissionsExt;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -51,13 +50,10 @@
 /// Starts the process of an instance that can open only as many file descriptors as its configuration says. Its state
 /// directory is in `state`, its configuration and log in `files`.
 fn start(state: &ScratchDirectory, files: &ScratchDirectory, configuration: &Value) -> InstanceProcess {
-    let [config, log, program] = ["config", "log", "limited"].map(|name| files.0.join(name));
+    let [config, log] = ["config", "log"].map(|name| files.0.join(name));
     std::fs::write(&config, configuration.to_string()).unwrap();
-    let script =
-        format!("#!/bin/sh\nulimit -n {DESCRIPTORS}\nexec '{}' \"$@\"\n", env!("CARGO_BIN_EXE_quillhub"));
-    std::fs::write(&program, script).unwrap();
-    std::fs::set_permissions(&program, std::fs::Permissions::from_mode(0o755)).unwrap();
-    InstanceProcess::start(Path::new(&program), &config, &state.0, &log).unwrap()
+    let program = Path::new(env!("CARGO_BIN_EXE_quillhub"));
+    InstanceProcess::start_with_descriptor_limit(program, DESCRIPTORS, [&config, &state.0, &log]).unwrap()
 }
 
 /// Returns an unused address on a host that nothing else binds to.
@@ -196,3 +192,22 @@
     };
     on_one_thread(async { timeout(3 * TEST_TIMEOUT, test).await.expect("the test ends in time") });
 }
+
+/// Guards against a start that fails with "text file busy", because another test started a process while the program
+/// of this one was being written, so that the other process still had it open for writing.
+#[test]
+fn instances_with_a_descriptor_limit_start_while_other_processes_are_started() {
+    const THREADS: u8 = 4;
+    const STARTS_PER_THREAD: usize = 50;
+    let configuration = configuration(unused_address(6), unused_address(7), list(1, &[]));
+    let start_repeatedly = || {
+        for _ in 0..STARTS_PER_THREAD {
+            drop(start(&ScratchDirectory::new(), &ScratchDirectory::new(), &configuration));
+        }
+    };
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(start_repeatedly);
+        }
+    });
+}
