--- a/crates/quillhub-fakes/src/laboratory/audit.rs
+++ b/crates/quillhub-fakes/src/laboratory/audit.rs
@@ -1,6 +1,6 @@
 //! Verdict on a run: which messages broke which rule, according to the records of clients, endpoints and platform.
 
-use super::plan::SERVICE_CLASSES;
+use super::plan::{SERVICE_CLASSES, SHORT_TIME_TO_LIVE};
 use super::record::{Call, Copy, Record, Submission};
 use super::response::STATUS_EXHAUSTED;
 use std::fmt;
@@ -38,13 +38,32 @@
     RejectedAfterExecution,
 }
 
-/// Verdict on a run.
-#[derive(Debug, Default)]
-pub struct Verdict {
-    /// Number of accepted messages.
+/// How many messages got how far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Number of messages whose commands were written.
+    pub submitted: usize,
+    /// Number of those that were accepted.
     pub accepted: usize,
     /// Number of messages for which an endpoint wrote status 200.
     pub delivered: usize,
+}
+
+impl Tally {
+    fn add(&mut self, submission: &Submission, calls: &[&Call]) {
+        self.submitted += 1;
+        self.accepted += usize::from(submission.accepted);
+        self.delivered += usize::from(calls.iter().any(|call| call.is_delivered()));
+    }
+}
+
+/// Verdict on a run.
+#[derive(Debug, Default)]
+pub struct Verdict {
+    /// All messages.
+    pub all: Tally,
+    /// Short-lived messages.
+    pub short_lived: Tally,
     /// Number of messages that were abandoned although an endpoint wrote status 200 for them before their deadline. No
     /// rule forbids it, but their clients are told wrongly.
     pub abandoned_after_delivery: usize,
@@ -96,9 +115,13 @@
 
 impl fmt::Display for Verdict {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        let Self { accepted, delivered, abandoned_after_delivery, calls, copies, connections, .. } = self;
+        let Self { all, short_lived, abandoned_after_delivery, calls, copies, connections, .. } = self;
+        let Tally { submitted, accepted, delivered } = all;
         write!(f, "laboratory held up {:?}, ", self.longest_pause)?;
-        write!(f, "accepted {accepted}, delivered {delivered}, calls {calls}, connections {connections}, ")?;
+        write!(f, "submitted {submitted}, accepted {accepted}, delivered {delivered}, ")?;
+        let Tally { submitted, accepted, delivered } = short_lived;
+        write!(f, "of these short-lived {submitted}, {accepted}, {delivered}, ")?;
+        write!(f, "calls {calls}, connections {connections}, ")?;
         write!(f, "abandoned after a delivery {abandoned_after_delivery}, ")?;
         write!(f, "of these also over {}, ", self.abandoned_after_delivery_and_over)?;
         write!(f, "over {}, ", self.over)?;
@@ -132,8 +155,10 @@
     verdict.connections = connections.len();
     for (message, submission) in &record.submissions {
         let calls: Vec<_> = record.calls_of(message).collect();
-        verdict.accepted += usize::from(submission.accepted);
-        verdict.delivered += usize::from(calls.iter().any(|call| call.is_delivered()));
+        verdict.all.add(submission, &calls);
+        if submission.time_to_live() <= SHORT_TIME_TO_LIVE {
+            verdict.short_lived.add(submission, &calls);
+        }
         let is_over = calls.iter().any(|call| call.over_since().is_some());
         let is_abandoned = is_abandoned_after_delivery(record, message, submission, &calls);
         verdict.abandoned_after_delivery += usize::from(is_abandoned);
--- a/crates/quillhub-server/tests/fault_laboratory.rs
+++ b/crates/quillhub-server/tests/fault_laboratory.rs
@@ -21,7 +21,7 @@
 /// Runs a plan and checks that faults happened as planned and that no rule broke. Returns the verdict.
 fn check(plan: &Plan) -> Verdict {
     let verdict = check_rules(plan);
-    assert!(verdict.delivered > 100, "{verdict}");
+    assert!(verdict.all.delivered > 100, "{verdict}");
     assert_eq!(verdict.over > 0, plan.over.is_some(), "{verdict}");
     let has_copies_before_hangs = plan.hangs.as_ref().is_some_and(|hangs| hangs.copied_share > 0.0);
     let has_copies = plan.copies.is_some() || has_copies_before_hangs || plan.clumps.is_some();
@@ -223,7 +223,7 @@
             plan.platform_faults.clone().map(|faults| PlatformFaultPlan { lost_share: 1.0, ..faults });
         let plan = Plan { rate_per_s: 0.1, copies: None, crowd: None, restarts: Vec::new(), ..plan };
         let verdict = check_rules(&Plan { hold_ups, hangs, platform_faults, ..plan });
-        assert!(verdict.accepted > 100, "{verdict}");
+        assert!(verdict.all.accepted > 100, "{verdict}");
     }
 }
 
