Laboratory: thousands of messages whose deadlines fall on the same moment

What callers saw: with thousands of messages of one deadline, final outcomes came up to 1.5 s late, and most of them too late. The plans so far had at most a few messages ending together.

--- a/crates/quillhub-fakes/src/laboratory/builders.rs
+++ b/crates/quillhub-fakes/src/laboratory/builders.rs
@@ -1,8 +1,8 @@
 //! Plans of runs: which faults a kind of run has, as a seed determines them.
 
 use super::plan::{
-    ClumpPlan, CopyPlan, CopyShape, CopyTiming, CrowdPlan, HangPlan, HoldUpPlan, OverPlan, Pause, Plan,
-    PlatformFaultPlan, Reload, Restart, SilencePlan, SpoiltRejectionPlan, StorageFaults,
+    BurstPlan, ClumpPlan, CopyPlan, CopyShape, CopyTiming, CrowdPlan, HangPlan, HoldUpPlan, OverPlan, Pause,
+    Plan, PlatformFaultPlan, Reload, Restart, SilencePlan, SpoiltRejectionPlan, StorageFaults,
 };
 use super::shim::{ShortIo, SocketFaults};
 use crate::process::Signal;
@@ -37,6 +37,7 @@
             endless_share: 0.0,
             silences: None,
             clumps: None,
+            burst: None,
             copies: None,
             spoilt_rejections: None,
             hangs: None,
@@ -259,6 +260,54 @@
         }
     }
 
+    /// Returns the plan that `seed` determines, with thousands of messages whose endpoints hang and whose deadlines fall on
+    /// the same moment, a platform that loses requests or answers late, a crowd that fills the table of connections in half
+    /// of the runs, and either a hold-up at the deadline or a restart around it.
+    pub fn with_simultaneous_deadlines(seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(!seed);
+        let millis = Duration::from_millis;
+        let plan = Self::without_faults(seed);
+        let deadline = millis(4_000);
+        let burst = BurstPlan {
+            messages: rng.random_range(1_000..4_000),
+            messages_per_connection: 50,
+            interval: millis(25),
+            deadline,
+        };
+        let hangs = HangPlan {
+            one_endpoint_in: 1,
+            time: Duration::ZERO..millis(10_000),
+            copied_share: 0.0,
+            max_copy_delay: Duration::ZERO,
+        };
+        let platform_faults =
+            PlatformFaultPlan { late_share: 0.2, late_by: millis(250), lost_share: 0.2, moves_at: None };
+        let crowd = CrowdPlan { clients: 700, interval: millis(1_500) };
+        let has_crowd = rng.random();
+        let restart = Restart {
+            at: deadline - millis(rng.random_range(0..1_500)),
+            signal: if rng.random_range(0..3) == 0 { Signal::TERM } else { Signal::KILL },
+            ..Restart::kill(deadline)
+        };
+        let is_restarted = rng.random::<bool>();
+        let hold_up = Pause {
+            at: deadline - MAX_PAUSE + 2 * MAX_PAUSE.mul_f64(rng.random()),
+            instance: 0,
+            length: MAX_PAUSE,
+        };
+        Self {
+            rate_per_s: 5.0,
+            path_time: millis(15)..millis(45),
+            burst: Some(burst),
+            hangs: Some(hangs),
+            platform_faults: Some(platform_faults),
+            crowd: Some(crowd).filter(|_| has_crowd),
+            restarts: if is_restarted { vec![restart] } else { Vec::new() },
+            pauses: if is_restarted { Vec::new() } else { vec![hold_up] },
+            ..plan
+        }
+    }
+
     /// Returns the plan that `seed` determines, with an instance that is killed and restarted after its wall clock was
     /// set by seconds or by an hour, forward or back.
     pub fn with_wall_clock_step(seed: u64) -> Self {
--- a/crates/quillhub-fakes/src/laboratory/client.rs
+++ b/crates/quillhub-fakes/src/laboratory/client.rs
@@ -66,6 +66,26 @@
     }
 }
 
+/// Submits messages with a common deadline to one instance.
+pub(super) async fn submit_burst(run: SharedRun, plan: Plan, instance: usize, address: SocketAddr) {
+    let Some(burst) = &plan.burst else { return };
+    let mut rng = Pcg64Mcg::seed_from_u64(plan.seed.wrapping_mul(43).wrapping_add(instance as u64));
+    let started = run.borrow().record.started;
+    let deadline = started + burst.deadline;
+    let mut at = started;
+    for first in (0..burst.messages).step_by(burst.messages_per_connection as usize) {
+        sleep_until(at).await;
+        let numbers = first..burst.messages.min(first + burst.messages_per_connection);
+        let time_to_live = deadline.saturating_duration_since(Instant::now());
+        let messages = numbers.map(|number| {
+            let id = format!("b{instance:03x}{number:012x}");
+            Message { time_to_live, ..Message::draw(&mut rng, &plan, instance, id) }
+        });
+        spawn_local(submit_pipelined(run.clone(), address, messages.collect()));
+        at += burst.interval;
+    }
+}
+
 /// Message that a client submits.
 pub(super) struct Message {
     id: String,
--- a/crates/quillhub-fakes/src/laboratory/mod.rs
+++ b/crates/quillhub-fakes/src/laboratory/mod.rs
@@ -20,10 +20,11 @@
 mod shim;
 mod state;
 
-pub use audit::{Verdict, Violation};
+pub use audit::{Tally, Verdict, Violation};
 pub use plan::{
-    ClumpPlan, CopyPlan, CopyShape, CopyTiming, CrowdPlan, HangPlan, HoldUpPlan, OverPlan, Pause, Plan,
-    PlatformFaultPlan, Reload, Restart, ServiceClassPlan, SilencePlan, SpoiltRejectionPlan, StorageFaults,
+    BurstPlan, ClumpPlan, CopyPlan, CopyShape, CopyTiming, CrowdPlan, HangPlan, HoldUpPlan, OverPlan, Pause,
+    Plan, PlatformFaultPlan, Reload, Restart, ServiceClassPlan, SilencePlan, SpoiltRejectionPlan,
+    StorageFaults,
 };
 pub use run::run;
 pub use shim::{ShortIo, SocketFaults};
--- a/crates/quillhub-fakes/src/laboratory/plan.rs
+++ b/crates/quillhub-fakes/src/laboratory/plan.rs
@@ -170,6 +170,19 @@
     pub interval: Duration,
 }
 
+/// Messages whose deadlines fall on the same moment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BurstPlan {
+    /// Number of messages of each instance.
+    pub messages: u64,
+    /// Number of messages that are submitted together on one connection.
+    pub messages_per_connection: u64,
+    /// Time between two such submissions.
+    pub interval: Duration,
+    /// Common deadline, from the start of the load.
+    pub deadline: Duration,
+}
+
 /// SIGHUP to an instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reload {
@@ -240,6 +253,9 @@
 /// Time from submission to deadline of short-lived messages.
 pub(super) const SHORT_TIME_TO_LIVE: Duration = Duration::from_millis(250);
 
+/// Number of messages that an instance may have pending without a burst.
+const MAX_PENDING: u64 = 512;
+
 /// Plan of a run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
@@ -277,6 +293,8 @@
     pub silences: Option<SilencePlan>,
     /// Destinations that are called seldom, if any.
     pub clumps: Option<ClumpPlan>,
+    /// Messages whose deadlines fall on the same moment, if any.
+    pub burst: Option<BurstPlan>,
     /// Surplus responses, if any.
     pub copies: Option<CopyPlan>,
     /// Malformed rejections, if any.
@@ -308,6 +326,11 @@
 }
 
 impl Plan {
+    /// Returns the number of messages that an instance may have pending.
+    pub(super) fn max_pending(&self) -> u64 {
+        MAX_PENDING + self.burst.as_ref().map_or(0, |burst| burst.messages)
+    }
+
     /// Returns the number of endpoints, of which those for clumps are the last.
     pub(super) fn endpoint_count(&self) -> usize {
         let for_clumps = self.clumps.as_ref().map_or(0, |clumps| clumps.destinations);
--- a/crates/quillhub-fakes/src/laboratory/run.rs
+++ b/crates/quillhub-fakes/src/laboratory/run.rs
@@ -23,7 +23,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::task::{JoinSet, spawn_local};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -75,7 +75,7 @@
 pub async fn run(program: &Path, plan: &Plan, logs: Option<&Path>) -> io::Result<Verdict> {
     let run = RunState::shared(plan);
     let endpoints = start_endpoints(&run, plan).await?;
-    let (sender, mut outcomes) = unbounded_channel::<OutcomeNotification>();
+    let (sender, outcomes) = unbounded_channel::<OutcomeNotification>();
     let discovery = Discovery::new(&endpoints);
     let platform_faults = PlatformFaults::new(run.clone(), plan.platform_faults.clone());
     let mut control = Vec::new();
@@ -98,17 +98,12 @@
     }
     run.borrow_mut().record.started = Instant::now();
     spawn_local(watch_own_pauses(run.clone()));
-    let recorder = run.clone();
-    spawn_local(async move {
-        while let Some(outcome) = outcomes.recv().await {
-            let outcomes = &mut recorder.borrow_mut().record.outcomes;
-            outcomes.entry(outcome.id).or_default().push((outcome.received_at, outcome.rejected));
-        }
-    });
+    spawn_local(record_outcomes(run.clone(), outcomes));
     let mut clients = JoinSet::new();
     for (number, instance) in instances.iter().enumerate() {
         clients.spawn_local(client::submit(run.clone(), plan.clone(), number, instance.listen));
         clients.spawn_local(client::submit_clumps(run.clone(), plan.clone(), number, instance.listen));
+        clients.spawn_local(client::submit_burst(run.clone(), plan.clone(), number, instance.listen));
     }
     let addresses: Vec<_> = instances.iter().map(|instance| instance.listen).collect();
     let files: Vec<_> = instances.iter().map(|instance| instance.files.0.clone()).collect();
@@ -126,11 +121,26 @@
         copy_logs(&instances, logs)?;
     }
     let mut verdict = audit(&run.borrow().record);
-    for instance in &instances {
+    verdict.event_loop_delays = count_event_loop_delays(&instances)?;
+    Ok(verdict)
+}
+
+/// Records the final outcomes that the platform reads.
+async fn record_outcomes(run: SharedRun, mut outcomes: UnboundedReceiver<OutcomeNotification>) {
+    while let Some(outcome) = outcomes.recv().await {
+        let outcomes = &mut run.borrow_mut().record.outcomes;
+        outcomes.entry(outcome.id).or_default().push((outcome.received_at, outcome.rejected));
+    }
+}
+
+/// Returns how often the event loops of the instances were held up since their last start, as their logs say.
+fn count_event_loop_delays(instances: &[InstanceFiles]) -> io::Result<usize> {
+    let mut count = 0;
+    for instance in instances {
         let log = std::fs::read_to_string(instance.files.0.join("log"))?;
-        verdict.event_loop_delays += log.matches(EVENT_LOOP_DELAY).count();
+        count += log.matches(EVENT_LOOP_DELAY).count();
     }
-    Ok(verdict)
+    Ok(count)
 }
 
 /// Records the times for which the laboratory itself was held up.
@@ -216,7 +226,7 @@
         "limits": {"sockets": 512, "disk_mb": 8},
         "settings": {"nInstances": plan.instances, "zone": "z", "failureDomains": ["z"], "skus": ["k"],
             "familyInfo": {"maxCalls": 64}, "classes": classes,
-            "limits": {"mostTries": 12, "maxOpen": 512, "retryAfter": true, "maxRetryAfterUs": 1_000_000,
+            "limits": {"mostTries": 12, "maxOpen": plan.max_pending(), "retryAfter": true, "maxRetryAfterUs": 1_000_000,
                 "idleCloseUs": 5_000_000, "connectTimeoutUs": 1_000_000}}});
     let files = ScratchDirectory::new();
     std::fs::write(files.0.join("config"), configuration.to_string())?;
--- a/crates/quillhub-server/tests/fault_laboratory.rs
+++ b/crates/quillhub-server/tests/fault_laboratory.rs
@@ -236,6 +236,15 @@
     }
 }
 
+/// Guards against final outcomes that wait behind each other: the deadlines of thousands of messages fell on the same moment,
+/// just after a restart or during a hold-up, and reports were sent one after the other.
+#[test]
+fn thousands_of_simultaneous_deadlines_break_no_rule() {
+    for seed in [2, 4] {
+        check(&Plan::with_simultaneous_deadlines(seed));
+    }
+}
+
 /// Guards against faults that break a rule only together: surplus responses, shortened and failing system calls, a failing
 /// disk, pauses, a wall clock that is set, and a series of restarts.
 #[test]
