Whether a late-read response counts is decided in the policy

The limit of 250 ms and the comparison stood in attempts/mod.rs, which is host code. They are one function of src/policy/deadline_budget.rs now, with a test of its limits; connections only tell what they read and when it arrived. Behaviour is unchanged.

--- a/crates/quillhub-server/src/attempts/mod.rs
+++ b/crates/quillhub-server/src/attempts/mod.rs
@@ -13,8 +13,8 @@
 
 use crate::connection::{ConnectionError, HttpConnection, UnexpectedInput};
 use crate::http::InterimResponses;
+use quillhub::is_response_in_time;
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
 
@@ -22,8 +22,6 @@
 /// Endpoints write a response in one piece, and a quarter of a second covers the retransmission of a packet. Guards
 /// against responses that never end, which would keep their attempt in flight.
 const RESPONSE_REST_TIMEOUT: Duration = Duration::from_millis(250);
-/// Maximum time from the arrival of a status line to its read by a process that was held up.
-const MAX_READ_DELAY: Duration = Duration::from_millis(250);
 /// Number of times that an attempt reconnects when its connection breaks before the last byte of the request: once
 /// for a stale pooled connection, and once for a new connection that happens to break.
 const MAX_RECONNECTS: u32 = 2;
@@ -177,12 +175,10 @@
         self.after.saturating_sub(self.started.elapsed())
     }
 
-    /// Returns the time in which a response that is read late arrived in time. It ends with the deadline, and is no longer than
-    /// the process may be held up, since a step of the wall clock makes input look older than it is.
-    fn believed_arrivals(&self) -> RangeInclusive<Instant> {
-        let end = self.started + self.after;
-        let start = Instant::now().checked_sub(MAX_READ_DELAY).unwrap_or(self.started);
-        start.max(self.started)..=end
+    /// Returns `true` if what was read last on a connection, and is handled now, came in time.
+    fn is_met_by(&self, connection: &HttpConnection) -> bool {
+        let arrived = connection.arrived().and_then(|arrived| arrived.checked_duration_since(self.started));
+        is_response_in_time(self.started.elapsed(), arrived, self.after)
     }
 
     /// Returns the time limit for a part of a response, which endpoints write in one piece.
@@ -357,15 +353,13 @@
         match timeout(deadline.time_left(), connection.response_started()).await {
             Ok(Ok(())) => {}
             Ok(Err(error)) => return Err(FailedCall::broken(&error)),
-            Err(_) if connection.read_if_arrived_in(&deadline.believed_arrivals()) => {}
+            Err(_) if connection.read_now() && deadline.is_met_by(connection) => {}
             Err(_) => return Err(FailedCall::timed_out()),
         }
         let status = connection.status(STATUS_OVER, || control.message_may_be_over());
         let status = timeout(deadline.response_timeout(), status).await;
-        let is_late =
-            deadline.time_left().is_zero() && !connection.has_arrived_in(&deadline.believed_arrivals());
         match status {
-            _ if is_late => return Err(FailedCall::timed_out()),
+            _ if !deadline.is_met_by(connection) => return Err(FailedCall::timed_out()),
             Ok(Ok(100..200)) => {}
             Ok(Ok(status)) => return Ok(status),
             Ok(Err(error)) => return Err(FailedCall::broken(&error)),
--- a/crates/quillhub-server/src/connection.rs
+++ b/crates/quillhub-server/src/connection.rs
@@ -11,7 +11,6 @@
 use std::io::{self, ErrorKind, Read};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
@@ -211,15 +210,14 @@
         }
     }
 
-    /// Reads what the system has, and returns `true` if that is input which is known to have arrived in this time.
-    pub(crate) fn read_if_arrived_in(&mut self, time: &RangeInclusive<Instant>) -> bool {
-        let read = self.reader.read_now(&self.stream, &mut self.buffer);
-        matches!(read, Ok(1..)) && self.has_arrived_in(time)
+    /// Reads what the system has, and returns `true` if there was any input.
+    pub(crate) fn read_now(&mut self) -> bool {
+        matches!(self.reader.read_now(&self.stream, &mut self.buffer), Ok(1..))
     }
 
-    /// Returns `true` if the input that was read last is known to have arrived in this time.
-    pub(crate) fn has_arrived_in(&self, time: &RangeInclusive<Instant>) -> bool {
-        self.reader.arrived().is_some_and(|arrived| time.contains(&arrived))
+    /// Returns the arrival of the input that was read last, or `None` if it is not known.
+    pub(crate) fn arrived(&self) -> Option<Instant> {
+        self.reader.arrived()
     }
 
     /// Reads the status of the next response as soon as its status line is complete, without consuming any of it. Calls
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
     AttributionGround, AttributionTerms, CallId, CallTimes, CommandAge, ConnectionChoice, ConnectionId,
     ConnectionLedger, FAILURE_PAUSE, Health, LedgerUpdate, MAX_OUTCOMES_PER_REPORT, MAX_REPORTS,
     MAX_REQUESTS_PER_REPORT, ReportSchedule, ResponseMeaning, Uncertainty, choose_connection,
+    is_response_in_time,
 };
 
 use std::time::Duration;
--- a/src/policy/deadline_budget.rs
+++ b/src/policy/deadline_budget.rs
@@ -37,6 +37,20 @@
 /// A rejection does no harm, and a late confirmation leaves a message behind that its client submits again.
 const MAX_COMMAND_AGE: Duration = CLIENT_TIMEOUT.saturating_sub(MAX_HOLD_UP);
 
+/// Maximum time from the arrival of a response to its read by a process that was held up. A response that looks older counts
+/// as late, since a step of the wall clock makes input look older than it is.
+const MAX_READ_DELAY: Duration = ms(250);
+
+/// Returns `true` if a response that is read at `read` came before the deadline that its call stated. It arrived at
+/// `arrived`, and may have arrived when it was read if that is not known. All times count from the start of the attempt.
+///
+/// A later response counts as none, since the endpoint may have stopped processing the call by then.
+pub fn is_response_in_time(read: Duration, arrived: Option<Duration>, deadline: Duration) -> bool {
+    let is_believed = |arrived: &Duration| read.saturating_sub(*arrived) <= MAX_READ_DELAY;
+    let arrived_in_time = arrived.filter(is_believed).is_some_and(|arrived| arrived <= deadline);
+    read < deadline || arrived_in_time
+}
+
 /// Age of the command that submits a message, of which only the limits may be known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CommandAge {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -35,7 +35,7 @@
 pub use connection_ledger::{
     AttributionTerms, CallId, ConnectionId, ConnectionLedger, LedgerUpdate, ResponseMeaning, Uncertainty,
 };
-pub use deadline_budget::CommandAge;
+pub use deadline_budget::{CommandAge, is_response_in_time};
 pub use outlier::Health;
 pub use report_schedule::{
     FAILURE_PAUSE, MAX_OUTCOMES_PER_REPORT, MAX_REPORTS, MAX_REQUESTS_PER_REPORT, ReportSchedule,
--- a/src/policy/tests/deadline_budget.rs
+++ b/src/policy/tests/deadline_budget.rs
@@ -48,6 +48,20 @@
     assert_eq!((budget.calls_end, budget.decided_by), (ms(2_850), ms(3_000)));
 }
 
+/// Guards against a delivered message that is sent again since a process that was held up read its response late, and against
+/// a late response that counts.
+#[test]
+fn a_response_counts_by_its_arrival_if_that_is_known_and_not_long_ago() {
+    let deadline = ms(1_000);
+    let is_in_time = |read, arrived: Option<u64>| is_response_in_time(ms(read), arrived.map(ms), deadline);
+    for (read, arrived) in [(999, None), (999, Some(999)), (1_001, Some(1_000)), (1_150, Some(900))] {
+        assert!(is_in_time(read, arrived), "read at {read}, arrived at {arrived:?}");
+    }
+    for (read, arrived) in [(1_000, None), (1_150, None), (1_002, Some(1_001)), (1_150, Some(899))] {
+        assert!(!is_in_time(read, arrived), "read at {read}, arrived at {arrived:?}");
+    }
+}
+
 /// How the calls of a message end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CallEnd {
