--- a/crates/quillhub-server/src/startup.rs
+++ b/crates/quillhub-server/src/startup.rs
@@ -152,8 +152,8 @@
     if let Some(gossip) = gossip {
         receive_gossip(&instance, gossip);
     }
-    close_expired_connections(&instance);
-    log_figures(&instance);
+    repeat_every(CLOSE_EXPIRED_INTERVAL, &instance, Instance::close_expired_connections);
+    repeat_every(FIGURES_INTERVAL, &instance, Instance::log_figures);
     let listener = retry_while_temporary(async || TcpListener::bind(listen).await).await;
     let listener = listener.map_err(ServeError::Listen)?;
     tracing::info!(%listen, "serving");
@@ -255,27 +255,15 @@
     });
 }
 
-fn close_expired_connections(instance: &Rc<RefCell<Instance>>) {
+/// Calls `action` with the instance at each end of `interval`.
+fn repeat_every(interval: Duration, instance: &Rc<RefCell<Instance>>, action: fn(&mut Instance)) {
     let instance = instance.clone();
     supervise(move || {
         let instance = instance.clone();
         async move {
             loop {
-                sleep(CLOSE_EXPIRED_INTERVAL).await;
-                instance.borrow_mut().close_expired_connections();
-            }
-        }
-    });
-}
-
-fn log_figures(instance: &Rc<RefCell<Instance>>) {
-    let instance = instance.clone();
-    supervise(move || {
-        let instance = instance.clone();
-        async move {
-            loop {
-                sleep(FIGURES_INTERVAL).await;
-                instance.borrow_mut().log_figures();
+                sleep(interval).await;
+                action(&mut instance.borrow_mut());
             }
         }
     });
