Admission: the connection to evict is searched for once, without a list of all

Each eviction built a list of all connections twice, once for the lowest rank and once for the connection. The order is that of a type now.

--- a/crates/quillhub-server/src/clients/admission.rs
+++ b/crates/quillhub-server/src/clients/admission.rs
@@ -76,6 +76,15 @@
     }
 }
 
+/// Connection that may be evicted. The lowest one is evicted first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Candidate {
+    rank: u8,
+    /// Time of the last reply on the connection, or of its acceptance before the first reply.
+    since: Instant,
+    number: u64,
+}
+
 /// State that all client connections share: the phase of the shutdown, the permits, and the candidates for eviction.
 pub struct Admission {
     phase: watch::Receiver<Phase>,
@@ -168,37 +177,42 @@
     /// [`EVICTION_TIMEOUT`] on which a command is expected.
     fn evict_if_due(&self, resource: Resource) {
         let now = Instant::now();
-        let lowest_rank = self.candidates(resource, now).map(|((rank, _), _)| rank).min();
-        if lowest_rank.is_some_and(|rank| rank > MAX_IDLE_RANK) {
+        let Some(candidate) = self.first_candidate(resource, now) else { return };
+        if candidate.rank > MAX_IDLE_RANK {
             if now < self.next_busy_eviction.get() {
                 return;
             }
             self.next_busy_eviction.set(now + EVICTION_TIMEOUT);
         }
-        self.evict_one(resource);
+        self.evict(candidate);
     }
 
-    /// Evicts the connection of the lowest rank that holds `resource`; among several of that rank, the one whose last
-    /// reply, or acceptance, is oldest.
+    /// Evicts the connection of the lowest rank that holds `resource`, if any does.
+    #[cfg(test)]
     pub(super) fn evict_one(&self, resource: Resource) {
-        let first = self.candidates(resource, Instant::now()).min().map(|(_, number)| number);
-        let evicted = first.and_then(|number| self.entries.borrow_mut().remove(&number));
-        if let Some(entry) = evicted {
+        if let Some(candidate) = self.first_candidate(resource, Instant::now()) {
+            self.evict(candidate);
+        }
+    }
+
+    fn evict(&self, candidate: Candidate) {
+        if let Some(entry) = self.entries.borrow_mut().remove(&candidate.number) {
             entry.evicted.notify_one();
         }
     }
 
-    /// Returns the connections that hold `resource`: rank, time of the last reply or acceptance, and number.
-    fn candidates(
-        &self,
-        resource: Resource,
-        now: Instant,
-    ) -> impl Iterator<Item = ((u8, Instant), u64)> + use<> {
+    /// Returns the connection of the lowest rank that holds `resource`; among several of that rank, the one whose last reply,
+    /// or acceptance, is oldest.
+    fn first_candidate(&self, resource: Resource, now: Instant) -> Option<Candidate> {
         let entries = self.entries.borrow();
         let holders =
             entries.iter().filter(|(_, entry)| resource == Resource::Connection || entry.holds_large_permit);
-        let ranked = holders.map(|(number, entry)| ((entry.eviction_rank(now), entry.since), *number));
-        ranked.collect::<Vec<_>>().into_iter()
+        let candidates = holders.map(|(number, entry)| Candidate {
+            rank: entry.eviction_rank(now),
+            since: entry.since,
+            number: *number,
+        });
+        candidates.min()
     }
 }
 
