The event loop's clock is created at startup, and not by the admission of clients

Also: one condition says when a final outcome was slow, one impl has the methods of CommandTimes, and the invariant of clients names the one connection without a permit. Behaviour is unchanged; the unit tests of the server pass.

--- a/crates/quillhub-server/src/clients/admission.rs
+++ b/crates/quillhub-server/src/clients/admission.rs
@@ -103,7 +103,12 @@
 impl Admission {
     /// Creates the shared state for the connections of one instance; `connections` has one permit for each connection
     /// that may be served, and up to `max_waiting` more may be open until others are evicted for them.
-    pub fn new(phase: watch::Receiver<Phase>, connections: Arc<Semaphore>, max_waiting: usize) -> Rc<Self> {
+    pub fn new(
+        phase: watch::Receiver<Phase>,
+        connections: Arc<Semaphore>,
+        max_waiting: usize,
+        event_loop: EventLoopClock,
+    ) -> Rc<Self> {
         Rc::new(Self {
             phase,
             connections,
@@ -112,7 +117,7 @@
             large_commands: Arc::new(Semaphore::new(LARGE_COMMAND_PERMITS)),
             entries: RefCell::default(),
             next_number: Cell::new(0),
-            event_loop: EventLoopClock::new(),
+            event_loop,
         })
     }
 
@@ -120,8 +125,8 @@
         self.phase.clone()
     }
 
-    /// Returns the clock of the event loop, which [`crate::event_loop::watch`] advances.
-    pub fn event_loop(&self) -> EventLoopClock {
+    /// Returns the clock of the event loop.
+    pub(super) fn event_loop(&self) -> EventLoopClock {
         self.event_loop.clone()
     }
 
--- a/crates/quillhub-server/src/clients/admission_tests.rs
+++ b/crates/quillhub-server/src/clients/admission_tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 fn admission() -> Rc<Admission> {
-    Admission::new(watch::channel(Phase::Serving).1, Arc::new(Semaphore::new(9)), 1)
+    Admission::new(watch::channel(Phase::Serving).1, Arc::new(Semaphore::new(9)), 1, EventLoopClock::new())
 }
 
 /// Returns the numbers of the connections that are neither closed nor evicted.
--- a/crates/quillhub-server/src/clients/mod.rs
+++ b/crates/quillhub-server/src/clients/mod.rs
@@ -1,7 +1,7 @@
 //! Client connections: accepts them and serves each in a task of its own.
 //!
 //! Invariant: every connection that is served, or waits for that, holds one permit of [`Admission`], which limits their number
-//! to the file descriptors set aside for clients.
+//! to the file descriptors set aside for clients. Only the connection that was accepted last may hold none yet.
 
 mod admission;
 mod arrival;
--- a/crates/quillhub-server/src/clients/tests.rs
+++ b/crates/quillhub-server/src/clients/tests.rs
@@ -1,6 +1,7 @@
 use super::admission::{EVICTION_TIMEOUT, Resource};
 use super::connection::{COMMAND_TIMEOUT, MAX_CONSECUTIVE_ERRORS, MAX_PART_BYTES};
 use super::*;
+use crate::event_loop::EventLoopClock;
 use crate::test_support::{StateDirectory, instance, on_one_thread};
 use quillhub_fakes::clients::command;
 use std::sync::Arc;
@@ -37,7 +38,7 @@
         spawn_local(accept(
             instance(&directory, address),
             Rc::new(listener),
-            Admission::new(phase_receiver, permits.clone(), MAX_WAITING),
+            Admission::new(phase_receiver, permits.clone(), MAX_WAITING, EventLoopClock::new()),
         ));
         let mut client = TcpStream::connect(address).await.unwrap();
         client.write_all(input).await.unwrap();
@@ -133,7 +134,8 @@
             }
             drop(client);
             // The end of the client has arrived before the first command is read.
-            let admission = Admission::new(phase_receiver, permits.clone(), MAX_WAITING);
+            let admission =
+                Admission::new(phase_receiver, permits.clone(), MAX_WAITING, EventLoopClock::new());
             spawn_local(accept(instance.clone(), Rc::new(listener), admission));
             while permits.available_permits() == 1 {
                 tokio::task::yield_now().await;
@@ -154,7 +156,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (_phase, phase_receiver) = watch::channel(Phase::Serving);
-        let admission = Admission::new(phase_receiver, Arc::new(Semaphore::new(1)), MAX_WAITING);
+        let admission =
+            Admission::new(phase_receiver, Arc::new(Semaphore::new(1)), MAX_WAITING, EventLoopClock::new());
         spawn_local(accept(instance(&directory, address), Rc::new(listener), admission));
         let mut reply = [0; 7];
         let mut first = TcpStream::connect(address).await.unwrap();
@@ -213,7 +216,7 @@
         let address = listener.local_addr().unwrap();
         let (phase, phase_receiver) = watch::channel(Phase::Serving);
         let permits = Arc::new(Semaphore::new(1));
-        let admission = Admission::new(phase_receiver, permits.clone(), MAX_WAITING);
+        let admission = Admission::new(phase_receiver, permits.clone(), MAX_WAITING, EventLoopClock::new());
         let instance = instance(&directory, address);
         spawn_local(accept(instance.clone(), Rc::new(listener), admission.clone()));
         let mut client = TcpStream::connect(address).await.unwrap();
@@ -299,7 +302,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (_phase, phase_receiver) = watch::channel(Phase::Serving);
-        let admission = Admission::new(phase_receiver, Arc::new(Semaphore::new(CROWD)), CROWD);
+        let admission =
+            Admission::new(phase_receiver, Arc::new(Semaphore::new(CROWD)), CROWD, EventLoopClock::new());
         spawn_local(accept(instance(&directory, address), Rc::new(listener), admission));
         let mut reply = [0; 7];
         // These clients do not close their side, so that each eviction takes its whole time.
--- a/crates/quillhub-server/src/instance/timeline.rs
+++ b/crates/quillhub-server/src/instance/timeline.rs
@@ -26,9 +26,7 @@
         let now = Instant::now();
         Self { arrived: now, arrived_by: now, read: now }
     }
-}
 
-impl CommandTimes {
     /// Returns the age of the command.
     pub fn age(&self) -> CommandAge {
         CommandAge { at_least: self.arrived_by.elapsed(), at_most: self.arrived.elapsed() }
@@ -97,8 +95,7 @@
 
     /// Returns `true` if a final outcome that the platform confirms now was decided or confirmed slowly.
     pub fn is_slow(&self) -> bool {
-        let reported_slowly = self.decided.is_some_and(|at| at.elapsed() > MAX_UNLOGGED_REPORT_TIME);
-        reported_slowly || self.decided.is_some_and(|at| at > self.deadline)
+        self.decided.is_some_and(|at| at > self.deadline || at.elapsed() > MAX_UNLOGGED_REPORT_TIME)
     }
 }
 
--- a/crates/quillhub-server/src/startup.rs
+++ b/crates/quillhub-server/src/startup.rs
@@ -8,7 +8,7 @@
 };
 use crate::discovery::{self, Origin};
 use crate::error::ServeError;
-use crate::event_loop;
+use crate::event_loop::{self, EventLoopClock};
 use crate::gossip::GossipSocket;
 use crate::instance::{Instance, InstanceParts};
 use crate::outcomes;
@@ -276,8 +276,8 @@
 ) -> ClientConnections {
     let (phase, phase_receiver) = watch::channel(Phase::Serving);
     let permits = Arc::new(Semaphore::new(max_clients));
-    let admission = clients::Admission::new(phase_receiver, permits.clone(), max_waiting);
-    let event_loop = admission.event_loop();
+    let event_loop = EventLoopClock::new();
+    let admission = clients::Admission::new(phase_receiver, permits.clone(), max_waiting, event_loop.clone());
     supervise(move || event_loop::watch(event_loop.clone()));
     let (instance, listener) = (instance.clone(), Rc::new(listener));
     supervise(move || clients::accept(instance.clone(), listener.clone(), admission.clone()));
