Laboratory: hold-ups with messages that wait for others of their ordering key

No plan had ordering keys, so that the ends of messages that wait behind others were not run with processes. The plan is that of the hold-ups with all classes ordered and 60 keys an instance.

--- a/crates/quillhub-fakes/examples/fault_laboratory.rs
+++ b/crates/quillhub-fakes/examples/fault_laboratory.rs
@@ -3,7 +3,7 @@
 //! `fault_laboratory PROGRAM --seeds A..B [--plan PLAN] [--logs DIRECTORY]`
 //!
 //! PLAN is `surplus-responses` (default), `spoilt-rejections`, `copies-before-hangs`, `copies-on-the-way`, `hold-ups`,
-//! `hold-ups-unstamped`, `simultaneous-deadlines`, `over-responses`, `own-over-responses`, `short-io`, `sockets`,
+//! `hold-ups-ordered`, `hold-ups-unstamped`, `simultaneous-deadlines`, `over-responses`, `own-over-responses`, `short-io`, `sockets`,
 //! `wall-clock`, `storage`, `all-faults` or `no-faults`. Prints a line for each seed and the timeline of each message that broke a rule. Exit status:
 //! 0 if no rule broke, 1 if one did, 2 if the command line cannot be read or a run cannot be started.
 
@@ -14,7 +14,7 @@
 use std::process::ExitCode;
 
 const USAGE: &str = "usage: fault_laboratory PROGRAM --seeds A..B \
-    [--plan surplus-responses|spoilt-rejections|copies-before-hangs|copies-on-the-way|hold-ups|hold-ups-unstamped|simultaneous-deadlines|over-responses|own-over-responses|short-io|sockets|wall-clock|storage|all-faults|no-faults] [--logs DIRECTORY]";
+    [--plan surplus-responses|spoilt-rejections|copies-before-hangs|copies-on-the-way|hold-ups|hold-ups-ordered|hold-ups-unstamped|simultaneous-deadlines|over-responses|own-over-responses|short-io|sockets|wall-clock|storage|all-faults|no-faults] [--logs DIRECTORY]";
 /// Number of messages whose timelines are printed for a seed.
 const MAX_TIMELINES: usize = 3;
 
@@ -43,6 +43,7 @@
             ("--plan", "copies-before-hangs") => options.plan = Plan::with_copies_before_hangs,
             ("--plan", "copies-on-the-way") => options.plan = Plan::with_copies_on_the_way,
             ("--plan", "hold-ups") => options.plan = Plan::with_hold_ups,
+            ("--plan", "hold-ups-ordered") => options.plan = Plan::with_hold_ups_and_ordering_keys,
             ("--plan", "hold-ups-unstamped") => options.plan = Plan::with_hold_ups_and_unstamped_input,
             ("--plan", "simultaneous-deadlines") => options.plan = Plan::with_simultaneous_deadlines,
             ("--plan", "short-io") => options.plan = Plan::with_short_io,
--- a/crates/quillhub-fakes/src/laboratory/builders.rs
+++ b/crates/quillhub-fakes/src/laboratory/builders.rs
@@ -28,6 +28,7 @@
             rate_per_s: rng.random_range(40.0..80.0),
             time_to_live: millis(4_000),
             short_lived_share: 0.0,
+            ordering_keys: None,
             pipelined_share: 0.0,
             just_in_time_share: 0.0,
             path_time: Duration::ZERO..Duration::ZERO,
@@ -261,6 +262,11 @@
         }
     }
 
+    /// Returns the plan of [`Self::with_hold_ups`] with messages that wait for others with the same ordering key.
+    pub fn with_hold_ups_and_ordering_keys(seed: u64) -> Self {
+        Self { ordering_keys: Some(60), ..Self::with_hold_ups(seed) }
+    }
+
     /// Returns the plan of [`Self::with_hold_ups`] on a system that does not stamp input.
     pub fn with_hold_ups_and_unstamped_input(seed: u64) -> Self {
         Self { is_input_unstamped: true, ..Self::with_hold_ups(seed) }
--- a/crates/quillhub-fakes/src/laboratory/client.rs
+++ b/crates/quillhub-fakes/src/laboratory/client.rs
@@ -59,7 +59,8 @@
             number += 1;
             let id = format!("c{instance:03x}{number:012x}");
             let class = rng.random_range(0..SERVICE_CLASSES.len());
-            let message = Message { id, class, destination, instance, time_to_live: plan.time_to_live };
+            let time_to_live = plan.time_to_live;
+            let message = Message { id, class, destination, instance, time_to_live, ordering_key: 0 };
             spawn_local(submit_one(run.clone(), idle.clone(), address, message));
         }
         at += clumps.interval;
@@ -93,6 +94,8 @@
     destination: u64,
     instance: usize,
     time_to_live: Duration,
+    /// Ordering key; 0 if the message has none.
+    ordering_key: u64,
 }
 
 impl Message {
@@ -102,15 +105,17 @@
         let destination = rng.random_range(1..=plan.destinations);
         let is_short_lived = plan.short_lived_share > 0.0 && rng.random::<f64>() < plan.short_lived_share;
         let time_to_live = if is_short_lived { SHORT_TIME_TO_LIVE } else { plan.time_to_live };
-        Self { id, class, destination, instance, time_to_live }
+        let ordering_key = plan.ordering_keys.map_or(0, |keys| rng.random_range(1..=keys));
+        Self { id, class, destination, instance, time_to_live, ordering_key }
     }
 
     /// Returns the command that submits it.
     fn command(&self) -> Vec<u8> {
-        let Self { id, class, destination, time_to_live, .. } = self;
+        let Self { id, class, destination, time_to_live, ordering_key, .. } = self;
         let (class, millis) = (SERVICE_CLASSES[*class].name, time_to_live.as_millis());
         let fields = format!("c={class},d={millis},k={id},dest={destination}");
-        command(&["SUBMIT", "0000000000000000", id, &fields, "body"].map(str::as_bytes))
+        let ordering_key = format!("{ordering_key:016x}");
+        command(&["SUBMIT", &ordering_key, id, &fields, "body"].map(str::as_bytes))
     }
 
     /// Records that its command is being written.
--- a/crates/quillhub-fakes/src/laboratory/plan.rs
+++ b/crates/quillhub-fakes/src/laboratory/plan.rs
@@ -275,6 +275,8 @@
     pub time_to_live: Duration,
     /// Share of the messages whose time to live is 250 ms instead, from 0 to 1.
     pub short_lived_share: f64,
+    /// Number of ordering keys of each instance, if its messages have any. All classes are ordered then.
+    pub ordering_keys: Option<u64>,
     /// Share of the submissions that are three pipelined messages on a new connection, from 0 to 1.
     pub pipelined_share: f64,
     /// Share of the calls that are answered just before the deadline that they state, from 0 to 1.
--- a/crates/quillhub-fakes/src/laboratory/run.rs
+++ b/crates/quillhub-fakes/src/laboratory/run.rs
@@ -218,6 +218,7 @@
         .iter()
         .map(|class| {
             json!({"name": class.name, "effect": class.effect, "memorySpanUs": class.window.as_micros() as u64,
+                "byArrival": plan.ordering_keys.is_some(),
                 "aimUs": 1_000_000, "giveUpUs": plan.time_to_live.as_micros() as u64})
         })
         .collect();
