Laboratory: discovery that does not respond while thousands of outcomes are reported

The platform answers also while discovery is down, on the same address; no run had both. Half of the runs of the plan simultaneous-deadlines have an outage of discovery from 2 s before the common deadline to 2 s after it, also across the restarts. The draw is the last one, so that the rest of each seed's plan is as before.

--- a/crates/quillhub-fakes/src/laboratory/builders.rs
+++ b/crates/quillhub-fakes/src/laboratory/builders.rs
@@ -49,6 +49,7 @@
             pauses: Vec::new(),
             hold_ups: None,
             platform_faults: None,
+            discovery_outage: None,
             crowd: None,
             is_input_unstamped: false,
             short_io: None,
@@ -274,7 +275,8 @@
 
     /// Returns the plan that `seed` determines, with thousands of messages whose endpoints hang and whose deadlines fall on
     /// the same moment, a platform that loses requests or answers late, a crowd that fills the table of connections in half
-    /// of the runs, and either a hold-up at the deadline or a restart around it.
+    /// of the runs, either a hold-up at the deadline or a restart around it, and discovery that does not respond around the
+    /// deadline in half of the runs.
     pub fn with_simultaneous_deadlines(seed: u64) -> Self {
         let mut rng = Pcg64Mcg::seed_from_u64(!seed);
         let millis = Duration::from_millis;
@@ -307,12 +309,15 @@
             instance: 0,
             length: MAX_PAUSE,
         };
+        let discovery_outage = deadline - millis(2_000)..deadline + millis(2_000);
+        let has_discovery_outage = rng.random();
         Self {
             rate_per_s: 5.0,
             path_time: millis(15)..millis(45),
             burst: Some(burst),
             hangs: Some(hangs),
             platform_faults: Some(platform_faults),
+            discovery_outage: Some(discovery_outage).filter(|_| has_discovery_outage),
             crowd: Some(crowd).filter(|_| has_crowd),
             restarts: if is_restarted { vec![restart] } else { Vec::new() },
             pauses: if is_restarted { Vec::new() } else { vec![hold_up] },
--- a/crates/quillhub-fakes/src/laboratory/plan.rs
+++ b/crates/quillhub-fakes/src/laboratory/plan.rs
@@ -317,6 +317,8 @@
     pub hold_ups: Option<HoldUpPlan>,
     /// Faults of the platform, if any.
     pub platform_faults: Option<PlatformFaultPlan>,
+    /// Time for which discovery does not respond, from the start of the load, if it does so.
+    pub discovery_outage: Option<Range<Duration>>,
     /// Idle clients, if any.
     pub crowd: Option<CrowdPlan>,
     /// `true` if the kernel does not stamp input that arrives at the instances.
--- a/crates/quillhub-fakes/src/laboratory/run.rs
+++ b/crates/quillhub-fakes/src/laboratory/run.rs
@@ -111,10 +111,11 @@
     let hold_ups = hold_up_instances(&run, plan, &processes, &addresses);
     let moves = move_platform(&run, plan, &processes, &files, (&platform_faults, &control));
     let storage_faults = fail_storage(plan, run.borrow().record.started, instances[0].files.0.clone());
+    let outage = fail_discovery(plan, run.borrow().record.started, &discovery);
     let pauses = pause_instances(plan, run.borrow().record.started, &processes);
     let reloads = reload_instances(plan, run.borrow().record.started, &processes);
     let restarts = restart_instances(&run, plan, program, &mut instances, &processes);
-    tokio::try_join!(storage_faults, pauses, hold_ups, moves, reloads, restarts)?;
+    tokio::try_join!(storage_faults, outage, pauses, hold_ups, moves, reloads, restarts)?;
     while clients.join_next().await.is_some() {}
     sleep(plan.time_to_live + SETTLE_TIME).await;
     if let Some(logs) = logs {
@@ -265,6 +266,16 @@
     switch_storage_faults(&files, false)
 }
 
+/// Makes discovery unreachable at the planned time.
+async fn fail_discovery(plan: &Plan, started: Instant, discovery: &RefCell<Discovery>) -> io::Result<()> {
+    let Some(outage) = &plan.discovery_outage else { return Ok(()) };
+    sleep_until(started + outage.start).await;
+    discovery.borrow_mut().set_unreachable(true);
+    sleep_until(started + outage.end).await;
+    discovery.borrow_mut().set_unreachable(false);
+    Ok(())
+}
+
 /// Sends a signal to an instance unless it is being restarted.
 pub(super) fn signal(processes: &Processes, instance: usize, signal: Signal) -> io::Result<()> {
     match &processes.borrow()[instance] {
--- a/crates/quillhub-fakes/src/platform.rs
+++ b/crates/quillhub-fakes/src/platform.rs
@@ -76,6 +76,11 @@
         }))
     }
 
+    /// Makes requests to discovery get no response and watches send nothing, or ends that.
+    pub fn set_unreachable(&mut self, is_unreachable: bool) {
+        self.is_unreachable = is_unreachable;
+    }
+
     /// Returns the complete list, without removed endpoints.
     pub fn list(&self) -> Value {
         let live = self.entries.iter().filter(|(_, phase)| *phase != "removed");
@@ -145,9 +150,9 @@
             FaultHandler::Discovery => {
                 spawn_local(async move {
                     sleep_until(begin).await;
-                    discovery.borrow_mut().is_unreachable = true;
+                    discovery.borrow_mut().set_unreachable(true);
                     sleep_until(end).await;
-                    discovery.borrow_mut().is_unreachable = false;
+                    discovery.borrow_mut().set_unreachable(false);
                 });
             }
             FaultHandler::Drain(drain) => {
