Test: the time of a command that comes slowly counts from its last byte

Slow bodies were a related path without a test of its own. In its first form it connected before the listener had its input stamped, and the message was charged for one pause, as designed for input without a stamp.

--- a/crates/quillhub-server/src/clients/tests.rs
+++ b/crates/quillhub-server/src/clients/tests.rs
@@ -2,7 +2,7 @@
 use super::connection::{COMMAND_TIMEOUT, MAX_CONSECUTIVE_ERRORS, MAX_PART_BYTES};
 use super::*;
 use crate::event_loop::EventLoopClock;
-use crate::test_support::{StateDirectory, instance, on_one_thread};
+use crate::test_support::{StateDirectory, instance, on_one_thread, scripted_server, until_input_is_stamped};
 use quillhub_fakes::clients::command;
 use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -327,3 +327,35 @@
         assert!(started.elapsed() <= EVICTION_TIMEOUT, "{:?}", started.elapsed());
     });
 }
+
+/// Guards against a message that is charged for the time in which its client sent the command: slow bodies lost their time.
+#[test]
+fn the_time_of_a_command_that_comes_slowly_counts_from_its_last_byte() {
+    const PAUSE: Duration = Duration::from_millis(240);
+    const TIME_TO_LIVE: Duration = Duration::from_millis(1_000);
+    let directory = StateDirectory::new();
+    on_one_thread(async {
+        until_input_is_stamped().await;
+        tokio::time::pause();
+        let (endpoint, mut requests) =
+            scripted_server(vec![b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"]).await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (_phase, phase_receiver) = watch::channel(Phase::Serving);
+        let permits = Arc::new(Semaphore::new(1));
+        let admission = Admission::new(phase_receiver, permits, MAX_WAITING, EventLoopClock::new());
+        spawn_local(accept(instance(&directory, endpoint), Rc::new(listener), admission));
+        yield_now().await; // until the listener has its input stamped
+        let mut client = TcpStream::connect(address).await.unwrap();
+        let list = format!("c=free,d={},dest=9", TIME_TO_LIVE.as_millis());
+        let command = submit(&list, 900);
+        for part in command.chunks(300) {
+            tokio::time::sleep(PAUSE).await;
+            client.write_all(part).await.unwrap();
+        }
+        let request = requests.recv().await.unwrap();
+        let stated = request.lines().find_map(|line| line.strip_prefix("X-Deadline: ")).unwrap();
+        let stated = Duration::from_secs_f64(stated.parse().unwrap());
+        assert!(stated > TIME_TO_LIVE - PAUSE && stated <= TIME_TO_LIVE, "{stated:?}");
+    });
+}
