--- a/crates/quillhub-fakes/src/laboratory/builders.rs
+++ b/crates/quillhub-fakes/src/laboratory/builders.rs
@@ -1,8 +1,8 @@
 //! Plans of runs: which faults a kind of run has, as a seed determines them.
 
 use super::plan::{
-    BurstPlan, ClumpPlan, CopyPlan, CopyShape, CopyTiming, CrowdPlan, HangPlan, HoldUpPlan, OverPlan, Pause,
-    Plan, PlatformFaultPlan, Reload, Restart, SilencePlan, SpoiltRejectionPlan, StorageFaults,
+    ClumpPlan, CopyPlan, CopyShape, CopyTiming, HangPlan, OverPlan, Pause, Plan, Reload, Restart,
+    SilencePlan, SpoiltRejectionPlan, StorageFaults,
 };
 use super::shim::{ShortIo, SocketFaults};
 use crate::process::Signal;
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// Maximum time for which an instance is paused, which it must bear without breaking a rule.
-const MAX_PAUSE: Duration = Duration::from_millis(150);
+pub(super) const MAX_PAUSE: Duration = Duration::from_millis(150);
 
 impl Plan {
     /// Returns the plan without faults that `seed` determines.
@@ -143,12 +143,10 @@
             shape: [CopyShape::Identical, CopyShape::Noise, CopyShape::OtherStatus][rng.random_range(0..3)],
         };
         let start = millis(rng.random_range(800..2_500));
-        let hangs = HangPlan {
-            one_endpoint_in: rng.random_range(2..=4),
-            time: start..start + millis(rng.random_range(2_500..8_000)),
-            copied_share: 0.0,
-            max_copy_delay: Duration::ZERO,
-        };
+        let hangs = HangPlan::without_copies(
+            rng.random_range(2..=4),
+            start..start + millis(rng.random_range(2_500..8_000)),
+        );
         // Without other copies, those before hangs are the first ones that an instance meets.
         let has_other_copies = rng.random_range(0..4) == 0;
         let endless_share = if rng.random() { rng.random_range(0.01..0.05) } else { 0.0 };
@@ -205,126 +203,6 @@
         Self { over, rest_before_close, copies: None, restarts: Vec::new(), ..plan }
     }
 
-    /// Returns the plan that `seed` determines, with hold-ups at every stage of a message, a platform that loses requests or
-    /// answers late and moves in half of the runs, endpoints that hang, lose responses, close resting connections or answer
-    /// just in time, pipelined and short-lived messages, SIGHUP in series, up to two restarts, a crowd of idle clients in one
-    /// run out of three, and copies of responses in half of the runs.
-    pub fn with_hold_ups(seed: u64) -> Self {
-        let mut rng = Pcg64Mcg::seed_from_u64(!seed);
-        let millis = Duration::from_millis;
-        let start = millis(rng.random_range(500..2_000));
-        let hangs = HangPlan {
-            one_endpoint_in: rng.random_range(1..=2),
-            time: start..start + millis(rng.random_range(2_500..6_000)),
-            copied_share: 0.0,
-            max_copy_delay: Duration::ZERO,
-        };
-        let copies = CopyPlan {
-            one_endpoint_in: 1,
-            share: rng.random_range(0.005..0.03),
-            timing: CopyTiming::Directly(millis(1)..millis(40)),
-            shape: CopyShape::Identical,
-        };
-        let plan = Self::without_faults(seed);
-        let platform_faults = PlatformFaultPlan {
-            late_share: 0.2,
-            late_by: millis(250),
-            lost_share: 0.2,
-            moves_at: rng.random::<bool>().then(|| plan.load_time.mul_f64(rng.random_range(0.2..0.9))),
-        };
-        let crowd = CrowdPlan { clients: 300, interval: millis(1_500) };
-        let reload = |rng: &mut Pcg64Mcg| Reload {
-            at: plan.load_time.mul_f64(rng.random()),
-            instance: rng.random_range(0..plan.instances),
-        };
-        let mut reloads: Vec<_> = (0..rng.random_range(0..6)).map(|_| reload(&mut rng)).collect();
-        reloads.sort_by_key(|reload| reload.at);
-        Self {
-            time_to_live: millis(2_000),
-            short_lived_share: 0.1,
-            pipelined_share: 0.1,
-            just_in_time_share: 0.05,
-            path_time: millis(15)..millis(45),
-            silences: Some(SilencePlan { dropped_below: millis(80), lost_share: 0.05 }),
-            copies: rng.random::<bool>().then_some(copies),
-            hangs: Some(hangs),
-            rest_before_close: rng.random::<bool>().then_some(millis(100)..millis(1_500)),
-            hold_ups: Some(HoldUpPlan {
-                length: MAX_PAUSE,
-                submission_length: MAX_PAUSE,
-                messages: 2,
-                cycle: millis(2_700),
-            }),
-            platform_faults: Some(platform_faults),
-            crowd: (rng.random_range(0..3) == 0).then_some(crowd),
-            reloads,
-            restarts: draw_restarts(&mut rng, &plan, 0..=2),
-            ..plan
-        }
-    }
-
-    /// Returns the plan of [`Self::with_hold_ups`] with messages that wait for others with the same ordering key.
-    pub fn with_hold_ups_and_ordering_keys(seed: u64) -> Self {
-        Self { ordering_keys: Some(60), ..Self::with_hold_ups(seed) }
-    }
-
-    /// Returns the plan of [`Self::with_hold_ups`] on a system that does not stamp input.
-    pub fn with_hold_ups_and_unstamped_input(seed: u64) -> Self {
-        Self { is_input_unstamped: true, ..Self::with_hold_ups(seed) }
-    }
-
-    /// Returns the plan that `seed` determines, with thousands of messages whose endpoints hang and whose deadlines fall on
-    /// the same moment, a platform that loses requests or answers late, a crowd that fills the table of connections in half
-    /// of the runs, either a hold-up at the deadline or a restart around it, and discovery that does not respond around the
-    /// deadline in half of the runs.
-    pub fn with_simultaneous_deadlines(seed: u64) -> Self {
-        let mut rng = Pcg64Mcg::seed_from_u64(!seed);
-        let millis = Duration::from_millis;
-        let plan = Self::without_faults(seed);
-        let deadline = millis(4_000);
-        let burst = BurstPlan {
-            messages: rng.random_range(1_000..4_000),
-            messages_per_connection: 50,
-            interval: millis(25),
-            deadline,
-        };
-        let hangs = HangPlan {
-            one_endpoint_in: 1,
-            time: Duration::ZERO..millis(10_000),
-            copied_share: 0.0,
-            max_copy_delay: Duration::ZERO,
-        };
-        let platform_faults =
-            PlatformFaultPlan { late_share: 0.2, late_by: millis(250), lost_share: 0.2, moves_at: None };
-        let crowd = CrowdPlan { clients: 700, interval: millis(1_500) };
-        let has_crowd = rng.random();
-        let restart = Restart {
-            at: deadline - millis(rng.random_range(0..1_500)),
-            signal: if rng.random_range(0..3) == 0 { Signal::TERM } else { Signal::KILL },
-            ..Restart::kill(deadline)
-        };
-        let is_restarted = rng.random::<bool>();
-        let hold_up = Pause {
-            at: deadline - MAX_PAUSE + 2 * MAX_PAUSE.mul_f64(rng.random()),
-            instance: 0,
-            length: MAX_PAUSE,
-        };
-        let discovery_outage = deadline - millis(2_000)..deadline + millis(2_000);
-        let has_discovery_outage = rng.random();
-        Self {
-            rate_per_s: 5.0,
-            path_time: millis(15)..millis(45),
-            burst: Some(burst),
-            hangs: Some(hangs),
-            platform_faults: Some(platform_faults),
-            discovery_outage: Some(discovery_outage).filter(|_| has_discovery_outage),
-            crowd: Some(crowd).filter(|_| has_crowd),
-            restarts: if is_restarted { vec![restart] } else { Vec::new() },
-            pauses: if is_restarted { Vec::new() } else { vec![hold_up] },
-            ..plan
-        }
-    }
-
     /// Returns the plan that `seed` determines, with an instance that is killed and restarted after its wall clock was
     /// set by seconds or by an hour, forward or back.
     pub fn with_wall_clock_step(seed: u64) -> Self {
@@ -371,7 +249,7 @@
 }
 
 /// Draws a series of restarts whose length is in `count`, in order of time.
-fn draw_restarts(rng: &mut Pcg64Mcg, plan: &Plan, count: RangeInclusive<usize>) -> Vec<Restart> {
+pub(super) fn draw_restarts(rng: &mut Pcg64Mcg, plan: &Plan, count: RangeInclusive<usize>) -> Vec<Restart> {
     let mut restarts: Vec<_> = (0..rng.random_range(count)).map(|_| draw_restart(rng, plan)).collect();
     restarts.sort_by_key(|restart| restart.at);
     restarts
--- a/crates/quillhub-fakes/src/laboratory/mod.rs
+++ b/crates/quillhub-fakes/src/laboratory/mod.rs
@@ -11,6 +11,7 @@
 mod crowd;
 mod endpoint;
 mod hold_up;
+mod hold_up_plans;
 mod plan;
 mod platform_faults;
 mod proxy;
--- a/crates/quillhub-fakes/src/laboratory/plan.rs
+++ b/crates/quillhub-fakes/src/laboratory/plan.rs
@@ -89,6 +89,11 @@
     /// Time from the start of one endpoint's hang to that of the next one's.
     const STAGGER: Duration = Duration::from_millis(150);
 
+    /// Returns hangs without copies.
+    pub(super) fn without_copies(one_endpoint_in: usize, time: Range<Duration>) -> Self {
+        Self { one_endpoint_in, time, copied_share: 0.0, max_copy_delay: Duration::ZERO }
+    }
+
     /// Returns the time for which an endpoint hangs, from the start of the load, if it does.
     pub(super) fn time_of(&self, endpoint: usize) -> Option<Range<Duration>> {
         let offset = Self::STAGGER * (endpoint / self.one_endpoint_in) as u32;
--- a/crates/quillhub-server/src/outcomes_tests.rs
+++ b/crates/quillhub-server/src/outcomes_tests.rs
@@ -11,6 +11,13 @@
     FinalOutcome { message, client_id: client_id.as_bytes().into(), result, timeline }
 }
 
+/// Waits until the platform has confirmed all outcomes.
+async fn until_all_are_confirmed(instance: &RefCell<Instance>) {
+    while !instance.borrow().all_outcomes_confirmed() {
+        tokio::task::yield_now().await;
+    }
+}
+
 #[test]
 fn each_kind_of_final_outcome_is_encoded_as_one_json_line() {
     let wait = Some(Duration::from_millis(500));
@@ -44,9 +51,7 @@
         }
         let (both, first, second) = ([true, true], [true, false], [false, true]);
         assert_eq!(refs, [both, both, both, first, second]);
-        while !instance.borrow().all_outcomes_confirmed() {
-            tokio::task::yield_now().await;
-        }
+        until_all_are_confirmed(&instance).await;
     });
 }
 
@@ -63,9 +68,7 @@
         instance.borrow_mut().add_outcome(outcome(1, "a", false, None));
         let (_platform, address_receiver) = watch::channel(address);
         spawn_local(send(instance.clone(), address_receiver));
-        while !instance.borrow().all_outcomes_confirmed() {
-            tokio::task::yield_now().await;
-        }
+        until_all_are_confirmed(&instance).await;
         let mut count = 0;
         while requests.try_recv().is_ok() {
             count += 1;
@@ -88,9 +91,7 @@
         assert!(old_requests.recv().await.unwrap().contains("\"a\""));
         address_sender.send_replace(new);
         assert!(new_requests.recv().await.unwrap().contains("\"a\""));
-        while !instance.borrow().all_outcomes_confirmed() {
-            tokio::task::yield_now().await;
-        }
+        until_all_are_confirmed(&instance).await;
     });
 }
 
@@ -120,9 +121,7 @@
             let gap = gap().await;
             assert!((expected..expected + 5).contains(&gap), "{gap} ms instead of {expected}");
         }
-        while !instance.borrow().all_outcomes_confirmed() {
-            tokio::task::yield_now().await;
-        }
+        until_all_are_confirmed(&instance).await;
         instance.borrow_mut().add_outcome(outcome(2, "b", false, None));
         gap().await;
         assert!((50..55).contains(&gap().await), "each report starts anew");
@@ -160,9 +159,7 @@
         spawn_local(send(instance.clone(), address_receiver));
         instance.borrow_mut().add_outcome(outcome(1, "a", false, None));
         assert_eq!(received.recv().await, Some(false));
-        while !instance.borrow().all_outcomes_confirmed() {
-            tokio::task::yield_now().await;
-        }
+        until_all_are_confirmed(&instance).await;
         instance.borrow_mut().add_outcome(outcome(2, "b", false, None));
         assert_eq!(received.recv().await, Some(true));
         let repeated = timeout(Duration::from_secs(5), received.recv()).await;
@@ -206,9 +203,7 @@
         assert!(first.await.unwrap_err().is_cancelled());
         assert!(!instance.borrow().all_outcomes_confirmed());
         spawn_local(send(instance.clone(), address_receiver));
-        while !instance.borrow().all_outcomes_confirmed() {
-            tokio::task::yield_now().await;
-        }
+        until_all_are_confirmed(&instance).await;
     });
 }
 
